--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod check;
+mod forward;
 mod serve;
 mod standin;
 
@@ -17,6 +18,7 @@
   serve --settings FILE      run a router node
         [--node NAME] [--region NAME] [--zone NAME]
         [--callers ADDRESS] [--peers ADDRESS] [--admin ADDRESS]
+  forward --settings FILE    run a node that forwards by the operator's routes, on the users' platform
   check --settings FILE      name every mistake in a node's settings
   standin NAME --settings FILE
                              run a stand-in for a back end or a service of the platform
@@ -101,6 +103,7 @@
     };
     match command.to_str() {
         Some("serve") => serve::run(arguments)?,
+        Some("forward") => forward::run(arguments)?,
         Some("check") => check::run(arguments)?,
         Some("standin") => standin::run(arguments)?,
         Some("load") => return Ok(paddlemount_bench::load::command::main(arguments.raw_args()?)),
--- /dev/null
+++ b/crates/cli/src/commands/forward.rs
@@ -0,0 +1,24 @@
+//! `paddlemount forward`: a node that forwards by the operator's routes, on the users' platform.
+
+use std::path::PathBuf;
+
+use lexopt::prelude::*;
+use paddlemount_platform::UsersPlatform;
+
+use super::CommandError;
+
+/// Runs the command.
+pub fn run(mut arguments: lexopt::Parser) -> Result<(), CommandError> {
+    let mut settings = None;
+    while let Some(argument) = arguments.next()? {
+        match argument {
+            Long("settings") => settings = Some(PathBuf::from(arguments.value()?)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let Some(settings) = settings else {
+        return Err(CommandError::Usage("--settings FILE is missing".into()));
+    };
+    paddlemount_forward::process::run(settings, Box::new(UsersPlatform))
+        .map_err(|error| CommandError::Start(error.to_string()))
+}
--- /dev/null
+++ b/crates/core/src/forwarding/attempt.rs
@@ -0,0 +1,83 @@
+//! What may follow the end of a try.
+//!
+//! The one question that everything hangs on: may the back end have run the request? Before the first byte was
+//! handed to a connection it has not. After that only the back end's own word that it did not run it counts;
+//! silence, a reset or a strange answer leave it open.
+
+use super::document::RouteKind;
+
+/// How a try ended without an answer that can be passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Nothing was sent: no connection came up, or it was closed before the first byte.
+    NotSent,
+    /// The back end said that it did not run the request.
+    NotRun,
+    /// The request was sent, and the back end may have run it.
+    Unclear,
+    /// The back end answered whole, with a failure of its own.
+    FailedAnswer,
+}
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Another back end may be asked.
+    TryAnother,
+    /// The answer of the back end is passed on.
+    PassOn,
+    /// The caller is told that the request did not run and may come back.
+    Refuse,
+    /// The caller is told that the request may have run.
+    Fail,
+}
+
+/// What a request has behind it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spent {
+    /// Back ends that were sent the request.
+    pub sent: u32,
+    /// Connections that did not come up.
+    pub not_sent: u32,
+    /// Whether an earlier try may have run.
+    pub may_have_run: bool,
+}
+
+/// Connections that may fail to come up in one request before it is given up.
+const MOST_NOT_SENT: u32 = 4;
+/// Back ends that may say "not run" in one request, beyond which it is given up. A refused send isn't a run, so the
+/// route's own bound does not count it; the retry budget does.
+const MOST_REFUSED: u32 = 4;
+
+/// Decides what follows `end`. `time_left` tells whether another try could still be answered in time; `budget`
+/// is asked only where everything else allows another try that counts as a repeat.
+pub fn next(
+    kind: RouteKind,
+    attempts: u32,
+    end: AttemptEnd,
+    spent: Spent,
+    time_left: bool,
+    mut budget: impl FnMut() -> bool,
+) -> Next {
+    let give_up = give_up(kind, spent);
+    if !time_left {
+        return if end == AttemptEnd::FailedAnswer { Next::PassOn } else { give_up };
+    }
+    match end {
+        AttemptEnd::NotSent if spent.not_sent < MOST_NOT_SENT => Next::TryAnother,
+        AttemptEnd::NotSent => give_up,
+        AttemptEnd::NotRun if spent.sent < MOST_REFUSED.max(attempts) && budget() => Next::TryAnother,
+        AttemptEnd::NotRun => give_up,
+        AttemptEnd::Unclear if kind.is_idempotent() && spent.sent < attempts && budget() => Next::TryAnother,
+        AttemptEnd::Unclear => Next::Fail,
+        AttemptEnd::FailedAnswer if kind == RouteKind::Repeatable && spent.sent < attempts && budget() => {
+            Next::TryAnother
+        }
+        AttemptEnd::FailedAnswer => Next::PassOn,
+    }
+}
+
+/// How a request ends that is given up: only one that cannot have run, or may run again, is refused.
+pub const fn give_up(kind: RouteKind, spent: Spent) -> Next {
+    if spent.may_have_run && !kind.is_idempotent() { Next::Fail } else { Next::Refuse }
+}
--- /dev/null
+++ b/crates/core/src/forwarding/backends.rs
@@ -0,0 +1,182 @@
+//! Back ends as the registry tells of them.
+//!
+//! A back end is known by the identity of one start of its process. The registry's word that it is leaving counts
+//! at once. An entry that vanishes while the registry is in trouble says little: such a back end is doubted for a
+//! while and gets work only where too few others are left.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use paddlemount_protocol::{
+    identity::{EngineId, ModelId, ServiceId, WeightsVersion, ZoneId},
+    time::Timestamp,
+};
+
+/// One start of a back end: a model engine, or an instance of another service.
+pub type BackendId = EngineId;
+
+/// How long a back end is doubted whose entry vanished while the registry was in trouble.
+const DOUBT: Duration = Duration::from_secs(8);
+
+/// A back end's entry in the registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BackendEntry {
+    /// Its identity.
+    pub id: BackendId,
+    /// The service that it serves.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to end.
+    pub leaving: bool,
+    /// The versions of its models' weights.
+    pub weights: BTreeMap<ModelId, WeightsVersion>,
+}
+
+/// Whether a back end may get new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It may.
+    Ready,
+    /// It must not: it is leaving.
+    Leaving,
+    /// Its entry vanished while the registry was in trouble.
+    Doubted {
+        /// When the entry vanished.
+        since: Timestamp,
+    },
+}
+
+/// A back end as believed.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its entry, as last seen.
+    pub entry: BackendEntry,
+    /// Whether it may get new work.
+    pub standing: Standing,
+    /// It is being given new weights, until then at most.
+    pub loading_until: Option<Timestamp>,
+}
+
+/// All back ends believed to exist.
+#[derive(Debug, Default)]
+pub struct Backends {
+    by_id: BTreeMap<BackendId, Backend>,
+}
+
+/// What changed with an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A back end that was not known.
+    Appeared,
+    /// It is now leaving.
+    Leaving,
+    /// Something else of the entry.
+    Updated,
+    /// The entry is as it was.
+    None,
+    /// The entry is gone, and the back end with it.
+    Removed,
+    /// The entry is gone while the registry is in trouble.
+    Doubted,
+}
+
+impl Backends {
+    /// Takes an entry in.
+    pub fn put(&mut self, entry: BackendEntry) -> Change {
+        let standing = if entry.leaving { Standing::Leaving } else { Standing::Ready };
+        let Some(known) = self.by_id.get_mut(&entry.id) else {
+            let backend = Backend { entry: entry.clone(), standing, loading_until: None };
+            self.by_id.insert(entry.id, backend);
+            return Change::Appeared;
+        };
+        // A process that said once that it is leaving does not stay.
+        let standing = if known.standing == Standing::Leaving { Standing::Leaving } else { standing };
+        let change = match (known.standing == standing, known.entry == entry) {
+            (true, true) => Change::None,
+            (false, _) if standing == Standing::Leaving => Change::Leaving,
+            _ => Change::Updated,
+        };
+        if known.entry.weights != entry.weights {
+            known.loading_until = None;
+        }
+        known.standing = standing;
+        known.entry = entry;
+        change
+    }
+
+    /// An entry is gone.
+    pub fn remove(&mut self, id: &BackendId, registry_in_trouble: bool, now: Timestamp) -> Change {
+        let Some(known) = self.by_id.get_mut(id) else { return Change::None };
+        if registry_in_trouble && known.standing == Standing::Ready {
+            known.standing = Standing::Doubted { since: now };
+            return Change::Doubted;
+        }
+        self.by_id.remove(id);
+        Change::Removed
+    }
+
+    /// A whole listing: what it does not hold is gone.
+    pub fn retain(
+        &mut self,
+        listed: &BTreeSet<BackendId>,
+        registry_in_trouble: bool,
+        now: Timestamp,
+    ) -> Vec<BackendId> {
+        let missing: Vec<BackendId> = self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        for id in &missing {
+            self.remove(id, registry_in_trouble, now);
+        }
+        missing
+    }
+
+    /// Drops back ends that have been doubted for too long.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
+        let expired = |backend: &Backend| match backend.standing {
+            Standing::Doubted { since } => now.saturating_since(since) >= DOUBT,
+            Standing::Ready | Standing::Leaving => false,
+        };
+        let ids: Vec<BackendId> =
+            self.by_id.iter().filter(|(_, backend)| expired(backend)).map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.by_id.remove(id);
+        }
+        ids
+    }
+
+    /// A back end by identity.
+    pub fn get(&self, id: &BackendId) -> Option<&Backend> {
+        self.by_id.get(id)
+    }
+
+    /// A back end by identity, to note something of it.
+    pub fn get_mut(&mut self, id: &BackendId) -> Option<&mut Backend> {
+        self.by_id.get_mut(id)
+    }
+
+    /// All back ends.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.by_id.values()
+    }
+
+    /// Back ends of `service` that may get work: the ready ones, and the doubted ones where fewer than half are ready.
+    pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Backend> {
+        let of_service = move || self.by_id.values().filter(move |backend| backend.entry.service == *service);
+        let ready = of_service().filter(|backend| backend.standing == Standing::Ready).count();
+        let doubted =
+            of_service().filter(|backend| matches!(backend.standing, Standing::Doubted { .. })).count();
+        let with_doubted = ready < doubted;
+        of_service().filter(move |backend| match backend.standing {
+            Standing::Ready => true,
+            Standing::Doubted { .. } => with_doubted,
+            Standing::Leaving => false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarding/document.rs
@@ -0,0 +1,150 @@
+//! The operator's document: routes, services, tenants and limits of ingress.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use paddlemount_protocol::identity::{ModelId, ServiceId, TenantId, ZoneId};
+
+/// A whole document. Its version rises with each change.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Document {
+    /// The version; rises in uneven steps.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// All services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// What a caller may send, and how slowly.
+    pub limits: IngressLimits,
+    /// All tenants. None at all means that no request needs a key.
+    pub tenants: Vec<Tenant>,
+}
+
+/// What may be done with a request again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// It may run more than once.
+    Repeatable,
+    /// It runs at most once in a try of the caller.
+    AtMostOnce,
+    /// It is answered by a stream of events.
+    Stream {
+        /// Whether another back end may go on after the last event that arrived.
+        resumable: bool,
+    },
+}
+
+impl RouteKind {
+    /// Whether a request that may have run may be sent again.
+    pub const fn is_idempotent(self) -> bool {
+        matches!(self, Self::Repeatable | Self::Stream { resumable: true })
+    }
+
+    /// Whether the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// The host that requests name.
+    pub host: String,
+    /// The path's beginning; begins and ends with a slash.
+    pub path_prefix: String,
+    /// What may be done again.
+    pub kind: RouteKind,
+    /// The longest time that a caller's try is held.
+    pub timeout: Duration,
+    /// The time within which an answer should begin.
+    pub target_latency: Duration,
+    /// The longest pause between events that is still good.
+    pub target_gap: Option<Duration>,
+    /// Back ends that one try of a caller may go to.
+    pub attempts: u32,
+    /// Rank; 0 is the highest.
+    pub priority: u8,
+    /// Whether requests need no key.
+    pub anonymous: bool,
+    /// The services that share the route's requests.
+    pub split: Vec<Share>,
+}
+
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// The service.
+    pub service: ServiceId,
+    /// Its weight among the route's shares.
+    pub weight: u32,
+}
+
+/// One service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Connections that one back end takes from all callers together.
+    pub max_connections: u32,
+    /// What its model engines have; none for other services.
+    pub engine: Option<EngineTraits>,
+    /// Where it is a store of kept cache: its address and zone.
+    pub kept_cache: Option<KeptCache>,
+}
+
+/// What the model engines of a service have.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EngineTraits {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit the cache.
+    pub cache_tokens: u64,
+    /// The models served.
+    pub models: Vec<ModelId>,
+}
+
+/// A store of kept cache.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeptCache {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+}
+
+/// What a caller may send, and how slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IngressLimits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// The time in which a head must arrive.
+    pub header_timeout: Duration,
+    /// The time that a connection may rest.
+    pub idle_timeout: Duration,
+}
+
+impl Default for IngressLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: TenantId,
+    /// The keys that its callers send.
+    pub keys: Vec<String>,
+    /// Rank, ahead of the route's; 0 is the highest.
+    pub priority: u8,
+    /// Whether it shares no cached prompt state with other tenants.
+    pub isolated: bool,
+}
--- /dev/null
+++ b/crates/core/src/forwarding/mod.rs
@@ -0,0 +1,24 @@
+//! Decisions about requests that are forwarded by host and path, as the operator's routes say.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`document`] | nothing: the operator's document in the product's own terms |
+//! | [`table`] | which route and tenant a request belongs to, or why it has none |
+//! | [`freshness`] | whether what is believed of the configuration is recent enough to act on |
+//! | [`backends`] | which back ends exist and may get new work |
+//! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
+//! | [`attempt`] | what may follow the end of a try |
+//! | [`events`] | which events of a stream are whole and may be passed on |
+//! | [`rollout`] | which back end gets new weights next |
+//!
+//! Everything here is pure: the present time is an argument.
+
+pub mod attempt;
+pub mod backends;
+pub mod choice;
+pub mod document;
+pub mod events;
+pub mod freshness;
+pub mod prompt;
+pub mod rollout;
+pub mod table;
--- /dev/null
+++ b/crates/core/src/forwarding/table.rs
@@ -0,0 +1,132 @@
+//! Finds the route and the tenant of a request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use paddlemount_protocol::identity::{ServiceId, TenantId};
+
+use super::document::{Document, IngressLimits, Route, Service, Tenant};
+
+/// A document, indexed for lookups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    document: Document,
+    /// Indices of routes by host, the longest prefix first.
+    by_host: HashMap<String, Vec<Arc<Route>>>,
+    tenants: Vec<Arc<Tenant>>,
+    by_key: HashMap<String, Arc<Tenant>>,
+}
+
+/// What a document says of a request.
+#[derive(Clone, Debug)]
+pub enum Admission {
+    /// It belongs to a route.
+    Admitted {
+        /// The route.
+        route: Arc<Route>,
+        /// The tenant, where the request carries a known key.
+        tenant: Option<Arc<Tenant>>,
+    },
+    /// No route fits.
+    NoRoute,
+    /// The route needs a key, and the request has none that is known.
+    UnknownKey,
+}
+
+impl RouteTable {
+    /// Indexes `document`.
+    pub fn new(document: Document) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &document.routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let tenants: Vec<Arc<Tenant>> = document.tenants.iter().cloned().map(Arc::new).collect();
+        let keys = |tenant: &Arc<Tenant>| -> Vec<(String, Arc<Tenant>)> {
+            tenant.keys.iter().map(|key| (key.clone(), Arc::clone(tenant))).collect()
+        };
+        let by_key = tenants.iter().flat_map(keys).collect();
+        let document = Document { routes: Vec::new(), tenants: Vec::new(), ..document };
+        Self { document, by_host, tenants, by_key }
+    }
+
+    /// The document's version.
+    pub const fn version(&self) -> u64 {
+        self.document.version
+    }
+
+    /// What a caller may send.
+    pub const fn limits(&self) -> IngressLimits {
+        self.document.limits
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &ServiceId) -> Option<&Service> {
+        self.document.services.get(name)
+    }
+
+    /// All services by name.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Service)> {
+        self.document.services.iter()
+    }
+
+    /// The number of routes.
+    pub fn route_count(&self) -> usize {
+        self.by_host.values().map(Vec::len).sum()
+    }
+
+    /// A tenant by name.
+    pub fn tenant(&self, name: &TenantId) -> Option<&Arc<Tenant>> {
+        self.tenants.iter().find(|tenant| tenant.name == *name)
+    }
+
+    /// Decides on a request to `host` and `path` that carries `key`.
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Admission {
+        let Some(route) = self.route(host, path) else { return Admission::NoRoute };
+        let tenant = key.and_then(|key| self.by_key.get(key));
+        let needs_key = !self.tenants.is_empty() && !route.anonymous;
+        if needs_key && tenant.is_none() {
+            return Admission::UnknownKey;
+        }
+        Admission::Admitted { route: Arc::clone(route), tenant: tenant.map(Arc::clone) }
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = self.by_host.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+/// Chooses among the shares of a route so that each gets its weight's part, also over few requests.
+#[derive(Debug, Default)]
+pub struct ShareWheel {
+    debts: HashMap<String, Vec<i64>>,
+}
+
+impl ShareWheel {
+    /// The index of the share whose turn it is (smooth weighted round robin).
+    pub fn turn(&mut self, route: &Route) -> Option<usize> {
+        if route.split.len() <= 1 {
+            return (!route.split.is_empty()).then_some(0);
+        }
+        let debts = self.debts.entry(route.name.clone()).or_default();
+        debts.resize(route.split.len(), 0);
+        let mut total = 0;
+        for (debt, share) in debts.iter_mut().zip(&route.split) {
+            *debt += i64::from(share.weight);
+            total += i64::from(share.weight);
+        }
+        let chosen = (0..debts.len())
+            .filter(|&index| route.split[index].weight > 0)
+            .max_by_key(|&index| debts[index])?;
+        debts[chosen] -= total;
+        Some(chosen)
+    }
+
+    /// Forgets routes other than those of a new document.
+    pub fn clear(&mut self) {
+        self.debts.clear();
+    }
+}
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -80,6 +80,11 @@
         self.held.filter(|held| now < held.until).map(|held| held.token)
     }
 
+    /// Until when this node has reason to believe that it holds the lease.
+    pub fn held_until(&self) -> Option<Timestamp> {
+        self.held.map(|held| held.until)
+    }
+
     /// When to report the next [`LeaseEvent::Tick`].
     pub const fn next_wakeup(&self) -> Timestamp {
         self.next_at
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod decisions;
 pub mod feed_owners;
+pub mod forwarding;
 pub mod health;
 pub mod heat;
 pub mod lease;
--- /dev/null
+++ b/crates/forward/src/answers.rs
@@ -0,0 +1,118 @@
+//! The node's own answers.
+//!
+//! 503 promises that the request has not run and never will, and says when to come back. 502 and 504 promise nothing.
+
+use std::{convert::Infallible, pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+
+use crate::relay::RelayError;
+
+/// The body of any answer.
+pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = RelayError>>>;
+
+/// Why the node itself answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The configuration may be out of date: keys cannot be trusted, or a route may be new.
+    ConfigurationTooOld,
+    /// No route fits.
+    NoRoute,
+    /// The route needs a key, and none that is known came.
+    UnknownKey,
+    /// The body is larger than the configuration allows.
+    BodyTooLarge,
+    /// The caller broke off before its request was whole.
+    RequestBroken,
+    /// No back end may get the request.
+    NoBackend,
+    /// No back end took the request.
+    NotTaken,
+    /// The time was up before a back end got the request.
+    TimeUpBeforeSending,
+    /// The time was up while a back end had the request.
+    TimeUp,
+    /// The back end may have run the request, and its answer is lost.
+    AnswerLost,
+}
+
+impl Reason {
+    /// The status that goes with it.
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfiguration
+            | Self::ConfigurationTooOld
+            | Self::NoBackend
+            | Self::NotTaken
+            | Self::TimeUpBeforeSending => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::RequestBroken => StatusCode::BAD_REQUEST,
+            Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// When a caller that is refused may come back.
+    pub const fn come_back(self) -> Option<Duration> {
+        match self {
+            Self::NoConfiguration | Self::NoBackend => Some(Duration::from_millis(400)),
+            Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
+            Self::NotTaken => Some(Duration::from_millis(150)),
+            Self::TimeUpBeforeSending => Some(Duration::from_millis(50)),
+            _ => None,
+        }
+    }
+
+    const fn text(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "this node knows no configuration yet; the request was not run",
+            Self::ConfigurationTooOld => {
+                "this node's configuration may be out of date; the request was not run"
+            }
+            Self::NoRoute => "no route fits the request",
+            Self::UnknownKey => "the request carries no known key",
+            Self::BodyTooLarge => "the body is too large",
+            Self::RequestBroken => "the request is not whole",
+            Self::NoBackend => "no back end may get the request; it was not run",
+            Self::NotTaken => "no back end took the request; it was not run",
+            Self::TimeUpBeforeSending => "the time is up; the request was not run",
+            Self::TimeUp => "the time is up; the request may have run",
+            Self::AnswerLost => "the answer is lost; the request may have run",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ErrorBody {
+    error: &'static str,
+    reason: Reason,
+}
+
+/// The node's own answer for `reason`.
+pub fn own_answer(reason: Reason) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(&ErrorBody { error: reason.text(), reason }).unwrap_or_default();
+    let mut answer = Response::new(whole(Bytes::from(body)));
+    *answer.status_mut() = reason.status();
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = reason.come_back() {
+        let seconds = format!("{:.2}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            answer.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    answer
+}
+
+/// A body that is there whole.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    Box::pin(Full::new(bytes).map_err(|never: Infallible| match never {}))
+}
--- /dev/null
+++ b/crates/forward/src/attempts.rs
@@ -0,0 +1,269 @@
+//! One try of a request at one back end.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use paddlemount_core::{
+    forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice},
+    health::HealthEvent,
+};
+use paddlemount_protocol::time::Timestamp;
+
+use crate::{
+    connection::{Connection, ConnectionError},
+    metrics::Counter,
+    node::Node,
+    ports::AnswerHead,
+};
+
+/// The time in which a connection must come up.
+const CONNECT: Duration = Duration::from_millis(300);
+/// The largest answer that is taken whole, in bytes.
+const LARGEST_ANSWER: usize = 16 << 20;
+/// How long the body of a refusal may take; a connection whose refusal takes longer is closed.
+const REFUSAL_BODY: Duration = Duration::from_millis(100);
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [header::HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+];
+const KEEP_ALIVE: &str = "keep-alive";
+const PROXY_CONNECTION: &str = "proxy-connection";
+
+/// Why a try has no answer to pass on.
+#[derive(Debug)]
+pub struct Ended {
+    /// What is certain about it.
+    pub end: AttemptEnd,
+    /// What happened, for people.
+    pub detail: String,
+    /// A whole failure of the back end's own, which may be passed on.
+    pub answer: Option<Response<Bytes>>,
+    /// Whether the connection had been used before.
+    pub reused: bool,
+}
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub struct Begun {
+    /// Its head.
+    pub head: response::Parts,
+    /// What the head says.
+    pub says: AnswerHead,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection it comes on.
+    pub connection: Connection,
+    /// The work that it is at the back end.
+    pub work: Work,
+    /// Whether the body's end can be told from a broken connection.
+    pub framed: bool,
+}
+
+/// The account of one request's work at a back end; ends with it.
+pub struct Work {
+    node: Rc<Node>,
+    /// The back end.
+    pub backend: BackendId,
+    began: Timestamp,
+    unread_tokens: Option<u64>,
+}
+
+impl std::fmt::Debug for Work {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Work").field("backend", &self.backend).finish_non_exhaustive()
+    }
+}
+
+impl Work {
+    fn begin(node: &Rc<Node>, choice: &Choice) -> Self {
+        node.beliefs.borrow_mut().chooser.started(&choice.backend, choice.expected_tokens);
+        node.health(&choice.backend, HealthEvent::Dispatched, false);
+        Self {
+            node: Rc::clone(node),
+            backend: choice.backend.clone(),
+            began: node.now(),
+            unread_tokens: Some(choice.expected_tokens),
+        }
+    }
+
+    /// The first part of the answer is here.
+    pub fn first_part(&mut self) {
+        if let Some(tokens) = self.unread_tokens.take() {
+            let milliseconds = self.node.now().saturating_since(self.began).as_secs_f64() * 1_000.0;
+            let mut beliefs = self.node.beliefs.borrow_mut();
+            beliefs.chooser.read(&self.backend, tokens);
+            beliefs.chooser.measured(&self.backend, milliseconds);
+        }
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let mut beliefs = self.node.beliefs.borrow_mut();
+        if let Some(tokens) = self.unread_tokens.take() {
+            beliefs.chooser.read(&self.backend, tokens);
+        }
+        beliefs.chooser.ended(&self.backend);
+    }
+}
+
+/// Sends a request and waits for an answer that may be passed on, until `give_up_at`.
+pub async fn send(
+    node: &Rc<Node>,
+    choice: &Choice,
+    id: Option<&str>,
+    request: Request<Full<Bytes>>,
+    give_up_at: Timestamp,
+) -> Result<Begun, Ended> {
+    let work = Work::begin(node, choice);
+    let pooled = node.pool.borrow_mut().take(&choice.backend, node.now());
+    let reused = pooled.is_some();
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => connect(node, choice, give_up_at).await?,
+    };
+    let waiting = connection.send(request);
+    let answer = match tokio::time::timeout_at(node.clock.instant(give_up_at), waiting).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => return Err(broken(node, choice, &error, reused)),
+        Err(_) => {
+            node.health(&choice.backend, HealthEvent::Failed, false);
+            return Err(Ended {
+                end: AttemptEnd::Unclear,
+                detail: "no answer in time".into(),
+                answer: None,
+                reused,
+            });
+        }
+    };
+    let (head, body) = answer.into_parts();
+    let says = node.platform.read_answer(head.status, &head.headers);
+    connection.keep_alive = keep_alive(&head.headers);
+    if says.request_id.as_deref() != id {
+        node.pool.borrow_mut().distrust(&choice.backend, node.now());
+        let detail = "an answer to another request".into();
+        return Err(Ended { end: AttemptEnd::Unclear, detail, answer: None, reused });
+    }
+    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let begun = Begun { head, says, body, connection, work, framed };
+    judge(node, choice, begun, reused, give_up_at).await
+}
+
+async fn connect(node: &Rc<Node>, choice: &Choice, give_up_at: Timestamp) -> Result<Connection, Ended> {
+    node.metrics.count(Counter::Connections);
+    let now = node.now();
+    let patience = CONNECT.min(give_up_at.saturating_since(now));
+    Connection::open(choice.address, patience, now).await.map_err(|error| broken(node, choice, &error, false))
+}
+
+fn broken(node: &Rc<Node>, choice: &Choice, error: &ConnectionError, reused: bool) -> Ended {
+    let end = if error.is_before_sending() { AttemptEnd::NotSent } else { AttemptEnd::Unclear };
+    // A kept connection that its peer closed says nothing of the back end.
+    if !matches!(error, ConnectionError::NotSent) {
+        node.health(&choice.backend, HealthEvent::Failed, !reused && end == AttemptEnd::NotSent);
+    }
+    Ended { end, detail: error.to_string(), answer: None, reused }
+}
+
+/// Sorts out answers that are not passed on as they come.
+async fn judge(
+    node: &Rc<Node>,
+    choice: &Choice,
+    begun: Begun,
+    reused: bool,
+    give_up_at: Timestamp,
+) -> Result<Begun, Ended> {
+    let backend = &choice.backend;
+    let status = begun.head.status;
+    if begun.says.not_run || begun.says.misdirected {
+        note_refusal(node, choice, &begun.says);
+        let detail = format!("status {status}, not run");
+        let _ = tokio::time::timeout(REFUSAL_BODY, take_whole(node, begun)).await;
+        return Err(Ended { end: AttemptEnd::NotRun, detail, answer: None, reused });
+    }
+    if begun.says.encoded || (status.is_success() && !begun.says.signed) {
+        node.pool.borrow_mut().distrust(backend, node.now());
+        let detail = format!("status {status}, not a back end's answer");
+        return Err(Ended { end: AttemptEnd::Unclear, detail, answer: None, reused });
+    }
+    if status.is_server_error() {
+        let event = HealthEvent::Failed;
+        node.health(backend, event, false);
+        let whole = tokio::time::timeout_at(node.clock.instant(give_up_at), take_whole(node, begun)).await;
+        let detail = format!("status {status}");
+        return match whole {
+            Ok(Ok(answer)) => {
+                Err(Ended { end: AttemptEnd::FailedAnswer, detail, answer: Some(answer), reused })
+            }
+            _ => Err(Ended {
+                end: AttemptEnd::Unclear,
+                detail: format!("{detail}, broken off"),
+                answer: None,
+                reused,
+            }),
+        };
+    }
+    node.health(backend, HealthEvent::Succeeded, false);
+    Ok(begun)
+}
+
+fn note_refusal(node: &Rc<Node>, choice: &Choice, says: &AnswerHead) {
+    node.health(&choice.backend, HealthEvent::Inconclusive, false);
+    if let (Some(scope), Some(version)) = (&choice.scope, says.weights) {
+        node.saw_weights(&choice.backend, &scope.model, version);
+    }
+    let other = says.backend.as_ref().is_some_and(|backend| *backend != choice.backend);
+    if says.misdirected && other {
+        // Another process has the address: the one that was meant is gone.
+        node.health(&choice.backend, HealthEvent::Failed, true);
+        node.pool.borrow_mut().close(&choice.backend);
+    } else if !says.misdirected {
+        node.refused(&choice.backend);
+    }
+}
+
+/// Takes an answer whole and gives its connection back.
+pub async fn take_whole(node: &Rc<Node>, begun: Begun) -> Result<Response<Bytes>, String> {
+    let Begun { head, body, connection, mut work, .. } = begun;
+    let body =
+        Limited::new(body, LARGEST_ANSWER).collect().await.map_err(|error| error.to_string())?.to_bytes();
+    work.first_part();
+    node.pool.borrow_mut().put(&work.backend, connection, node.now());
+    Ok(Response::from_parts(head, body))
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+}
+
+/// How long the peer keeps the connection without use, where it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/forward/src/connection.rs
@@ -0,0 +1,123 @@
+//! One HTTP/1.1 connection to a back end or to the platform.
+//!
+//! A connection carries one request at a time. Dropping it closes the socket at once, which is how a try is
+//! cancelled: the back end sees the close and stops its work.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use paddlemount_protocol::time::Timestamp;
+use tokio::{net::TcpStream, task::JoinHandle};
+
+/// The time after which bytes that the peer did not acknowledge break the connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// The pause before and between probes of a silent connection.
+const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
+/// Probes without answer that break the connection.
+const KEEPALIVE_PROBES: u32 = 2;
+/// The most that is read ahead of what has been passed on, in bytes.
+const READ_AHEAD: usize = 64 << 10;
+
+/// Why a request got no answer on a connection.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectionError {
+    /// The connection did not come up.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// The connection did not come up in time.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// The connection was closed before the first byte of the request was written.
+    #[error("closed before the request was written")]
+    NotSent,
+    /// The connection broke, or what came is no answer.
+    #[error("broken: {0}")]
+    Broken(hyper::Error),
+}
+
+impl ConnectionError {
+    /// Whether it is certain that no byte of the request was written.
+    pub const fn is_before_sending(&self) -> bool {
+        !matches!(self, Self::Broken(_))
+    }
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    /// When it was last in use.
+    pub used_at: Timestamp,
+    /// How long the peer keeps it open without use, where it said so.
+    pub keep_alive: Option<Duration>,
+}
+
+impl Connection {
+    /// Opens a connection, or gives up after `patience`.
+    pub async fn open(
+        address: SocketAddr,
+        patience: Duration,
+        now: Timestamp,
+    ) -> Result<Self, ConnectionError> {
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(patience, connecting)
+            .await
+            .map_err(|_| ConnectionError::ConnectTimeout)?
+            .map_err(ConnectionError::Connect)?;
+        prepare(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_AHEAD)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(ConnectionError::Broken)?;
+        let task = tokio::task::spawn_local(async move {
+            // The error reaches whoever waits for the answer.
+            let _ = connection.await;
+        });
+        Ok(Self { sender, task, used_at: now, keep_alive: None })
+    }
+
+    /// Whether the next request may be written.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Waits until an answer that was read to its end has left the connection free.
+    pub async fn becomes_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ConnectionError> {
+        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+            Some(_) => ConnectionError::NotSent,
+            None => ConnectionError::Broken(error.into_error()),
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Options without which a silent peer is not noticed. A system that lacks one serves all the same.
+fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_PAUSE)
+        .with_interval(KEEPALIVE_PAUSE)
+        .with_retries(KEEPALIVE_PROBES);
+    let _ = socket.set_tcp_keepalive(&keepalive);
+}
--- /dev/null
+++ b/crates/forward/src/exchange.rs
@@ -0,0 +1,487 @@
+//! Takes one request from its arrival to its answer.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, header, request};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use paddlemount_core::forwarding::{
+    attempt::{self, AttemptEnd, Next, Spent},
+    backends::BackendId,
+    choice::Choice,
+    document::{Route, RouteKind, Tenant},
+    table::Admission,
+};
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
+
+use crate::{
+    answers::{AnswerBody, Reason, own_answer, whole},
+    attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
+    journal::{Event, RequestLine},
+    metrics::{Counter, Distribution, kind_label},
+    node::{Ask, Node},
+    ports::{Dispatch, RequestHead},
+    relay::Relay,
+};
+
+/// How much sooner than the caller gives up its answer is sent.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
+/// The deadline of a caller that names none and of a route without time-out.
+const LONGEST: Duration = Duration::from_secs(60);
+/// The least time that another try needs.
+const LEAST_TIME: Duration = Duration::from_millis(40);
+/// The least time that a try at a silent back end gets before another one is asked.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+
+/// What is told of a request when it has ended.
+#[derive(Debug, Default)]
+pub struct Account {
+    id: Option<String>,
+    route: Option<Arc<Route>>,
+    tenant: Option<Arc<Tenant>>,
+    outcome: Option<&'static str>,
+    status: Option<u16>,
+    reason: Option<Reason>,
+    configuration: Option<u64>,
+    configuration_age: Option<Duration>,
+    choice: Option<Choice>,
+    first_at: Option<Timestamp>,
+    resumed: u32,
+}
+
+/// A request that is being served.
+pub struct Exchange {
+    /// The node.
+    pub node: Rc<Node>,
+    /// The route.
+    pub route: Arc<Route>,
+    /// When it ends at the latest.
+    pub give_up_at: Timestamp,
+    /// What it has behind it.
+    pub spent: Spent,
+    account: Account,
+    arrived: Timestamp,
+    head: RequestHead,
+    parts: request::Parts,
+    body: Bytes,
+    service: ServiceId,
+    tried: Vec<BackendId>,
+    draw: u64,
+}
+
+/// Serves one request.
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = node.now();
+    let (parts, body) = request.into_parts();
+    let head = node.platform.read_request(&parts.headers);
+    let mut account = Account { id: head.id.clone(), ..Account::default() };
+    let admitted = admit(&node, &parts, &head, &mut account);
+    let (route, service) = match admitted {
+        Ok(admitted) => admitted,
+        Err(reason) => {
+            account.refuse(&node, arrived, reason);
+            return own_answer(reason);
+        }
+    };
+    let waits = head.deadline.unwrap_or(LONGEST).saturating_sub(DEADLINE_MARGIN);
+    let give_up_at = arrived + waits.min(route.timeout);
+    let tokens = Rc::clone(&node);
+    tokens.running.set(tokens.running.get() + 1);
+    let mut exchange = Exchange {
+        node,
+        route,
+        give_up_at,
+        spent: Spent::default(),
+        account,
+        arrived,
+        head,
+        parts,
+        body: Bytes::new(),
+        service,
+        tried: Vec::new(),
+        draw: rand::random(),
+    };
+    match exchange.read_body(body).await {
+        Ok(()) => exchange.run().await,
+        Err(reason) => exchange.refuse(reason),
+    }
+}
+
+/// Finds a request's route and tenant, and the service whose turn it is.
+fn admit(
+    node: &Node,
+    parts: &request::Parts,
+    head: &RequestHead,
+    account: &mut Account,
+) -> Result<(Arc<Route>, ServiceId), Reason> {
+    let now = node.now();
+    let bounds = node.settings().bounds;
+    let (table, age) = {
+        let beliefs = node.beliefs.borrow();
+        (beliefs.table.clone().ok_or(Reason::NoConfiguration)?, beliefs.freshness.age(now))
+    };
+    account.configuration = Some(table.version());
+    account.configuration_age = age;
+    let is_within = |bound: Duration| age.is_some_and(|age| age < bound);
+    let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    // What is unknown to old knowledge may only be unknown yet.
+    let doubtful = !is_within(bounds.doubtful_after());
+    match table.admit(host, parts.uri.path(), head.key.as_deref()) {
+        Admission::NoRoute | Admission::UnknownKey if doubtful => Err(Reason::ConfigurationTooOld),
+        Admission::NoRoute => Err(Reason::NoRoute),
+        Admission::UnknownKey => Err(Reason::UnknownKey),
+        Admission::Admitted { route, tenant } => {
+            account.route = Some(Arc::clone(&route));
+            account.tenant.clone_from(&tenant);
+            if tenant.is_some() && bounds.revocation_fails_closed && !is_within(bounds.stale_after()) {
+                return Err(Reason::ConfigurationTooOld);
+            }
+            let service = node.share(&route).ok_or(Reason::NoBackend)?;
+            Ok((route, service))
+        }
+    }
+}
+
+impl Exchange {
+    async fn read_body(&mut self, body: Incoming) -> Result<(), Reason> {
+        let most = self.node.beliefs.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes);
+        let reading = Limited::new(body, most).collect();
+        match tokio::time::timeout_at(self.node.clock.instant(self.give_up_at), reading).await {
+            Ok(Ok(whole)) => {
+                self.body = whole.to_bytes();
+                Ok(())
+            }
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
+            Ok(Err(_)) => Err(Reason::RequestBroken),
+            Err(_) => Err(Reason::TimeUpBeforeSending),
+        }
+    }
+
+    async fn run(mut self) -> Response<AnswerBody> {
+        loop {
+            let Some(choice) = self.place() else { return self.give_up(Reason::NoBackend) };
+            match self.attempt(&choice, None).await {
+                Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
+                    return self.relay(choice, begun);
+                }
+                Ok(begun) => match self.finish_whole(begun).await {
+                    Ok(answer) => return self.pass_on(answer, "answered"),
+                    Err(ended) => {
+                        if let Some(answer) = self.after(&choice, ended) {
+                            return answer;
+                        }
+                    }
+                },
+                Err(ended) => {
+                    if let Some(answer) = self.after(&choice, ended) {
+                        return answer;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Chooses a back end that has not been tried.
+    pub fn place(&mut self) -> Option<Choice> {
+        let isolated =
+            self.account.tenant.as_ref().filter(|tenant| tenant.isolated).map(|tenant| &tenant.name);
+        let ask = Ask {
+            service: &self.service,
+            prompt: self.head.prompt.as_ref(),
+            isolated,
+            tried: &self.tried,
+            draw: self.draw,
+        };
+        let choice = self.node.place(ask)?;
+        self.account.choice = Some(choice.clone());
+        Some(choice)
+    }
+
+    /// One try at the chosen back end.
+    pub async fn attempt(&mut self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, Ended> {
+        let now = self.node.now();
+        if self.spent.sent == 0 {
+            self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
+            self.node.earned_retry(&self.service);
+        }
+        if choice.import_from.is_some() {
+            self.node.metrics.count(Counter::Imports);
+        }
+        let request = self.request(choice, resume_after, now);
+        let patience = self.patience(now);
+        let node = Rc::clone(&self.node);
+        let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
+        match &result {
+            Err(Ended { end: AttemptEnd::NotSent, reused, .. }) => {
+                self.spent.not_sent += 1;
+                if !reused {
+                    self.tried.push(choice.backend.clone());
+                }
+            }
+            Ok(_) | Err(_) => {
+                self.spent.sent += 1;
+                self.tried.push(choice.backend.clone());
+            }
+        }
+        if let Err(Ended { end: AttemptEnd::Unclear | AttemptEnd::FailedAnswer, .. }) = &result {
+            self.spent.may_have_run = true;
+        }
+        result
+    }
+
+    /// Until when this try is waited for: to the end, or shorter where another back end may be asked.
+    fn patience(&self, now: Timestamp) -> Timestamp {
+        let last = self.spent.sent + 1 >= self.route.attempts || !self.route.kind.is_idempotent();
+        if last {
+            return self.give_up_at;
+        }
+        let patience = (self.route.target_latency * 3 / 2).max(LEAST_PATIENCE);
+        (now + patience).min(self.give_up_at)
+    }
+
+    fn request(&self, choice: &Choice, resume_after: Option<u64>, now: Timestamp) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        let path = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
+        if let Ok(uri) = path.parse() {
+            *request.uri_mut() = uri;
+        }
+        let mut headers = self.parts.headers.clone();
+        strip_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        if !self.body.is_empty() || self.parts.headers.contains_key(header::CONTENT_LENGTH) {
+            headers.insert(header::CONTENT_LENGTH, self.body.len().into());
+        }
+        let dispatch = Dispatch {
+            backend: &choice.backend,
+            deadline: self.give_up_at.saturating_since(now),
+            tenant: self.account.tenant.as_deref(),
+            route: &self.route,
+            scope: choice.scope.as_ref(),
+            import_from: choice.import_from,
+            save_to: None,
+            resume_after,
+        };
+        self.node.platform.write_request(&mut headers, &dispatch);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    async fn finish_whole(&mut self, begun: Begun) -> Result<Response<Bytes>, Ended> {
+        let give_up_at = self.node.clock.instant(self.give_up_at);
+        match tokio::time::timeout_at(give_up_at, take_whole(&self.node, begun)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(detail)) => {
+                self.spent.may_have_run = true;
+                Err(Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false })
+            }
+            Err(_) => {
+                self.spent.may_have_run = true;
+                let detail = "the answer did not end in time".into();
+                Err(Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false })
+            }
+        }
+    }
+
+    /// Decides what follows a try without answer; an answer where nothing does.
+    fn after(&mut self, choice: &Choice, ended: Ended) -> Option<Response<AnswerBody>> {
+        let next = self.decide(choice, &ended);
+        match next {
+            Next::TryAnother => None,
+            Next::PassOn => {
+                let answer = ended.answer?;
+                Some(self.pass_on_failure(answer))
+            }
+            Next::Refuse => Some(self.give_up(Reason::NotTaken)),
+            Next::Fail => Some(self.give_up(Reason::AnswerLost)),
+        }
+    }
+
+    /// Decides what follows a try without answer, and tells it.
+    pub fn decide(&mut self, choice: &Choice, ended: &Ended) -> Next {
+        let now = self.node.now();
+        let time_left = self.give_up_at.saturating_since(now) >= LEAST_TIME;
+        let (node, service) = (Rc::clone(&self.node), self.service.clone());
+        let budget = || {
+            let granted = node.draw_retry(&service);
+            if granted {
+                node.metrics.count(Counter::Retries);
+            }
+            granted
+        };
+        let next =
+            attempt::next(self.route.kind, self.route.attempts, ended.end, self.spent, time_left, budget);
+        let end = end_label(ended.end);
+        self.node.metrics.count(Counter::Attempts(end));
+        self.node.journal.tell(&Event::AttemptEnded {
+            request: self.id(),
+            attempt: self.spent.sent + self.spent.not_sent,
+            backend: choice.backend.as_str(),
+            end,
+            detail: ended.detail.clone(),
+            next: next_label(next),
+            after_ms: now.saturating_since(self.arrived).as_millis() as u64,
+            reused: ended.reused,
+            budget_left: self.node.retries_left(&self.service),
+        });
+        next
+    }
+
+    /// The answer for a request that is given up, as far as what may have happened allows it.
+    fn give_up(&mut self, reason: Reason) -> Response<AnswerBody> {
+        let time_up = self.node.now() + LEAST_TIME >= self.give_up_at;
+        let reason = match attempt::give_up(self.route.kind, self.spent) {
+            Next::Fail if time_up => Reason::TimeUp,
+            Next::Fail => Reason::AnswerLost,
+            _ if time_up && !self.spent.may_have_run => Reason::TimeUpBeforeSending,
+            _ if self.spent.may_have_run && time_up => Reason::TimeUp,
+            _ if self.spent.may_have_run => Reason::AnswerLost,
+            _ => reason,
+        };
+        self.refuse(reason)
+    }
+
+    fn refuse(&mut self, reason: Reason) -> Response<AnswerBody> {
+        self.account.reason = Some(reason);
+        let answer = own_answer(reason);
+        self.account.status = Some(answer.status().as_u16());
+        self.account.outcome = Some(if reason.come_back().is_some() { "refused" } else { "failed" });
+        answer
+    }
+
+    fn pass_on_failure(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
+        self.account.outcome = Some("backend_failure");
+        self.pass_on_inner(answer)
+    }
+
+    fn pass_on(&mut self, answer: Response<Bytes>, outcome: &'static str) -> Response<AnswerBody> {
+        self.account.outcome = Some(outcome);
+        self.account.first_at = Some(self.node.now());
+        self.pass_on_inner(answer)
+    }
+
+    fn pass_on_inner(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
+        let (mut head, body) = answer.into_parts();
+        self.account.status = Some(head.status.as_u16());
+        strip_connection_headers(&mut head.headers);
+        let mut answer = Response::new(whole(body));
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = head.headers;
+        answer
+    }
+
+    fn relay(mut self, choice: Choice, begun: Begun) -> Response<AnswerBody> {
+        self.account.status = Some(begun.head.status.as_u16());
+        let mut headers = begun.head.headers.clone();
+        strip_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        let status = begun.head.status;
+        let last_event = self.head.last_event;
+        let mut answer = Response::new(Relay::new(self, choice, begun, last_event).into_body());
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        answer
+    }
+
+    /// The first part of the answer's body is here.
+    pub fn first_part(&mut self, choice: &Choice) {
+        let now = self.node.now();
+        if self.account.first_at.is_none() {
+            self.account.first_at = Some(now);
+            let kind = kind_label(self.route.kind);
+            self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
+        }
+        if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
+            self.node.beliefs.borrow_mut().chooser.learned(&choice.backend, scope, prompt, now);
+        }
+    }
+
+    /// The stream goes on at another back end.
+    pub fn resumed(&mut self) {
+        self.account.resumed += 1;
+        self.node.metrics.count(Counter::Resumed);
+    }
+
+    /// How the stream ended.
+    pub const fn conclude(&mut self, outcome: &'static str) {
+        self.account.outcome = Some(outcome);
+    }
+
+    /// The request's identity, for log lines.
+    pub fn id(&self) -> &str {
+        self.head.id.as_deref().unwrap_or_default()
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.node.running.set(self.node.running.get().saturating_sub(1));
+        self.account.tell(&self.node, self.arrived, self.spent);
+    }
+}
+
+impl Account {
+    fn refuse(&mut self, node: &Node, arrived: Timestamp, reason: Reason) {
+        self.reason = Some(reason);
+        self.status = Some(reason.status().as_u16());
+        self.outcome = Some(if reason.come_back().is_some() { "refused" } else { "rejected" });
+        self.tell(node, arrived, Spent::default());
+    }
+
+    fn tell(&self, node: &Node, arrived: Timestamp, spent: Spent) {
+        // Nothing was concluded: the caller has left.
+        let outcome = self.outcome.unwrap_or("caller_left");
+        let kind = self.route.as_ref().map_or("none", |route| kind_label(route.kind));
+        node.metrics.count(Counter::Requests { kind, outcome });
+        let since = |at: Timestamp| at.saturating_since(arrived).as_millis() as u64;
+        let choice = self.choice.as_ref();
+        let line = RequestLine {
+            request: self.id.as_deref().unwrap_or_default(),
+            route: self.route.as_ref().map(|route| route.name.as_str()),
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            outcome,
+            status: self.status,
+            reason: self.reason,
+            configuration: self.configuration,
+            configuration_age_ms: self.configuration_age.map(|age| age.as_millis() as u64),
+            attempts: spent.sent,
+            backend: choice.map(|choice| choice.backend.as_str()),
+            candidates: choice.map_or(0, |choice| choice.eligible),
+            cost: choice.map_or(0, |choice| choice.cost),
+            expected_tokens: choice.map_or(0, |choice| choice.expected_tokens),
+            held_tokens: choice.map_or(0, |choice| choice.held_tokens),
+            imported: choice.is_some_and(|choice| choice.import_from.is_some()),
+            weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
+            first_ms: self.first_at.map(since),
+            total_ms: since(node.now()),
+            resumed: self.resumed,
+        };
+        node.journal.tell(&Event::Request(Box::new(line)));
+    }
+}
+
+const fn end_label(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::NotRun => "not_run",
+        AttemptEnd::Unclear => "unclear",
+        AttemptEnd::FailedAnswer => "failed_answer",
+    }
+}
+
+const fn next_label(next: Next) -> &'static str {
+    match next {
+        Next::TryAnother => "try_another",
+        Next::PassOn => "pass_on",
+        Next::Refuse => "refuse",
+        Next::Fail => "fail",
+    }
+}
+
+/// Whether a route's requests may be resumed at another back end.
+pub const fn is_resumable(kind: RouteKind) -> bool {
+    matches!(kind, RouteKind::Stream { resumable: true })
+}
--- /dev/null
+++ b/crates/forward/src/feed.rs
@@ -0,0 +1,186 @@
+//! Follows the metadata store: one long watch after the other, and a listing where history is lost.
+//!
+//! The watch brings news at once. Its answer is also the proof that nothing else has changed since it was asked.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::Response;
+use paddlemount_protocol::{identity::Revision, time::Timestamp};
+
+use crate::{
+    calls::CallError,
+    journal::Event,
+    metrics::{Counter, Distribution},
+    node::Node,
+    ports::{Fact, Misread, StoreAnswer, StoreCall},
+};
+
+/// How long an answer may take beyond what was asked to wait.
+const PATIENCE: Duration = Duration::from_millis(1_200);
+/// The pause after a failed call; grows with each further failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause after a failed call.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// The least time between two watches, in which changes gather.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// No answer came.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The answer makes no sense.
+    #[error("the answer makes no sense: {0}")]
+    Misread(#[from] Misread),
+    /// The store refused; nothing was done.
+    #[error("refused with status {0}")]
+    Refused(http::StatusCode),
+    /// An answer of another kind than asked for.
+    #[error("an answer of another kind")]
+    Unexpected,
+}
+
+/// Makes one call to the store.
+pub async fn ask_store(node: &Node, call: &StoreCall, patience: Duration) -> Result<StoreAnswer, StoreError> {
+    let began = node.now();
+    let answer: Result<Response<Bytes>, CallError> =
+        node.store.call(node.platform.store_request(call), patience).await;
+    node.metrics.observe(Distribution::StoreCall, node.now().saturating_since(began));
+    let result = answer.map_err(StoreError::from).and_then(|answer| {
+        match node.platform.store_answer(call, &answer)? {
+            StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
+            other => Ok(other),
+        }
+    });
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(StoreError::Call(_)) => "unclear",
+        Err(StoreError::Misread(_) | StoreError::Unexpected) => "misread",
+        Err(StoreError::Refused(_)) => "refused",
+    };
+    node.metrics.count(Counter::StoreCalls(outcome));
+    if result.is_err() {
+        node.store_failed();
+    }
+    result
+}
+
+/// Follows the store for as long as the process lives.
+pub async fn follow(node: Rc<Node>) {
+    let mut feed = Feed { node, failures: 0, failing_since: None, listed: None };
+    loop {
+        let result = feed.turn().await;
+        feed.account(result).await;
+    }
+}
+
+struct Feed {
+    node: Rc<Node>,
+    failures: u32,
+    failing_since: Option<Timestamp>,
+    /// The revision from which to watch on; none where all has to be listed.
+    listed: Option<Revision>,
+}
+
+impl Feed {
+    async fn turn(&mut self) -> Result<(), StoreError> {
+        match self.listed {
+            Some(after) => self.watch(after).await,
+            None => self.list().await,
+        }
+    }
+
+    async fn watch(&mut self, after: Revision) -> Result<(), StoreError> {
+        let wait = self.node.settings().bounds.watch_wait();
+        let sent_at = self.node.now();
+        match ask_store(&self.node, &StoreCall::Watch { after, wait }, wait + PATIENCE).await? {
+            StoreAnswer::Facts { facts, revision, .. } => {
+                let revision = revision.max(after);
+                self.node.learn(facts, revision, sent_at);
+                self.listed = Some(revision);
+                Ok(())
+            }
+            StoreAnswer::HistoryLost => {
+                self.listed = None;
+                Ok(())
+            }
+            _ => Err(StoreError::Unexpected),
+        }
+    }
+
+    /// Lists all pages. Pages form no snapshot, so the watch goes on from the revision of the first.
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let sent_at = self.node.now();
+        let mut first_revision = None;
+        let mut all = Vec::new();
+        let mut after = None;
+        loop {
+            let call = StoreCall::List { after };
+            match ask_store(&self.node, &call, PATIENCE).await? {
+                StoreAnswer::Facts { facts, revision, more_after } => {
+                    first_revision.get_or_insert(revision);
+                    all.extend(facts);
+                    after = more_after;
+                }
+                _ => return Err(StoreError::Unexpected),
+            }
+            if after.is_none() {
+                break;
+            }
+        }
+        let revision = first_revision.unwrap_or_default();
+        self.take_listing(all, revision, sent_at);
+        Ok(())
+    }
+
+    fn take_listing(&mut self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        let items = facts.len();
+        let present = facts.iter().filter_map(|fact| match fact {
+            Fact::Backend(entry) => Some(entry.id.clone()),
+            _ => None,
+        });
+        let present: std::collections::BTreeSet<_> = present.collect();
+        let led = facts.iter().any(|fact| matches!(fact, Fact::Leader { .. }));
+        let known: Vec<_> =
+            self.node.beliefs.borrow().backends.iter().map(|backend| backend.entry.id.clone()).collect();
+        for id in known.iter().filter(|id| !present.contains(*id)) {
+            self.node.lose_backend(id, revision);
+        }
+        if !led {
+            self.node.beliefs.borrow_mut().leader = None;
+        }
+        self.node.learn(facts, revision, sent_at);
+        self.listed = Some(revision);
+        self.node.journal.tell(&Event::StoreListed { items, revision: revision.0 });
+    }
+
+    async fn account(&mut self, result: Result<(), StoreError>) {
+        let now = self.node.now();
+        match result {
+            Ok(()) => {
+                if let Some(since) = self.failing_since.take() {
+                    let after_ms = now.saturating_since(since).as_millis() as u64;
+                    self.node.journal.tell(&Event::StoreRegained { after_ms });
+                }
+                self.failures = 0;
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(error) => {
+                if self.failing_since.is_none() {
+                    self.failing_since = Some(now);
+                    let age = self.node.beliefs.borrow().freshness.age(now);
+                    self.node.journal.tell(&Event::StoreLost {
+                        call: if self.listed.is_some() { "watch" } else { "list" },
+                        problem: error.to_string(),
+                        age_ms: age.map(|age| age.as_millis() as u64),
+                    });
+                }
+                self.failures += 1;
+                let pause = FIRST_PAUSE * self.failures.min(16);
+                tokio::time::sleep(pause.min(LONGEST_PAUSE)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/journal.rs
@@ -0,0 +1,225 @@
+//! Structured log lines on standard output, bounded and never blocking.
+//!
+//! Each line is one JSON object. Lines go through a bounded queue to a thread that writes them; where the reader of
+//! standard output stops, lines are dropped and counted, and the count is told in a line of its own. The library that
+//! the other commands log with writes where it is called, and would hold up the one thread that serves requests.
+
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde::Serialize;
+
+use crate::{answers::Reason, clock::SteadyClock};
+
+/// Lines that wait at most.
+const QUEUE_LINES: usize = 4_096;
+/// How long the writer waits for further lines before it writes.
+const GATHER: Duration = Duration::from_millis(50);
+/// Bytes that are written at once, about.
+const BATCH_BYTES: usize = 64 << 10;
+
+/// What a line tells. Keys of callers are never among it.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[expect(
+    missing_docs,
+    reason = "docs/operations/logs.md lists the fields of each event, and a test compares the two"
+)]
+pub enum Event<'a> {
+    /// The process has started and listens.
+    Started { zone: &'a str, callers: String, software: &'static str },
+    /// A signal to stop came.
+    Stopping { running: usize },
+    /// The process ends.
+    Stopped { running: usize, after_ms: u64 },
+    /// The settings file was read again.
+    SettingsReloaded { changed: bool },
+    /// The settings file cannot be used; the settings before it hold on.
+    SettingsRejected { problem: String },
+    /// The metadata store stopped answering, or answers nonsense.
+    StoreLost { call: &'static str, problem: String, age_ms: Option<u64> },
+    /// It answers again.
+    StoreRegained { after_ms: u64 },
+    /// The store forgot changes: all is listed anew.
+    StoreListed { items: usize, revision: u64 },
+    /// A configuration is in force here.
+    ConfigurationApplied { version: u64, before: Option<u64>, routes: usize, revision: u64 },
+    /// A configuration is older than the one in force, and is passed over.
+    ConfigurationPassedOver { version: u64, in_force: u64 },
+    /// An item cannot be understood; what was known of it holds on.
+    ItemUnreadable { key: &'a str, problem: &'a str },
+    /// A back end's entry changed.
+    BackendChanged {
+        backend: &'a str,
+        service: &'a str,
+        change: &'static str,
+        weights: Option<u64>,
+        revision: u64,
+    },
+    /// A version of weights was named.
+    WeightsNamed { model: &'a str, version: u64, revision: u64 },
+    /// Whether callers are taken has changed.
+    ReadinessChanged { ready: bool, why: &'static str, age_ms: Option<u64> },
+    /// This node leads.
+    LeadershipGained { token: u64 },
+    /// This node no longer leads.
+    LeadershipLost { token: u64, why: &'static str },
+    /// An order was given, or its end is known.
+    Order {
+        backend: &'a str,
+        model: &'a str,
+        version: u64,
+        sequence: Option<u64>,
+        token: u64,
+        outcome: &'a str,
+        after_ms: u64,
+    },
+    /// A try ended without an answer that could be passed on.
+    AttemptEnded {
+        request: &'a str,
+        attempt: u32,
+        backend: &'a str,
+        end: &'static str,
+        detail: String,
+        next: &'static str,
+        after_ms: u64,
+        reused: bool,
+        budget_left: u64,
+    },
+    /// A request ended.
+    Request(Box<RequestLine<'a>>),
+    /// Lines were dropped since the last one.
+    LinesDropped { count: u64 },
+}
+
+/// A request that ended, with the inputs that decided it.
+#[derive(Debug, Serialize)]
+pub struct RequestLine<'a> {
+    /// The caller's identity for this try.
+    pub request: &'a str,
+    /// The route, where one fits.
+    pub route: Option<&'a str>,
+    /// The tenant.
+    pub tenant: Option<&'a str>,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// The status that the caller got.
+    pub status: Option<u16>,
+    /// Why the node itself answered.
+    pub reason: Option<Reason>,
+    /// The version of the configuration.
+    pub configuration: Option<u64>,
+    /// The age of the proof that it is the newest.
+    pub configuration_age_ms: Option<u64>,
+    /// Back ends that were sent the request.
+    pub attempts: u32,
+    /// The back end of the last try.
+    pub backend: Option<&'a str>,
+    /// Back ends that might have got it.
+    pub candidates: usize,
+    /// The cost by which the back end was chosen.
+    pub cost: u64,
+    /// Tokens that the back end was expected to read.
+    pub expected_tokens: u64,
+    /// Tokens of the prefix that it was believed to hold.
+    pub held_tokens: u32,
+    /// Whether the prefix was to be imported.
+    pub imported: bool,
+    /// The version of the weights asked for.
+    pub weights: Option<u64>,
+    /// Milliseconds to the first byte of the answer's body.
+    pub first_ms: Option<u64>,
+    /// Milliseconds from the arrival to the end.
+    pub total_ms: u64,
+    /// Times that a stream went on at another back end.
+    pub resumed: u32,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    time_ms: u64,
+    steady_ms: u64,
+    node: &'a str,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+/// Takes lines.
+#[derive(Debug)]
+pub struct Journal {
+    node: String,
+    clock: SteadyClock,
+    queue: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Journal {
+    /// A journal whose lines go to standard output.
+    pub fn to_standard_output(node: &str, clock: SteadyClock) -> Self {
+        Self::to(node, clock, std::io::stdout())
+    }
+
+    /// A journal whose lines go to `output`, on a thread of its own.
+    pub fn to(node: &str, clock: SteadyClock, output: impl Write + Send + 'static) -> Self {
+        let (queue, lines) = sync_channel(QUEUE_LINES);
+        let writer = std::thread::Builder::new().name("journal".into()).stack_size(64 << 10);
+        // Without the thread nothing is told, and the router serves on.
+        let _ = writer.spawn(move || write_lines(&lines, output));
+        Self { node: node.into(), clock, queue, dropped: Arc::default() }
+    }
+
+    /// Tells an event.
+    pub fn tell(&self, event: &Event<'_>) {
+        let dropped = self.dropped.load(Ordering::Relaxed);
+        if dropped > 0 && self.offer(&Event::LinesDropped { count: dropped }) {
+            self.dropped.fetch_sub(dropped, Ordering::Relaxed);
+        }
+        if !self.offer(event) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Lines that were dropped and not yet told of.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    fn offer(&self, event: &Event<'_>) -> bool {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let line = Line {
+            time_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+            steady_ms: self.clock.now().as_millis(),
+            node: &self.node,
+            event,
+        };
+        let Ok(mut bytes) = serde_json::to_vec(&line) else { return false };
+        bytes.push(b'\n');
+        match self.queue.try_send(bytes) {
+            Ok(()) => true,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
+        }
+    }
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, mut output: impl Write) {
+    let mut batch = Vec::new();
+    while let Ok(line) = lines.recv() {
+        batch.extend_from_slice(&line);
+        std::thread::sleep(GATHER);
+        while batch.len() < BATCH_BYTES {
+            let Ok(line) = lines.try_recv() else { break };
+            batch.extend_from_slice(&line);
+        }
+        // A closed standard output loses lines, never requests.
+        let _ = output.write_all(&batch).and_then(|()| output.flush());
+        batch.clear();
+        batch.shrink_to(BATCH_BYTES);
+    }
+}
--- /dev/null
+++ b/crates/forward/src/leadership.rs
@@ -0,0 +1,155 @@
+//! Holds the one lease under which orders are given to engines.
+//!
+//! A node asks for the lease only where the store has told it that nobody has it. The fencing token is the store's
+//! revision of the change that made it leader. The lease's life counts from when its grant or renewal was sent.
+
+use std::{rc::Rc, time::Duration};
+
+use paddlemount_core::lease::{LeaseEvent, LeaseHolder, LeaseRequest, LeaseSettings};
+use paddlemount_protocol::{identity::FencingToken, platform::LeaseResult, time::Timestamp};
+
+use crate::{
+    feed::{StoreError, ask_store},
+    journal::Event,
+    node::Node,
+    orders,
+    ports::{StoreAnswer, StoreCall, StoreLease},
+};
+
+/// The pause between two looks at what is to be done.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long an answer of the store may take.
+const PATIENCE: Duration = Duration::from_millis(900);
+/// The lease's name in this node's own accounts.
+const LEASE_NAME: &str = "weights-orders";
+/// How much sooner than its lease ends a holder stops acting.
+const SAFETY: Duration = Duration::from_millis(150);
+/// The longest time by which nodes spread out when they ask for a free lease.
+const SPREAD: Duration = Duration::from_millis(200);
+
+/// Leads where nobody else does, for as long as the process lives.
+pub async fn lead(node: Rc<Node>) {
+    let settings = node.settings();
+    let ttl = Duration::from_millis(settings.bounds.lease_ms.max(settings.store.shortest_lease_ms));
+    let lease_settings = LeaseSettings { name: LEASE_NAME.into(), holder: settings.node.clone(), ttl };
+    let holder = LeaseHolder::new(lease_settings, node.now());
+    let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None };
+    while !leadership.node.stopping.get() {
+        leadership.turn().await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    leadership.stop().await;
+}
+
+struct Leadership {
+    node: Rc<Node>,
+    holder: LeaseHolder,
+    ttl: Duration,
+    lease: Option<StoreLease>,
+    free_since: Option<Timestamp>,
+}
+
+impl Leadership {
+    async fn turn(&mut self) {
+        let now = self.node.now();
+        if self.holder.token(now).is_none() && !self.may_ask(now) {
+            self.publish(now);
+            return;
+        }
+        if let Some(request) = self.holder.handle(LeaseEvent::Tick, now) {
+            let event = self.perform(request).await;
+            self.holder.handle(event, self.node.now());
+        }
+        let now = self.node.now();
+        self.publish(now);
+        if self.node.token().is_some() {
+            orders::give(&self.node).await;
+        }
+    }
+
+    /// Whether the store has told that nobody leads, and this node's turn to ask has come.
+    fn may_ask(&mut self, now: Timestamp) -> bool {
+        let beliefs = self.node.beliefs.borrow();
+        let free = beliefs.revision.is_some() && beliefs.leader.is_none();
+        drop(beliefs);
+        if !free {
+            self.free_since = None;
+            return false;
+        }
+        let since = *self.free_since.get_or_insert(now);
+        now.saturating_since(since) >= SPREAD.mul_f64(rand::random::<f64>())
+    }
+
+    async fn perform(&mut self, request: LeaseRequest) -> LeaseEvent {
+        let result = match request {
+            LeaseRequest::Acquire(_) => self.acquire().await,
+            LeaseRequest::Renew(_) => self.renew().await,
+            LeaseRequest::Release(_) => self.release().await,
+        };
+        result.map_or(LeaseEvent::Failed, LeaseEvent::Answered)
+    }
+
+    async fn acquire(&mut self) -> Result<LeaseResult, StoreError> {
+        let granted = ask_store(&self.node, &StoreCall::Grant { ttl: self.ttl }, PATIENCE).await?;
+        let StoreAnswer::Lease { lease, ttl } = granted else { return Err(StoreError::Unexpected) };
+        let holder = self.node.settings().node.clone();
+        let taken = ask_store(&self.node, &StoreCall::Lead { holder: holder.clone(), lease }, PATIENCE).await;
+        match taken {
+            Ok(StoreAnswer::Done { revision }) => {
+                let token = FencingToken(revision.0);
+                self.lease = Some(lease);
+                self.node.beliefs.borrow_mut().leader = Some((holder, token));
+                Ok(LeaseResult::Held { token, ttl_ms: ttl.as_millis() as u64 })
+            }
+            other => {
+                // It may have been taken, its answer lost: whatever hangs on this lease ends with it.
+                let _ = ask_store(&self.node, &StoreCall::End(lease), PATIENCE).await;
+                other?;
+                Ok(LeaseResult::NotHeld)
+            }
+        }
+    }
+
+    async fn renew(&mut self) -> Result<LeaseResult, StoreError> {
+        let Some(lease) = self.lease else { return Ok(LeaseResult::NotHeld) };
+        let now = self.node.now();
+        let Some(token) = self.holder.token(now) else { return Ok(LeaseResult::NotHeld) };
+        match ask_store(&self.node, &StoreCall::Renew(lease), PATIENCE).await? {
+            StoreAnswer::Lease { ttl, .. } => Ok(LeaseResult::Held { token, ttl_ms: ttl.as_millis() as u64 }),
+            StoreAnswer::NoLease => Ok(LeaseResult::NotHeld),
+            _ => Err(StoreError::Unexpected),
+        }
+    }
+
+    async fn release(&mut self) -> Result<LeaseResult, StoreError> {
+        if let Some(lease) = self.lease.take() {
+            ask_store(&self.node, &StoreCall::End(lease), PATIENCE).await?;
+        }
+        Ok(LeaseResult::NotHeld)
+    }
+
+    /// Makes known until when this node certainly leads.
+    fn publish(&mut self, now: Timestamp) {
+        let before = self.node.leading.get();
+        let token = self.holder.token(now + SAFETY);
+        let until = self.holder.held_until().map_or(now, |until| until - SAFETY);
+        self.node.leading.set(token.map(|token| (token, until)));
+        match (before, token) {
+            (None, Some(token)) => self.node.journal.tell(&Event::LeadershipGained { token: token.0 }),
+            (Some((token, _)), None) => {
+                let event = Event::LeadershipLost { token: token.0, why: "lease not renewed in time" };
+                self.node.journal.tell(&event);
+            }
+            _ => {}
+        }
+    }
+
+    async fn stop(&mut self) {
+        if let Some((token, _)) = self.node.leading.take() {
+            self.node.journal.tell(&Event::LeadershipLost { token: token.0, why: "stopping" });
+        }
+        if let Some(request) = self.holder.handle(LeaseEvent::Stop, self.node.now()) {
+            self.perform(request).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/lib.rs
@@ -0,0 +1,38 @@
+//! Forwards requests by the operator's routes: the servers, clients and loops around `core::forwarding`.
+//!
+//! What the surrounding platform speaks is behind [`ports`]; an implementation only translates. One thread does
+//! all work; what is shared is one [`node::Node`].
+//!
+//! | module | job |
+//! |---|---|
+//! | [`settings`] | the process's settings, checked |
+//! | [`ports`] | what a platform's translation has to offer |
+//! | [`connection`], [`pool`] | connections to back ends |
+//! | [`calls`] | calls to the metadata store and to engines' own interfaces |
+//! | [`node`] | what the node believes and counts |
+//! | [`feed`] | follows the metadata store |
+//! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
+//! | [`ingress`], [`exchange`], [`relay`] | takes requests, forwards them, passes streams on |
+//! | [`answers`] | the node's own answers |
+//! | [`journal`] | structured log lines |
+//! | [`metrics`] | counters and histograms |
+//! | [`process`] | start, signals, stop |
+
+pub mod answers;
+pub mod attempts;
+pub mod calls;
+pub mod clock;
+pub mod connection;
+pub mod exchange;
+pub mod feed;
+pub mod ingress;
+pub mod journal;
+pub mod leadership;
+pub mod metrics;
+pub mod node;
+pub mod orders;
+pub mod pool;
+pub mod ports;
+pub mod process;
+pub mod relay;
+pub mod settings;
--- /dev/null
+++ b/crates/forward/src/metrics.rs
@@ -0,0 +1,165 @@
+//! Counters and histograms in the Prometheus text format. Labels come from fixed sets.
+
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write};
+
+use paddlemount_core::forwarding::document::RouteKind;
+
+/// Upper bounds of the time distributions, in seconds.
+const TIME_BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.8, 1.5, 3.0, 6.0];
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Counter {
+    /// Requests by kind of route and outcome.
+    Requests {
+        /// The kind of route.
+        kind: &'static str,
+        /// How it ended.
+        outcome: &'static str,
+    },
+    /// Tries that ended without an answer to pass on, by how.
+    Attempts(&'static str),
+    /// Requests that were given to a second back end.
+    Retries,
+    /// Streams that went on at another back end.
+    Resumed,
+    /// Calls to the store by outcome.
+    StoreCalls(&'static str),
+    /// Orders by outcome.
+    Orders(&'static str),
+    /// New connections to back ends.
+    Connections,
+    /// Requests whose prefix was to be imported.
+    Imports,
+}
+
+impl Counter {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Requests { .. } => "paddlemount_forward_requests_total",
+            Self::Attempts(_) => "paddlemount_forward_attempts_failed_total",
+            Self::Retries => "paddlemount_forward_retries_total",
+            Self::Resumed => "paddlemount_forward_streams_resumed_total",
+            Self::StoreCalls(_) => "paddlemount_forward_store_calls_total",
+            Self::Orders(_) => "paddlemount_forward_orders_total",
+            Self::Connections => "paddlemount_forward_connections_opened_total",
+            Self::Imports => "paddlemount_forward_imports_total",
+        }
+    }
+
+    fn labels(self) -> String {
+        match self {
+            Self::Requests { kind, outcome } => format!("{{kind=\"{kind}\",outcome=\"{outcome}\"}}"),
+            Self::Attempts(end) => format!("{{end=\"{end}\"}}"),
+            Self::StoreCalls(outcome) | Self::Orders(outcome) => format!("{{outcome=\"{outcome}\"}}"),
+            Self::Retries | Self::Resumed | Self::Connections | Self::Imports => String::new(),
+        }
+    }
+}
+
+/// What is measured in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distribution {
+    /// From a request's arrival to the first byte of its answer's body, by kind of route.
+    FirstByte(&'static str),
+    /// From a request's arrival until it was first sent on.
+    Added,
+    /// A call to the store.
+    StoreCall,
+}
+
+impl Distribution {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::FirstByte(_) => "paddlemount_forward_first_byte_seconds",
+            Self::Added => "paddlemount_forward_added_seconds",
+            Self::StoreCall => "paddlemount_forward_store_call_seconds",
+        }
+    }
+
+    fn labels(self) -> String {
+        match self {
+            Self::FirstByte(kind) => format!("kind=\"{kind}\","),
+            Self::Added | Self::StoreCall => String::new(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Histogram {
+    buckets: [u64; TIME_BUCKETS.len()],
+    count: u64,
+    sum: f64,
+}
+
+/// All metrics of a node.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    counters: RefCell<BTreeMap<Counter, u64>>,
+    histograms: RefCell<BTreeMap<Distribution, Histogram>>,
+}
+
+/// A present value, told with the metrics.
+#[derive(Clone, Copy, Debug)]
+pub struct Gauge {
+    /// Its name.
+    pub name: &'static str,
+    /// Its value.
+    pub value: f64,
+}
+
+impl Metrics {
+    /// Counts one.
+    pub fn count(&self, counter: Counter) {
+        *self.counters.borrow_mut().entry(counter).or_default() += 1;
+    }
+
+    /// Takes a time in.
+    pub fn observe(&self, distribution: Distribution, time: std::time::Duration) {
+        let seconds = time.as_secs_f64();
+        let mut histograms = self.histograms.borrow_mut();
+        let histogram = histograms.entry(distribution).or_default();
+        histogram.count += 1;
+        histogram.sum += seconds;
+        for (bucket, bound) in histogram.buckets.iter_mut().zip(TIME_BUCKETS) {
+            *bucket += u64::from(seconds <= bound);
+        }
+    }
+
+    /// The text of all metrics.
+    pub fn render(&self, gauges: &[Gauge]) -> String {
+        let mut text = String::new();
+        for (counter, value) in self.counters.borrow().iter() {
+            let _ = writeln!(text, "{}{} {value}", counter.name(), counter.labels());
+        }
+        for (distribution, histogram) in self.histograms.borrow().iter() {
+            render_histogram(&mut text, *distribution, histogram);
+        }
+        for gauge in gauges {
+            let _ = writeln!(text, "{} {}", gauge.name, gauge.value);
+        }
+        text
+    }
+}
+
+fn render_histogram(text: &mut String, distribution: Distribution, histogram: &Histogram) {
+    let (name, labels) = (distribution.name(), distribution.labels());
+    for (bucket, bound) in histogram.buckets.iter().zip(TIME_BUCKETS) {
+        let _ = writeln!(text, "{name}_bucket{{{labels}le=\"{bound}\"}} {bucket}");
+    }
+    let _ = writeln!(text, "{name}_bucket{{{labels}le=\"+Inf\"}} {}", histogram.count);
+    let labels = labels.trim_end_matches(',');
+    let labels = if labels.is_empty() { String::new() } else { format!("{{{labels}}}") };
+    let _ = writeln!(text, "{name}_sum{labels} {}", histogram.sum);
+    let _ = writeln!(text, "{name}_count{labels} {}", histogram.count);
+}
+
+/// The label of a kind of route.
+pub const fn kind_label(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Repeatable => "repeatable",
+        RouteKind::AtMostOnce => "at_most_once",
+        RouteKind::Stream { resumable: true } => "resumable_stream",
+        RouteKind::Stream { resumable: false } => "stream",
+    }
+}
--- /dev/null
+++ b/crates/forward/src/orders.rs
@@ -0,0 +1,167 @@
+//! Gives engines orders for new weights, while this node leads.
+
+use std::{rc::Rc, time::Duration};
+
+use paddlemount_core::forwarding::rollout::{EngineReport, Step, Target, after_report};
+use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
+
+use crate::{
+    calls::Caller,
+    feed::ask_store,
+    journal::Event,
+    metrics::Counter,
+    node::Node,
+    ports::{OrderAnswer, StoreCall, WeightsOrder},
+};
+
+/// How long an engine may take to answer.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// How long the store may take.
+const STORE_PATIENCE: Duration = Duration::from_millis(600);
+/// The pause before an engine that is at work is asked again.
+const AGAIN: Duration = Duration::from_millis(200);
+/// The first look at an engine after an order that it took.
+const FIRST_LOOK: Duration = Duration::from_millis(500);
+/// How long one engine is worked on before others get their turn.
+const LONGEST: Duration = Duration::from_secs(6);
+
+/// Begins with as many engines as may load at once.
+pub async fn give(node: &Rc<Node>) {
+    let targets = {
+        let mut beliefs = node.beliefs.borrow_mut();
+        let beliefs = &mut *beliefs;
+        let chooser = &beliefs.chooser;
+        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.load(id).requests)
+    };
+    let Some(token) = node.token().filter(|_| !targets.is_empty()) else {
+        release(node, &targets);
+        return;
+    };
+    let backends = targets.iter().map(|target| target.backend.clone()).collect();
+    // Nodes that do not hear of it learn it from refusals.
+    let _ = ask_store(node, &StoreCall::Announce { token, backends }, STORE_PATIENCE).await;
+    for target in targets {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            let began = node.now();
+            let outcome = bring(&node, &target, token, began).await;
+            tell(&node, &target, None, token, outcome, began);
+            release(&node, std::slice::from_ref(&target));
+        });
+    }
+}
+
+fn release(node: &Node, targets: &[Target]) {
+    let mut beliefs = node.beliefs.borrow_mut();
+    for target in targets {
+        beliefs.rollout.ended(&target.backend);
+        if let Some(backend) = beliefs.backends.get_mut(&target.backend) {
+            backend.loading_until = None;
+        }
+    }
+}
+
+/// Brings one engine to its version. What happened to an order whose answer is lost is read from the engine's report.
+async fn bring(node: &Node, target: &Target, token: FencingToken, began: Timestamp) -> &'static str {
+    let address = node.beliefs.borrow().backends.get(&target.backend).map(|backend| backend.entry.address);
+    let Some(address) = address else { return "gone" };
+    let engine = Caller::new(address, node.clock);
+    while node.now().saturating_since(began) < LONGEST {
+        if node.token() != Some(token) {
+            return "leadership lost";
+        }
+        let Some(report) = report(node, &engine).await else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        match after_report(target, &report) {
+            Step::Done => {
+                node.saw_weights(&target.backend, &target.model, target.version);
+                return "done";
+            }
+            Step::Wait => tokio::time::sleep(AGAIN).await,
+            Step::Order { sequence } => match order(node, &engine, target, token, sequence).await {
+                Some(OrderAnswer::Accepted) => wait_for_version(node, target).await,
+                Some(OrderAnswer::AlreadyHolds) => return "held already",
+                Some(OrderAnswer::Fenced) => return "fenced",
+                Some(OrderAnswer::OtherBackend) => return "another back end",
+                Some(OrderAnswer::Rejected(_)) => return "rejected",
+                Some(OrderAnswer::Conflict) | None => tokio::time::sleep(AGAIN).await,
+            },
+        }
+        if holds(node, target) {
+            return "done";
+        }
+    }
+    "given up for now"
+}
+
+/// Waits until the registry tells of the version, or it is time to ask the engine itself.
+async fn wait_for_version(node: &Node, target: &Target) {
+    let began = node.now();
+    while node.now().saturating_since(began) < FIRST_LOOK * 2 && !holds(node, target) {
+        tokio::time::sleep(AGAIN / 4).await;
+    }
+}
+
+fn holds(node: &Node, target: &Target) -> bool {
+    let beliefs = node.beliefs.borrow();
+    let Some(backend) = beliefs.backends.get(&target.backend) else { return true };
+    backend.entry.weights.get(&target.model).is_some_and(|version| *version >= target.version)
+}
+
+async fn report(node: &Node, engine: &Caller) -> Option<EngineReport> {
+    let answer = engine.call(node.platform.report_request(), PATIENCE).await.ok()?;
+    node.platform.report_answer(&answer).ok()
+}
+
+async fn order(
+    node: &Node,
+    engine: &Caller,
+    target: &Target,
+    token: FencingToken,
+    sequence: u64,
+) -> Option<OrderAnswer> {
+    let began = node.now();
+    let order = WeightsOrder {
+        backend: target.backend.clone(),
+        model: target.model.clone(),
+        version: target.version,
+        holder: node.settings().node.clone(),
+        token,
+        sequence,
+    };
+    let answer = engine.call(node.platform.order_request(&order), PATIENCE).await;
+    let answer = answer.ok().map(|answer| node.platform.order_answer(&answer));
+    let outcome = match answer {
+        Some(OrderAnswer::Accepted) => "accepted",
+        Some(OrderAnswer::AlreadyHolds) => "held already",
+        Some(OrderAnswer::Conflict) => "conflict",
+        Some(OrderAnswer::Fenced) => "fenced",
+        Some(OrderAnswer::OtherBackend) => "another back end",
+        Some(OrderAnswer::Rejected(_)) => "rejected",
+        None => "unclear",
+    };
+    node.metrics.count(Counter::Orders(outcome));
+    tell(node, target, Some(sequence), token, outcome, began);
+    answer
+}
+
+fn tell(
+    node: &Node,
+    target: &Target,
+    sequence: Option<u64>,
+    token: FencingToken,
+    outcome: &str,
+    began: Timestamp,
+) {
+    node.journal.tell(&Event::Order {
+        backend: target.backend.as_str(),
+        model: target.model.as_str(),
+        version: target.version.0,
+        sequence,
+        token: token.0,
+        outcome,
+        after_ms: node.now().saturating_since(began).as_millis() as u64,
+    });
+}
--- /dev/null
+++ b/crates/forward/src/ports.rs
@@ -0,0 +1,257 @@
+//! What a platform's translation has to offer.
+//!
+//! An implementation turns typed calls into HTTP requests, HTTP answers into typed facts, and a caller's head into the
+//! product's terms. It keeps no state, sets no timer, repeats nothing and chooses nothing.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use paddlemount_core::forwarding::{
+    backends::{BackendEntry, BackendId},
+    document::{Document, Route, Tenant},
+    prompt::{CacheScope, Prompt},
+    rollout::EngineReport,
+};
+use paddlemount_protocol::identity::{FencingToken, ModelId, NodeId, Revision, WeightsVersion};
+
+/// The identity of a lease that the store has granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLease(pub u64);
+
+/// A call to the metadata store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreCall {
+    /// Waits for changes after a revision.
+    Watch {
+        /// The revision up to which all is known.
+        after: Revision,
+        /// How long to wait for a change.
+        wait: Duration,
+    },
+    /// Lists what exists, one page.
+    List {
+        /// The last key of the page before.
+        after: Option<String>,
+    },
+    /// Asks for a lease.
+    Grant {
+        /// Its life without renewal.
+        ttl: Duration,
+    },
+    /// Renews a lease.
+    Renew(StoreLease),
+    /// Ends a lease and removes what is bound to it.
+    End(StoreLease),
+    /// Takes the leadership where nobody has it, bound to a lease.
+    Lead {
+        /// Who takes it.
+        holder: NodeId,
+        /// The lease.
+        lease: StoreLease,
+    },
+    /// Tells all nodes which back ends are being given new weights, where the leadership is still held.
+    Announce {
+        /// The revision of the leadership.
+        token: FencingToken,
+        /// The back ends.
+        backends: Vec<BackendId>,
+    },
+}
+
+/// What the store answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreAnswer {
+    /// Facts, up to a revision.
+    Facts {
+        /// What is now so, in order.
+        facts: Vec<Fact>,
+        /// The revision up to which it was told.
+        revision: Revision,
+        /// The last key, where there are further pages.
+        more_after: Option<String>,
+    },
+    /// The changes after the asked revision are no longer known: list anew.
+    HistoryLost,
+    /// A lease is granted or renewed.
+    Lease {
+        /// The lease.
+        lease: StoreLease,
+        /// Its life from the call's arrival.
+        ttl: Duration,
+    },
+    /// The change was made.
+    Done {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// The condition did not hold; nothing was done.
+    Conflict,
+    /// There is no such lease.
+    NoLease,
+    /// Nothing was done: too many calls, or an outage.
+    Refused(StatusCode),
+}
+
+/// A fact that the store told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    /// The operator's document.
+    Document(Box<Document>),
+    /// A back end's entry.
+    Backend(BackendEntry),
+    /// A back end's entry is gone.
+    BackendGone(BackendId),
+    /// The operator has named a version of a model's weights.
+    WeightsNamed {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: WeightsVersion,
+    },
+    /// A node has the leadership.
+    Leader {
+        /// The node.
+        holder: NodeId,
+        /// The fencing token of its orders.
+        token: FencingToken,
+    },
+    /// Nobody has the leadership.
+    NoLeader,
+    /// Back ends are being given new weights.
+    Loading(Vec<BackendId>),
+    /// An item could not be understood. What was known of it before still holds.
+    Unreadable {
+        /// The item's key.
+        key: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+}
+
+/// An answer that could not be understood.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Misread(pub String);
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightsOrder {
+    /// The engine.
+    pub backend: BackendId,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: WeightsVersion,
+    /// Who gives the order.
+    pub holder: NodeId,
+    /// The token of its leadership.
+    pub token: FencingToken,
+    /// The number of orders that the engine has taken, as a condition.
+    pub sequence: u64,
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// It held already.
+    AlreadyHolds,
+    /// Another order is under way, or others were taken before.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Another back end has the address.
+    OtherBackend,
+    /// It makes no sense to the engine.
+    Rejected(StatusCode),
+}
+
+/// What a caller's head says, in the product's terms.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestHead {
+    /// The caller's identity for this try.
+    pub id: Option<String>,
+    /// The key that it carries.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// What it says of its prompt.
+    pub prompt: Option<Prompt>,
+    /// The last event that it has, of a stream that it resumes.
+    pub last_event: Option<u64>,
+}
+
+/// What is decided about a request that goes to a back end.
+#[derive(Clone, Debug)]
+pub struct Dispatch<'a> {
+    /// The back end.
+    pub backend: &'a BackendId,
+    /// How long the back end may take.
+    pub deadline: Duration,
+    /// The tenant, if the request has one.
+    pub tenant: Option<&'a Tenant>,
+    /// The route.
+    pub route: &'a Route,
+    /// The scope of cached parts.
+    pub scope: Option<&'a CacheScope>,
+    /// Whom to import the prefix from.
+    pub import_from: Option<SocketAddr>,
+    /// Whom to hand the shared parts to.
+    pub save_to: Option<SocketAddr>,
+    /// The last event that the caller has, where the node itself resumes a stream.
+    pub resume_after: Option<u64>,
+}
+
+/// What the head of a back end's answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerHead {
+    /// The request that it answers.
+    pub request_id: Option<String>,
+    /// Whether a back end has signed it.
+    pub signed: bool,
+    /// Whether the back end says that it did not run the request.
+    pub not_run: bool,
+    /// Whether another back end, or one with other weights, got the request.
+    pub misdirected: bool,
+    /// The back end that answered, where it says so.
+    pub backend: Option<BackendId>,
+    /// The version of the weights it runs on.
+    pub weights: Option<WeightsVersion>,
+    /// Whether the body is in an encoding that nobody asked for.
+    pub encoded: bool,
+}
+
+/// A platform's translation.
+pub trait Platform {
+    /// A call to the store as an HTTP request.
+    fn store_request(&self, call: &StoreCall) -> Request<Bytes>;
+
+    /// The store's answer to `call`.
+    fn store_answer(&self, call: &StoreCall, answer: &Response<Bytes>) -> Result<StoreAnswer, Misread>;
+
+    /// A request for an engine's report.
+    fn report_request(&self) -> Request<Bytes>;
+
+    /// An engine's report.
+    fn report_answer(&self, answer: &Response<Bytes>) -> Result<EngineReport, Misread>;
+
+    /// An order to an engine.
+    fn order_request(&self, order: &WeightsOrder) -> Request<Bytes>;
+
+    /// An engine's answer to an order.
+    fn order_answer(&self, answer: &Response<Bytes>) -> OrderAnswer;
+
+    /// What a caller's head says.
+    fn read_request(&self, headers: &HeaderMap) -> RequestHead;
+
+    /// Sets the headers of a request to a back end; `headers` holds the caller's, less those of the connection.
+    fn write_request(&self, headers: &mut HeaderMap, dispatch: &Dispatch<'_>);
+
+    /// What the head of a back end's answer says.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerHead;
+}
+
+/// Versions of weights by model, as reports and entries tell them.
+pub type WeightsByModel = BTreeMap<ModelId, WeightsVersion>;
--- /dev/null
+++ b/crates/forward/src/process.rs
@@ -0,0 +1,170 @@
+//! The process: start, signals, reload of settings, planned stop.
+
+use std::{cell::Cell, io, path::PathBuf, rc::Rc, time::Duration};
+
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+};
+
+use crate::{
+    clock::SteadyClock,
+    feed, ingress,
+    ingress::StopStage,
+    journal::{Event, Journal},
+    leadership,
+    node::Node,
+    ports::Platform,
+    settings::{ForwardSettings, SettingsError},
+};
+
+/// The pause between two looks at the settings file, readiness and old connections.
+const HOUSEKEEPING: Duration = Duration::from_millis(1_000);
+/// The longest time in which callers are still taken after a signal to stop.
+const LONGEST_LEAVING: Duration = Duration::from_millis(2_600);
+/// How much sooner than it is killed the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// The pause between two looks whether all has ended.
+const END_PAUSE: Duration = Duration::from_millis(50);
+/// Time for the last log lines.
+const LAST_LINES: Duration = Duration::from_millis(120);
+
+/// Why the process could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// An address cannot be listened on, or signals cannot be taken.
+    #[error("cannot start: {what}: {source}")]
+    System {
+        /// What failed.
+        what: &'static str,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+fn system(what: &'static str) -> impl Fn(io::Error) -> StartError {
+    move |source| StartError::System { what, source }
+}
+
+/// Runs a forwarding node until it is told to stop.
+pub fn run(path: PathBuf, platform: Box<dyn Platform>) -> Result<(), StartError> {
+    let settings = ForwardSettings::read(&path)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(system("runtime"))?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run_node(path, settings, platform))
+}
+
+async fn run_node(
+    path: PathBuf,
+    settings: ForwardSettings,
+    platform: Box<dyn Platform>,
+) -> Result<(), StartError> {
+    let clock = SteadyClock::start();
+    let journal = Journal::to_standard_output(settings.node.as_str(), clock);
+    let mut terminate = signal(SignalKind::terminate()).map_err(system("signals"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(system("signals"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(system("signals"))?;
+    let listen = settings.listen;
+    let callers = ingress::listen(listen.callers).map_err(system("callers' address"))?;
+    let readiness = ingress::listen(listen.readiness).map_err(system("readiness address"))?;
+    let metrics = listen.metrics.map(ingress::listen).transpose().map_err(system("metrics address"))?;
+    let node = Rc::new(Node::new(settings, platform, clock, journal));
+    let (stage, stage_seen) = watch::channel(StopStage::Serving);
+    let open = Rc::new(Cell::new(0));
+    tell_start(&node);
+    tokio::task::spawn_local(feed::follow(Rc::clone(&node)));
+    tokio::task::spawn_local(keep_house(Rc::clone(&node), path, hangup));
+    let leading = tokio::task::spawn_local(leadership::lead(Rc::clone(&node)));
+    tokio::task::spawn_local(ingress::serve_callers(Rc::clone(&node), callers, stage_seen, Rc::clone(&open)));
+    let asked = Rc::clone(&node);
+    tokio::task::spawn_local(ingress::serve_simple(readiness, move || ingress::readiness_answer(&asked)));
+    if let Some(metrics) = metrics {
+        let told = Rc::clone(&node);
+        tokio::task::spawn_local(ingress::serve_simple(metrics, move || ingress::metrics_answer(&told)));
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&node, &stage, &open).await;
+    // The lease has been given up meanwhile, where the store answers.
+    leading.abort();
+    Ok(())
+}
+
+fn tell_start(node: &Node) {
+    let settings = node.settings();
+    node.journal.tell(&Event::Started {
+        zone: settings.zone.as_str(),
+        callers: settings.listen.callers.to_string(),
+        software: env!("CARGO_PKG_VERSION"),
+    });
+}
+
+/// Readiness goes first; callers are taken until they have been sent elsewhere; what runs gets the grace period.
+async fn stop(node: &Rc<Node>, stage: &watch::Sender<StopStage>, open: &Cell<usize>) {
+    let began = node.now();
+    node.stopping.set(true);
+    node.journal.tell(&Event::Stopping { running: node.running.get() });
+    stage.send_replace(StopStage::Leaving);
+    let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
+    tokio::time::sleep(LONGEST_LEAVING.min(grace * 2 / 5)).await;
+    stage.send_replace(StopStage::Closing);
+    while open.get() > 0 && node.now().saturating_since(began) < grace {
+        tokio::time::sleep(END_PAUSE).await;
+    }
+    let after_ms = node.now().saturating_since(began).as_millis() as u64;
+    node.journal.tell(&Event::Stopped { running: node.running.get(), after_ms });
+    tokio::time::sleep(LAST_LINES).await;
+}
+
+/// Follows the settings file, tells changes of readiness, and drops what has grown old.
+async fn keep_house(node: Rc<Node>, path: PathBuf, mut hangup: Signal) {
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    let mut ready = None;
+    loop {
+        let asked = tokio::select! {
+            () = tokio::time::sleep(HOUSEKEEPING) => false,
+            _ = hangup.recv() => true,
+        };
+        reload(&node, &path, &mut text, asked);
+        node.sweep();
+        let readiness = node.readiness();
+        if ready != Some(readiness) {
+            ready = Some(readiness);
+            let age = node.beliefs.borrow().freshness.age(node.now());
+            node.journal.tell(&Event::ReadinessChanged {
+                ready: readiness.is_ok(),
+                why: readiness.err().unwrap_or("ready"),
+                age_ms: age.map(|age| age.as_millis() as u64),
+            });
+        }
+    }
+}
+
+/// Reads the settings again. Ones that cannot be used are told, and those before them hold on.
+fn reload(node: &Node, path: &std::path::Path, text: &mut String, asked: bool) {
+    let read = std::fs::read_to_string(path);
+    let changed = read.as_ref().is_ok_and(|new| new != text);
+    if !changed && !asked {
+        return;
+    }
+    let parsed = match &read {
+        Ok(new) => ForwardSettings::parse(new).map_err(|error| error.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    if let Ok(new) = read {
+        *text = new;
+    }
+    match parsed {
+        Ok(settings) => {
+            *node.settings.borrow_mut() = Rc::new(settings);
+            node.journal.tell(&Event::SettingsReloaded { changed });
+        }
+        Err(problem) => node.journal.tell(&Event::SettingsRejected { problem }),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/relay.rs
@@ -0,0 +1,196 @@
+//! Passes a stream of events on, event by event, and resumes it at another back end where the route allows it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use paddlemount_core::forwarding::{
+    attempt::{AttemptEnd, Next},
+    choice::Choice,
+    events::EventSplitter,
+};
+use paddlemount_protocol::time::Timestamp;
+
+use crate::{
+    answers::AnswerBody,
+    attempts::{Begun, Ended},
+    exchange::{Exchange, is_resumable},
+};
+
+/// How long a resumable stream may be silent, in multiples of the pause that its route calls good.
+const SILENCE_GAPS: u32 = 2;
+/// The same for routes that name no such pause.
+const SILENCE: Duration = Duration::from_secs(1);
+/// The silence before a resumable stream's first event, in multiples of its route's target.
+const FIRST_SILENCE_TARGETS: u32 = 2;
+
+/// Why a stream ends before it is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RelayError {
+    /// The back end broke off, and no other could go on.
+    #[error("the back end broke off")]
+    Broken,
+    /// The time is up.
+    #[error("the time is up")]
+    TimeUp,
+}
+
+/// A stream that is being passed on. Dropping it, as when the caller has left, closes the back end's connection.
+pub struct Relay {
+    exchange: Exchange,
+    choice: Choice,
+    begun: Option<Begun>,
+    splitter: EventSplitter,
+    has_event: bool,
+    done: bool,
+}
+
+/// What came of waiting for the back end.
+enum Heard {
+    Data(Bytes),
+    End,
+    Broken(String),
+    Silent,
+    TimeUp,
+}
+
+impl Relay {
+    /// Passes on what has begun; the caller has the events up to `last_event`.
+    pub fn new(exchange: Exchange, choice: Choice, begun: Begun, last_event: Option<u64>) -> Self {
+        let splitter = EventSplitter::after(last_event);
+        Self { exchange, choice, begun: Some(begun), splitter, has_event: false, done: false }
+    }
+
+    /// The stream as the body of an answer.
+    pub fn into_body(self) -> AnswerBody {
+        let parts = stream::unfold(self, |mut relay| async move {
+            let part = relay.next().await?;
+            Some((part.map(Frame::data), relay))
+        });
+        Box::pin(StreamBody::new(parts))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, RelayError>> {
+        if self.done {
+            return None;
+        }
+        loop {
+            match self.hear().await {
+                Heard::Data(data) => {
+                    let whole = self.splitter.push(&data);
+                    if !whole.is_empty() {
+                        self.first_event();
+                        return Some(Ok(whole));
+                    }
+                }
+                Heard::End => {
+                    if let Some(result) = self.end() {
+                        return result;
+                    }
+                    if !self.resume("ended in the middle of an event".into()).await {
+                        return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
+                    }
+                }
+                Heard::Broken(detail) => {
+                    if !self.resume(detail).await {
+                        return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
+                    }
+                }
+                Heard::Silent => {
+                    if !self.resume("silent".into()).await {
+                        return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
+                    }
+                }
+                Heard::TimeUp => return Some(Err(self.give_up("time_up", RelayError::TimeUp))),
+            }
+        }
+    }
+
+    async fn hear(&mut self) -> Heard {
+        let give_up_at = self.exchange.give_up_at;
+        let silent_at = self.silent_at();
+        let clock = self.exchange.node.clock;
+        let Some(begun) = &mut self.begun else { return Heard::Broken("nothing has begun".into()) };
+        let until = silent_at.map_or(give_up_at, |at| at.min(give_up_at));
+        match tokio::time::timeout_at(clock.instant(until), begun.body.frame()).await {
+            Ok(Some(Ok(frame))) => Heard::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(error))) => Heard::Broken(error.to_string()),
+            Ok(None) => Heard::End,
+            Err(_) if until < give_up_at => Heard::Silent,
+            Err(_) => Heard::TimeUp,
+        }
+    }
+
+    /// When another back end is asked, where the route allows that.
+    fn silent_at(&self) -> Option<Timestamp> {
+        let route = &self.exchange.route;
+        if !is_resumable(route.kind) || self.exchange.spent.sent >= route.attempts {
+            return None;
+        }
+        let silence = if self.has_event {
+            route.target_gap.map_or(SILENCE, |gap| gap * SILENCE_GAPS)
+        } else {
+            route.target_latency * FIRST_SILENCE_TARGETS
+        };
+        Some(self.exchange.node.now() + silence)
+    }
+
+    fn first_event(&mut self) {
+        self.has_event = true;
+        if let Some(begun) = &mut self.begun {
+            begun.work.first_part();
+        }
+        self.exchange.first_part(&self.choice);
+    }
+
+    /// The body has ended. Nothing is given where its end cannot be a stream's.
+    fn end(&mut self) -> Option<Option<Result<Bytes, RelayError>>> {
+        let begun = self.begun.take()?;
+        if self.splitter.holds_part() && !begun.framed {
+            return None;
+        }
+        self.done = true;
+        self.exchange.conclude("streamed");
+        let node = &self.exchange.node;
+        node.pool.borrow_mut().put(&begun.work.backend, begun.connection, node.now());
+        let rest = self.splitter.finish();
+        Some((!rest.is_empty()).then_some(Ok(rest)))
+    }
+
+    /// Lets another back end go on behind the last whole event.
+    async fn resume(&mut self, detail: String) -> bool {
+        self.begun = None;
+        self.splitter.finish();
+        self.exchange.spent.may_have_run = true;
+        let mut ended = Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false };
+        loop {
+            if self.exchange.decide(&self.choice, &ended) != Next::TryAnother {
+                return false;
+            }
+            let Some(choice) = self.exchange.place() else { return false };
+            let result = self.exchange.attempt(&choice, self.splitter.last_id()).await;
+            self.choice = choice;
+            match result {
+                Ok(begun) if begun.head.status.is_success() => {
+                    self.exchange.resumed();
+                    self.begun = Some(begun);
+                    return true;
+                }
+                Ok(begun) => {
+                    let detail = format!("status {}", begun.head.status);
+                    ended = Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false };
+                }
+                Err(error) => ended = error,
+            }
+        }
+    }
+
+    fn give_up(&mut self, outcome: &'static str, error: RelayError) -> RelayError {
+        self.begun = None;
+        self.done = true;
+        self.exchange.conclude(outcome);
+        error
+    }
+}
--- /dev/null
+++ b/crates/forward/src/settings.rs
@@ -0,0 +1,167 @@
+//! The process's settings: a TOML file, checked whole before anything starts.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use paddlemount_protocol::identity::{NodeId, ZoneId};
+use serde::Deserialize;
+
+/// Settings of a forwarding node.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct ForwardSettings {
+    /// The node's name; unique among the nodes.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// The metadata store.
+    pub store: StoreSettings,
+    /// Bounds that the operator has set.
+    pub bounds: BoundSettings,
+    /// What the node allows itself.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Where the node listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For whoever asks whether the node takes callers.
+    pub readiness: SocketAddr,
+    /// For metrics; none where they are not told.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The metadata store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// The shortest life of a lease that it grants, in milliseconds.
+    pub shortest_lease_ms: u64,
+}
+
+/// Bounds that the operator has set. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct BoundSettings {
+    /// A changed configuration is in force after this time.
+    pub configuration_ms: u64,
+    /// A removed key is refused after this time, also by a node that cannot reach the store.
+    pub revocation_ms: u64,
+    /// Whether keys are refused where it is not known that they still hold.
+    pub revocation_fails_closed: bool,
+    /// The time from a stop signal to the end of the process.
+    pub grace_ms: u64,
+    /// Retries of a service, as a share of its requests.
+    pub retry_share: f64,
+    /// Retries of a service beyond its share, in a window, over all nodes.
+    pub retry_slack: u32,
+    /// The life of the lease on orders.
+    pub lease_ms: u64,
+    /// No request begins on an older version after this time from when a newer one was named.
+    pub weights_ms: u64,
+}
+
+/// What the node allows itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct LimitSettings {
+    /// The greatest number of nodes that share the retry slack.
+    pub most_nodes: u32,
+    /// Descriptors that the process may open.
+    pub descriptors: u32,
+    /// Back ends that load weights at the same time.
+    pub loads_at_once: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self { most_nodes: 14, descriptors: 1_024, loads_at_once: 2 }
+    }
+}
+
+/// Why settings are not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read settings file {path}: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The file is no TOML, or a value has the wrong form.
+    #[error("settings: {0}")]
+    Form(#[from] toml::de::Error),
+    /// A value cannot be used.
+    #[error("settings: {key} {problem}")]
+    Value {
+        /// The key.
+        key: &'static str,
+        /// What is wrong with its value.
+        problem: &'static str,
+    },
+}
+
+impl ForwardSettings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { path: path.display().to_string(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Reads and checks a text. Unknown keys are passed over.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let wrong = |key, problem| Err(SettingsError::Value { key, problem });
+        if self.node.as_str().is_empty() {
+            return wrong("node", "must not be empty");
+        }
+        if self.listen.callers == self.listen.readiness {
+            return wrong("listen.readiness", "must differ from listen.callers");
+        }
+        if !(0.0..=1.0).contains(&self.bounds.retry_share) {
+            return wrong("bounds.retry_share", "must lie between 0 and 1");
+        }
+        if self.bounds.revocation_ms < 500 {
+            return wrong("bounds.revocation_ms", "must be 500 or more");
+        }
+        if self.bounds.configuration_ms < 100 {
+            return wrong("bounds.configuration_ms", "must be 100 or more");
+        }
+        if self.limits.most_nodes == 0 {
+            return wrong("limits.most_nodes", "must be 1 or more");
+        }
+        if self.limits.loads_at_once == 0 {
+            return wrong("limits.loads_at_once", "must be 1 or more");
+        }
+        Ok(())
+    }
+}
+
+impl BoundSettings {
+    /// The age at which the configuration is too old for a request that carries a key.
+    pub fn stale_after(&self) -> Duration {
+        Duration::from_millis(self.revocation_ms.saturating_sub(self.revocation_ms / 10))
+    }
+
+    /// The age at which an unknown route or key may only be unknown yet.
+    pub fn doubtful_after(&self) -> Duration {
+        Duration::from_millis(self.configuration_ms * 3 / 2)
+    }
+
+    /// How long one watch of the store waits: its answer is the proof that what is known is recent.
+    pub fn watch_wait(&self) -> Duration {
+        Duration::from_millis((self.revocation_ms * 2 / 5).clamp(200, 5_000))
+    }
+}
