Follow what engines keep, import in place of reading again, drain before a load

Streams paused as long as a load (0.63 s) where running requests were kept.

Change: feeds of kept parts; a part that nobody keeps is read at one place; parts are handed to the kept-cache store; oldest versions first; a third of the back ends is drained at a time, as long as the bound allows; long prompts rather go to other back ends than short ones.

--- /dev/null
+++ b/crates/core/src/forwarding/load.rs
@@ -0,0 +1,91 @@
+//! What one node has under way at back ends, and how fast they have answered it.
+
+use std::collections::BTreeMap;
+
+use super::backends::BackendId;
+
+/// The weight of a new measurement in a moving average.
+const AVERAGE_WEIGHT: f64 = 0.2;
+/// Measurements below which an average says nothing.
+const FEWEST_MEASUREMENTS: u32 = 5;
+/// Bounds of the factor by which a slow back end's cost is raised or lowered.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
+
+/// What one node has under way at one back end.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BackendLoad {
+    /// Requests not yet ended.
+    pub requests: u32,
+    /// Tokens that requests without a first event have to read.
+    pub unread_tokens: u64,
+    /// The moving average of the time to the first byte of an answer, in milliseconds.
+    average_ms: f64,
+    measurements: u32,
+}
+
+/// What one node has under way at all back ends.
+#[derive(Debug, Default)]
+pub struct Loads {
+    by_backend: BTreeMap<BackendId, BackendLoad>,
+}
+
+impl Loads {
+    /// A request was sent that has `tokens` to be read.
+    pub fn started(&mut self, backend: &BackendId, tokens: u64) {
+        let load = self.by_backend.entry(backend.clone()).or_default();
+        load.requests += 1;
+        load.unread_tokens += tokens;
+    }
+
+    /// The answer's first event has arrived, or the request has ended before it.
+    pub fn read(&mut self, backend: &BackendId, tokens: u64) {
+        if let Some(load) = self.by_backend.get_mut(backend) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// The request has ended.
+    pub fn ended(&mut self, backend: &BackendId) {
+        if let Some(load) = self.by_backend.get_mut(backend) {
+            load.requests = load.requests.saturating_sub(1);
+        }
+    }
+
+    /// An answer began after `milliseconds`.
+    pub fn measured(&mut self, backend: &BackendId, milliseconds: f64) {
+        let load = self.by_backend.entry(backend.clone()).or_default();
+        load.measurements += 1;
+        let weight = if load.measurements == 1 { 1.0 } else { AVERAGE_WEIGHT };
+        load.average_ms += (milliseconds - load.average_ms) * weight;
+    }
+
+    /// What is under way at a back end.
+    pub fn of(&self, backend: &BackendId) -> BackendLoad {
+        self.by_backend.get(backend).copied().unwrap_or_default()
+    }
+
+    /// A back end is gone.
+    pub fn forget(&mut self, backend: &BackendId) {
+        self.by_backend.remove(backend);
+    }
+
+    /// The median of the back ends' average times, in milliseconds; zero where too little is known.
+    pub fn usual_ms<'a>(&self, backends: impl Iterator<Item = &'a BackendId>) -> f64 {
+        let mut averages: Vec<f64> = backends
+            .map(|backend| self.of(backend))
+            .filter(|load| load.measurements >= FEWEST_MEASUREMENTS)
+            .map(|load| load.average_ms)
+            .collect();
+        averages.sort_by(f64::total_cmp);
+        averages.get(averages.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    /// How much slower than usual a back end answers.
+    pub fn slowness(&self, backend: &BackendId, usual_ms: f64) -> f64 {
+        let load = self.of(backend);
+        if usual_ms <= 0.0 || load.measurements < FEWEST_MEASUREMENTS {
+            return 1.0;
+        }
+        (load.average_ms / usual_ms).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1)
+    }
+}
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -7,6 +7,8 @@
 //! | [`freshness`] | whether what is believed of the configuration is recent enough to act on |
 //! | [`backends`] | which back ends exist and may get new work |
 //! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
+//! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
+//! | [`partition`] | which back ends long prompts go to first |
 //! | [`attempt`] | what may follow the end of a try |
 //! | [`events`] | which events of a stream are whole and may be passed on |
 //! | [`rollout`] | which back end gets new weights next |
@@ -19,6 +21,9 @@
 pub mod document;
 pub mod events;
 pub mod freshness;
+pub mod load;
+pub mod partition;
+pub mod prefixes;
 pub mod prompt;
 pub mod rollout;
 pub mod table;
--- /dev/null
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -0,0 +1,146 @@
+//! Which back end is believed to keep which parts of prompts.
+//!
+//! Engines tell of what they keep in feeds that are late and lose entries; what a node's own requests have made an
+//! engine read is noted at once. A belief that is wrong costs time, never correctness: engines find parts only under
+//! the scope that the node names.
+
+use std::collections::HashMap;
+
+use paddlemount_protocol::time::Timestamp;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    backends::BackendId,
+    prompt::{CacheScope, Part, PartId},
+};
+
+/// Parts that are remembered at most; the older half is then forgotten.
+const MOST_PARTS: usize = 8_192;
+/// Engines keep parts by blocks; a part is whole where less than a block of it is missing.
+const BLOCK_TOKENS: u32 = 16;
+
+/// A scope in short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ScopeHash(u64);
+
+impl ScopeHash {
+    /// The hash of a scope's text, as feeds tell it.
+    pub fn of_text(text: &str) -> Self {
+        Self(xxh3_64(text.as_bytes()))
+    }
+}
+
+impl From<&CacheScope> for ScopeHash {
+    fn from(scope: &CacheScope) -> Self {
+        Self::of_text(&scope.text())
+    }
+}
+
+/// One entry of an engine's feed: how much of a part it keeps now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptPart {
+    /// The scope.
+    pub scope: ScopeHash,
+    /// The part.
+    pub part: PartId,
+    /// Tokens of it that are kept now; none where it is gone.
+    pub tokens: u32,
+}
+
+#[derive(Debug, Default)]
+struct Keepers {
+    by_backend: Vec<(BackendId, u32)>,
+    used_at: Timestamp,
+}
+
+/// What back ends are believed to keep.
+#[derive(Debug, Default)]
+pub struct Prefixes {
+    keepers: HashMap<(ScopeHash, PartId), Keepers>,
+}
+
+impl Prefixes {
+    /// A back end keeps so much of a part now.
+    pub fn set(&mut self, backend: &BackendId, kept: &KeptPart, now: Timestamp) {
+        let key = (kept.scope, kept.part);
+        if kept.tokens == 0 {
+            self.drop_keeper(key, backend);
+            return;
+        }
+        let keepers = self.keepers.entry(key).or_default();
+        keepers.used_at = now;
+        match keepers.by_backend.iter_mut().find(|(keeper, _)| keeper == backend) {
+            Some((_, tokens)) => *tokens = kept.tokens,
+            None => keepers.by_backend.push((backend.clone(), kept.tokens)),
+        }
+        if self.keepers.len() > MOST_PARTS {
+            self.forget_oldest();
+        }
+    }
+
+    /// A back end has read all of `parts`.
+    pub fn read(&mut self, backend: &BackendId, scope: ScopeHash, parts: &[Part], now: Timestamp) {
+        for part in parts {
+            self.set(backend, &KeptPart { scope, part: part.id, tokens: part.tokens }, now);
+        }
+    }
+
+    /// A back end keeps nothing any more.
+    pub fn forget(&mut self, backend: &BackendId) {
+        for keepers in self.keepers.values_mut() {
+            keepers.by_backend.retain(|(keeper, _)| keeper != backend);
+        }
+        self.keepers.retain(|_, keepers| !keepers.by_backend.is_empty());
+    }
+
+    /// Tokens that a back end keeps of `parts`, from the first on without a gap.
+    pub fn kept(&self, backend: &BackendId, scope: ScopeHash, parts: &[Part]) -> u32 {
+        let mut sum = 0;
+        for part in parts {
+            let keepers = self.keepers.get(&(scope, part.id));
+            let of_backend =
+                keepers.and_then(|keepers| keepers.by_backend.iter().find(|(keeper, _)| keeper == backend));
+            let tokens = of_backend.map_or(0, |(_, tokens)| (*tokens).min(part.tokens));
+            if tokens + BLOCK_TOKENS <= part.tokens {
+                return sum + tokens;
+            }
+            sum += part.tokens;
+        }
+        sum
+    }
+
+    /// The first of `parts` that nobody keeps whole.
+    pub fn first_cold<'a>(&self, scope: ScopeHash, parts: &'a [Part]) -> Option<&'a Part> {
+        parts.iter().find(|part| {
+            let keepers = self.keepers.get(&(scope, part.id));
+            !keepers.is_some_and(|keepers| {
+                keepers.by_backend.iter().any(|(_, tokens)| *tokens + BLOCK_TOKENS > part.tokens)
+            })
+        })
+    }
+
+    /// The number of parts known.
+    pub fn len(&self) -> usize {
+        self.keepers.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.keepers.is_empty()
+    }
+
+    fn drop_keeper(&mut self, key: (ScopeHash, PartId), backend: &BackendId) {
+        let Some(keepers) = self.keepers.get_mut(&key) else { return };
+        keepers.by_backend.retain(|(keeper, _)| keeper != backend);
+        if keepers.by_backend.is_empty() {
+            self.keepers.remove(&key);
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let mut ages: Vec<Timestamp> = self.keepers.values().map(|keepers| keepers.used_at).collect();
+        ages.sort_unstable();
+        let middle = ages[ages.len() / 2];
+        self.keepers.retain(|_, keepers| keepers.used_at > middle);
+    }
+}
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -17,10 +17,19 @@
 
 use super::backends::{Backend, BackendId, Standing};
 
+/// What becomes of requests that run while an engine takes new weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// They end first. None of them pauses, and the engine takes no others meanwhile.
+    FinishRunning,
+    /// They go on under the new weights, after a pause as long as the load.
+    KeepRunning,
+}
+
 /// Settings of a [`Rollout`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RolloutSettings {
-    /// Back ends that load weights at the same time.
+    /// Back ends that are worked on at the same time, where a third of them is fewer.
     pub at_once: usize,
     /// The time after which no request may begin on an older version than the named one.
     pub bound: Duration,
@@ -28,11 +37,20 @@
     pub margin: Duration,
 }
 
+/// When a version was named, as far as this node knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NamedAt {
+    /// It was named while this node was watching.
+    Heard(Timestamp),
+    /// It had been named when this node first looked.
+    Found(Timestamp),
+}
+
 /// A version that the operator has named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Named {
     version: WeightsVersion,
-    learned_at: Timestamp,
+    at: NamedAt,
 }
 
 /// One back end that is to be brought to a version.
@@ -44,6 +62,8 @@
     pub model: ModelId,
     /// The version.
     pub version: WeightsVersion,
+    /// How long it gets no new requests before the order, so that those that run there can end.
+    pub drain: Duration,
 }
 
 /// What a back end reports of itself.
@@ -51,6 +71,8 @@
 pub struct EngineReport {
     /// An order is under way.
     pub busy: bool,
+    /// Requests that run or wait there.
+    pub requests: u32,
     /// Orders taken since its start.
     pub sequence: u64,
     /// The versions of its models.
@@ -64,19 +86,26 @@
     Done,
     /// It is at work on an order: ask again later.
     Wait,
+    /// Requests still run there: ask again later.
+    Drain,
     /// Give the order, on the condition that it has taken `sequence` orders.
     Order {
         /// The number of orders that it has taken.
         sequence: u64,
+        /// What becomes of the requests that run there.
+        manner: Manner,
     },
 }
 
-/// Decides what follows a back end's report.
-pub fn after_report(target: &Target, report: &EngineReport) -> Step {
+/// Decides what follows a back end's report, where it has got no new requests for the time `drained`.
+pub fn after_report(target: &Target, report: &EngineReport, drained: Duration) -> Step {
+    let sequence = report.sequence;
     match report.weights.get(&target.model) {
         Some(version) if *version >= target.version => Step::Done,
         _ if report.busy => Step::Wait,
-        _ => Step::Order { sequence: report.sequence },
+        _ if report.requests == 0 => Step::Order { sequence, manner: Manner::FinishRunning },
+        _ if drained < target.drain => Step::Drain,
+        _ => Step::Order { sequence, manner: Manner::KeepRunning },
     }
 }
 
@@ -90,6 +119,17 @@
 
 /// Named versions that are remembered for a model.
 const MOST_NAMED: usize = 16;
+/// The time that loading usually takes, with the order and the look at what came of it.
+const LOAD_TIME: Duration = Duration::from_millis(750);
+/// The time that is left to orders that are lost and to a change of leader.
+const RESERVE: Duration = Duration::from_millis(600);
+/// The longest time for which a back end is drained.
+const LONGEST_DRAIN: Duration = Duration::from_millis(4_000);
+/// One in so many back ends is worked on at the same time.
+const PART: usize = 3;
+/// One in so many back ends with a version shows that it was named long enough ago to be asked of all, where this
+/// node does not know when it was named.
+const FOUND_PART: usize = 4;
 
 impl Rollout {
     /// Knows no version.
@@ -98,12 +138,12 @@
     }
 
     /// The operator has named a version. Tells whether it is news.
-    pub fn name(&mut self, model: ModelId, version: WeightsVersion, now: Timestamp) -> bool {
+    pub fn name(&mut self, model: ModelId, version: WeightsVersion, at: NamedAt) -> bool {
         let named = self.named.entry(model).or_default();
         if named.last().is_some_and(|last| last.version >= version) {
             return false;
         }
-        named.push(Named { version, learned_at: now });
+        named.push(Named { version, at });
         if named.len() > MOST_NAMED {
             named.remove(0);
         }
@@ -116,29 +156,53 @@
     }
 
     /// The oldest version of a model on which a request may still begin.
-    pub fn required(&self, model: &ModelId, now: Timestamp) -> Option<WeightsVersion> {
+    ///
+    /// A node that has just started does not know when the versions that it found were named. It asks for the newest
+    /// one that enough back ends have: a newer version than need be is never wrong.
+    pub fn required<'a>(
+        &self,
+        model: &ModelId,
+        backends: impl Iterator<Item = &'a Backend>,
+        now: Timestamp,
+    ) -> Option<WeightsVersion> {
         let after = self.settings.bound.saturating_sub(self.settings.margin);
-        let due = |named: &&Named| now.saturating_since(named.learned_at) >= after;
-        self.named.get(model)?.iter().rev().find(due).map(|named| named.version)
+        let named = self.named.get(model)?;
+        let due = |named: &&Named| match named.at {
+            NamedAt::Heard(at) | NamedAt::Found(at) => now.saturating_since(at) >= after,
+        };
+        let due = named.iter().rev().find(due).map(|named| named.version);
+        let found = named.first().filter(|first| matches!(first.at, NamedAt::Found(_)));
+        due.max(found.and_then(|found| widespread(model, found.version, backends)))
     }
 
-    /// Back ends to begin with now. Each counts as active until [`Rollout::ended`].
+    /// Back ends to begin with now. Each counts as active until [`Rollout::ended`]. Those whose versions are oldest
+    /// come first, and among them the idle ones: otherwise names that follow each other closely leave some behind.
     pub fn begin<'a>(
         &mut self,
         backends: impl Iterator<Item = &'a Backend>,
         requests: impl Fn(&BackendId) -> u32,
+        now: Timestamp,
     ) -> Vec<Target> {
-        let free = self.settings.at_once.saturating_sub(self.active.len());
-        if free == 0 {
-            return Vec::new();
-        }
-        let mut waiting: Vec<(u32, Target)> = backends
-            .filter(|backend| backend.standing == Standing::Ready && !self.active.contains(&backend.entry.id))
+        let ready: Vec<&Backend> = backends
+            .filter(|backend| backend.standing == Standing::Ready && !backend.entry.weights.is_empty())
+            .collect();
+        let at_once = self.at_once(ready.len());
+        let free = at_once.saturating_sub(self.active.len());
+        let mut waiting: Vec<(WeightsVersion, u32, Target)> = ready
+            .into_iter()
+            .filter(|backend| !self.active.contains(&backend.entry.id))
             .filter_map(|backend| self.target(backend))
-            .map(|target| (requests(&target.backend), target))
+            .map(|(held, target)| (held, requests(&target.backend), target))
             .collect();
-        waiting.sort_by(|left, right| (left.0, &left.1.backend).cmp(&(right.0, &right.1.backend)));
-        let begun: Vec<Target> = waiting.into_iter().take(free).map(|(_, target)| target).collect();
+        waiting.sort_by(|left, right| {
+            (left.0, left.1, &left.2.backend).cmp(&(right.0, right.1, &right.2.backend))
+        });
+        let lacking = waiting.len();
+        let oldest = waiting.first().map(|(held, _, target)| (*held, target.model.clone()));
+        let drain =
+            oldest.map_or(Duration::ZERO, |(held, model)| self.drain(&model, held, lacking, at_once, now));
+        let begun: Vec<Target> =
+            waiting.into_iter().take(free).map(|(.., target)| Target { drain, ..target }).collect();
         self.active.extend(begun.iter().map(|target| target.backend.clone()));
         begun
     }
@@ -148,19 +212,54 @@
         self.active.remove(backend);
     }
 
-    /// Whether any of `backends` has yet to be brought to a version.
-    pub fn has_work<'a>(&self, mut backends: impl Iterator<Item = &'a Backend>) -> bool {
-        backends.any(|backend| backend.standing == Standing::Ready && self.target(backend).is_some())
+    /// A part of the back ends at the same time: the others carry its requests.
+    fn at_once(&self, backends: usize) -> usize {
+        (backends / PART).max(self.settings.at_once.min(backends / 2)).max(1)
     }
 
-    fn target(&self, backend: &Backend) -> Option<Target> {
-        backend.entry.weights.iter().find_map(|(model, version)| {
-            let newest = self.newest(model)?;
-            (newest > *version).then(|| Target {
+    fn target(&self, backend: &Backend) -> Option<(WeightsVersion, Target)> {
+        backend.entry.weights.iter().find_map(|(model, held)| {
+            let version = self.newest(model)?;
+            let target = Target {
                 backend: backend.entry.id.clone(),
                 model: model.clone(),
-                version: newest,
-            })
+                version,
+                drain: Duration::ZERO,
+            };
+            (version > *held).then_some((*held, target))
         })
     }
+
+    /// The time for which each of `lacking` back ends may be drained so that all are done in time, where the oldest
+    /// of them has version `held`.
+    fn drain(
+        &self,
+        model: &ModelId,
+        held: WeightsVersion,
+        lacking: usize,
+        at_once: usize,
+        now: Timestamp,
+    ) -> Duration {
+        let named = self.named.get(model).and_then(|named| named.iter().find(|named| named.version > held));
+        let Some(NamedAt::Heard(at) | NamedAt::Found(at)) = named.map(|named| named.at) else {
+            return Duration::ZERO;
+        };
+        let due = at + self.settings.bound.saturating_sub(self.settings.margin + RESERVE);
+        let rounds = u32::try_from(lacking.div_ceil(at_once).max(1)).unwrap_or(u32::MAX);
+        (due.saturating_since(now) / rounds).saturating_sub(LOAD_TIME).min(LONGEST_DRAIN)
+    }
+}
+
+/// The newest version up to `limit` that enough back ends have.
+fn widespread<'a>(
+    model: &ModelId,
+    limit: WeightsVersion,
+    backends: impl Iterator<Item = &'a Backend>,
+) -> Option<WeightsVersion> {
+    let ready = backends.filter(|backend| backend.standing == Standing::Ready);
+    let mut held: Vec<WeightsVersion> =
+        ready.filter_map(|backend| backend.entry.weights.get(model).copied()).collect();
+    held.sort_unstable_by(|left, right| right.cmp(left));
+    let enough = held.len().div_ceil(FOUND_PART).max(1) - 1;
+    held.get(enough).copied().map(|version| version.min(limit))
 }
--- /dev/null
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -0,0 +1,127 @@
+//! Bringing back ends to named versions of weights.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use paddlemount_core::forwarding::{
+    backends::{BackendEntry, BackendId, Backends},
+    rollout::{EngineReport, Manner, NamedAt, Rollout, RolloutSettings, Step, Target, after_report},
+};
+use paddlemount_protocol::{
+    identity::{ModelId, ServiceId, WeightsVersion, ZoneId},
+    time::Timestamp,
+};
+
+fn model() -> ModelId {
+    ModelId::from("m")
+}
+
+fn backends(versions: &[u64]) -> Backends {
+    let mut backends = Backends::default();
+    for (index, version) in versions.iter().enumerate() {
+        backends.put(BackendEntry {
+            id: BackendId::from(format!("b{index}")),
+            service: ServiceId::from("pool"),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: ZoneId::from("z"),
+            slots: 8,
+            leaving: false,
+            weights: BTreeMap::from([(model(), WeightsVersion(*version))]),
+        });
+    }
+    backends
+}
+
+fn rollout() -> Rollout {
+    Rollout::new(RolloutSettings {
+        at_once: 2,
+        bound: Duration::from_millis(8_000),
+        margin: Duration::from_millis(1_000),
+    })
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+#[test]
+fn a_back_end_with_the_oldest_version_comes_before_idle_ones() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(3), NamedAt::Heard(at(0)));
+    let backends = backends(&[2, 2, 2, 2, 2, 1]);
+    let busy_last = |id: &BackendId| if id.as_str() == "b5" { 40 } else { 0 };
+    let begun = rollout.begin(backends.iter(), busy_last, at(10));
+    assert_eq!(begun[0].backend.as_str(), "b5");
+}
+
+#[test]
+fn a_node_that_has_just_started_does_not_send_to_versions_that_most_have_left() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(4), NamedAt::Found(at(0)));
+    let backends = backends(&[4, 4, 3, 3, 3, 3, 1]);
+    assert_eq!(rollout.required(&model(), backends.iter(), at(1)), Some(WeightsVersion(4)));
+}
+
+#[test]
+fn a_version_that_nobody_has_yet_is_not_asked_for_by_a_node_that_has_just_started() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Found(at(0)));
+    let backends = backends(&[1, 1, 1, 1]);
+    assert_eq!(rollout.required(&model(), backends.iter(), at(1)), Some(WeightsVersion(1)));
+}
+
+#[test]
+fn an_older_version_is_left_alone_before_the_bound() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
+    let backends = backends(&[1, 1]);
+    assert_eq!(rollout.required(&model(), backends.iter(), at(6_900)), None);
+    assert_eq!(rollout.required(&model(), backends.iter(), at(7_000)), Some(WeightsVersion(2)));
+}
+
+#[test]
+fn back_ends_are_drained_only_while_there_is_time() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
+    let backends = backends(&[1, 1, 1, 1, 1, 1]);
+    let early = rollout.begin(backends.iter(), |_| 0, at(100));
+    assert!(early.iter().all(|target| target.drain > Duration::from_millis(1_000)), "{early:?}");
+    for target in &early {
+        rollout.ended(&target.backend);
+    }
+    let late = rollout.begin(backends.iter(), |_| 0, at(6_000));
+    assert!(late.iter().all(|target| target.drain == Duration::ZERO), "{late:?}");
+}
+
+#[test]
+fn never_more_than_a_third_of_a_pool_is_worked_on_at_once() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
+    let versions = [1; 40];
+    let backends = backends(&versions);
+    let begun = rollout.begin(backends.iter(), |_| 0, at(0));
+    assert!(begun.len() <= 13, "{}", begun.len());
+    assert!(rollout.begin(backends.iter(), |_| 0, at(0)).is_empty());
+}
+
+#[test]
+fn the_report_decides_after_an_order_whose_answer_was_lost() {
+    let target = Target {
+        backend: BackendId::from("b0"),
+        model: model(),
+        version: WeightsVersion(2),
+        drain: Duration::from_millis(900),
+    };
+    let report = |busy, requests, sequence, version| EngineReport {
+        busy,
+        requests,
+        sequence,
+        weights: BTreeMap::from([(model(), WeightsVersion(version))]),
+    };
+    let step = |report: EngineReport, drained| after_report(&target, &report, Duration::from_millis(drained));
+    assert_eq!(step(report(false, 0, 1, 2), 0), Step::Done);
+    assert_eq!(step(report(false, 0, 1, 3), 0), Step::Done);
+    assert_eq!(step(report(true, 0, 1, 1), 0), Step::Wait);
+    assert_eq!(step(report(false, 3, 7, 1), 500), Step::Drain);
+    assert_eq!(step(report(false, 0, 7, 1), 500), Step::Order { sequence: 7, manner: Manner::FinishRunning });
+    assert_eq!(step(report(false, 3, 7, 1), 900), Step::Order { sequence: 7, manner: Manner::KeepRunning });
+}
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -85,7 +85,7 @@
 
 impl Work {
     fn begin(node: &Rc<Node>, choice: &Choice) -> Self {
-        node.beliefs.borrow_mut().chooser.started(&choice.backend, choice.expected_tokens);
+        node.beliefs.borrow_mut().chooser.loads.started(&choice.backend, choice.expected_tokens);
         node.health(&choice.backend, HealthEvent::Dispatched, false);
         Self {
             node: Rc::clone(node),
@@ -100,8 +100,8 @@
         if let Some(tokens) = self.unread_tokens.take() {
             let milliseconds = self.node.now().saturating_since(self.began).as_secs_f64() * 1_000.0;
             let mut beliefs = self.node.beliefs.borrow_mut();
-            beliefs.chooser.read(&self.backend, tokens);
-            beliefs.chooser.measured(&self.backend, milliseconds);
+            beliefs.chooser.loads.read(&self.backend, tokens);
+            beliefs.chooser.loads.measured(&self.backend, milliseconds);
         }
     }
 }
@@ -110,9 +110,9 @@
     fn drop(&mut self) {
         let mut beliefs = self.node.beliefs.borrow_mut();
         if let Some(tokens) = self.unread_tokens.take() {
-            beliefs.chooser.read(&self.backend, tokens);
+            beliefs.chooser.loads.read(&self.backend, tokens);
         }
-        beliefs.chooser.ended(&self.backend);
+        beliefs.chooser.loads.ended(&self.backend);
     }
 }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -47,6 +47,8 @@
     configuration_age: Option<Duration>,
     choice: Option<Choice>,
     first_at: Option<Timestamp>,
+    part_at: Option<Timestamp>,
+    longest_gap: Duration,
     resumed: u32,
 }
 
@@ -189,6 +191,7 @@
             self.account.tenant.as_ref().filter(|tenant| tenant.isolated).map(|tenant| &tenant.name);
         let ask = Ask {
             service: &self.service,
+            route: &self.route.name,
             prompt: self.head.prompt.as_ref(),
             isolated,
             tried: &self.tried,
@@ -205,6 +208,10 @@
         if self.spent.sent == 0 {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
             self.node.earned_retry(&self.service);
+            if let Some(prompt) = &self.head.prompt {
+                let own = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
+                self.node.beliefs.borrow_mut().partition.seen(&self.service, &self.route.name, own);
+            }
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
@@ -262,7 +269,7 @@
             route: &self.route,
             scope: choice.scope.as_ref(),
             import_from: choice.import_from,
-            save_to: None,
+            save_to: choice.save_to,
             resume_after,
         };
         self.node.platform.write_request(&mut headers, &dispatch);
@@ -399,6 +406,14 @@
         }
     }
 
+    /// A further part of a stream is here.
+    pub fn part(&mut self) {
+        let now = self.node.now();
+        if let Some(before) = self.account.part_at.replace(now) {
+            self.account.longest_gap = self.account.longest_gap.max(now.saturating_since(before));
+        }
+    }
+
     /// The stream goes on at another back end.
     pub fn resumed(&mut self) {
         self.account.resumed += 1;
@@ -453,9 +468,11 @@
             cost: choice.map_or(0, |choice| choice.cost),
             expected_tokens: choice.map_or(0, |choice| choice.expected_tokens),
             held_tokens: choice.map_or(0, |choice| choice.held_tokens),
+            cold_tokens: choice.map_or(0, |choice| choice.cold_tokens),
             imported: choice.is_some_and(|choice| choice.import_from.is_some()),
             weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
             first_ms: self.first_at.map(since),
+            longest_gap_ms: self.longest_gap.as_millis() as u64,
             total_ms: since(node.now()),
             resumed: self.resumed,
         };
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -23,7 +23,7 @@
 /// The longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// The least time between two watches, in which changes gather.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER: Duration = Duration::from_millis(200);
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, thiserror::Error)]
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -63,6 +63,8 @@
         weights: Option<u64>,
         revision: u64,
     },
+    /// What a back end keeps is followed by its feed, or no longer.
+    FeedChanged { backend: &'a str, change: &'static str, detail: String },
     /// A version of weights was named.
     WeightsNamed { model: &'a str, version: u64, revision: u64 },
     /// Whether callers are taken has changed.
@@ -130,12 +132,16 @@
     pub expected_tokens: u64,
     /// Tokens of the prefix that it was believed to hold.
     pub held_tokens: u32,
+    /// Tokens of the prefix that nobody was believed to keep.
+    pub cold_tokens: u32,
     /// Whether the prefix was to be imported.
     pub imported: bool,
     /// The version of the weights asked for.
     pub weights: Option<u64>,
     /// Milliseconds to the first byte of the answer's body.
     pub first_ms: Option<u64>,
+    /// The longest pause between two parts of a stream, in milliseconds.
+    pub longest_gap_ms: u64,
     /// Milliseconds from the arrival to the end.
     pub total_ms: u64,
     /// Times that a stream went on at another back end.
--- /dev/null
+++ b/crates/forward/src/kept.rs
@@ -0,0 +1,135 @@
+//! Follows the feeds in which engines and the store tell what parts of prompts they keep.
+
+use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use paddlemount_core::forwarding::backends::BackendId;
+
+use crate::{
+    calls::Caller,
+    journal::Event,
+    node::Node,
+    ports::{FeedAnswer, KeptPage},
+};
+
+/// How long a call waits for entries.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// How long an answer may take beyond that.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// The least time between two calls, in which entries gather.
+const GATHER: Duration = Duration::from_millis(60);
+/// The pause between two looks for feeds to follow.
+const LOOK: Duration = Duration::from_millis(300);
+/// The pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(700);
+/// The pause where too many read a feed already.
+const CROWDED_PAUSE: Duration = Duration::from_secs(5);
+/// The life of a process that was never heard of.
+const NO_LIFE: u64 = 0;
+
+/// Follows the feeds of all engines and of the store, for as long as the process lives.
+pub async fn follow_all(node: Rc<Node>) {
+    let followed: Rc<RefCell<BTreeSet<Source>>> = Rc::default();
+    loop {
+        let known = followed.borrow().clone();
+        for source in sources(&node).difference(&known) {
+            followed.borrow_mut().insert(source.clone());
+            let (node, source, followed) = (Rc::clone(&node), source.clone(), Rc::clone(&followed));
+            tokio::task::spawn_local(async move {
+                follow(node, &source).await;
+                followed.borrow_mut().remove(&source);
+            });
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Whose feed is to be followed: its name and address.
+type Source = (BackendId, SocketAddr);
+
+fn sources(node: &Node) -> BTreeSet<Source> {
+    let beliefs = node.beliefs.borrow();
+    let engines = beliefs.backends.iter().filter(|backend| !backend.entry.weights.is_empty());
+    let engines = engines.map(|backend| (backend.entry.id.clone(), backend.entry.address));
+    engines.chain(beliefs.store()).collect()
+}
+
+/// Follows one feed for as long as its back end is known.
+async fn follow(node: Rc<Node>, source: &Source) {
+    let calls = Caller::new(source.1, node.clock);
+    let mut feed = Feed { node, backend: source.0.clone(), calls, life: NO_LIFE, next: 0, working: false };
+    while sources(&feed.node).contains(source) {
+        let pause = feed.turn().await;
+        tokio::time::sleep(pause).await;
+    }
+}
+
+struct Feed {
+    node: Rc<Node>,
+    backend: BackendId,
+    calls: Caller,
+    life: u64,
+    next: u64,
+    working: bool,
+}
+
+impl Feed {
+    async fn turn(&mut self) -> Duration {
+        let request = self.node.platform.feed_request(self.next, WAIT);
+        let answer = match self.calls.call(request, WAIT + PATIENCE).await {
+            Ok(answer) => self.node.platform.feed_answer(&answer).map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match answer {
+            Ok(FeedAnswer::Page(page)) => self.take(page).await,
+            Ok(FeedAnswer::Crowded) => {
+                self.note(false, "too many read it already".into());
+                CROWDED_PAUSE.mul_f64(0.5 + rand::random::<f64>())
+            }
+            Err(problem) => {
+                self.note(false, problem);
+                PAUSE
+            }
+        }
+    }
+
+    async fn take(&mut self, page: KeptPage) -> Duration {
+        let first = self.life == NO_LIFE;
+        let other_life = page.life != self.life;
+        self.note(true, String::new());
+        if other_life && !first {
+            self.node.beliefs.borrow_mut().chooser.prefixes.forget(&self.backend);
+        }
+        if page.gap || (other_life && !first) {
+            return self.list().await;
+        }
+        self.life = page.life;
+        self.next = page.next;
+        self.learn(&page);
+        GATHER
+    }
+
+    /// Learns anew all that is kept, where entries were lost.
+    async fn list(&mut self) -> Duration {
+        let answer = self.calls.call(self.node.platform.kept_request(), PATIENCE).await;
+        let page = answer.ok().and_then(|answer| self.node.platform.kept_answer(&answer).ok());
+        let Some(page) = page else { return PAUSE };
+        self.node.beliefs.borrow_mut().chooser.prefixes.forget(&self.backend);
+        self.life = page.life;
+        self.next = page.next;
+        self.learn(&page);
+        GATHER
+    }
+
+    fn learn(&self, page: &KeptPage) {
+        let now = self.node.now();
+        self.node.beliefs.borrow_mut().chooser.told(&self.backend, &page.kept, now);
+    }
+
+    fn note(&mut self, working: bool, detail: String) {
+        if self.working != working {
+            self.working = working;
+            let change = if working { "followed" } else { "lost" };
+            self.node.journal.tell(&Event::FeedChanged { backend: self.backend.as_str(), change, detail });
+        }
+    }
+}
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -36,7 +36,8 @@
     let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None };
     while !leadership.node.stopping.get() {
         leadership.turn().await;
-        tokio::time::sleep(PAUSE).await;
+        // What can be done next is looked for at once where something has ended.
+        let _ = tokio::time::timeout(PAUSE, leadership.node.order_ended.notified()).await;
     }
     leadership.stop().await;
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`calls`] | calls to the metadata store and to engines' own interfaces |
 //! | [`node`] | what the node believes and counts |
 //! | [`feed`] | follows the metadata store |
+//! | [`kept`] | follows what engines and the store keep |
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
 //! | [`ingress`], [`exchange`], [`relay`] | takes requests, forwards them, passes streams on |
 //! | [`answers`] | the node's own answers |
@@ -27,6 +28,7 @@
 pub mod feed;
 pub mod ingress;
 pub mod journal;
+pub mod kept;
 pub mod leadership;
 pub mod metrics;
 pub mod node;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,10 +10,11 @@
 use paddlemount_core::{
     forwarding::{
         backends::{Backend, BackendId, Backends, Change, Standing},
-        choice::{Candidate, Choice, Chooser, Placement},
+        choice::{Candidate, Choice, Chooser, Placement, Store},
         freshness::Freshness,
+        partition::{Partition, Side, takes_long},
         prompt::Prompt,
-        rollout::{Rollout, RolloutSettings},
+        rollout::{NamedAt, Rollout, RolloutSettings},
         table::{RouteTable, ShareWheel},
     },
     health::{Health, HealthEvent, HealthSettings, HealthVerdict},
@@ -27,6 +28,8 @@
     time::Timestamp,
 };
 
+use tokio::sync::{Notify, Semaphore};
+
 use crate::{
     calls::Caller,
     clock::SteadyClock,
@@ -40,7 +43,7 @@
 /// How long after its last failure the store counts as in trouble.
 const TROUBLE: Duration = Duration::from_secs(6);
 /// How long a back end is left alone that is said to load weights, where its end isn't heard of.
-const LOADING: Duration = Duration::from_millis(2_500);
+const LOADING: Duration = Duration::from_millis(6_000);
 /// How long a back end is left alone that refused a request.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
@@ -64,6 +67,8 @@
     pub leader: Option<(NodeId, FencingToken)>,
     /// The revision up to which the store's changes are known.
     pub revision: Option<Revision>,
+    /// Which back ends long prompts go to first.
+    pub partition: Partition,
     wheel: ShareWheel,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     refused_until: BTreeMap<BackendId, Timestamp>,
@@ -92,6 +97,10 @@
     pub stopping: Cell<bool>,
     /// Requests that have not ended.
     pub running: Cell<usize>,
+    /// Turns to load weights, while this node leads.
+    pub loads: Semaphore,
+    /// Told where an order has ended.
+    pub order_ended: Notify,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
     pub leading: Cell<Option<(FencingToken, Timestamp)>>,
 }
@@ -101,6 +110,8 @@
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a ServiceId,
+    /// The route's name.
+    pub route: &'a str,
     /// The prompt, if any.
     pub prompt: Option<&'a Prompt>,
     /// The isolated tenant, if it is one.
@@ -125,6 +136,7 @@
             bound: Duration::from_millis(settings.bounds.weights_ms),
             margin: WEIGHTS_MARGIN.max(Duration::from_millis(settings.bounds.weights_ms / 10)),
         });
+        let loads = Semaphore::new(settings.limits.loads_at_once);
         let beliefs = Beliefs {
             table: None,
             freshness: Freshness::default(),
@@ -134,6 +146,7 @@
             rollout,
             leader: None,
             revision: None,
+            partition: Partition::default(),
             wheel: ShareWheel::default(),
             budgets: BTreeMap::new(),
             refused_until: BTreeMap::new(),
@@ -150,6 +163,8 @@
             store,
             stopping: Cell::new(false),
             running: Cell::new(0),
+            loads,
+            order_ended: Notify::new(),
             leading: Cell::new(None),
         }
     }
@@ -213,14 +228,16 @@
                 let before = beliefs.backends.get(&id).map(|backend| backend.entry.weights.clone());
                 let weights_changed = before.is_some_and(|before| before != entry.weights);
                 if weights_changed {
-                    beliefs.chooser.forget_parts(&id);
+                    beliefs.chooser.prefixes.forget(&id);
                 }
                 let change = beliefs.backends.put(entry);
                 self.tell_backend(&beliefs, &id, change, revision);
             }
             Fact::BackendGone(id) => self.lose_backend(&id, revision),
             Fact::WeightsNamed { model, version } => {
-                let news = self.beliefs.borrow_mut().rollout.name(model.clone(), version, now);
+                let first_look = self.beliefs.borrow().revision.is_none();
+                let at = if first_look { NamedAt::Found(now) } else { NamedAt::Heard(now) };
+                let news = self.beliefs.borrow_mut().rollout.name(model.clone(), version, at);
                 if news {
                     let event = Event::WeightsNamed {
                         model: model.as_str(),
@@ -314,7 +331,7 @@
         if known.is_none_or(|known| known < version) {
             backend.entry.weights.insert(model.clone(), version);
             backend.loading_until = None;
-            beliefs.chooser.forget_parts(id);
+            beliefs.chooser.prefixes.forget(id);
         }
     }
 
@@ -398,6 +415,15 @@
         self.trouble_at.is_some_and(|at| now.saturating_since(at) < TROUBLE)
     }
 
+    /// The store of kept parts, if the configuration has one, under the name by which its feed is known.
+    pub fn store(&self) -> Option<(BackendId, std::net::SocketAddr)> {
+        let table = self.table.as_ref()?;
+        table.services().find_map(|(name, service)| {
+            let kept = service.kept_cache.as_ref()?;
+            Some((BackendId::from(name.as_str()), kept.address))
+        })
+    }
+
     fn forget(&mut self, id: &BackendId) {
         self.chooser.forget(id);
         self.health.apply(id, HealthEvent::Removed, Timestamp::ZERO);
@@ -415,7 +441,15 @@
     }
 
     fn place(&self, ask: Ask<'_>, zone: &ZoneId, most_nodes: u32, now: Timestamp) -> Option<Choice> {
-        let placement = Placement { prompt: ask.prompt, isolated: ask.isolated, zone, draw: ask.draw };
+        let store = self.store();
+        let store = store.as_ref().map(|(id, address)| Store { id, address: *address });
+        let placement = Placement {
+            prompt: ask.prompt,
+            isolated: ask.isolated,
+            zone,
+            draw: ask.draw,
+            store: store.as_ref(),
+        };
         let strict = self.candidates(ask, now, |backend| {
             self.is_free(backend, ask, now) && self.has_room(backend, ask, most_nodes)
         });
@@ -433,10 +467,17 @@
         now: Timestamp,
         fit: impl Fn(&Backend) -> bool,
     ) -> Vec<Candidate<'a>> {
-        let required = ask.prompt.and_then(|prompt| self.rollout.required(&prompt.model, now));
+        let required = ask
+            .prompt
+            .and_then(|prompt| self.rollout.required(&prompt.model, self.backends.usable(ask.service), now));
+        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route));
+        let long = side.map(|(side, share)| {
+            (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
+        });
         self.backends
             .usable(ask.service)
-            .map(|backend| {
+            .enumerate()
+            .map(|(index, backend)| {
                 let weights = ask.prompt.and_then(|prompt| backend.entry.weights.get(&prompt.model).copied());
                 let untried = !ask.tried.contains(&backend.entry.id);
                 Candidate {
@@ -445,6 +486,7 @@
                     zone: &backend.entry.zone,
                     weights,
                     eligible: untried && weights >= required && fit(backend),
+                    avoided: long.as_ref().is_some_and(|(side, long)| (*side == Side::Long) != long[index]),
                 }
             })
             .collect()
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use paddlemount_core::forwarding::rollout::{EngineReport, Step, Target, after_report};
+use paddlemount_core::forwarding::rollout::{EngineReport, Manner, Step, Target, after_report};
 use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
 
 use crate::{
@@ -23,7 +23,7 @@
 /// The first look at an engine after an order that it took.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
 /// How long one engine is worked on before others get their turn.
-const LONGEST: Duration = Duration::from_secs(6);
+const LONGEST: Duration = Duration::from_secs(9);
 
 /// Begins with as many engines as may load at once.
 pub async fn give(node: &Rc<Node>) {
@@ -31,7 +31,7 @@
         let mut beliefs = node.beliefs.borrow_mut();
         let beliefs = &mut *beliefs;
         let chooser = &beliefs.chooser;
-        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.load(id).requests)
+        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.load(id).requests, node.now())
     };
     let Some(token) = node.token().filter(|_| !targets.is_empty()) else {
         release(node, &targets);
@@ -47,6 +47,7 @@
             let outcome = bring(&node, &target, token, began).await;
             tell(&node, &target, None, token, outcome, began);
             release(&node, std::slice::from_ref(&target));
+            node.order_ended.notify_one();
         });
     }
 }
@@ -74,20 +75,22 @@
             tokio::time::sleep(AGAIN).await;
             continue;
         };
-        match after_report(target, &report) {
+        match after_report(target, &report, node.now().saturating_since(began)) {
             Step::Done => {
                 node.saw_weights(&target.backend, &target.model, target.version);
                 return "done";
             }
-            Step::Wait => tokio::time::sleep(AGAIN).await,
-            Step::Order { sequence } => match order(node, &engine, target, token, sequence).await {
-                Some(OrderAnswer::Accepted) => wait_for_version(node, target).await,
-                Some(OrderAnswer::AlreadyHolds) => return "held already",
-                Some(OrderAnswer::Fenced) => return "fenced",
-                Some(OrderAnswer::OtherBackend) => return "another back end",
-                Some(OrderAnswer::Rejected(_)) => return "rejected",
-                Some(OrderAnswer::Conflict) | None => tokio::time::sleep(AGAIN).await,
-            },
+            Step::Wait | Step::Drain => tokio::time::sleep(AGAIN).await,
+            Step::Order { sequence, manner } => {
+                match order(node, &engine, target, token, sequence, manner).await {
+                    Some(OrderAnswer::Accepted) => {}
+                    Some(OrderAnswer::AlreadyHolds) => return "held already",
+                    Some(OrderAnswer::Fenced) => return "fenced",
+                    Some(OrderAnswer::OtherBackend) => return "another back end",
+                    Some(OrderAnswer::Rejected(_)) => return "rejected",
+                    Some(OrderAnswer::Conflict) | None => tokio::time::sleep(AGAIN).await,
+                }
+            }
         }
         if holds(node, target) {
             return "done";
@@ -121,12 +124,19 @@
     target: &Target,
     token: FencingToken,
     sequence: u64,
+    manner: Manner,
 ) -> Option<OrderAnswer> {
+    // Loads that wait for each other take longer than loads one after the other.
+    let _turn = node.loads.acquire().await.ok()?;
+    if node.token() != Some(token) {
+        return None;
+    }
     let began = node.now();
     let order = WeightsOrder {
         backend: target.backend.clone(),
         model: target.model.clone(),
         version: target.version,
+        manner,
         holder: node.settings().node.clone(),
         token,
         sequence,
@@ -144,6 +154,9 @@
     };
     node.metrics.count(Counter::Orders(outcome));
     tell(node, target, Some(sequence), token, outcome, began);
+    if answer == Some(OrderAnswer::Accepted) {
+        wait_for_version(node, target).await;
+    }
     answer
 }
 
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -10,8 +10,9 @@
 use paddlemount_core::forwarding::{
     backends::{BackendEntry, BackendId},
     document::{Document, Route, Tenant},
+    prefixes::KeptPart,
     prompt::{CacheScope, Prompt},
-    rollout::EngineReport,
+    rollout::{EngineReport, Manner},
 };
 use paddlemount_protocol::identity::{FencingToken, ModelId, NodeId, Revision, WeightsVersion};
 
@@ -143,6 +144,8 @@
     pub model: ModelId,
     /// The version.
     pub version: WeightsVersion,
+    /// What becomes of the requests that run there.
+    pub manner: Manner,
     /// Who gives the order.
     pub holder: NodeId,
     /// The token of its leadership.
@@ -168,6 +171,28 @@
     Rejected(StatusCode),
 }
 
+/// Entries of a feed of kept parts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeptPage {
+    /// The life of the process that keeps them; another one keeps nothing of what was told before.
+    pub life: u64,
+    /// From where to read on.
+    pub next: u64,
+    /// Entries were lost before these.
+    pub gap: bool,
+    /// What is kept now, in order.
+    pub kept: Vec<KeptPart>,
+}
+
+/// An answer of a feed of kept parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedAnswer {
+    /// Entries.
+    Page(KeptPage),
+    /// Too many read the feed already.
+    Crowded,
+}
+
 /// What a caller's head says, in the product's terms.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestHead {
@@ -243,6 +268,18 @@
     /// An engine's answer to an order.
     fn order_answer(&self, answer: &Response<Bytes>) -> OrderAnswer;
 
+    /// A request for a feed's entries behind `after`, that waits for some.
+    fn feed_request(&self, after: u64, wait: Duration) -> Request<Bytes>;
+
+    /// A feed's entries.
+    fn feed_answer(&self, answer: &Response<Bytes>) -> Result<FeedAnswer, Misread>;
+
+    /// A request for all that is kept.
+    fn kept_request(&self) -> Request<Bytes>;
+
+    /// All that is kept.
+    fn kept_answer(&self, answer: &Response<Bytes>) -> Result<KeptPage, Misread>;
+
     /// What a caller's head says.
     fn read_request(&self, headers: &HeaderMap) -> RequestHead;
 
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -12,7 +12,7 @@
     feed, ingress,
     ingress::StopStage,
     journal::{Event, Journal},
-    leadership,
+    kept, leadership,
     node::Node,
     ports::Platform,
     settings::{ForwardSettings, SettingsError},
@@ -77,6 +77,7 @@
     let open = Rc::new(Cell::new(0));
     tell_start(&node);
     tokio::task::spawn_local(feed::follow(Rc::clone(&node)));
+    tokio::task::spawn_local(kept::follow_all(Rc::clone(&node)));
     tokio::task::spawn_local(keep_house(Rc::clone(&node), path, hangup));
     let leading = tokio::task::spawn_local(leadership::lead(Rc::clone(&node)));
     tokio::task::spawn_local(ingress::serve_callers(Rc::clone(&node), callers, stage_seen, Rc::clone(&open)));
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -81,6 +81,7 @@
                 Heard::Data(data) => {
                     let whole = self.splitter.push(&data);
                     if !whole.is_empty() {
+                        self.exchange.part();
                         self.first_event();
                         return Some(Ok(whole));
                     }
@@ -138,6 +139,9 @@
     }
 
     fn first_event(&mut self) {
+        if self.has_event {
+            return;
+        }
         self.has_event = true;
         if let Some(begun) = &mut self.begun {
             begun.work.first_part();
@@ -176,6 +180,7 @@
                 Ok(begun) if begun.head.status.is_success() => {
                     self.exchange.resumed();
                     self.begun = Some(begun);
+                    self.has_event = false;
                     return true;
                 }
                 Ok(begun) => {
