--- /dev/null
+++ b/crates/cli/tests/forward/delivery.rs
@@ -0,0 +1,178 @@
+//! What callers and back ends see of single requests.
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Behaviour, Place, Runner, place::KEY};
+
+use crate::router::Router;
+
+const WHOLE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
+                            id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n";
+
+async fn place_and_router() -> (Place, Router) {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let router = Router::start(&place).await;
+    (place, router)
+}
+
+/// The next requests go to whichever back end is chosen: all of them are told to behave the same way.
+fn script_all(runners: &[Runner], behaviours: &[Behaviour]) {
+    for runner in runners {
+        runner.script(behaviours);
+    }
+}
+
+fn runs(runners: &[Runner], id: &str) -> usize {
+    runners.iter().map(|runner| runner.runs(id)).sum()
+}
+
+#[tokio::test]
+async fn a_request_arrives_unchanged_under_its_tenants_name_and_without_its_key() {
+    let (place, router) = place_and_router().await;
+    let got = router.send("/hold/1", "r1").await.expect("an answer");
+    assert_eq!((got.status, got.body.as_str()), (StatusCode::OK, "whole body"));
+    assert!(got.headers.contains_key(Place::SIGNATURE));
+    let seen: Vec<_> = place.bookings.iter().flat_map(Runner::seen).collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(
+        (seen[0].tenant.as_str(), seen[0].carried_key, seen[0].body.as_slice()),
+        ("alpha", false, &b"the body"[..])
+    );
+    assert!(place.bookings.iter().any(|runner| runner.id() == seen[0].meant_for));
+    assert!(seen[0].deadline_ms > 0 && seen[0].deadline_ms <= 3_500);
+}
+
+#[tokio::test]
+async fn a_stream_is_passed_on_whole_and_in_order() {
+    let (place, router) = place_and_router().await;
+    let got = router.send("/chat/1", "s1").await.expect("an answer");
+    assert_eq!((got.status, got.body.as_str(), got.whole), (StatusCode::OK, WHOLE_STREAM, true));
+    let seen: Vec<_> = place.engines.iter().flat_map(Runner::seen).collect();
+    assert!(
+        seen[0].scope.contains("m0/1/alpha"),
+        "an isolated tenant has a scope of its own: {}",
+        seen[0].scope
+    );
+}
+
+#[tokio::test]
+async fn unknown_routes_and_keys_are_refused_and_nothing_runs() {
+    let (place, router) = place_and_router().await;
+    assert_eq!(router.send("/nowhere/", "n1").await.expect("an answer").status, StatusCode::NOT_FOUND);
+    let got = router.send_with_key("/hold/1", "n2", "no-such-key").await.expect("an answer");
+    assert_eq!(got.status, StatusCode::UNAUTHORIZED);
+    assert!(place.bookings.iter().all(|runner| runner.seen().is_empty()));
+}
+
+#[tokio::test]
+async fn an_at_most_once_request_that_may_have_run_is_not_sent_again() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.bookings, &[Behaviour::Breaks]);
+    let got = router.send("/hold/1", "b1").await.expect("an answer");
+    assert_eq!(got.status, StatusCode::BAD_GATEWAY, "no promise may be made: {}", got.body);
+    assert_eq!(runs(&place.bookings, "b1"), 1);
+}
+
+#[tokio::test]
+async fn an_at_most_once_request_that_was_not_run_goes_to_another_back_end() {
+    let (place, router) = place_and_router().await;
+    place.bookings[0].script(&[Behaviour::Sheds; 4]);
+    for number in 0..4 {
+        let id = format!("c{number}");
+        let got = router.send("/hold/1", &id).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+        assert_eq!(runs(&place.bookings, &id), 1);
+    }
+}
+
+#[tokio::test]
+async fn where_all_back_ends_refuse_the_caller_is_told_when_to_come_back() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.bookings, &[Behaviour::Sheds; 4]);
+    let got = router.send("/hold/1", "d1").await.expect("an answer");
+    assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(got.headers.contains_key(http::header::RETRY_AFTER));
+    assert_eq!(runs(&place.bookings, "d1"), 0);
+}
+
+#[tokio::test]
+async fn a_repeatable_request_is_sent_again_after_a_break_and_after_a_failure() {
+    let (place, router) = place_and_router().await;
+    for (id, behaviour) in [("e1", Behaviour::Breaks), ("e2", Behaviour::Fails)] {
+        place.bookings[0].script(&[behaviour]);
+        place.bookings[1].script(&[]);
+        let mut tries = 0;
+        // Either back end may be chosen first; some request meets the one that misbehaves.
+        while place.bookings[0].seen().len() <= tries / 8 && tries < 40 {
+            let got = router.send("/quote/1", &format!("{id}-{tries}")).await.expect("an answer");
+            assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+            tries += 1;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_resumable_stream_goes_on_behind_the_last_whole_event() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.engines, &[Behaviour::BreaksInEvent]);
+    for runner in &place.engines[1..] {
+        runner.script(&[]);
+    }
+    for number in 0..12 {
+        place.engines[0].script(&[Behaviour::BreaksInEvent]);
+        let got = router.send("/claim/1", &format!("f{number}")).await.expect("an answer");
+        assert_eq!((got.body.as_str(), got.whole), (WHOLE_STREAM, true));
+    }
+    let resumed = place.engines.iter().flat_map(Runner::seen).filter(|seen| seen.resumes_after.is_some());
+    assert!(resumed.clone().all(|seen| seen.resumes_after == Some(2)));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_ends_visibly_broken() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.engines, &[Behaviour::BreaksInEvent]);
+    let got = router.send("/chat/1", "g1").await.expect("a head");
+    assert!(!got.whole, "a broken stream must not look complete");
+    assert_eq!(got.body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n");
+    assert_eq!(runs(&place.engines, "g1"), 1);
+}
+
+#[tokio::test]
+async fn an_answer_to_another_request_is_never_passed_on() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.bookings, &[Behaviour::AnswersAnother]);
+    let got = router.send("/hold/1", "h1").await.expect("an answer");
+    assert_eq!(got.status, StatusCode::BAD_GATEWAY);
+    assert!(!got.body.contains("not yours"));
+}
+
+#[tokio::test]
+async fn a_surplus_answer_reaches_nobody() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.bookings, &[Behaviour::AnswersTwice; 3]);
+    for number in 0..8 {
+        let got = router.send("/hold/1", &format!("i{number}")).await.expect("an answer");
+        assert!(got.status != StatusCode::OK || got.body == "whole body", "{got:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_silent_back_end_is_given_up_for_another_where_the_request_may_be_repeated() {
+    let (place, router) = place_and_router().await;
+    place.bookings[0].script(&[Behaviour::Hangs; 2]);
+    for number in 0..6 {
+        let got = router.send("/quote/1", &format!("j{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_at_the_back_end() {
+    let (place, router) = place_and_router().await;
+    script_all(&place.engines, &[Behaviour::Slow]);
+    let leaving =
+        tokio::time::timeout(std::time::Duration::from_millis(400), router.send("/chat/1", "k1")).await;
+    assert!(leaving.is_err());
+    let closed = async || place.engines.iter().map(Runner::closed_by_caller).sum::<u32>() == 1;
+    router.until("closed at the back end", closed).await;
+}
--- /dev/null
+++ b/crates/cli/tests/forward/main.rs
@@ -0,0 +1,6 @@
+//! Forwarded routes through a real process, against stand-ins of the platform.
+
+mod belief;
+mod delivery;
+mod ending;
+mod router;
--- /dev/null
+++ b/crates/cli/tests/forward/router.rs
@@ -0,0 +1,247 @@
+//! A forwarding node as a process, and callers.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use paddlemount_platform_standin::{
+    Place,
+    place::{HOST, KEY},
+};
+use serde_json::Value;
+
+/// How long anything that is waited for may take.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A running node.
+pub struct Router {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    /// Where callers come.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+    /// Where metrics are told.
+    pub metrics: SocketAddr,
+    settings: tempfile::Path,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+mod tempfile {
+    use std::path::PathBuf;
+
+    /// A file that goes with its owner.
+    pub struct Path(pub PathBuf);
+
+    impl Drop for Path {
+        fn drop(&mut self) {
+            let _ = std::fs::remove_file(&self.0);
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Got {
+    /// The status.
+    pub status: StatusCode,
+    /// Headers by name in lower case.
+    pub headers: http::HeaderMap,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+}
+
+impl Router {
+    /// Starts a node on `place` and waits until it is ready.
+    pub async fn start(place: &Place) -> Self {
+        let router = Self::start_unready(place).await;
+        router.until("ready", async || router.ask_readiness().await == Some(StatusCode::OK)).await;
+        router
+    }
+
+    /// Starts a node and waits until it listens.
+    pub async fn start_unready(place: &Place) -> Self {
+        let text = settings(place, 5_000);
+        let name = format!("paddlemount-forward-{}-{}.toml", std::process::id(), rand_name());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).expect("a settings file can be written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_paddlemount"))
+            .args(["forward", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let output = child.stdout.take().expect("standard output is piped");
+        let kept = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                kept.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+            }
+        });
+        let started = wait_for(async || line_of(&lines, "started")).await;
+        let address = |key: &str| started[key].as_str().expect("an address").parse().expect("an address");
+        Self {
+            callers: address("callers"),
+            readiness: address("readiness"),
+            metrics: address("metrics"),
+            child,
+            lines,
+            settings: tempfile::Path(path),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        }
+    }
+
+    /// Waits until something is so.
+    pub async fn until(&self, what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+        let began = Instant::now();
+        while !is_so().await {
+            assert!(began.elapsed() < PATIENCE, "not {what} in time; lines: {:#?}", self.lines());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Asks whether callers should come.
+    pub async fn ask_readiness(&self) -> Option<StatusCode> {
+        let request = Request::get(format!("http://{}/api/readiness", self.readiness)).body(Full::default());
+        let answer = self.client.request(request.expect("a request")).await.ok()?;
+        Some(answer.status())
+    }
+
+    /// The metrics as text.
+    pub async fn ask_metrics(&self) -> String {
+        let request = Request::get(format!("http://{}/metrics", self.metrics)).body(Full::default());
+        let answer = self.client.request(request.expect("a request")).await.expect("metrics are told");
+        let body = answer.into_body().collect().await.expect("metrics are whole").to_bytes();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
+    /// Sends a request with the tenant's key.
+    pub async fn send(&self, path: &str, id: &str) -> Option<Got> {
+        self.send_with_key(path, id, KEY).await
+    }
+
+    /// Sends a request with a key; nothing where the connection ends without a head.
+    pub async fn send_with_key(&self, path: &str, id: &str, key: &str) -> Option<Got> {
+        let mut request = Request::post(format!("http://{}{path}", self.callers))
+            .header(http::header::HOST, HOST)
+            .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
+            .header(Place::REQUEST_ID, id)
+            .header(Place::DEADLINE, "3500");
+        if path.starts_with("/chat/") || path.starts_with("/claim/") {
+            for (name, value) in Place::prompt_headers() {
+                request = request.header(name, value);
+            }
+        }
+        let request = request.body(Full::from("the body")).expect("a request");
+        let answer = self.client.request(request).await.ok()?;
+        let (head, mut body) = answer.into_parts();
+        let mut bytes = Vec::new();
+        let whole = loop {
+            match body.frame().await {
+                Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Some(Err(_)) => break false,
+                None => break true,
+            }
+        };
+        let body = String::from_utf8_lossy(&bytes).into_owned();
+        Some(Got { status: head.status, headers: head.headers, body, whole })
+    }
+
+    /// Lines that the process has written.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether an event of this name was told.
+    pub fn told(&self, event: &str) -> bool {
+        line_of(&self.lines, event).is_some()
+    }
+
+    /// Tells the process to stop as the platform does.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    /// Writes another settings file.
+    pub fn write_settings(&self, text: &str) {
+        std::fs::write(&self.settings.0, text).expect("a settings file can be written");
+    }
+
+    /// Waits until the process has ended; whether it ended well.
+    pub async fn ended(&mut self) -> bool {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child can be waited for") {
+                return status.success();
+            }
+            assert!(began.elapsed() < PATIENCE, "not ended in time");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Settings of a node on `place`.
+pub fn settings(place: &Place, revocation_ms: u64) -> String {
+    format!(
+        "node = \"node-1\"\nzone = \"z1\"\n\
+         [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
+         [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
+         [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
+         grace_ms = 6000\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
+        place.store_address
+    )
+}
+
+fn rand_name() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn line_of(lines: &Arc<Mutex<Vec<String>>>, event: &str) -> Option<Value> {
+    let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+    let parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    parsed.filter(|line| line["event"] == event).last()
+}
+
+async fn wait_for<T>(mut find: impl AsyncFnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = find().await {
+            return found;
+        }
+        assert!(began.elapsed() < PATIENCE, "not found in time");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -34,7 +34,13 @@
 )]
 pub enum Event<'a> {
     /// The process has started and listens.
-    Started { zone: &'a str, callers: String, software: &'static str },
+    Started {
+        zone: &'a str,
+        callers: String,
+        readiness: String,
+        metrics: Option<String>,
+        software: &'static str,
+    },
     /// A signal to stop came.
     Stopping { running: usize },
     /// The process ends.
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, io, path::PathBuf, rc::Rc, time::Duration};
 
 use tokio::{
+    net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
 };
@@ -75,7 +76,8 @@
     let node = Rc::new(Node::new(settings, platform, clock, journal));
     let (stage, stage_seen) = watch::channel(StopStage::Serving);
     let open = Rc::new(Cell::new(0));
-    tell_start(&node);
+    let addresses = Addresses::of(&callers, &readiness, metrics.as_ref()).map_err(system("addresses"))?;
+    tell_start(&node, addresses);
     tokio::task::spawn_local(feed::follow(Rc::clone(&node)));
     tokio::task::spawn_local(kept::follow_all(Rc::clone(&node)));
     tokio::task::spawn_local(keep_house(Rc::clone(&node), path, hangup));
@@ -97,11 +99,30 @@
     Ok(())
 }
 
-fn tell_start(node: &Node) {
-    let settings = node.settings();
+/// Where the process listens, also where its settings left the port to the system.
+struct Addresses {
+    callers: String,
+    readiness: String,
+    metrics: Option<String>,
+}
+
+impl Addresses {
+    fn of(callers: &TcpListener, readiness: &TcpListener, metrics: Option<&TcpListener>) -> io::Result<Self> {
+        let metrics = metrics.map(TcpListener::local_addr).transpose()?;
+        Ok(Self {
+            callers: callers.local_addr()?.to_string(),
+            readiness: readiness.local_addr()?.to_string(),
+            metrics: metrics.map(|address| address.to_string()),
+        })
+    }
+}
+
+fn tell_start(node: &Node, addresses: Addresses) {
     node.journal.tell(&Event::Started {
-        zone: settings.zone.as_str(),
-        callers: settings.listen.callers.to_string(),
+        zone: node.settings().zone.as_str(),
+        callers: addresses.callers,
+        readiness: addresses.readiness,
+        metrics: addresses.metrics,
         software: env!("CARGO_PKG_VERSION"),
     });
 }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -127,7 +127,7 @@
         if self.node.as_str().is_empty() {
             return wrong("node", "must not be empty");
         }
-        if self.listen.callers == self.listen.readiness {
+        if self.listen.callers == self.listen.readiness && self.listen.callers.port() != 0 {
             return wrong("listen.readiness", "must differ from listen.callers");
         }
         if !(0.0..=1.0).contains(&self.bounds.retry_share) {
