Count the wait at a back end against a version's bound; silence alone ends nothing

Ruled out: slow orders (all engines were loaded within the bound but those whose orders were held back); the planned stop itself (it closed nothing). Change: the slowest recent first byte is reckoned in; a silent back end is left only where another one can be asked, and after five good pauses, not two.

--- a/crates/cli/tests/forward/delivery.rs
+++ b/crates/cli/tests/forward/delivery.rs
@@ -166,6 +166,31 @@
     }
 }
 
+#[tokio::test]
+async fn silence_ends_no_stream_that_nobody_else_can_go_on_with() {
+    let (place, router) = place_and_router().await;
+    for engine in &place.engines[1..] {
+        place.drain(engine);
+    }
+    let left =
+        async || router.lines().iter().filter(|line| line.contains("\"change\":\"leaving\"")).count() == 2;
+    router.until("one engine left", left).await;
+    place.engines[0].script(&[Behaviour::FallsSilent]);
+    let got = router.send("/claim/1", "l1").await.expect("an answer");
+    assert_eq!((got.body.as_str(), got.whole), (WHOLE_STREAM, true));
+    assert_eq!(runs(&place.engines, "l1"), 1);
+}
+
+#[tokio::test]
+async fn a_silent_stream_goes_on_elsewhere_where_the_route_allows_it() {
+    let (place, router) = place_and_router().await;
+    place.engines[0].script(&[Behaviour::FallsSilent; 3]);
+    for number in 0..6 {
+        let got = router.send("/claim/1", &format!("m{number}")).await.expect("an answer");
+        assert_eq!((got.body.as_str(), got.whole), (WHOLE_STREAM, true));
+    }
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work_at_the_back_end() {
     let (place, router) = place_and_router().await;
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -1,11 +1,13 @@
 //! What one node has under way at back ends, and how fast they have answered it.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use super::backends::BackendId;
 
 /// The weight of a new measurement in a moving average.
 const AVERAGE_WEIGHT: f64 = 0.2;
+/// What is left of the greatest time with each further answer.
+const SLOWEST_FADES: f64 = 0.93;
 /// Measurements below which an average says nothing.
 const FEWEST_MEASUREMENTS: u32 = 5;
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
@@ -20,9 +22,18 @@
     pub unread_tokens: u64,
     /// The moving average of the time to the first byte of an answer, in milliseconds.
     average_ms: f64,
+    /// The greatest recent time to the first byte of an answer, in milliseconds; fades with each answer.
+    slowest_ms: f64,
     measurements: u32,
 }
 
+impl BackendLoad {
+    /// The time in which an answer of this back end has lately begun, the slow ones included.
+    pub fn slowest(&self) -> Duration {
+        Duration::try_from_secs_f64(self.slowest_ms / 1_000.0).unwrap_or_default()
+    }
+}
+
 /// What one node has under way at all back ends.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -57,6 +68,7 @@
         load.measurements += 1;
         let weight = if load.measurements == 1 { 1.0 } else { AVERAGE_WEIGHT };
         load.average_ms += (milliseconds - load.average_ms) * weight;
+        load.slowest_ms = milliseconds.max(load.slowest_ms * SLOWEST_FADES);
     }
 
     /// What is under way at a back end.
@@ -69,6 +81,11 @@
         self.by_backend.remove(backend);
     }
 
+    /// The time in which answers have lately begun at the slowest of all back ends.
+    pub fn slowest(&self) -> Duration {
+        self.by_backend.values().map(BackendLoad::slowest).max().unwrap_or_default()
+    }
+
     /// The median of the back ends' average times, in milliseconds; zero where too little is known.
     pub fn usual_ms<'a>(&self, backends: impl Iterator<Item = &'a BackendId>) -> f64 {
         let mut averages: Vec<f64> = backends
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -125,6 +125,8 @@
 const RESERVE: Duration = Duration::from_millis(600);
 /// The longest time for which a back end is drained.
 const LONGEST_DRAIN: Duration = Duration::from_millis(4_000);
+/// The longest wait at a back end that is reckoned with.
+const LONGEST_WAIT: Duration = Duration::from_millis(3_000);
 /// One in so many back ends is worked on at the same time.
 const PART: usize = 3;
 /// One in so many back ends with a version shows that it was named long enough ago to be asked of all, where this
@@ -155,7 +157,8 @@
         self.named.get(model)?.last().map(|named| named.version)
     }
 
-    /// The oldest version of a model on which a request may still begin.
+    /// The oldest version of a model on which a request may still begin, where it begins up to `waits` after it was
+    /// sent.
     ///
     /// A node that has just started does not know when the versions that it found were named. It asks for the newest
     /// one that enough back ends have: a newer version than need be is never wrong.
@@ -163,9 +166,10 @@
         &self,
         model: &ModelId,
         backends: impl Iterator<Item = &'a Backend>,
+        waits: Duration,
         now: Timestamp,
     ) -> Option<WeightsVersion> {
-        let after = self.settings.bound.saturating_sub(self.settings.margin);
+        let after = self.settings.bound.saturating_sub(self.settings.margin + waits.min(LONGEST_WAIT));
         let named = self.named.get(model)?;
         let due = |named: &&Named| match named.at {
             NamedAt::Heard(at) | NamedAt::Found(at) => now.saturating_since(at) >= after,
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -217,7 +217,7 @@
             self.node.metrics.count(Counter::Imports);
         }
         let request = self.request(choice, resume_after, now);
-        let patience = self.patience(now);
+        let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
         let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
         match &result {
@@ -239,15 +239,30 @@
     }
 
     /// Until when this try is waited for: to the end, or shorter where another back end may be asked.
-    fn patience(&self, now: Timestamp) -> Timestamp {
-        let last = self.spent.sent + 1 >= self.route.attempts || !self.route.kind.is_idempotent();
-        if last {
+    fn patience(&self, choice: &Choice, now: Timestamp) -> Timestamp {
+        if !self.may_ask_another() {
             return self.give_up_at;
         }
-        let patience = (self.route.target_latency * 3 / 2).max(LEAST_PATIENCE);
+        let usual = self.node.slowest(&choice.backend) * 3 / 2;
+        let patience = (self.route.target_latency * 3 / 2).max(LEAST_PATIENCE).max(usual);
         (now + patience).min(self.give_up_at)
     }
 
+    /// Whether a silent back end may be left for another one: without that, waiting is all that is left.
+    pub fn may_ask_another(&self) -> bool {
+        let attempts_left = self.spent.sent + 1 < self.route.attempts;
+        attempts_left && self.route.kind.is_idempotent() && self.node.retries_left(&self.service) > 0
+    }
+
+    /// Whether another back end could take a stream over now.
+    pub fn has_another(&mut self) -> bool {
+        let allowed = self.spent.sent < self.route.attempts && self.node.retries_left(&self.service) > 0;
+        let known = self.account.choice.clone();
+        let found = allowed && self.place().is_some();
+        self.account.choice = known;
+        found
+    }
+
     fn request(&self, choice: &Choice, resume_after: Option<u64>, now: Timestamp) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -363,6 +363,11 @@
         self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.counts().available)
     }
 
+    /// The time in which an answer of a back end has lately begun, the slow ones included.
+    pub fn slowest(&self, backend: &BackendId) -> Duration {
+        self.beliefs.borrow().chooser.load(backend).slowest()
+    }
+
     /// A request for a service was sent for the first time.
     pub fn earned_retry(&self, service: &ServiceId) {
         let settings = self.settings();
@@ -467,9 +472,10 @@
         now: Timestamp,
         fit: impl Fn(&Backend) -> bool,
     ) -> Vec<Candidate<'a>> {
-        let required = ask
-            .prompt
-            .and_then(|prompt| self.rollout.required(&prompt.model, self.backends.usable(ask.service), now));
+        let required = ask.prompt.and_then(|prompt| {
+            let waits = self.chooser.loads.slowest();
+            self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
+        });
         let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route));
         let long = side.map(|(side, share)| {
             (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -20,9 +20,9 @@
 };
 
 /// How long a resumable stream may be silent, in multiples of the pause that its route calls good.
-const SILENCE_GAPS: u32 = 2;
+const SILENCE_GAPS: u32 = 5;
 /// The same for routes that name no such pause.
-const SILENCE: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// The silence before a resumable stream's first event, in multiples of its route's target.
 const FIRST_SILENCE_TARGETS: u32 = 2;
 
@@ -44,6 +44,7 @@
     begun: Option<Begun>,
     splitter: EventSplitter,
     has_event: bool,
+    waits_on: bool,
     done: bool,
 }
 
@@ -60,7 +61,15 @@
     /// Passes on what has begun; the caller has the events up to `last_event`.
     pub fn new(exchange: Exchange, choice: Choice, begun: Begun, last_event: Option<u64>) -> Self {
         let splitter = EventSplitter::after(last_event);
-        Self { exchange, choice, begun: Some(begun), splitter, has_event: false, done: false }
+        Self {
+            exchange,
+            choice,
+            begun: Some(begun),
+            splitter,
+            has_event: false,
+            waits_on: false,
+            done: false,
+        }
     }
 
     /// The stream as the body of an answer.
@@ -99,6 +108,8 @@
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
+                // Silence alone ends nothing: without another back end the stream is waited for to its end.
+                Heard::Silent if !self.exchange.has_another() => self.waits_on = true,
                 Heard::Silent => {
                     if !self.resume("silent".into()).await {
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
@@ -127,13 +138,14 @@
     /// When another back end is asked, where the route allows that.
     fn silent_at(&self) -> Option<Timestamp> {
         let route = &self.exchange.route;
-        if !is_resumable(route.kind) || self.exchange.spent.sent >= route.attempts {
+        if !is_resumable(route.kind) || self.waits_on || self.exchange.spent.sent >= route.attempts {
             return None;
         }
         let silence = if self.has_event {
             route.target_gap.map_or(SILENCE, |gap| gap * SILENCE_GAPS)
         } else {
-            route.target_latency * FIRST_SILENCE_TARGETS
+            let usual = self.exchange.node.slowest(&self.choice.backend) * 3 / 2;
+            (route.target_latency * FIRST_SILENCE_TARGETS).max(usual)
         };
         Some(self.exchange.node.now() + silence)
     }
