Take back requests that have not begun when their weights grow too old

Ruled out: a greater margin alone; waits in overload have no bound. Change: a request that has not begun 250 ms before the bound is taken back by closing its connection; a resumable one goes elsewhere, others end unclear.

--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -125,6 +125,8 @@
 const RESERVE: Duration = Duration::from_millis(600);
 /// The longest time for which a back end is drained.
 const LONGEST_DRAIN: Duration = Duration::from_millis(4_000);
+/// How much before the bound a request that has not begun is taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 /// The longest wait at a back end that is reckoned with.
 const LONGEST_WAIT: Duration = Duration::from_millis(3_000);
 /// One in so many back ends is worked on at the same time.
@@ -179,6 +181,16 @@
         due.max(found.and_then(|found| widespread(model, found.version, backends)))
     }
 
+    /// Until when a request that was sent to a back end with `held` must have begun; after that it would begin on a
+    /// version that is too old.
+    pub fn begin_by(&self, model: &ModelId, held: WeightsVersion) -> Option<Timestamp> {
+        let newer = self.named.get(model)?.iter().find(|named| named.version > held)?;
+        match newer.at {
+            NamedAt::Heard(at) => Some(at + self.settings.bound.saturating_sub(BEGIN_MARGIN)),
+            NamedAt::Found(_) => None,
+        }
+    }
+
     /// Back ends to begin with now. Each counts as active until [`Rollout::ended`]. Those whose versions are oldest
     /// come first, and among them the idle ones: otherwise names that follow each other closely leave some behind.
     pub fn begin<'a>(
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -91,6 +91,16 @@
     assert_eq!(rollout.required(&model(), backends.iter(), waits, at(5_100)), Some(WeightsVersion(2)));
 }
 
+#[test]
+fn a_request_that_has_not_begun_is_taken_back_before_the_bound_of_the_first_newer_version() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(1_000)));
+    rollout.name(model(), WeightsVersion(3), NamedAt::Heard(at(4_000)));
+    assert_eq!(rollout.begin_by(&model(), WeightsVersion(1)), Some(at(8_750)));
+    assert_eq!(rollout.begin_by(&model(), WeightsVersion(2)), Some(at(11_750)));
+    assert_eq!(rollout.begin_by(&model(), WeightsVersion(3)), None);
+}
+
 #[test]
 fn back_ends_are_drained_only_while_there_is_time() {
     let mut rollout = rollout();
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -54,6 +54,8 @@
     End,
     Broken(String),
     Silent,
+    /// The back end's weights are too old for a request that has not begun.
+    Outdated,
     TimeUp,
 }
 
@@ -115,6 +117,11 @@
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
+                Heard::Outdated => {
+                    if !self.resume("not begun before its weights grew too old".into()).await {
+                        return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
+                    }
+                }
                 Heard::TimeUp => return Some(Err(self.give_up("time_up", RelayError::TimeUp))),
             }
         }
@@ -123,13 +130,16 @@
     async fn hear(&mut self) -> Heard {
         let give_up_at = self.exchange.give_up_at;
         let silent_at = self.silent_at();
+        let begin_by = if self.has_event { None } else { self.exchange.begin_by(&self.choice) };
         let clock = self.exchange.node.clock;
         let Some(begun) = &mut self.begun else { return Heard::Broken("nothing has begun".into()) };
         let until = silent_at.map_or(give_up_at, |at| at.min(give_up_at));
+        let until = begin_by.map_or(until, |at| at.min(until));
         match tokio::time::timeout_at(clock.instant(until), begun.body.frame()).await {
             Ok(Some(Ok(frame))) => Heard::Data(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(error))) => Heard::Broken(error.to_string()),
             Ok(None) => Heard::End,
+            Err(_) if begin_by == Some(until) => Heard::Outdated,
             Err(_) if until < give_up_at => Heard::Silent,
             Err(_) => Heard::TimeUp,
         }
