--- a/crates/cli/tests/forward/belief.rs
+++ b/crates/cli/tests/forward/belief.rs
@@ -86,7 +86,7 @@
     let router = Router::start(&place).await;
     place.store.set_trouble(Trouble::Silent);
     place.configure(2, &["another-key"]);
-    place.store.remove(&format!("servers/{}", place.bookings[0].id()));
+    place.unregister(&place.bookings[0]);
     place.store.forget_history();
     place.store.set_trouble(Trouble::None);
     let refused =
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -116,7 +116,7 @@
 
     /// Asks whether callers should come.
     pub async fn ask_readiness(&self) -> Option<StatusCode> {
-        let request = Request::get(format!("http://{}/api/readiness", self.readiness)).body(Full::default());
+        let request = Request::get(format!("http://{}/", self.readiness)).body(Full::default());
         let answer = self.client.request(request.expect("a request")).await.ok()?;
         Some(answer.status())
     }
--- /dev/null
+++ b/crates/core/tests/forwarding_choice.rs
@@ -0,0 +1,194 @@
+//! Choosing back ends for prompts and other requests.
+
+use std::net::SocketAddr;
+
+use paddlemount_core::forwarding::{
+    backends::BackendId,
+    choice::{Candidate, Choice, Chooser, Placement, Store},
+    partition::{Partition, Side, takes_long},
+    prefixes::{KeptPart, ScopeHash},
+    prompt::{CacheScope, Part, PartId, Prompt},
+};
+use paddlemount_protocol::{
+    identity::{ModelId, ServiceId, TenantId, WeightsVersion, ZoneId},
+    time::Timestamp,
+};
+
+struct World {
+    ids: Vec<BackendId>,
+    zone: ZoneId,
+    weights: Vec<u64>,
+}
+
+fn address(number: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 9_000 + number as u16).into()
+}
+
+impl World {
+    fn of(weights: &[u64]) -> Self {
+        let ids = (0..weights.len()).map(|number| BackendId::from(format!("engine-{number}"))).collect();
+        Self { ids, zone: ZoneId::from("z"), weights: weights.to_vec() }
+    }
+
+    fn candidates(&self) -> Vec<Candidate<'_>> {
+        let candidate = |(number, id)| Candidate {
+            id,
+            address: address(number),
+            zone: &self.zone,
+            weights: Some(WeightsVersion(self.weights[number])),
+            eligible: true,
+            avoided: false,
+        };
+        self.ids.iter().enumerate().map(candidate).collect()
+    }
+
+    fn placement<'a>(&'a self, prompt: &'a Prompt, draw: u64) -> Placement<'a> {
+        Placement { prompt: Some(prompt), isolated: None, zone: &self.zone, draw, store: None }
+    }
+}
+
+fn prompt(shared: &[(u64, u32)], own: u32) -> Prompt {
+    let mut parts: Vec<Part> =
+        shared.iter().map(|(id, tokens)| Part { id: PartId(*id), tokens: *tokens }).collect();
+    parts.push(Part { id: PartId(999), tokens: own });
+    Prompt {
+        model: ModelId::from("m"),
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        output_tokens: 50,
+        parts,
+    }
+}
+
+fn scope(weights: u64) -> CacheScope {
+    CacheScope { model: ModelId::from("m"), weights: WeightsVersion(weights), tenant: None }
+}
+
+fn choose(chooser: &Chooser, world: &World, prompt: &Prompt, draw: u64) -> Choice {
+    chooser.choose(world.placement(prompt, draw), &world.candidates()).expect("a back end")
+}
+
+#[test]
+fn a_part_that_nobody_keeps_is_read_at_one_place_whoever_asks() {
+    let world = World::of(&[1; 8]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let chosen: Vec<BackendId> =
+        (0..20).map(|draw| choose(&Chooser::default(), &world, &prompt, draw).backend).collect();
+    assert!(chosen.windows(2).all(|pair| pair[0] == pair[1]), "{chosen:?}");
+}
+
+#[test]
+fn a_part_that_another_keeps_is_imported_from_it_and_not_read_again() {
+    let world = World::of(&[1; 4]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let mut chooser = Chooser::default();
+    chooser.learned(&world.ids[2], &scope(1), &prompt, Timestamp::ZERO);
+    // The keeper is busy: the prefix moves instead of the request waiting.
+    chooser.loads.started(&world.ids[2], 50_000);
+    let choice = choose(&chooser, &world, &prompt, 1);
+    assert_ne!(choice.backend, world.ids[2]);
+    assert_eq!(choice.import_from, Some(address(2)));
+    assert!(choice.expected_tokens < 1_000, "{choice:?}");
+}
+
+#[test]
+fn nothing_is_imported_from_a_back_end_with_other_weights() {
+    let world = World::of(&[1, 2]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let mut chooser = Chooser::default();
+    chooser.learned(&world.ids[0], &scope(1), &prompt, Timestamp::ZERO);
+    chooser.loads.started(&world.ids[0], 90_000);
+    let choice = choose(&chooser, &world, &prompt, 1);
+    assert_eq!(choice.backend, world.ids[1]);
+    assert_eq!(choice.import_from, None);
+    assert_eq!(choice.scope.expect("a scope").weights, WeightsVersion(2));
+}
+
+#[test]
+fn an_isolated_tenant_finds_nothing_that_others_have_read() {
+    let world = World::of(&[1; 4]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let mut chooser = Chooser::default();
+    chooser.learned(&world.ids[2], &scope(1), &prompt, Timestamp::ZERO);
+    let tenant = TenantId::from("alpha");
+    let placement = Placement { isolated: Some(&tenant), ..world.placement(&prompt, 1) };
+    let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
+    assert_eq!((choice.held_tokens, choice.import_from), (0, None));
+    assert_eq!(choice.scope.expect("a scope").tenant, Some(tenant));
+}
+
+#[test]
+fn what_nobody_kept_is_handed_to_the_store_and_found_there_later() {
+    let world = World::of(&[1; 3]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let id = BackendId::from("store");
+    let store = Store { id: &id, address: address(50) };
+    let placement = |draw| Placement { store: Some(&store), ..world.placement(&prompt, draw) };
+    let mut chooser = Chooser::default();
+    let first = chooser.choose(placement(1), &world.candidates()).expect("a back end");
+    assert_eq!(first.save_to, Some(address(50)));
+    let kept = KeptPart { scope: ScopeHash::from(&scope(1)), part: PartId(7), tokens: 4_000 };
+    chooser.told(&id, &[kept], Timestamp::ZERO);
+    let second = chooser.choose(placement(2), &world.candidates()).expect("a back end");
+    assert_eq!((second.import_from, second.save_to), (Some(address(50)), None));
+}
+
+#[test]
+fn a_part_that_gave_way_is_no_longer_believed_to_be_kept() {
+    let world = World::of(&[1; 3]);
+    let prompt = prompt(&[(7, 4_000)], 300);
+    let mut chooser = Chooser::default();
+    chooser.learned(&world.ids[1], &scope(1), &prompt, Timestamp::ZERO);
+    let part = |tokens| KeptPart { scope: ScopeHash::from(&scope(1)), part: PartId(7), tokens };
+    chooser.told(&world.ids[1], &[part(1_600)], Timestamp::ZERO);
+    assert_eq!(chooser.prefixes.kept(&world.ids[1], ScopeHash::from(&scope(1)), prompt.shared()), 1_600);
+    chooser.told(&world.ids[1], &[part(0)], Timestamp::ZERO);
+    assert!(chooser.prefixes.is_empty());
+}
+
+#[test]
+fn requests_without_prompts_go_where_fewest_are_and_avoid_a_slow_back_end() {
+    let world = World::of(&[1; 3]);
+    let mut chooser = Chooser::default();
+    let placement = Placement { prompt: None, isolated: None, zone: &world.zone, draw: 3, store: None };
+    chooser.loads.started(&world.ids[0], 0);
+    chooser.loads.started(&world.ids[1], 0);
+    let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
+    assert_eq!(choice.backend, world.ids[2]);
+    for _ in 0..10 {
+        chooser.loads.measured(&world.ids[0], 50.0);
+        chooser.loads.measured(&world.ids[1], 50.0);
+        chooser.loads.measured(&world.ids[2], 900.0);
+    }
+    let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
+    assert_ne!(choice.backend, world.ids[2]);
+}
+
+#[test]
+fn long_prompts_get_their_share_of_the_back_ends_and_every_node_divides_alike() {
+    let mut partition = Partition::default();
+    let service = ServiceId::from("pool");
+    for _ in 0..40 {
+        partition.seen(&service, "long", 3_000);
+        partition.seen(&service, "short", 500);
+    }
+    let (side, share) = partition.side(&service, "long").expect("the routes differ");
+    assert_eq!(side, Side::Long);
+    assert!((0.75..0.95).contains(&share), "{share}");
+    assert_eq!(partition.side(&service, "short").expect("the routes differ").0, Side::Short);
+    let world = World::of(&[1; 10]);
+    let divided = takes_long(world.ids.iter(), share);
+    assert_eq!(divided, takes_long(world.ids.iter(), share + 0.01));
+    let long = divided.iter().filter(|long| **long).count();
+    assert!((7..=9).contains(&long), "{long}");
+}
+
+#[test]
+fn routes_that_are_alike_are_not_divided() {
+    let mut partition = Partition::default();
+    let service = ServiceId::from("pool");
+    for _ in 0..40 {
+        partition.seen(&service, "one", 900);
+        partition.seen(&service, "two", 1_000);
+    }
+    assert_eq!(partition.side(&service, "one"), None);
+}
--- /dev/null
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -0,0 +1,235 @@
+//! Tries, routes, freshness, back ends' standing, and events of streams.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use paddlemount_core::forwarding::{
+    attempt::{AttemptEnd, Next, Spent, next},
+    backends::{BackendEntry, BackendId, Backends, Change},
+    document::{Document, Route, RouteKind, Share, Tenant},
+    events::{EventSplitter, event_id},
+    freshness::Freshness,
+    table::{Admission, RouteTable, ShareWheel},
+};
+use paddlemount_protocol::{
+    identity::{ServiceId, TenantId, ZoneId},
+    time::Timestamp,
+};
+
+const KINDS: [RouteKind; 4] = [
+    RouteKind::Repeatable,
+    RouteKind::AtMostOnce,
+    RouteKind::Stream { resumable: false },
+    RouteKind::Stream { resumable: true },
+];
+const ENDS: [AttemptEnd; 4] =
+    [AttemptEnd::NotSent, AttemptEnd::NotRun, AttemptEnd::Unclear, AttemptEnd::FailedAnswer];
+
+/// All combinations of what a request may have behind it.
+fn all_cases(mut check: impl FnMut(RouteKind, AttemptEnd, Spent, u32, Next)) {
+    for kind in KINDS {
+        for end in ENDS {
+            for (sent, not_sent, attempts) in (0..6).flat_map(|sent| {
+                (0..6).flat_map(move |not_sent| (1..4).map(move |attempts| (sent, not_sent, attempts)))
+            }) {
+                for (time_left, budget, earlier) in
+                    (0..8).map(|bits| (bits & 1 == 1, bits & 2 == 2, bits & 4 == 4))
+                {
+                    let unclear = matches!(end, AttemptEnd::Unclear | AttemptEnd::FailedAnswer);
+                    // Nothing is sent again after an unclear end unless the kind allows it.
+                    let may_have_run = unclear || (earlier && kind.is_idempotent());
+                    let spent = Spent { sent, not_sent, may_have_run };
+                    check(kind, end, spent, attempts, next(kind, attempts, end, spent, time_left, || budget));
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn what_may_have_run_is_sent_again_only_where_its_kind_allows_it() {
+    all_cases(|kind, end, spent, _, next| {
+        if next == Next::TryAnother && spent.may_have_run {
+            assert!(kind.is_idempotent(), "{kind:?} {end:?}");
+        }
+    });
+}
+
+#[test]
+fn a_refusal_is_given_only_where_nothing_has_run_or_it_may_run_again() {
+    all_cases(|kind, end, spent, _, next| {
+        if next == Next::Refuse && spent.may_have_run {
+            assert!(kind.is_idempotent(), "{kind:?} {end:?}");
+        }
+    });
+}
+
+#[test]
+fn no_more_back_ends_run_a_request_than_its_route_allows() {
+    all_cases(|_, end, spent, attempts, next| {
+        let ran = matches!(end, AttemptEnd::Unclear | AttemptEnd::FailedAnswer);
+        if next == Next::TryAnother && ran {
+            assert!(spent.sent < attempts);
+        }
+    });
+}
+
+#[test]
+fn only_a_whole_answer_is_passed_on() {
+    all_cases(|_, end, _, _, next| {
+        if next == Next::PassOn {
+            assert_eq!(end, AttemptEnd::FailedAnswer);
+        }
+    });
+}
+
+fn route(name: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
+    let share =
+        |(service, weight): &(&str, u32)| Share { service: ServiceId::from(*service), weight: *weight };
+    Route {
+        name: name.into(),
+        host: "h.example".into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(2),
+        target_latency: Duration::from_millis(300),
+        target_gap: None,
+        attempts: 2,
+        priority: 0,
+        anonymous: false,
+        split: split.iter().map(share).collect(),
+    }
+}
+
+fn table() -> RouteTable {
+    let tenant = Tenant { name: TenantId::from("a"), keys: vec!["k".into()], priority: 0, isolated: false };
+    let open = Route { anonymous: true, ..route("open", "/x/open/", &[("s", 1)]) };
+    RouteTable::new(Document {
+        version: 3,
+        routes: vec![route("short", "/x/", &[("s", 1)]), route("long", "/x/y/", &[("s", 1)]), open],
+        tenants: vec![tenant],
+        ..Document::default()
+    })
+}
+
+fn admitted(admission: Admission) -> String {
+    match admission {
+        Admission::Admitted { route, .. } => route.name.clone(),
+        other => format!("{other:?}"),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let table = table();
+    assert_eq!(admitted(table.admit("h.example", "/x/y/z", Some("k"))), "long");
+    assert_eq!(admitted(table.admit("h.example:8080", "/x/z", Some("k"))), "short");
+    assert!(matches!(table.admit("h.example", "/x", Some("k")), Admission::NoRoute));
+    assert!(matches!(table.admit("other.example", "/x/y/", Some("k")), Admission::NoRoute));
+}
+
+#[test]
+fn a_key_is_asked_for_unless_the_route_is_open_to_all() {
+    let table = table();
+    assert!(matches!(table.admit("h.example", "/x/", None), Admission::UnknownKey));
+    assert!(matches!(table.admit("h.example", "/x/", Some("other")), Admission::UnknownKey));
+    assert_eq!(admitted(table.admit("h.example", "/x/open/", None)), "open");
+}
+
+#[test]
+fn each_share_of_a_route_gets_its_part_also_over_few_requests() {
+    let mut wheel = ShareWheel::default();
+    let split = route("r", "/", &[("s", 70), ("t", 20), ("u", 10), ("none", 0)]);
+    let mut counts = [0_u32; 4];
+    for _ in 0..100 {
+        counts[wheel.turn(&split).expect("a share")] += 1;
+    }
+    assert_eq!(counts, [70, 20, 10, 0]);
+}
+
+#[test]
+fn freshness_counts_from_when_a_call_was_sent_and_never_goes_back() {
+    let at = Timestamp::from_millis;
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_within(Duration::from_secs(1), at(0)));
+    freshness.prove(at(1_000));
+    freshness.prove(at(400));
+    assert_eq!(freshness.age(at(1_900)), Some(Duration::from_millis(900)));
+    assert!(freshness.is_within(Duration::from_millis(901), at(1_900)));
+    assert!(!freshness.is_within(Duration::from_millis(900), at(1_900)));
+}
+
+fn entry(id: &str, leaving: bool) -> BackendEntry {
+    BackendEntry {
+        id: BackendId::from(id),
+        service: ServiceId::from("s"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: ZoneId::from("z"),
+        slots: 1,
+        leaving,
+        weights: BTreeMap::new(),
+    }
+}
+
+fn usable(backends: &Backends) -> Vec<String> {
+    backends.usable(&ServiceId::from("s")).map(|backend| backend.entry.id.to_string()).collect()
+}
+
+#[test]
+fn a_back_end_that_is_leaving_gets_nothing_and_does_not_come_back() {
+    let mut backends = Backends::default();
+    assert_eq!(backends.put(entry("a", false)), Change::Appeared);
+    assert_eq!(backends.put(entry("a", true)), Change::Leaving);
+    assert_eq!(backends.put(entry("a", false)), Change::Updated);
+    assert!(usable(&backends).is_empty());
+}
+
+#[test]
+fn an_entry_that_vanishes_in_trouble_is_doubted_and_used_only_where_few_are_left() {
+    let at = Timestamp::from_millis;
+    let mut backends = Backends::default();
+    for id in ["a", "b", "c"] {
+        backends.put(entry(id, false));
+    }
+    assert_eq!(backends.remove(&BackendId::from("a"), true, at(0)), Change::Doubted);
+    assert_eq!(usable(&backends), ["b", "c"]);
+    assert_eq!(backends.remove(&BackendId::from("b"), true, at(0)), Change::Doubted);
+    assert_eq!(usable(&backends), ["a", "b", "c"]);
+    assert_eq!(backends.remove(&BackendId::from("c"), false, at(0)), Change::Removed);
+    assert_eq!(backends.expire(at(10_000)).len(), 2);
+    assert!(usable(&backends).is_empty());
+}
+
+#[test]
+fn events_come_out_whole_however_the_bytes_are_cut() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\n\nid: 4\nda";
+    bolero::check!().with_type::<Vec<u8>>().for_each(|cuts| {
+        let mut splitter = EventSplitter::default();
+        let (mut given, mut rest) = (Vec::new(), &stream[..]);
+        for cut in cuts.iter().map(|cut| usize::from(*cut) % 9 + 1) {
+            let (part, behind) = rest.split_at(cut.min(rest.len()));
+            given.extend_from_slice(&splitter.push(part));
+            rest = behind;
+        }
+        given.extend_from_slice(&splitter.push(rest));
+        assert_eq!(given, stream[..stream.len() - 8]);
+        assert_eq!(splitter.last_id(), Some(3));
+        assert!(splitter.holds_part());
+    });
+}
+
+#[test]
+fn a_resumed_stream_gives_no_event_twice() {
+    let mut splitter = EventSplitter::after(Some(2));
+    let given = splitter.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    assert_eq!(&given[..], b"id: 3\ndata: c\n\n");
+}
+
+#[test]
+fn any_bytes_can_be_split() {
+    bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
+        let mut splitter = EventSplitter::default();
+        let given = splitter.push(bytes);
+        let _ = event_id(bytes);
+        assert!(given.len() <= bytes.len());
+    });
+}
