Let a stream that may not be resumed go on from a copy of its run

Change: such a stream names a back end that gets a copy of its memory as it grows; after a break it goes on there, which is the same run. Never where the weights of either have changed, nor after nothing was passed on.

--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -232,7 +232,7 @@
 fn line_of(lines: &Arc<Mutex<Vec<String>>>, event: &str) -> Option<Value> {
     let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
     let parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    parsed.filter(|line| line["event"] == event).last()
+    parsed.filter(|line| line["event"] == event).next_back()
 }
 
 async fn wait_for<T>(mut find: impl AsyncFnMut() -> Option<T>) -> T {
--- a/crates/core/src/forwarding/attempt.rs
+++ b/crates/core/src/forwarding/attempt.rs
@@ -17,12 +17,14 @@
     Unclear,
     /// The back end answered whole, with a failure of its own.
     FailedAnswer,
+    /// It broke off, and another back end holds a copy of the run's memory: going on there is the same run.
+    Copied,
 }
 
 /// What follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Another back end may be asked.
+    /// Another back end may be asked; after [`AttemptEnd::Copied`] only the one that holds the copy.
     TryAnother,
     /// The answer of the back end is passed on.
     PassOn,
@@ -74,6 +76,8 @@
             Next::TryAnother
         }
         AttemptEnd::FailedAnswer => Next::PassOn,
+        AttemptEnd::Copied if budget() => Next::TryAnother,
+        AttemptEnd::Copied => Next::Fail,
     }
 }
 
--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -78,6 +78,8 @@
     pub draw: u64,
     /// The store of kept parts, if there is one.
     pub store: Option<&'a Store<'a>>,
+    /// Whether the run's memory is to be copied to another back end as it grows.
+    pub copied: bool,
 }
 
 /// The chosen back end.
@@ -93,6 +95,8 @@
     pub import_from: Option<SocketAddr>,
     /// Whom to hand the parts to that nobody kept yet.
     pub save_to: Option<SocketAddr>,
+    /// The back end that gets a copy of the run's memory as it grows.
+    pub copy_to: Option<CopyHolder>,
     /// Tokens that the back end is expected to read, imports weighed.
     pub expected_tokens: u64,
     /// Tokens of the prefix that it is believed to keep.
@@ -105,6 +109,15 @@
     pub eligible: usize,
 }
 
+/// A back end that holds a copy of a run's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyHolder {
+    /// The back end.
+    pub backend: BackendId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Chooses back ends, and remembers what that needs.
 #[derive(Debug, Default)]
 pub struct Chooser {
@@ -171,6 +184,7 @@
             scope: None,
             import_from: None,
             save_to: None,
+            copy_to: None,
             expected_tokens: 0,
             held_tokens: 0,
             cold_tokens: 0,
@@ -210,7 +224,29 @@
                 best = Some((choice.cost, tie, choice));
             }
         }
-        best.map(|(_, _, choice)| choice)
+        let (_, _, mut choice) = best?;
+        if placement.copied {
+            choice.copy_to = self.copy_holder(&choice, placement, candidates);
+        }
+        Some(choice)
+    }
+
+    /// Who gets a copy: the back end with the least under way among those with the same weights.
+    fn copy_holder(
+        &self,
+        choice: &Choice,
+        placement: Placement<'_>,
+        candidates: &[Candidate<'_>],
+    ) -> Option<CopyHolder> {
+        let weights = choice.scope.as_ref().map(|scope| scope.weights);
+        let others = candidates
+            .iter()
+            .filter(|other| other.eligible && *other.id != choice.backend && other.weights == weights);
+        let order = |other: &&Candidate<'_>| {
+            let requests = self.load(other.id).requests;
+            (other.avoided, other.zone != placement.zone, requests, tie(other.id, placement.draw))
+        };
+        others.min_by_key(order).map(|other| CopyHolder { backend: other.id.clone(), address: other.address })
     }
 
     fn group<'a>(
@@ -268,6 +304,7 @@
             // Feeds are late: the store may keep what is not known to be kept yet, and a miss costs next to nothing.
             import_from: source.map(|(address, _)| address).or(store.filter(|_| held < shared_tokens)),
             save_to: store.filter(|_| group.cold_tokens > 0),
+            copy_to: None,
             expected_tokens: own + read + import_cost,
             held_tokens: held,
             cold_tokens: group.cold_tokens,
--- a/crates/core/src/forwarding/document.rs
+++ b/crates/core/src/forwarding/document.rs
@@ -97,6 +97,8 @@
 pub struct EngineTraits {
     /// Requests that run at once.
     pub slots: u32,
+    /// Whether a run's memory can be copied to another engine as it grows.
+    pub copies: bool,
     /// Tokens that fit the cache.
     pub cache_tokens: u64,
     /// The models served.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,7 +21,7 @@
     journal::{Event, RequestLine},
     metrics::{Counter, Distribution, kind_label},
     node::{Ask, Node},
-    ports::{Dispatch, RequestHead},
+    ports::{CopiedRun, Dispatch, RequestHead},
     relay::Relay,
 };
 
@@ -52,6 +52,15 @@
     resumed: u32,
 }
 
+/// From where a try goes on.
+#[derive(Debug, Default)]
+pub struct Resume {
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+    /// The run whose copied memory it goes on from.
+    pub continues: Option<CopiedRun>,
+}
+
 /// A request that is being served.
 pub struct Exchange {
     /// The node.
@@ -164,7 +173,7 @@
     async fn run(mut self) -> Response<AnswerBody> {
         loop {
             let Some(choice) = self.place() else { return self.give_up(Reason::NoBackend) };
-            match self.attempt(&choice, None).await {
+            match self.attempt(&choice, Resume::default()).await {
                 Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
                     return self.relay(choice, begun);
                 }
@@ -194,6 +203,7 @@
             route: &self.route.name,
             prompt: self.head.prompt.as_ref(),
             isolated,
+            copied: self.route.kind == RouteKind::Stream { resumable: false },
             tried: &self.tried,
             draw: self.draw,
         };
@@ -203,7 +213,7 @@
     }
 
     /// One try at the chosen back end.
-    pub async fn attempt(&mut self, choice: &Choice, resume_after: Option<u64>) -> Result<Begun, Ended> {
+    pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
         if self.spent.sent == 0 {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
@@ -216,7 +226,7 @@
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
         }
-        let request = self.request(choice, resume_after, now);
+        let request = self.request(choice, &resume, now);
         let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
         let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
@@ -261,16 +271,44 @@
         attempts_left && self.route.kind.is_idempotent() && self.node.retries_left(&self.service) > 0
     }
 
+    /// Where a broken stream can go on from a copy of its run's memory: the back end that holds it has the weights of
+    /// the run, and so had the one that broke off.
+    pub fn copy_of(&self, choice: &Choice) -> Option<(Choice, CopiedRun)> {
+        let (holder, scope) = (choice.copy_to.as_ref()?, choice.scope.as_ref()?);
+        let beliefs = self.node.beliefs.borrow();
+        let changed = beliefs
+            .backends
+            .get(&choice.backend)
+            .is_some_and(|backend| backend.entry.weights.get(&scope.model) != Some(&scope.weights));
+        if changed || !beliefs.has_weights(&holder.backend, &scope.model, scope.weights) {
+            return None;
+        }
+        let next = Choice {
+            backend: holder.backend.clone(),
+            address: holder.address,
+            import_from: None,
+            save_to: None,
+            copy_to: None,
+            ..choice.clone()
+        };
+        let run = CopiedRun { address: choice.address, request_id: self.id().to_owned() };
+        Some((next, run))
+    }
+
     /// Whether another back end could take a stream over now.
     pub fn has_another(&mut self) -> bool {
-        let allowed = self.spent.sent < self.route.attempts && self.node.retries_left(&self.service) > 0;
+        let budget = self.node.retries_left(&self.service) > 0;
+        if let Some(choice) = self.account.choice.clone().filter(|_| !is_resumable(self.route.kind)) {
+            return budget && self.copy_of(&choice).is_some();
+        }
+        let allowed = self.spent.sent < self.route.attempts && budget;
         let known = self.account.choice.clone();
         let found = allowed && self.place().is_some();
         self.account.choice = known;
         found
     }
 
-    fn request(&self, choice: &Choice, resume_after: Option<u64>, now: Timestamp) -> Request<Full<Bytes>> {
+    fn request(&self, choice: &Choice, resume: &Resume, now: Timestamp) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.parts.method.clone();
         let path = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -292,7 +330,9 @@
             scope: choice.scope.as_ref(),
             import_from: choice.import_from,
             save_to: choice.save_to,
-            resume_after,
+            copy_to: choice.copy_to.as_ref().map(|holder| holder.address),
+            continues: resume.continues.as_ref(),
+            resume_after: resume.after,
         };
         self.node.platform.write_request(&mut headers, &dispatch);
         *request.headers_mut() = headers;
@@ -508,6 +548,7 @@
         AttemptEnd::NotRun => "not_run",
         AttemptEnd::Unclear => "unclear",
         AttemptEnd::FailedAnswer => "failed_answer",
+        AttemptEnd::Copied => "broken_with_copy",
     }
 }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -116,6 +116,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The isolated tenant, if it is one.
     pub isolated: Option<&'a paddlemount_protocol::identity::TenantId>,
+    /// Whether the run's memory is to be copied as it grows, where the engines can do that.
+    pub copied: bool,
     /// Back ends that have been tried.
     pub tried: &'a [BackendId],
     /// A number drawn for the request.
@@ -420,6 +422,18 @@
         self.trouble_at.is_some_and(|at| now.saturating_since(at) < TROUBLE)
     }
 
+    fn can_copy(&self, service: &ServiceId) -> bool {
+        let service = self.table.as_ref().and_then(|table| table.service(service));
+        service.and_then(|service| service.engine.as_ref()).is_some_and(|engine| engine.copies)
+    }
+
+    /// Whether a back end may get work and has these weights.
+    pub fn has_weights(&self, id: &BackendId, model: &ModelId, version: WeightsVersion) -> bool {
+        self.backends.get(id).is_some_and(|backend| {
+            backend.standing == Standing::Ready && backend.entry.weights.get(model) == Some(&version)
+        })
+    }
+
     /// The store of kept parts, if the configuration has one, under the name by which its feed is known.
     pub fn store(&self) -> Option<(BackendId, std::net::SocketAddr)> {
         let table = self.table.as_ref()?;
@@ -454,6 +468,7 @@
             zone,
             draw: ask.draw,
             store: store.as_ref(),
+            copied: ask.copied && self.can_copy(ask.service),
         };
         let strict = self.candidates(ask, now, |backend| {
             self.is_free(backend, ask, now) && self.has_room(backend, ask, most_nodes)
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -225,10 +225,23 @@
     pub import_from: Option<SocketAddr>,
     /// Whom to hand the shared parts to.
     pub save_to: Option<SocketAddr>,
+    /// Whom to copy the run's memory to as it grows.
+    pub copy_to: Option<SocketAddr>,
+    /// The run whose copied memory the request goes on from.
+    pub continues: Option<&'a CopiedRun>,
     /// The last event that the caller has, where the node itself resumes a stream.
     pub resume_after: Option<u64>,
 }
 
+/// A run whose memory was copied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopiedRun {
+    /// The address of the back end that ran it.
+    pub address: SocketAddr,
+    /// The caller's identity for its try.
+    pub request_id: String,
+}
+
 /// What the head of a back end's answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -16,7 +16,7 @@
 use crate::{
     answers::AnswerBody,
     attempts::{Begun, Ended},
-    exchange::{Exchange, is_resumable},
+    exchange::{Exchange, Resume, is_resumable},
 };
 
 /// How long a resumable stream may be silent, in multiples of the pause that its route calls good.
@@ -148,7 +148,9 @@
     /// When another back end is asked, where the route allows that.
     fn silent_at(&self) -> Option<Timestamp> {
         let route = &self.exchange.route;
-        if !is_resumable(route.kind) || self.waits_on || self.exchange.spent.sent >= route.attempts {
+        let resumable = is_resumable(route.kind) && self.exchange.spent.sent < route.attempts;
+        let copied = self.has_event && self.choice.copy_to.is_some();
+        if self.waits_on || !(resumable || copied) {
             return None;
         }
         let silence = if self.has_event {
@@ -190,13 +192,17 @@
         self.begun = None;
         self.splitter.finish();
         self.exchange.spent.may_have_run = true;
+        if !is_resumable(self.exchange.route.kind) {
+            return self.go_on_from_copy(detail).await;
+        }
         let mut ended = Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false };
         loop {
             if self.exchange.decide(&self.choice, &ended) != Next::TryAnother {
                 return false;
             }
             let Some(choice) = self.exchange.place() else { return false };
-            let result = self.exchange.attempt(&choice, self.splitter.last_id()).await;
+            let resume = Resume { after: self.splitter.last_id(), continues: None };
+            let result = self.exchange.attempt(&choice, resume).await;
             self.choice = choice;
             match result {
                 Ok(begun) if begun.head.status.is_success() => {
@@ -214,6 +220,35 @@
         }
     }
 
+    /// Goes on where a copy of the run's memory is: that is the same run, and no second one.
+    async fn go_on_from_copy(&mut self, detail: String) -> bool {
+        let Some((next, run)) = self.exchange.copy_of(&self.choice).filter(|_| self.has_event) else {
+            let ended = Ended { end: AttemptEnd::Unclear, detail, answer: None, reused: false };
+            self.exchange.decide(&self.choice, &ended);
+            return false;
+        };
+        let ended = Ended { end: AttemptEnd::Copied, detail, answer: None, reused: false };
+        if self.exchange.decide(&self.choice, &ended) != Next::TryAnother {
+            return false;
+        }
+        let resume = Resume { after: self.splitter.last_id(), continues: Some(run) };
+        let result = self.exchange.attempt(&next, resume).await;
+        self.choice = next;
+        match result {
+            Ok(begun) if begun.head.status.is_success() => {
+                self.exchange.resumed();
+                self.begun = Some(begun);
+                true
+            }
+            Ok(_) => false,
+            // The run before may have gone further than the caller has seen: nothing else may take it up.
+            Err(ended) => {
+                self.exchange.decide(&self.choice, &Ended { end: AttemptEnd::Unclear, ..ended });
+                false
+            }
+        }
+    }
+
     fn give_up(&mut self, outcome: &'static str, error: RelayError) -> RelayError {
         self.begun = None;
         self.done = true;
