Count retries over a window, leave suspect back ends, copy runs only where there is room

Cause: the streams of a crashed engine break at one moment, and a bucket of 3 refused most of them a repeat that the rule's window of 10 s allows; a dark engine got requests until the first one broke after 1.5 s; a stream was silent for 2.5 s at an engine already known to fail. Copies of runs took half of the engines' memory at high load, and shared parts gave way that were asked again. Change: WindowBudget in place of the bucket for forwarded services; a back end whose oldest request has waited three times its slowest answer is left; silence at an ejected back end counts from one good pause; copies only where unused parts are kept for 20 s, as the feeds tell.

--- /dev/null
+++ b/crates/core/src/forwarding/budget.rs
@@ -0,0 +1,93 @@
+//! The retry budget of one service at one node, over a sliding window.
+//!
+//! All nodes together may repeat a share of a service's requests, and a fixed number beside, in any window. Each node
+//! keeps to its own requests' share and to its part of the fixed number, so that the sum holds whatever the nodes know of
+//! each other. Unlike a bucket, the window allows as many repeats at once as the requests before have earned: the
+//! streams of one crashed back end all break at the same moment.
+
+use std::{collections::VecDeque, time::Duration};
+
+use paddlemount_protocol::time::Timestamp;
+
+/// Steps into which the window is cut.
+const STEPS: u32 = 20;
+/// The part of what is allowed that is used, in thousandths.
+const USED_PER_MILLE: u64 = 900;
+/// Thousandths of a repeat in one repeat.
+const WHOLE: u64 = 1_000;
+
+/// Settings of a [`WindowBudget`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowBudgetSettings {
+    /// Thousandths of a repeat that each request earns.
+    pub share_per_mille: u32,
+    /// Repeats beside, in a window.
+    pub reserve: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+/// A retry budget.
+#[derive(Clone, Debug)]
+pub struct WindowBudget {
+    settings: WindowBudgetSettings,
+    steps: VecDeque<Step>,
+}
+
+impl WindowBudget {
+    /// A budget that has seen nothing.
+    pub const fn new(settings: WindowBudgetSettings) -> Self {
+        Self { settings, steps: VecDeque::new() }
+    }
+
+    /// A request was sent for the first time.
+    pub fn request(&mut self, now: Timestamp) {
+        self.step(now).requests += 1;
+    }
+
+    /// Asks for a repeat; one that is granted is spent.
+    pub fn repeat(&mut self, now: Timestamp) -> bool {
+        if self.left(now) == 0 {
+            return false;
+        }
+        self.step(now).repeats += 1;
+        true
+    }
+
+    /// Repeats that would be granted now.
+    pub fn left(&self, now: Timestamp) -> u64 {
+        let number = self.number(now);
+        let steps = u64::from(STEPS);
+        // Requests count for a little less than the window, repeats for a little more.
+        let requests: u64 =
+            self.steps.iter().filter(|step| step.number + steps > number).map(|step| step.requests).sum();
+        let repeats: u64 =
+            self.steps.iter().filter(|step| step.number + steps >= number).map(|step| step.repeats).sum();
+        let earned = requests * u64::from(self.settings.share_per_mille) * USED_PER_MILLE / WHOLE;
+        (earned / WHOLE + u64::from(self.settings.reserve)).saturating_sub(repeats)
+    }
+
+    fn number(&self, now: Timestamp) -> u64 {
+        let step = (self.settings.window / STEPS).as_micros().max(1);
+        u64::try_from(u128::from(now.0) / step).unwrap_or(u64::MAX)
+    }
+
+    fn step(&mut self, now: Timestamp) -> &mut Step {
+        let number = self.number(now);
+        while self.steps.front().is_some_and(|step| step.number + u64::from(STEPS) < number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.number < number) {
+            self.steps.push_back(Step { number, ..Step::default() });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use paddlemount_protocol::time::Timestamp;
+
 use super::backends::BackendId;
 
 /// The weight of a new measurement in a moving average.
@@ -13,6 +15,9 @@
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
 
+/// The least time without a first byte after which a back end is suspect.
+const LEAST_PATIENCE: Duration = Duration::from_millis(700);
+
 /// What one node has under way at one back end.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BackendLoad {
@@ -38,18 +43,26 @@
 #[derive(Debug, Default)]
 pub struct Loads {
     by_backend: BTreeMap<BackendId, BackendLoad>,
+    /// When requests were sent that no first byte has come for, by back end.
+    unanswered: BTreeMap<BackendId, Vec<Timestamp>>,
 }
 
 impl Loads {
     /// A request was sent that has `tokens` to be read.
-    pub fn started(&mut self, backend: &BackendId, tokens: u64) {
+    pub fn started(&mut self, backend: &BackendId, tokens: u64, now: Timestamp) {
+        self.unanswered.entry(backend.clone()).or_default().push(now);
         let load = self.by_backend.entry(backend.clone()).or_default();
         load.requests += 1;
         load.unread_tokens += tokens;
     }
 
-    /// The answer's first event has arrived, or the request has ended before it.
-    pub fn read(&mut self, backend: &BackendId, tokens: u64) {
+    /// The first event of the answer to a request sent at `sent_at` has arrived, or the request has ended before it.
+    pub fn read(&mut self, backend: &BackendId, tokens: u64, sent_at: Timestamp) {
+        if let Some(unanswered) = self.unanswered.get_mut(backend) {
+            if let Some(index) = unanswered.iter().position(|at| *at == sent_at) {
+                unanswered.swap_remove(index);
+            }
+        }
         if let Some(load) = self.by_backend.get_mut(backend) {
             load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
         }
@@ -76,9 +89,20 @@
         self.by_backend.get(backend).copied().unwrap_or_default()
     }
 
+    /// Whether a request has waited at a back end for much longer than answers there have lately taken: nothing more
+    /// is sent there as long as others are left.
+    pub fn is_suspect(&self, backend: &BackendId, now: Timestamp) -> bool {
+        let Some(oldest) = self.unanswered.get(backend).and_then(|unanswered| unanswered.iter().min()) else {
+            return false;
+        };
+        let patience = LEAST_PATIENCE.max(self.of(backend).slowest() * 3);
+        now.saturating_since(*oldest) >= patience
+    }
+
     /// A back end is gone.
     pub fn forget(&mut self, backend: &BackendId) {
         self.by_backend.remove(backend);
+        self.unanswered.remove(backend);
     }
 
     /// The time in which answers have lately begun at the slowest of all back ends.
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
 //! | [`partition`] | which back ends long prompts go to first |
 //! | [`attempt`] | what may follow the end of a try |
+//! | [`budget`] | whether a request may be repeated |
 //! | [`events`] | which events of a stream are whole and may be passed on |
 //! | [`rollout`] | which back end gets new weights next |
 //!
@@ -17,6 +18,7 @@
 
 pub mod attempt;
 pub mod backends;
+pub mod budget;
 pub mod choice;
 pub mod document;
 pub mod events;
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -4,7 +4,7 @@
 //! engine read is noted at once. A belief that is wrong costs time, never correctness: engines find parts only under
 //! the scope that the node names.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use paddlemount_protocol::time::Timestamp;
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,6 +19,9 @@
 /// Engines keep parts by blocks; a part is whole where less than a block of it is missing.
 const BLOCK_TOKENS: u32 = 16;
 
+/// The time in which what was counted fades to a third.
+const FADES: Duration = Duration::from_secs(4);
+
 /// A scope in short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ScopeHash(u64);
@@ -57,6 +60,9 @@
 #[derive(Debug, Default)]
 pub struct Prefixes {
     keepers: HashMap<(ScopeHash, PartId), Keepers>,
+    /// Tokens that engines have lately begun to keep; fades with [`FADES`].
+    added: f64,
+    added_at: Timestamp,
 }
 
 impl Prefixes {
@@ -69,15 +75,34 @@
         }
         let keepers = self.keepers.entry(key).or_default();
         keepers.used_at = now;
+        let known =
+            keepers.by_backend.iter().find(|(keeper, _)| keeper == backend).map_or(0, |(_, tokens)| *tokens);
         match keepers.by_backend.iter_mut().find(|(keeper, _)| keeper == backend) {
             Some((_, tokens)) => *tokens = kept.tokens,
             None => keepers.by_backend.push((backend.clone(), kept.tokens)),
         }
+        self.count_added(kept.tokens.saturating_sub(known), now);
         if self.keepers.len() > MOST_PARTS {
             self.forget_oldest();
         }
     }
 
+    fn count_added(&mut self, tokens: u32, now: Timestamp) {
+        self.added = self.faded(now) + f64::from(tokens);
+        self.added_at = now;
+    }
+
+    fn faded(&self, now: Timestamp) -> f64 {
+        let elapsed = now.saturating_since(self.added_at).as_secs_f64();
+        self.added * (-elapsed / FADES.as_secs_f64()).exp()
+    }
+
+    /// How long a part that nobody uses is kept, where all engines together have room for `room` tokens.
+    pub fn kept_for(&self, room: u64, now: Timestamp) -> Duration {
+        let per_second = self.faded(now) / FADES.as_secs_f64();
+        Duration::try_from_secs_f64(room as f64 / per_second.max(1.0)).unwrap_or(Duration::MAX)
+    }
+
     /// A back end has read all of `parts`.
     pub fn read(&mut self, backend: &BackendId, scope: ScopeHash, parts: &[Part], now: Timestamp) {
         for part in parts {
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -83,7 +83,7 @@
     let mut chooser = Chooser::default();
     chooser.learned(&world.ids[2], &scope(1), &prompt, Timestamp::ZERO);
     // The keeper is busy: the prefix moves instead of the request waiting.
-    chooser.loads.started(&world.ids[2], 50_000);
+    chooser.loads.started(&world.ids[2], 50_000, Timestamp::ZERO);
     let choice = choose(&chooser, &world, &prompt, 1);
     assert_ne!(choice.backend, world.ids[2]);
     assert_eq!(choice.import_from, Some(address(2)));
@@ -96,7 +96,7 @@
     let prompt = prompt(&[(7, 4_000)], 300);
     let mut chooser = Chooser::default();
     chooser.learned(&world.ids[0], &scope(1), &prompt, Timestamp::ZERO);
-    chooser.loads.started(&world.ids[0], 90_000);
+    chooser.loads.started(&world.ids[0], 90_000, Timestamp::ZERO);
     let choice = choose(&chooser, &world, &prompt, 1);
     assert_eq!(choice.backend, world.ids[1]);
     assert_eq!(choice.import_from, None);
@@ -151,8 +151,8 @@
     let mut chooser = Chooser::default();
     let placement =
         Placement { prompt: None, isolated: None, zone: &world.zone, draw: 3, store: None, copied: false };
-    chooser.loads.started(&world.ids[0], 0);
-    chooser.loads.started(&world.ids[1], 0);
+    chooser.loads.started(&world.ids[0], 0, Timestamp::ZERO);
+    chooser.loads.started(&world.ids[1], 0, Timestamp::ZERO);
     let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
     assert_eq!(choice.backend, world.ids[2]);
     for _ in 0..10 {
@@ -193,3 +193,33 @@
     }
     assert_eq!(partition.side(&service, "one"), None);
 }
+
+#[test]
+fn a_back_end_that_leaves_a_request_without_a_word_is_suspect_until_it_answers() {
+    let at = Timestamp::from_millis;
+    let backend = BackendId::from("engine-0");
+    let mut chooser = Chooser::default();
+    for _ in 0..5 {
+        chooser.loads.measured(&backend, 100.0);
+    }
+    chooser.loads.started(&backend, 500, at(1_000));
+    assert!(!chooser.loads.is_suspect(&backend, at(1_699)));
+    assert!(chooser.loads.is_suspect(&backend, at(1_700)));
+    chooser.loads.read(&backend, 500, at(1_000));
+    assert!(!chooser.loads.is_suspect(&backend, at(1_700)));
+}
+
+#[test]
+fn unused_parts_are_kept_for_less_time_the_more_is_read() {
+    let at = Timestamp::from_millis;
+    let mut chooser = Chooser::default();
+    let backend = BackendId::from("engine-0");
+    assert!(chooser.prefixes.kept_for(100_000, at(0)).as_secs() > 1_000);
+    for number in 0..100 {
+        let part = KeptPart { scope: ScopeHash::from(&scope(1)), part: PartId(number), tokens: 1_000 };
+        chooser.told(&backend, &[part], at(number * 100));
+    }
+    // Ten thousand tokens a second into room for a hundred thousand.
+    let kept = chooser.prefixes.kept_for(100_000, at(10_000)).as_secs();
+    assert!((8..14).contains(&kept), "{kept}");
+}
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -85,12 +85,13 @@
 
 impl Work {
     fn begin(node: &Rc<Node>, choice: &Choice) -> Self {
-        node.beliefs.borrow_mut().chooser.loads.started(&choice.backend, choice.expected_tokens);
+        let began = node.now();
+        node.beliefs.borrow_mut().chooser.loads.started(&choice.backend, choice.expected_tokens, began);
         node.health(&choice.backend, HealthEvent::Dispatched, false);
         Self {
             node: Rc::clone(node),
             backend: choice.backend.clone(),
-            began: node.now(),
+            began,
             unread_tokens: Some(choice.expected_tokens),
         }
     }
@@ -100,7 +101,7 @@
         if let Some(tokens) = self.unread_tokens.take() {
             let milliseconds = self.node.now().saturating_since(self.began).as_secs_f64() * 1_000.0;
             let mut beliefs = self.node.beliefs.borrow_mut();
-            beliefs.chooser.loads.read(&self.backend, tokens);
+            beliefs.chooser.loads.read(&self.backend, tokens, self.began);
             beliefs.chooser.loads.measured(&self.backend, milliseconds);
         }
     }
@@ -110,7 +111,7 @@
     fn drop(&mut self) {
         let mut beliefs = self.node.beliefs.borrow_mut();
         if let Some(tokens) = self.unread_tokens.take() {
-            beliefs.chooser.loads.read(&self.backend, tokens);
+            beliefs.chooser.loads.read(&self.backend, tokens, self.began);
         }
         beliefs.chooser.loads.ended(&self.backend);
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,6 +10,7 @@
 use paddlemount_core::{
     forwarding::{
         backends::{Backend, BackendId, Backends, Change, Standing},
+        budget::{WindowBudget, WindowBudgetSettings},
         choice::{Candidate, Choice, Chooser, Placement, Store},
         freshness::Freshness,
         partition::{Partition, Side, takes_long},
@@ -18,7 +19,6 @@
         table::{RouteTable, ShareWheel},
     },
     health::{Health, HealthEvent, HealthSettings, HealthVerdict},
-    retry::{RetryBudget, RetrySettings, RetryVerdict},
 };
 use paddlemount_protocol::{
     identity::{
@@ -46,6 +46,8 @@
 const LOADING: Duration = Duration::from_millis(6_000);
 /// How long a back end is left alone that refused a request.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
+/// How long unused parts must be kept for copies of runs to be worth their room.
+const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(20);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
 
@@ -70,7 +72,7 @@
     /// Which back ends long prompts go to first.
     pub partition: Partition,
     wheel: ShareWheel,
-    budgets: BTreeMap<ServiceId, RetryBudget>,
+    budgets: BTreeMap<ServiceId, WindowBudget>,
     refused_until: BTreeMap<BackendId, Timestamp>,
     trouble_at: Option<Timestamp>,
 }
@@ -353,16 +355,22 @@
         }
     }
 
+    /// Whether a back end is left alone for what it has failed at.
+    pub fn is_ejected(&self, id: &BackendId) -> bool {
+        let verdict = self.beliefs.borrow().health.verdict(id, 0.0, self.now());
+        matches!(verdict, HealthVerdict::Ejected { .. })
+    }
+
     /// Draws on the retry budget of a service.
     pub fn draw_retry(&self, service: &ServiceId) -> bool {
         let settings = self.settings();
         let mut beliefs = self.beliefs.borrow_mut();
-        matches!(beliefs.budget(service, &settings).retry(0), RetryVerdict::Granted)
+        beliefs.budget(service, &settings).repeat(self.now())
     }
 
     /// Retries that the budget of a service would still grant.
     pub fn retries_left(&self, service: &ServiceId) -> u64 {
-        self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.counts().available)
+        self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
     }
 
     /// The time in which an answer of a back end has lately begun, the slow ones included.
@@ -373,7 +381,7 @@
     /// A request for a service was sent for the first time.
     pub fn earned_retry(&self, service: &ServiceId) {
         let settings = self.settings();
-        self.beliefs.borrow_mut().budget(service, &settings).request();
+        self.beliefs.borrow_mut().budget(service, &settings).request(self.now());
     }
 
     /// The share of a route whose turn it is.
@@ -422,9 +430,13 @@
         self.trouble_at.is_some_and(|at| now.saturating_since(at) < TROUBLE)
     }
 
-    fn can_copy(&self, service: &ServiceId) -> bool {
-        let service = self.table.as_ref().and_then(|table| table.service(service));
-        service.and_then(|service| service.engine.as_ref()).is_some_and(|engine| engine.copies)
+    /// Whether engines copy runs, and have so much room that copies displace nothing that will be used again.
+    fn can_copy(&self, service: &ServiceId, now: Timestamp) -> bool {
+        let traits = self.table.as_ref().and_then(|table| table.service(service));
+        let Some(engine) = traits.and_then(|service| service.engine.as_ref()) else { return false };
+        let engines = self.backends.usable(service).count() as u64;
+        engine.copies
+            && self.chooser.prefixes.kept_for(engine.cache_tokens * engines, now) >= KEPT_LONG_ENOUGH
     }
 
     /// Whether a back end may get work and has these weights.
@@ -449,12 +461,12 @@
         self.refused_until.remove(id);
     }
 
-    fn budget(&mut self, service: &ServiceId, settings: &ForwardSettings) -> &mut RetryBudget {
+    fn budget(&mut self, service: &ServiceId, settings: &ForwardSettings) -> &mut WindowBudget {
         self.budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(RetrySettings {
+            WindowBudget::new(WindowBudgetSettings {
                 share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
                 reserve: (settings.bounds.retry_slack / settings.limits.most_nodes).max(1),
-                attempts_per_request: u32::MAX,
+                window: Duration::from_millis(settings.bounds.retry_window_ms),
             })
         })
     }
@@ -468,7 +480,7 @@
             zone,
             draw: ask.draw,
             store: store.as_ref(),
-            copied: ask.copied && self.can_copy(ask.service),
+            copied: ask.copied && self.can_copy(ask.service, now),
         };
         let strict = self.candidates(ask, now, |backend| {
             self.is_free(backend, ask, now) && self.has_room(backend, ask, most_nodes)
@@ -522,7 +534,8 @@
             HealthVerdict::Usable | HealthVerdict::SlowStart { .. } | HealthVerdict::Probe => true,
             HealthVerdict::Ejected { .. } => false,
         };
-        backend.standing == Standing::Ready && !loading && !refused && healthy
+        let suspect = self.chooser.loads.is_suspect(id, now);
+        backend.standing == Standing::Ready && !loading && !refused && healthy && !suspect
     }
 
     /// Whether this node has connections left of its part of those that a back end takes.
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -45,6 +45,8 @@
     splitter: EventSplitter,
     has_event: bool,
     waits_on: bool,
+    /// When something was last heard of the back end.
+    heard_at: Timestamp,
     done: bool,
 }
 
@@ -54,6 +56,8 @@
     End,
     Broken(String),
     Silent,
+    /// Nothing came for longer than a good pause.
+    Pause,
     /// The back end's weights are too old for a request that has not begun.
     Outdated,
     TimeUp,
@@ -63,6 +67,7 @@
     /// Passes on what has begun; the caller has the events up to `last_event`.
     pub fn new(exchange: Exchange, choice: Choice, begun: Begun, last_event: Option<u64>) -> Self {
         let splitter = EventSplitter::after(last_event);
+        let heard_at = exchange.node.now();
         Self {
             exchange,
             choice,
@@ -70,6 +75,7 @@
             splitter,
             has_event: false,
             waits_on: false,
+            heard_at,
             done: false,
         }
     }
@@ -90,6 +96,7 @@
         loop {
             match self.hear().await {
                 Heard::Data(data) => {
+                    self.heard_at = self.exchange.node.now();
                     let whole = self.splitter.push(&data);
                     if !whole.is_empty() {
                         self.exchange.part();
@@ -110,9 +117,10 @@
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
+                Heard::Pause if !self.exchange.node.is_ejected(&self.choice.backend) => {}
                 // Silence alone ends nothing: without another back end the stream is waited for to its end.
-                Heard::Silent if !self.exchange.has_another() => self.waits_on = true,
-                Heard::Silent => {
+                Heard::Silent | Heard::Pause if !self.exchange.has_another() => self.waits_on = true,
+                Heard::Silent | Heard::Pause => {
                     if !self.resume("silent".into()).await {
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
@@ -132,15 +140,19 @@
         let silent_at = self.silent_at();
         let begin_by = if self.has_event { None } else { self.exchange.begin_by(&self.choice) };
         let clock = self.exchange.node.clock;
-        let Some(begun) = &mut self.begun else { return Heard::Broken("nothing has begun".into()) };
         let until = silent_at.map_or(give_up_at, |at| at.min(give_up_at));
         let until = begin_by.map_or(until, |at| at.min(until));
+        // A back end that fails others is given less time: it is looked at again before its silence is certain.
+        let look_at = silent_at.map(|_| clock.now() + self.good_pause());
+        let until = look_at.map_or(until, |at| at.min(until));
+        let Some(begun) = &mut self.begun else { return Heard::Broken("nothing has begun".into()) };
         match tokio::time::timeout_at(clock.instant(until), begun.body.frame()).await {
             Ok(Some(Ok(frame))) => Heard::Data(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(error))) => Heard::Broken(error.to_string()),
             Ok(None) => Heard::End,
             Err(_) if begin_by == Some(until) => Heard::Outdated,
-            Err(_) if until < give_up_at => Heard::Silent,
+            Err(_) if silent_at.is_some_and(|at| at <= until) => Heard::Silent,
+            Err(_) if until < give_up_at => Heard::Pause,
             Err(_) => Heard::TimeUp,
         }
     }
@@ -159,7 +171,12 @@
             let usual = self.exchange.node.slowest(&self.choice.backend) * 3 / 2;
             (route.target_latency * FIRST_SILENCE_TARGETS).max(usual)
         };
-        Some(self.exchange.node.now() + silence)
+        Some(self.heard_at + silence)
+    }
+
+    /// The longest pause that is still good, with some slack.
+    fn good_pause(&self) -> Duration {
+        self.exchange.route.target_gap.unwrap_or(SILENCE / SILENCE_GAPS) * 6 / 5
     }
 
     fn first_event(&mut self) {
@@ -208,6 +225,7 @@
                 Ok(begun) if begun.head.status.is_success() => {
                     self.exchange.resumed();
                     self.begun = Some(begun);
+                    self.heard_at = self.exchange.node.now();
                     self.has_event = false;
                     return true;
                 }
@@ -238,6 +256,7 @@
             Ok(begun) if begun.head.status.is_success() => {
                 self.exchange.resumed();
                 self.begun = Some(begun);
+                self.heard_at = self.exchange.node.now();
                 true
             }
             Ok(_) => false,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -57,6 +57,9 @@
     pub grace_ms: u64,
     /// Retries of a service, as a share of its requests.
     pub retry_share: f64,
+    /// The window over which retries are counted.
+    #[serde(default = "default_retry_window_ms")]
+    pub retry_window_ms: u64,
     /// Retries of a service beyond its share, in a window, over all nodes.
     pub retry_slack: u32,
     /// The life of the lease on orders.
@@ -133,6 +136,9 @@
         if !(0.0..=1.0).contains(&self.bounds.retry_share) {
             return wrong("bounds.retry_share", "must lie between 0 and 1");
         }
+        if self.bounds.retry_window_ms < 100 {
+            return wrong("bounds.retry_window_ms", "must be 100 or more");
+        }
         if self.bounds.revocation_ms < 500 {
             return wrong("bounds.revocation_ms", "must be 500 or more");
         }
@@ -149,10 +155,14 @@
     }
 }
 
+const fn default_retry_window_ms() -> u64 {
+    10_000
+}
+
 impl BoundSettings {
     /// The age at which the configuration is too old for a request that carries a key.
     pub fn stale_after(&self) -> Duration {
-        Duration::from_millis(self.revocation_ms.saturating_sub(self.revocation_ms / 10))
+        Duration::from_millis(self.revocation_ms.saturating_sub(self.revocation_ms / 25))
     }
 
     /// The age at which an unknown route or key may only be unknown yet.
