--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -19,7 +19,8 @@
         [--node NAME] [--region NAME] [--zone NAME]
         [--callers ADDRESS] [--peers ADDRESS] [--admin ADDRESS]
   forward --settings FILE    run a node that forwards by the operator's routes, on the users' platform
-  check --settings FILE      name every mistake in a node's settings
+  check --settings FILE [--forward]
+                             name every mistake in a node's settings, or the first one in a forwarding node's
   standin NAME --settings FILE
                              run a stand-in for a back end or a service of the platform
   demo [--hold]              run nodes, back ends and the platform in one process, with faults
@@ -59,6 +60,14 @@
         /// The mistake.
         message: String,
     },
+    /// A forwarding node's settings file has a mistake.
+    #[error("{path}: {message}")]
+    ForwardSettings {
+        /// The file.
+        path: PathBuf,
+        /// The mistake.
+        message: String,
+    },
     /// A server could not be started.
     #[error("{0}")]
     Start(String),
@@ -71,6 +80,7 @@
             Self::Usage(_)
             | Self::ReadSettings { .. }
             | Self::Settings { .. }
+            | Self::ForwardSettings { .. }
             | Self::StandinSettings { .. } => ExitCode::from(2),
             Self::Start(_) => ExitCode::from(3),
         }
--- a/crates/cli/src/commands/forward.rs
+++ b/crates/cli/src/commands/forward.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use lexopt::prelude::*;
+use paddlemount_forward::process::StartError;
 use paddlemount_platform::UsersPlatform;
 
 use super::CommandError;
@@ -19,6 +20,12 @@
     let Some(settings) = settings else {
         return Err(CommandError::Usage("--settings FILE is missing".into()));
     };
-    paddlemount_forward::process::run(settings, Box::new(UsersPlatform))
-        .map_err(|error| CommandError::Start(error.to_string()))
+    paddlemount_forward::process::run(settings.clone(), Box::new(UsersPlatform)).map_err(
+        |error| match error {
+            StartError::Settings(error) => {
+                CommandError::ForwardSettings { path: settings, message: error.to_string() }
+            }
+            error @ StartError::System { .. } => CommandError::Start(error.to_string()),
+        },
+    )
 }
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -231,8 +231,8 @@
 
 fn line_of(lines: &Arc<Mutex<Vec<String>>>, event: &str) -> Option<Value> {
     let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
-    let parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
-    parsed.filter(|line| line["event"] == event).next_back()
+    let mut parsed = lines.iter().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    parsed.rfind(|line| line["event"] == event)
 }
 
 async fn wait_for<T>(mut find: impl AsyncFnMut() -> Option<T>) -> T {
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -58,10 +58,10 @@
 
     /// The first event of the answer to a request sent at `sent_at` has arrived, or the request has ended before it.
     pub fn read(&mut self, backend: &BackendId, tokens: u64, sent_at: Timestamp) {
-        if let Some(unanswered) = self.unanswered.get_mut(backend) {
-            if let Some(index) = unanswered.iter().position(|at| *at == sent_at) {
-                unanswered.swap_remove(index);
-            }
+        if let Some(unanswered) = self.unanswered.get_mut(backend)
+            && let Some(index) = unanswered.iter().position(|at| *at == sent_at)
+        {
+            unanswered.swap_remove(index);
         }
         if let Some(load) = self.by_backend.get_mut(backend) {
             load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
