--- a/crates/cli/tests/forward/delivery.rs
+++ b/crates/cli/tests/forward/delivery.rs
@@ -5,7 +5,8 @@
 
 use crate::router::Router;
 
-const WHOLE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
+/// The events of a whole stream.
+pub const WHOLE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
                             id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n";
 
 async fn place_and_router() -> (Place, Router) {
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,3 +4,4 @@
 mod delivery;
 mod ending;
 mod router;
+mod soak;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -74,9 +74,14 @@
 
     /// Starts a node and waits until it listens.
     pub async fn start_unready(place: &Place) -> Self {
-        let text = settings(place, 5_000);
-        let name = format!("paddlemount-forward-{}-{}.toml", std::process::id(), rand_name());
-        let path = std::env::temp_dir().join(name);
+        Self::start_at(place.store_address, "node-1").await
+    }
+
+    /// Starts a node of this name that reaches the store at `store`.
+    pub async fn start_at(store: SocketAddr, name: &str) -> Self {
+        let text = settings_at(store, name, 5_000);
+        let file = format!("paddlemount-forward-{}-{}.toml", std::process::id(), rand_name());
+        let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a settings file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_paddlemount"))
             .args(["forward", "--settings"])
@@ -176,6 +181,16 @@
         self.signal("-TERM");
     }
 
+    /// Stops the process in its place.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
     /// Tells the process that its settings have changed.
     pub fn hang_up(&self) {
         self.signal("-HUP");
@@ -213,13 +228,17 @@
 
 /// Settings of a node on `place`.
 pub fn settings(place: &Place, revocation_ms: u64) -> String {
+    settings_at(place.store_address, "node-1", revocation_ms)
+}
+
+fn settings_at(store: SocketAddr, name: &str, revocation_ms: u64) -> String {
     format!(
-        "node = \"node-1\"\nzone = \"z1\"\n\
+        "node = \"{name}\"\nzone = \"z1\"\n\
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
          [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
          grace_ms = 6000\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
-        place.store_address
+        store
     )
 }
 
