--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -16,7 +16,7 @@
 /// How long an answer may take beyond that.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 /// The least time between two calls, in which entries gather.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER: Duration = Duration::from_millis(140);
 /// The pause between two looks for feeds to follow.
 const LOOK: Duration = Duration::from_millis(300);
 /// The pause after a failed call.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -47,7 +47,7 @@
 /// How long a back end is left alone that refused a request.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 /// How long unused parts must be kept for copies of runs to be worth their room.
-const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(20);
+const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(14);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
 
