--- /dev/null
+++ b/crates/forward/src/account.rs
@@ -0,0 +1,79 @@
+//! What is told of a request when it has ended: one line, and counters.
+
+use std::{sync::Arc, time::Duration};
+
+use paddlemount_core::forwarding::{
+    attempt::Spent,
+    choice::Choice,
+    document::{Route, Tenant},
+};
+use paddlemount_protocol::time::Timestamp;
+
+use crate::{
+    answers::Reason,
+    journal::{Event, RequestLine},
+    metrics::{Counter, kind_label},
+    node::Node,
+};
+
+/// What is told of a request when it has ended.
+#[derive(Debug, Default)]
+pub struct Account {
+    pub(crate) id: Option<String>,
+    pub(crate) route: Option<Arc<Route>>,
+    pub(crate) tenant: Option<Arc<Tenant>>,
+    pub(crate) outcome: Option<&'static str>,
+    pub(crate) status: Option<u16>,
+    pub(crate) reason: Option<Reason>,
+    pub(crate) configuration: Option<u64>,
+    pub(crate) configuration_age: Option<Duration>,
+    pub(crate) choice: Option<Choice>,
+    pub(crate) first_at: Option<Timestamp>,
+    pub(crate) part_at: Option<Timestamp>,
+    pub(crate) longest_gap: Duration,
+    pub(crate) resumed: u32,
+}
+
+impl Account {
+    /// The node itself refuses the request before any back end is chosen.
+    pub(crate) fn refuse(&mut self, node: &Node, arrived: Timestamp, reason: Reason) {
+        self.reason = Some(reason);
+        self.status = Some(reason.status().as_u16());
+        self.outcome = Some(if reason.come_back().is_some() { "refused" } else { "rejected" });
+        self.tell(node, arrived, Spent::default());
+    }
+
+    /// Tells how the request ended.
+    pub(crate) fn tell(&self, node: &Node, arrived: Timestamp, spent: Spent) {
+        // Nothing was concluded: the caller has left.
+        let outcome = self.outcome.unwrap_or("caller_left");
+        let kind = self.route.as_ref().map_or("none", |route| kind_label(route.kind));
+        node.metrics.count(Counter::Requests { kind, outcome });
+        let since = |at: Timestamp| at.saturating_since(arrived).as_millis() as u64;
+        let choice = self.choice.as_ref();
+        let line = RequestLine {
+            request: self.id.as_deref().unwrap_or_default(),
+            route: self.route.as_ref().map(|route| route.name.as_str()),
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            outcome,
+            status: self.status,
+            reason: self.reason,
+            configuration: self.configuration,
+            configuration_age_ms: self.configuration_age.map(|age| age.as_millis() as u64),
+            attempts: spent.sent,
+            backend: choice.map(|choice| choice.backend.as_str()),
+            candidates: choice.map_or(0, |choice| choice.eligible),
+            cost: choice.map_or(0, |choice| choice.cost),
+            expected_tokens: choice.map_or(0, |choice| choice.expected_tokens),
+            held_tokens: choice.map_or(0, |choice| choice.held_tokens),
+            cold_tokens: choice.map_or(0, |choice| choice.cold_tokens),
+            imported: choice.is_some_and(|choice| choice.import_from.is_some()),
+            weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
+            first_ms: self.first_at.map(since),
+            longest_gap_ms: self.longest_gap.as_millis() as u64,
+            total_ms: since(node.now()),
+            resumed: self.resumed,
+        };
+        node.journal.tell(&Event::Request(Box::new(line)));
+    }
+}
--- /dev/null
+++ b/crates/forward/src/beliefs.rs
@@ -0,0 +1,251 @@
+//! What a forwarding node believes, and the back end that follows from it.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use paddlemount_core::{
+    forwarding::{
+        backends::{Backend, BackendId, Backends, Standing},
+        budget::{WindowBudget, WindowBudgetSettings},
+        choice::{Candidate, Choice, Chooser, Placement, Store},
+        freshness::Freshness,
+        partition::{Partition, Side, takes_long},
+        prompt::Prompt,
+        rollout::{Rollout, RolloutSettings},
+        table::{RouteTable, ShareWheel},
+    },
+    health::{Health, HealthEvent, HealthSettings, HealthVerdict},
+};
+use paddlemount_protocol::{
+    identity::{
+        EngineId, FencingToken, ModelId, NodeId, Revision, ServiceId, TenantId, WeightsVersion, ZoneId,
+    },
+    time::Timestamp,
+};
+
+use crate::settings::ForwardSettings;
+
+/// How long after its last failure the store counts as in trouble.
+const TROUBLE: Duration = Duration::from_secs(6);
+/// How long unused parts must be kept for copies of runs to be worth their room.
+const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(14);
+/// The least margin between the bound of named weights and the time from which older ones get no request.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
+
+/// What a node believes.
+pub struct Beliefs {
+    /// The configuration in force.
+    pub table: Option<Rc<RouteTable>>,
+    /// How recent it is.
+    pub freshness: Freshness,
+    /// The back ends.
+    pub backends: Backends,
+    /// Work under way and prefixes held.
+    pub chooser: Chooser,
+    /// What answers have shown of back ends.
+    pub health: Health,
+    /// The named versions of weights.
+    pub rollout: Rollout,
+    /// Who leads, where it is known that somebody does.
+    pub leader: Option<(NodeId, FencingToken)>,
+    /// The revision up to which the store's changes are known.
+    pub revision: Option<Revision>,
+    /// Which back ends long prompts go to first.
+    pub partition: Partition,
+    pub(crate) wheel: ShareWheel,
+    pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
+    pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
+    pub(crate) trouble_at: Option<Timestamp>,
+}
+
+/// What is asked of [`crate::node::Node::place`].
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The route's name.
+    pub route: &'a str,
+    /// The prompt, if any.
+    pub prompt: Option<&'a Prompt>,
+    /// The isolated tenant, if it is one.
+    pub isolated: Option<&'a TenantId>,
+    /// Whether the run's memory is to be copied as it grows, where the engines can do that.
+    pub copied: bool,
+    /// Back ends that have been tried.
+    pub tried: &'a [BackendId],
+    /// A number drawn for the request.
+    pub draw: u64,
+}
+
+impl Beliefs {
+    /// Knows nothing yet.
+    pub fn new(settings: &ForwardSettings) -> Self {
+        let bound = Duration::from_millis(settings.bounds.weights_ms);
+        let rollout = Rollout::new(RolloutSettings {
+            at_once: settings.limits.loads_at_once,
+            bound,
+            margin: WEIGHTS_MARGIN.max(bound / 10),
+        });
+        Self {
+            table: None,
+            freshness: Freshness::default(),
+            backends: Backends::default(),
+            chooser: Chooser::default(),
+            health: Health::new(health_settings()),
+            rollout,
+            leader: None,
+            revision: None,
+            partition: Partition::default(),
+            wheel: ShareWheel::default(),
+            budgets: BTreeMap::new(),
+            refused_until: BTreeMap::new(),
+            trouble_at: None,
+        }
+    }
+
+    /// Whether the store failed not long ago.
+    pub fn in_trouble(&self, now: Timestamp) -> bool {
+        self.trouble_at.is_some_and(|at| now.saturating_since(at) < TROUBLE)
+    }
+
+    /// Whether engines copy runs, and have so much room that copies displace nothing that will be used again.
+    fn can_copy(&self, service: &ServiceId, now: Timestamp) -> bool {
+        let traits = self.table.as_ref().and_then(|table| table.service(service));
+        let Some(engine) = traits.and_then(|service| service.engine.as_ref()) else { return false };
+        let engines = self.backends.usable(service).count() as u64;
+        engine.copies
+            && self.chooser.prefixes.kept_for(engine.cache_tokens * engines, now) >= KEPT_LONG_ENOUGH
+    }
+
+    /// Whether a back end may get work and has these weights.
+    pub fn has_weights(&self, id: &BackendId, model: &ModelId, version: WeightsVersion) -> bool {
+        self.backends.get(id).is_some_and(|backend| {
+            backend.standing == Standing::Ready && backend.entry.weights.get(model) == Some(&version)
+        })
+    }
+
+    /// The store of kept parts, if the configuration has one, under the name by which its feed is known.
+    pub fn store(&self) -> Option<(BackendId, std::net::SocketAddr)> {
+        let table = self.table.as_ref()?;
+        table.services().find_map(|(name, service)| {
+            let kept = service.kept_cache.as_ref()?;
+            Some((BackendId::from(name.as_str()), kept.address))
+        })
+    }
+
+    /// A back end is gone.
+    pub(crate) fn forget(&mut self, id: &BackendId) {
+        self.chooser.forget(id);
+        self.health.apply(id, HealthEvent::Removed, Timestamp::ZERO);
+        self.refused_until.remove(id);
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn budget(&mut self, service: &ServiceId, settings: &ForwardSettings) -> &mut WindowBudget {
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            WindowBudget::new(WindowBudgetSettings {
+                share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
+                reserve: (settings.bounds.retry_slack / settings.limits.most_nodes).max(1),
+                window: Duration::from_millis(settings.bounds.retry_window_ms),
+            })
+        })
+    }
+
+    /// Chooses the back end for a request.
+    pub(crate) fn place(
+        &self,
+        ask: Ask<'_>,
+        zone: &ZoneId,
+        most_nodes: u32,
+        now: Timestamp,
+    ) -> Option<Choice> {
+        let store = self.store();
+        let store = store.as_ref().map(|(id, address)| Store { id, address: *address });
+        let placement = Placement {
+            prompt: ask.prompt,
+            isolated: ask.isolated,
+            zone,
+            draw: ask.draw,
+            store: store.as_ref(),
+            copied: ask.copied && self.can_copy(ask.service, now),
+        };
+        let strict = self.candidates(ask, now, |backend| {
+            self.is_free(backend, ask, now) && self.has_room(backend, ask, most_nodes)
+        });
+        if let Some(choice) = self.chooser.choose(placement, &strict) {
+            return Some(choice);
+        }
+        // Back ends that may be unfit are better than none, but not those that were tried.
+        let lenient = self.candidates(ask, now, |backend| self.has_room(backend, ask, most_nodes));
+        self.chooser.choose(placement, &lenient)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        ask: Ask<'a>,
+        now: Timestamp,
+        fit: impl Fn(&Backend) -> bool,
+    ) -> Vec<Candidate<'a>> {
+        let required = ask.prompt.and_then(|prompt| {
+            let waits = self.chooser.loads.slowest();
+            self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
+        });
+        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route));
+        let long = side.map(|(side, share)| {
+            (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
+        });
+        self.backends
+            .usable(ask.service)
+            .enumerate()
+            .map(|(index, backend)| {
+                let weights = ask.prompt.and_then(|prompt| backend.entry.weights.get(&prompt.model).copied());
+                let untried = !ask.tried.contains(&backend.entry.id);
+                Candidate {
+                    id: &backend.entry.id,
+                    address: backend.entry.address,
+                    zone: &backend.entry.zone,
+                    weights,
+                    eligible: untried && weights >= required && fit(backend),
+                    avoided: long.as_ref().is_some_and(|(side, long)| (*side == Side::Long) != long[index]),
+                }
+            })
+            .collect()
+    }
+
+    /// Whether nothing speaks against a back end for the moment.
+    fn is_free(&self, backend: &Backend, ask: Ask<'_>, now: Timestamp) -> bool {
+        let id: &EngineId = &backend.entry.id;
+        let loading = ask.prompt.is_some() && backend.loading_until.is_some_and(|until| now < until);
+        let refused = self.refused_until.get(id).is_some_and(|until| now < *until);
+        let healthy = match self.health.verdict(id, 0.0, now) {
+            HealthVerdict::Usable | HealthVerdict::SlowStart { .. } | HealthVerdict::Probe => true,
+            HealthVerdict::Ejected { .. } => false,
+        };
+        let suspect = self.chooser.loads.is_suspect(id, now);
+        backend.standing == Standing::Ready && !loading && !refused && healthy && !suspect
+    }
+
+    /// Whether this node has connections left of its part of those that a back end takes.
+    fn has_room(&self, backend: &Backend, ask: Ask<'_>, most_nodes: u32) -> bool {
+        let service = self.table.as_ref().and_then(|table| table.service(ask.service));
+        let Some(most) = service.map(|service| service.max_connections).filter(|most| *most > 0) else {
+            return true;
+        };
+        self.chooser.load(&backend.entry.id).requests < (most / most_nodes).max(2)
+    }
+}
+
+/// When a back end is left alone for what it has failed at.
+pub(crate) fn health_settings() -> HealthSettings {
+    HealthSettings {
+        consecutive_failures: 3,
+        failure_ratio: 0.35,
+        ratio_minimum: 8,
+        window: Duration::from_secs(5),
+        ejection: Duration::from_secs(1),
+        longest_ejection: Duration::from_secs(6),
+        ejected_share: 0.7,
+        probe_timeout: Duration::from_secs(2),
+        slow_start: Duration::from_millis(1),
+        slow_start_floor: 1.0,
+    }
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -7,20 +7,21 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use paddlemount_core::forwarding::{
-    attempt::{self, AttemptEnd, Next, Spent},
+    attempt::{AttemptEnd, Spent},
     backends::BackendId,
     choice::Choice,
-    document::{Route, RouteKind, Tenant},
+    document::{Route, RouteKind},
     table::Admission,
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
-    answers::{AnswerBody, Reason, own_answer, whole},
+    account::Account,
+    answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
-    journal::{Event, RequestLine},
+    beliefs::Ask,
     metrics::{Counter, Distribution, kind_label},
-    node::{Ask, Node},
+    node::Node,
     ports::{CopiedRun, Dispatch, RequestHead},
     relay::Relay,
 };
@@ -30,28 +31,10 @@
 /// The deadline of a caller that names none and of a route without time-out.
 const LONGEST: Duration = Duration::from_secs(60);
 /// The least time that another try needs.
-const LEAST_TIME: Duration = Duration::from_millis(40);
+pub(crate) const LEAST_TIME: Duration = Duration::from_millis(40);
 /// The least time that a try at a silent back end gets before another one is asked.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 
-/// What is told of a request when it has ended.
-#[derive(Debug, Default)]
-pub struct Account {
-    id: Option<String>,
-    route: Option<Arc<Route>>,
-    tenant: Option<Arc<Tenant>>,
-    outcome: Option<&'static str>,
-    status: Option<u16>,
-    reason: Option<Reason>,
-    configuration: Option<u64>,
-    configuration_age: Option<Duration>,
-    choice: Option<Choice>,
-    first_at: Option<Timestamp>,
-    part_at: Option<Timestamp>,
-    longest_gap: Duration,
-    resumed: u32,
-}
-
 /// From where a try goes on.
 #[derive(Debug, Default)]
 pub struct Resume {
@@ -71,12 +54,12 @@
     pub give_up_at: Timestamp,
     /// What it has behind it.
     pub spent: Spent,
-    account: Account,
-    arrived: Timestamp,
+    pub(crate) account: Account,
+    pub(crate) arrived: Timestamp,
     head: RequestHead,
     parts: request::Parts,
     body: Bytes,
-    service: ServiceId,
+    pub(crate) service: ServiceId,
     tried: Vec<BackendId>,
     draw: u64,
 }
@@ -97,8 +80,7 @@
     };
     let waits = head.deadline.unwrap_or(LONGEST).saturating_sub(DEADLINE_MARGIN);
     let give_up_at = arrived + waits.min(route.timeout);
-    let tokens = Rc::clone(&node);
-    tokens.running.set(tokens.running.get() + 1);
+    node.running.set(node.running.get() + 1);
     let mut exchange = Exchange {
         node,
         route,
@@ -355,93 +337,6 @@
         }
     }
 
-    /// Decides what follows a try without answer; an answer where nothing does.
-    fn after(&mut self, choice: &Choice, ended: Ended) -> Option<Response<AnswerBody>> {
-        let next = self.decide(choice, &ended);
-        match next {
-            Next::TryAnother => None,
-            Next::PassOn => {
-                let answer = ended.answer?;
-                Some(self.pass_on_failure(answer))
-            }
-            Next::Refuse => Some(self.give_up(Reason::NotTaken)),
-            Next::Fail => Some(self.give_up(Reason::AnswerLost)),
-        }
-    }
-
-    /// Decides what follows a try without answer, and tells it.
-    pub fn decide(&mut self, choice: &Choice, ended: &Ended) -> Next {
-        let now = self.node.now();
-        let time_left = self.give_up_at.saturating_since(now) >= LEAST_TIME;
-        let (node, service) = (Rc::clone(&self.node), self.service.clone());
-        let budget = || {
-            let granted = node.draw_retry(&service);
-            if granted {
-                node.metrics.count(Counter::Retries);
-            }
-            granted
-        };
-        let next =
-            attempt::next(self.route.kind, self.route.attempts, ended.end, self.spent, time_left, budget);
-        let end = end_label(ended.end);
-        self.node.metrics.count(Counter::Attempts(end));
-        self.node.journal.tell(&Event::AttemptEnded {
-            request: self.id(),
-            attempt: self.spent.sent + self.spent.not_sent,
-            backend: choice.backend.as_str(),
-            end,
-            detail: ended.detail.clone(),
-            next: next_label(next),
-            after_ms: now.saturating_since(self.arrived).as_millis() as u64,
-            reused: ended.reused,
-            budget_left: self.node.retries_left(&self.service),
-        });
-        next
-    }
-
-    /// The answer for a request that is given up, as far as what may have happened allows it.
-    fn give_up(&mut self, reason: Reason) -> Response<AnswerBody> {
-        let time_up = self.node.now() + LEAST_TIME >= self.give_up_at;
-        let reason = match attempt::give_up(self.route.kind, self.spent) {
-            Next::Fail if time_up => Reason::TimeUp,
-            Next::Fail => Reason::AnswerLost,
-            _ if time_up && !self.spent.may_have_run => Reason::TimeUpBeforeSending,
-            _ if self.spent.may_have_run && time_up => Reason::TimeUp,
-            _ if self.spent.may_have_run => Reason::AnswerLost,
-            _ => reason,
-        };
-        self.refuse(reason)
-    }
-
-    fn refuse(&mut self, reason: Reason) -> Response<AnswerBody> {
-        self.account.reason = Some(reason);
-        let answer = own_answer(reason);
-        self.account.status = Some(answer.status().as_u16());
-        self.account.outcome = Some(if reason.come_back().is_some() { "refused" } else { "failed" });
-        answer
-    }
-
-    fn pass_on_failure(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
-        self.account.outcome = Some("backend_failure");
-        self.pass_on_inner(answer)
-    }
-
-    fn pass_on(&mut self, answer: Response<Bytes>, outcome: &'static str) -> Response<AnswerBody> {
-        self.account.outcome = Some(outcome);
-        self.account.first_at = Some(self.node.now());
-        self.pass_on_inner(answer)
-    }
-
-    fn pass_on_inner(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
-        let (mut head, body) = answer.into_parts();
-        self.account.status = Some(head.status.as_u16());
-        strip_connection_headers(&mut head.headers);
-        let mut answer = Response::new(whole(body));
-        *answer.status_mut() = head.status;
-        *answer.headers_mut() = head.headers;
-        answer
-    }
-
     fn relay(mut self, choice: Choice, begun: Begun) -> Response<AnswerBody> {
         self.account.status = Some(begun.head.status.as_u16());
         let mut headers = begun.head.headers.clone();
@@ -500,67 +395,6 @@
     }
 }
 
-impl Account {
-    fn refuse(&mut self, node: &Node, arrived: Timestamp, reason: Reason) {
-        self.reason = Some(reason);
-        self.status = Some(reason.status().as_u16());
-        self.outcome = Some(if reason.come_back().is_some() { "refused" } else { "rejected" });
-        self.tell(node, arrived, Spent::default());
-    }
-
-    fn tell(&self, node: &Node, arrived: Timestamp, spent: Spent) {
-        // Nothing was concluded: the caller has left.
-        let outcome = self.outcome.unwrap_or("caller_left");
-        let kind = self.route.as_ref().map_or("none", |route| kind_label(route.kind));
-        node.metrics.count(Counter::Requests { kind, outcome });
-        let since = |at: Timestamp| at.saturating_since(arrived).as_millis() as u64;
-        let choice = self.choice.as_ref();
-        let line = RequestLine {
-            request: self.id.as_deref().unwrap_or_default(),
-            route: self.route.as_ref().map(|route| route.name.as_str()),
-            tenant: self.tenant.as_ref().map(|tenant| tenant.name.as_str()),
-            outcome,
-            status: self.status,
-            reason: self.reason,
-            configuration: self.configuration,
-            configuration_age_ms: self.configuration_age.map(|age| age.as_millis() as u64),
-            attempts: spent.sent,
-            backend: choice.map(|choice| choice.backend.as_str()),
-            candidates: choice.map_or(0, |choice| choice.eligible),
-            cost: choice.map_or(0, |choice| choice.cost),
-            expected_tokens: choice.map_or(0, |choice| choice.expected_tokens),
-            held_tokens: choice.map_or(0, |choice| choice.held_tokens),
-            cold_tokens: choice.map_or(0, |choice| choice.cold_tokens),
-            imported: choice.is_some_and(|choice| choice.import_from.is_some()),
-            weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
-            first_ms: self.first_at.map(since),
-            longest_gap_ms: self.longest_gap.as_millis() as u64,
-            total_ms: since(node.now()),
-            resumed: self.resumed,
-        };
-        node.journal.tell(&Event::Request(Box::new(line)));
-    }
-}
-
-const fn end_label(end: AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::NotSent => "not_sent",
-        AttemptEnd::NotRun => "not_run",
-        AttemptEnd::Unclear => "unclear",
-        AttemptEnd::FailedAnswer => "failed_answer",
-        AttemptEnd::Copied => "broken_with_copy",
-    }
-}
-
-const fn next_label(next: Next) -> &'static str {
-    match next {
-        Next::TryAnother => "try_another",
-        Next::PassOn => "pass_on",
-        Next::Refuse => "refuse",
-        Next::Fail => "fail",
-    }
-}
-
 /// Whether a route's requests may be resumed at another back end.
 pub const fn is_resumable(kind: RouteKind) -> bool {
     matches!(kind, RouteKind::Stream { resumable: true })
--- /dev/null
+++ b/crates/forward/src/learning.rs
@@ -0,0 +1,155 @@
+//! What a node takes in: facts of the store, and what answers show.
+
+use std::{rc::Rc, time::Duration};
+
+use paddlemount_core::{
+    forwarding::{
+        backends::{BackendEntry, BackendId, Change},
+        document::Document,
+        rollout::NamedAt,
+        table::RouteTable,
+    },
+    health::HealthEvent,
+};
+use paddlemount_protocol::{
+    identity::{Incarnation, ModelId, PoolId, Revision, WeightsVersion},
+    time::Timestamp,
+};
+
+use crate::{beliefs::Beliefs, journal::Event, node::Node, ports::Fact};
+
+/// How long a back end is left alone that is said to load weights, where its end isn't heard of.
+const LOADING: Duration = Duration::from_millis(6_000);
+
+impl Node {
+    /// Takes in facts that the store told up to `revision`, in answer to a call sent at `sent_at`.
+    pub fn learn(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        for fact in facts {
+            self.learn_one(fact, revision);
+        }
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.revision = Some(revision);
+        beliefs.freshness.prove(sent_at);
+    }
+
+    fn learn_one(&self, fact: Fact, revision: Revision) {
+        let now = self.now();
+        match fact {
+            Fact::Document(document) => self.learn_document(*document, revision),
+            Fact::Backend(entry) => self.learn_backend(entry, revision),
+            Fact::BackendGone(id) => self.lose_backend(&id, revision),
+            Fact::WeightsNamed { model, version } => {
+                let first_look = self.beliefs.borrow().revision.is_none();
+                let at = if first_look { NamedAt::Found(now) } else { NamedAt::Heard(now) };
+                let news = self.beliefs.borrow_mut().rollout.name(model.clone(), version, at);
+                if news {
+                    let event = Event::WeightsNamed {
+                        model: model.as_str(),
+                        version: version.0,
+                        revision: revision.0,
+                    };
+                    self.journal.tell(&event);
+                }
+            }
+            Fact::Leader { holder, token } => self.beliefs.borrow_mut().leader = Some((holder, token)),
+            Fact::NoLeader => self.beliefs.borrow_mut().leader = None,
+            Fact::Loading(backends) => self.learn_loading(&backends, now),
+            Fact::Unreadable { key, problem } => {
+                self.journal.tell(&Event::ItemUnreadable { key: &key, problem: &problem });
+            }
+        }
+    }
+
+    fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        let pool = PoolId::from(entry.service.as_str());
+        let seen = HealthEvent::Seen { pool: &pool, incarnation: Incarnation(1) };
+        beliefs.health.apply(&entry.id, seen, self.now());
+        let id = entry.id.clone();
+        let before = beliefs.backends.get(&id).map(|backend| backend.entry.weights.clone());
+        if before.is_some_and(|before| before != entry.weights) {
+            beliefs.chooser.prefixes.forget(&id);
+        }
+        let change = beliefs.backends.put(entry);
+        self.tell_backend(&beliefs, &id, change, revision);
+    }
+
+    fn learn_document(&self, document: Document, revision: Revision) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        let before = beliefs.table.as_ref().map(|table| table.version());
+        if let Some(in_force) = before.filter(|in_force| *in_force >= document.version) {
+            if in_force > document.version {
+                let event = Event::ConfigurationPassedOver { version: document.version, in_force };
+                self.journal.tell(&event);
+            }
+            return;
+        }
+        let version = document.version;
+        let routes = document.routes.len();
+        beliefs.table = Some(Rc::new(RouteTable::new(document)));
+        beliefs.wheel.clear();
+        self.journal.tell(&Event::ConfigurationApplied { version, before, routes, revision: revision.0 });
+    }
+
+    fn learn_loading(&self, loading: &[BackendId], now: Timestamp) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        for id in loading {
+            if let Some(backend) = beliefs.backends.get_mut(id) {
+                backend.loading_until = Some(now + LOADING);
+            }
+        }
+    }
+
+    /// The registry holds no entry of a back end any more.
+    pub fn lose_backend(&self, id: &BackendId, revision: Revision) {
+        let now = self.now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        let trouble = beliefs.in_trouble(now);
+        let service = beliefs.backends.get(id).map(|backend| backend.entry.service.clone());
+        let change = beliefs.backends.remove(id, trouble, now);
+        if let (Change::Removed, Some(service)) = (change, service) {
+            beliefs.forget(id);
+            self.pool.borrow_mut().close(id);
+            let event = Event::BackendChanged {
+                backend: id.as_str(),
+                service: service.as_str(),
+                change: "removed",
+                weights: None,
+                revision: revision.0,
+            };
+            self.journal.tell(&event);
+        } else {
+            self.tell_backend(&beliefs, id, change, revision);
+        }
+    }
+
+    fn tell_backend(&self, beliefs: &Beliefs, id: &BackendId, change: Change, revision: Revision) {
+        let change = match change {
+            Change::Appeared => "appeared",
+            Change::Leaving => "leaving",
+            Change::Updated => "updated",
+            Change::Doubted => "doubted",
+            Change::Removed | Change::None => return,
+        };
+        let Some(backend) = beliefs.backends.get(id) else { return };
+        self.journal.tell(&Event::BackendChanged {
+            backend: id.as_str(),
+            service: backend.entry.service.as_str(),
+            change,
+            weights: backend.entry.weights.values().next().map(|version| version.0),
+            revision: revision.0,
+        });
+    }
+
+    /// An answer, a report or a refusal showed the version that a back end runs on.
+    pub fn saw_weights(&self, id: &BackendId, model: &ModelId, version: WeightsVersion) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        let Some(backend) = beliefs.backends.get_mut(id) else { return };
+        let known = backend.entry.weights.get(model).copied();
+        if known.is_none_or(|known| known < version) {
+            backend.entry.weights.insert(model.clone(), version);
+            backend.loading_until = None;
+            beliefs.chooser.prefixes.forget(id);
+        }
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,18 +9,21 @@
 //! | [`ports`] | what a platform's translation has to offer |
 //! | [`connection`], [`pool`] | connections to back ends |
 //! | [`calls`] | calls to the metadata store and to engines' own interfaces |
-//! | [`node`] | what the node believes and counts |
+//! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`feed`] | follows the metadata store |
 //! | [`kept`] | follows what engines and the store keep |
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
-//! | [`ingress`], [`exchange`], [`relay`] | takes requests, forwards them, passes streams on |
+//! | [`ingress`], [`exchange`], [`attempts`], [`verdicts`], [`relay`] | takes requests, forwards them, decides what follows, passes streams on |
+//! | [`account`] | what is told of a request at its end |
 //! | [`answers`] | the node's own answers |
 //! | [`journal`] | structured log lines |
 //! | [`metrics`] | counters and histograms |
 //! | [`process`] | start, signals, stop |
 
+pub mod account;
 pub mod answers;
 pub mod attempts;
+pub mod beliefs;
 pub mod calls;
 pub mod clock;
 pub mod connection;
@@ -30,6 +33,7 @@
 pub mod journal;
 pub mod kept;
 pub mod leadership;
+pub mod learning;
 pub mod metrics;
 pub mod node;
 pub mod orders;
@@ -38,3 +42,4 @@
 pub mod process;
 pub mod relay;
 pub mod settings;
+pub mod verdicts;
--- /dev/null
+++ b/crates/forward/src/verdicts.rs
@@ -0,0 +1,128 @@
+//! What follows a try without answer, and the answer that a caller gets in the end.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Response;
+use paddlemount_core::forwarding::{
+    attempt::{self, AttemptEnd, Next},
+    choice::Choice,
+};
+
+use crate::{
+    answers::{AnswerBody, Reason, own_answer, whole},
+    attempts::{Ended, strip_connection_headers},
+    exchange::{Exchange, LEAST_TIME},
+    journal::Event,
+    metrics::Counter,
+};
+
+impl Exchange {
+    /// Decides what follows a try without answer; an answer where nothing does.
+    pub(crate) fn after(&mut self, choice: &Choice, ended: Ended) -> Option<Response<AnswerBody>> {
+        let next = self.decide(choice, &ended);
+        match next {
+            Next::TryAnother => None,
+            Next::PassOn => {
+                let answer = ended.answer?;
+                Some(self.pass_on_failure(answer))
+            }
+            Next::Refuse => Some(self.give_up(Reason::NotTaken)),
+            Next::Fail => Some(self.give_up(Reason::AnswerLost)),
+        }
+    }
+
+    /// Decides what follows a try without answer, and tells it.
+    pub fn decide(&mut self, choice: &Choice, ended: &Ended) -> Next {
+        let now = self.node.now();
+        let time_left = self.give_up_at.saturating_since(now) >= LEAST_TIME;
+        let (node, service) = (Rc::clone(&self.node), self.service.clone());
+        let budget = || {
+            let granted = node.draw_retry(&service);
+            if granted {
+                node.metrics.count(Counter::Retries);
+            }
+            granted
+        };
+        let next =
+            attempt::next(self.route.kind, self.route.attempts, ended.end, self.spent, time_left, budget);
+        let end = end_label(ended.end);
+        self.node.metrics.count(Counter::Attempts(end));
+        self.node.journal.tell(&Event::AttemptEnded {
+            request: self.id(),
+            attempt: self.spent.sent + self.spent.not_sent,
+            backend: choice.backend.as_str(),
+            end,
+            detail: ended.detail.clone(),
+            next: next_label(next),
+            after_ms: now.saturating_since(self.arrived).as_millis() as u64,
+            reused: ended.reused,
+            budget_left: self.node.retries_left(&self.service),
+        });
+        next
+    }
+
+    /// The answer for a request that is given up, as far as what may have happened allows it.
+    pub(crate) fn give_up(&mut self, reason: Reason) -> Response<AnswerBody> {
+        let time_up = self.node.now() + LEAST_TIME >= self.give_up_at;
+        let reason = match attempt::give_up(self.route.kind, self.spent) {
+            Next::Fail if time_up => Reason::TimeUp,
+            Next::Fail => Reason::AnswerLost,
+            _ if time_up && !self.spent.may_have_run => Reason::TimeUpBeforeSending,
+            _ if self.spent.may_have_run && time_up => Reason::TimeUp,
+            _ if self.spent.may_have_run => Reason::AnswerLost,
+            _ => reason,
+        };
+        self.refuse(reason)
+    }
+
+    /// Refuses the request, or says that it may have run, as `reason` has it.
+    pub(crate) fn refuse(&mut self, reason: Reason) -> Response<AnswerBody> {
+        self.account.reason = Some(reason);
+        let answer = own_answer(reason);
+        self.account.status = Some(answer.status().as_u16());
+        self.account.outcome = Some(if reason.come_back().is_some() { "refused" } else { "failed" });
+        answer
+    }
+
+    fn pass_on_failure(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
+        self.account.outcome = Some("backend_failure");
+        self.pass_on_inner(answer)
+    }
+
+    /// Passes a back end's answer on.
+    pub(crate) fn pass_on(&mut self, answer: Response<Bytes>, outcome: &'static str) -> Response<AnswerBody> {
+        self.account.outcome = Some(outcome);
+        self.account.first_at = Some(self.node.now());
+        self.pass_on_inner(answer)
+    }
+
+    fn pass_on_inner(&mut self, answer: Response<Bytes>) -> Response<AnswerBody> {
+        let (mut head, body) = answer.into_parts();
+        self.account.status = Some(head.status.as_u16());
+        strip_connection_headers(&mut head.headers);
+        let mut answer = Response::new(whole(body));
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = head.headers;
+        answer
+    }
+}
+
+const fn end_label(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::NotRun => "not_run",
+        AttemptEnd::Unclear => "unclear",
+        AttemptEnd::FailedAnswer => "failed_answer",
+        AttemptEnd::Copied => "broken_with_copy",
+    }
+}
+
+const fn next_label(next: Next) -> &'static str {
+    match next {
+        Next::TryAnother => "try_another",
+        Next::PassOn => "pass_on",
+        Next::Refuse => "refuse",
+        Next::Fail => "fail",
+    }
+}
--- a/crates/forward/tests/journal.rs
+++ b/crates/forward/tests/journal.rs
@@ -10,15 +10,24 @@
     journal::{Event, Journal},
 };
 
+#[derive(Default)]
+struct Output {
+    open: bool,
+    bytes: Vec<u8>,
+}
+
 /// An output that stops until it is let go.
 #[derive(Clone, Default)]
-struct Stopped(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Stopped {
+    output: Arc<Mutex<Output>>,
+    changed: Arc<Condvar>,
+}
 
 impl Write for Stopped {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        let (state, changed) = &*self.0;
-        let mut state = changed.wait_while(state.lock().unwrap(), |state| !state.0).unwrap();
-        state.1.extend_from_slice(bytes);
+        let output = self.output.lock().unwrap();
+        let mut output = self.changed.wait_while(output, |output| !output.open).unwrap();
+        output.bytes.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
@@ -27,28 +36,44 @@
     }
 }
 
+impl Stopped {
+    fn let_go(&self) {
+        self.output.lock().unwrap().open = true;
+        self.changed.notify_all();
+    }
+
+    /// Lines that were written, and lines that were told to be lost.
+    fn written_and_lost(&self) -> (u64, u64) {
+        let text = String::from_utf8(self.output.lock().unwrap().bytes.clone()).unwrap();
+        let lines = text.lines().map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap());
+        lines.fold((0, 0), |(written, lost), line| match line["event"].as_str() {
+            Some("lines_dropped") => (written, lost + line["count"].as_u64().unwrap()),
+            _ => (written + 1, lost),
+        })
+    }
+}
+
 #[test]
-fn a_reader_that_stops_loses_lines_and_they_are_counted() {
+fn a_reader_that_stops_loses_lines_and_each_of_them_is_counted() {
     let output = Stopped::default();
     let journal = Journal::to("n", SteadyClock::start(), output.clone());
-    for running in 0..20_000 {
-        journal.tell(&Event::Stopping { running });
-    }
-    let dropped = journal.dropped();
-    assert!(dropped > 10_000, "{dropped}");
-    {
-        let (state, changed) = &*output.0;
-        state.lock().unwrap().0 = true;
-        changed.notify_all();
+    let mut told = 0;
+    while told < 20_000 || journal.dropped() == 0 {
+        journal.tell(&Event::Stopping { running: 0 });
+        told += 1;
     }
+    output.let_go();
     // Once there is room again, the next line is preceded by the count.
     while journal.dropped() > 0 {
         journal.tell(&Event::Stopping { running: 0 });
+        told += 1;
         std::thread::yield_now();
     }
     loop {
-        let text = String::from_utf8(output.0.0.lock().unwrap().1.clone()).unwrap();
-        if text.contains("lines_dropped") {
+        let (written, lost) = output.written_and_lost();
+        assert!(written + lost <= told);
+        if written + lost == told {
+            assert!(lost > 0);
             return;
         }
         std::thread::yield_now();
