Serve deployments that leave bounds out

Cause: the template wrote an empty value for a bound that a deployment doesn't set (contracts without engines have no lease and no version bound), and the process would not have started.

--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -17,6 +17,7 @@
     /// The metadata store.
     pub store: StoreSettings,
     /// Bounds that the operator has set.
+    #[serde(default)]
     pub bounds: BoundSettings,
     /// What the node allows itself.
     #[serde(default)]
@@ -41,11 +42,13 @@
     /// Its address.
     pub address: SocketAddr,
     /// The shortest life of a lease that it grants, in milliseconds.
+    #[serde(default)]
     pub shortest_lease_ms: u64,
 }
 
-/// Bounds that the operator has set. Times are in milliseconds.
+/// Bounds that the operator has set. Times are in milliseconds. Where the operator sets none, a cautious one holds.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default)]
 pub struct BoundSettings {
     /// A changed configuration is in force after this time.
     pub configuration_ms: u64,
@@ -58,7 +61,6 @@
     /// Retries of a service, as a share of its requests.
     pub retry_share: f64,
     /// The window over which retries are counted.
-    #[serde(default = "default_retry_window_ms")]
     pub retry_window_ms: u64,
     /// Retries of a service beyond its share, in a window, over all nodes.
     pub retry_slack: u32,
@@ -155,8 +157,20 @@
     }
 }
 
-const fn default_retry_window_ms() -> u64 {
-    10_000
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            configuration_ms: 2_000,
+            revocation_ms: 5_000,
+            revocation_fails_closed: false,
+            grace_ms: 8_000,
+            retry_share: 0.1,
+            retry_window_ms: 10_000,
+            retry_slack: 14,
+            lease_ms: 3_000,
+            weights_ms: 8_000,
+        }
+    }
 }
 
 impl BoundSettings {
