Decide a request's rank in the product, not in platform/

Cause: platform/ joined the tenant's and the route's rank into one, which is a decision; the folder may only translate. Ruled out: any change of behaviour; the sum and its bound are as they were. Change: core::forwarding::document::rank; the port carries the rank.

--- a/crates/core/src/forwarding/document.rs
+++ b/crates/core/src/forwarding/document.rs
@@ -138,6 +138,17 @@
     }
 }
 
+/// The lowest rank that a request can have.
+pub const LOWEST_RANK: u8 = 9;
+/// Ranks of routes within one rank of tenants.
+const ROUTE_RANKS: u8 = 3;
+
+/// The rank of a request at an engine, 0 being the highest: its tenant's rank goes ahead of its route's.
+pub fn rank(tenant: Option<&Tenant>, route: &Route) -> u8 {
+    let of_tenant = tenant.map_or(0, |tenant| tenant.priority);
+    of_tenant.saturating_mul(ROUTE_RANKS).saturating_add(route.priority).min(LOWEST_RANK)
+}
+
 /// One tenant.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -5,7 +5,7 @@
 use paddlemount_core::forwarding::{
     attempt::{AttemptEnd, Next, Spent, next},
     backends::{BackendEntry, BackendId, Backends, Change},
-    document::{Document, Route, RouteKind, Share, Tenant},
+    document::{Document, LOWEST_RANK, Route, RouteKind, Share, Tenant, rank},
     events::{EventSplitter, event_id},
     freshness::Freshness,
     table::{Admission, RouteTable, ShareWheel},
@@ -233,3 +233,13 @@
         assert!(given.len() <= bytes.len());
     });
 }
+
+#[test]
+fn a_tenants_rank_goes_ahead_of_its_routes() {
+    let tenant = |priority| Tenant { name: TenantId::from("a"), keys: Vec::new(), priority, isolated: false };
+    let of_route = |priority| Route { priority, ..route("r", "/", &[]) };
+    assert!(rank(Some(&tenant(0)), &of_route(2)) < rank(Some(&tenant(1)), &of_route(0)));
+    assert!(rank(Some(&tenant(1)), &of_route(0)) < rank(Some(&tenant(1)), &of_route(1)));
+    assert_eq!(rank(None, &of_route(2)), 2);
+    assert_eq!(rank(Some(&tenant(200)), &of_route(200)), LOWEST_RANK);
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -10,7 +10,7 @@
     attempt::{AttemptEnd, Spent},
     backends::BackendId,
     choice::Choice,
-    document::{Route, RouteKind},
+    document::{Route, RouteKind, rank},
     table::Admission,
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
@@ -308,7 +308,7 @@
             backend: &choice.backend,
             deadline: self.give_up_at.saturating_since(now),
             tenant: self.account.tenant.as_deref(),
-            route: &self.route,
+            rank: rank(self.account.tenant.as_deref(), &self.route),
             scope: choice.scope.as_ref(),
             import_from: choice.import_from,
             save_to: choice.save_to,
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use paddlemount_core::forwarding::{
     backends::{BackendEntry, BackendId},
-    document::{Document, Route, Tenant},
+    document::{Document, Tenant},
     prefixes::KeptPart,
     prompt::{CacheScope, Prompt},
     rollout::{EngineReport, Manner},
@@ -217,8 +217,8 @@
     pub deadline: Duration,
     /// The tenant, if the request has one.
     pub tenant: Option<&'a Tenant>,
-    /// The route.
-    pub route: &'a Route,
+    /// Its rank at an engine, 0 being the highest.
+    pub rank: u8,
     /// The scope of cached parts.
     pub scope: Option<&'a CacheScope>,
     /// Whom to import the prefix from.
