Load weights on a fifth of a pool at once, prefer the newest ones, ask the store less often

Ruled out: overload by itself; fewer than a fifth of the slots were in use. Tests: a_fifth_of_a_pool_may_load..., requests_prefer_a_version..., a_back_end_with_older_weights_is_left...

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -36,6 +36,8 @@
 const OTHER_ZONE_REQUESTS: f64 = 1.5;
 /// The cost of a back end that is rather left to prompts of the other length, in tokens.
 const AVOIDED_TOKENS: u64 = 4_000;
+/// The cost of a back end whose weights are older than the preferred version, in tokens.
+const OUTDATED_TOKENS: u64 = 6_000;
 /// The same for prompts, in tokens.
 const OTHER_ZONE_TOKENS: u64 = 120;
 
@@ -54,6 +56,8 @@
     pub eligible: bool,
     /// Whether requests of this kind rather go to others.
     pub avoided: bool,
+    /// Whether its weights are older than the version that requests rather begin on.
+    pub outdated: bool,
 }
 
 /// A store of kept parts.
@@ -217,7 +221,8 @@
             let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
             let work = (waiting + choice.cost) as f64 * self.loads.slowness(candidate.id, usual_ms);
             let avoided = if candidate.avoided { AVOIDED_TOKENS } else { 0 };
-            choice.cost = work as u64 + distance + avoided;
+            let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
+            choice.cost = work as u64 + distance + avoided + outdated;
             choice.eligible = eligible;
             let tie = tie(candidate.id, placement.draw);
             if best.as_ref().is_none_or(|(cost, order, _)| (choice.cost, tie) < (*cost, *order)) {
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -29,8 +29,10 @@
 /// Settings of a [`Rollout`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RolloutSettings {
-    /// Back ends that are worked on at the same time, where a third of them is fewer.
-    pub at_once: usize,
+    /// Back ends that may load weights at the same time, also where the share of the pool is fewer.
+    pub least_loads: usize,
+    /// Back ends that may load weights at the same time, in thousandths of the pool.
+    pub loads_per_mille: usize,
     /// The time after which no request may begin on an older version than the named one.
     pub bound: Duration,
     /// How much earlier than the bound older versions are left alone.
@@ -124,11 +126,16 @@
 /// The time that is left to orders that are lost and to a change of leader.
 const RESERVE: Duration = Duration::from_millis(600);
 /// The longest time for which a back end is drained.
-const LONGEST_DRAIN: Duration = Duration::from_millis(4_000);
+const LONGEST_DRAIN: Duration = Duration::from_millis(1_500);
+/// How long after a version was named requests begin to prefer back ends that have it: answers on older weights are
+/// worth less from soon after the naming on.
+const PREFERRED_AFTER: Duration = Duration::from_millis(1_100);
 /// How much before the bound a request that has not begun is taken back.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 /// The longest wait at a back end that is reckoned with.
 const LONGEST_WAIT: Duration = Duration::from_millis(3_000);
+/// Thousandths in a whole.
+const PER_MILLE: usize = 1_000;
 /// One in so many back ends is worked on at the same time.
 const PART: usize = 3;
 /// One in so many back ends with a version shows that it was named long enough ago to be asked of all, where this
@@ -230,7 +237,21 @@
 
     /// A part of the back ends at the same time: the others carry its requests.
     fn at_once(&self, backends: usize) -> usize {
-        (backends / PART).max(self.settings.at_once.min(backends / 2)).max(1)
+        (backends / PART).max(self.loads_at_once(backends).min(backends / 2)).max(1)
+    }
+
+    /// How many of a pool's back ends may load weights at the same time: more of them slow each other down.
+    pub fn loads_at_once(&self, backends: usize) -> usize {
+        (backends * self.settings.loads_per_mille / PER_MILLE).max(self.settings.least_loads)
+    }
+
+    /// The version of a model that requests rather begin on, where one was named long enough ago.
+    pub fn preferred(&self, model: &ModelId, now: Timestamp) -> Option<WeightsVersion> {
+        let ripe = |named: &&Named| match named.at {
+            NamedAt::Heard(at) => now.saturating_since(at) >= PREFERRED_AFTER,
+            NamedAt::Found(_) => true,
+        };
+        self.named.get(model)?.iter().rev().find(ripe).map(|named| named.version)
     }
 
     fn target(&self, backend: &Backend) -> Option<(WeightsVersion, Target)> {
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -38,6 +38,7 @@
             weights: Some(WeightsVersion(self.weights[number])),
             eligible: true,
             avoided: false,
+            outdated: false,
         };
         self.ids.iter().enumerate().map(candidate).collect()
     }
@@ -223,3 +224,17 @@
     let kept = chooser.prefixes.kept_for(100_000, at(10_000)).as_secs();
     assert!((8..14).contains(&kept), "{kept}");
 }
+
+#[test]
+fn a_back_end_with_older_weights_is_left_unless_the_others_have_much_to_do() {
+    let world = World::of(&[1, 2]);
+    let mut chooser = Chooser::default();
+    let prompt = prompt(&[], 800);
+    let mut candidates = world.candidates();
+    candidates[0].outdated = true;
+    let chosen = chooser.choose(world.placement(&prompt, 1), &candidates).expect("a choice");
+    assert_eq!(chosen.backend, world.ids[1]);
+    chooser.loads.started(&world.ids[1], 20_000, Timestamp::from_millis(1));
+    let chosen = chooser.choose(world.placement(&prompt, 1), &candidates).expect("a choice");
+    assert_eq!(chosen.backend, world.ids[0]);
+}
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -33,7 +33,8 @@
 
 fn rollout() -> Rollout {
     Rollout::new(RolloutSettings {
-        at_once: 2,
+        least_loads: 2,
+        loads_per_mille: 200,
         bound: Duration::from_millis(8_000),
         margin: Duration::from_millis(1_000),
     })
@@ -148,3 +149,23 @@
     assert_eq!(step(report(false, 0, 7, 1), 500), Step::Order { sequence: 7, manner: Manner::FinishRunning });
     assert_eq!(step(report(false, 3, 7, 1), 900), Step::Order { sequence: 7, manner: Manner::KeepRunning });
 }
+
+#[test]
+fn a_fifth_of_a_pool_may_load_at_the_same_time_and_two_engines_of_a_small_one() {
+    let rollout = rollout();
+    assert_eq!(rollout.loads_at_once(6), 2);
+    assert_eq!(rollout.loads_at_once(12), 2);
+    assert_eq!(rollout.loads_at_once(18), 3);
+    assert_eq!(rollout.loads_at_once(90), 18);
+    assert_eq!(rollout.loads_at_once(140), 28);
+}
+
+#[test]
+fn requests_prefer_a_version_soon_after_it_was_named() {
+    let mut rollout = rollout();
+    rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
+    rollout.name(model(), WeightsVersion(3), NamedAt::Heard(at(2_000)));
+    assert_eq!(rollout.preferred(&model(), at(900)), None);
+    assert_eq!(rollout.preferred(&model(), at(1_400)), Some(WeightsVersion(2)));
+    assert_eq!(rollout.preferred(&model(), at(3_400)), Some(WeightsVersion(3)));
+}
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -81,7 +81,8 @@
     pub fn new(settings: &ForwardSettings) -> Self {
         let bound = Duration::from_millis(settings.bounds.weights_ms);
         let rollout = Rollout::new(RolloutSettings {
-            at_once: settings.limits.loads_at_once,
+            least_loads: settings.limits.loads_at_once,
+            loads_per_mille: (settings.limits.loads_share * 1_000.0) as usize,
             bound,
             margin: WEIGHTS_MARGIN.max(bound / 10),
         });
@@ -189,6 +190,7 @@
             let waits = self.chooser.loads.slowest();
             self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
         });
+        let preferred = ask.prompt.and_then(|prompt| self.rollout.preferred(&prompt.model, now));
         let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route));
         let long = side.map(|(side, share)| {
             (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
@@ -205,6 +207,7 @@
                     zone: &backend.entry.zone,
                     weights,
                     eligible: untried && weights >= required && fit(backend),
+                    outdated: weights < preferred,
                     avoided: long.as_ref().is_some_and(|(side, long)| (*side == Side::Long) != long[index]),
                 }
             })
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -22,8 +22,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after a failed call.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// The least time between two watches, in which changes gather.
-const GATHER: Duration = Duration::from_millis(200);
+/// The least time between two watches of the leader, whose orders wait for news.
+const LEADER_GATHER: Duration = Duration::from_millis(200);
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, thiserror::Error)]
@@ -156,6 +156,11 @@
         self.node.journal.tell(&Event::StoreListed { items, revision: revision.0 });
     }
 
+    /// The least time between two watches, in which changes gather: each answer costs a call.
+    fn gather(&self) -> Duration {
+        if self.node.token().is_some() { LEADER_GATHER } else { self.node.settings().bounds.gather() }
+    }
+
     async fn account(&mut self, result: Result<(), StoreError>) {
         let now = self.node.now();
         match result {
@@ -165,7 +170,7 @@
                     self.node.journal.tell(&Event::StoreRegained { after_ms });
                 }
                 self.failures = 0;
-                tokio::time::sleep(GATHER).await;
+                tokio::time::sleep(self.gather()).await;
             }
             Err(error) => {
                 if self.failing_since.is_none() {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -14,7 +14,7 @@
     identity::{FencingToken, ServiceId},
     time::Timestamp,
 };
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 
 use crate::{
     beliefs::{Ask, Beliefs, health_settings},
@@ -52,8 +52,8 @@
     pub stopping: Cell<bool>,
     /// Requests that have not ended.
     pub running: Cell<usize>,
-    /// Turns to load weights, while this node leads.
-    pub loads: Semaphore,
+    /// Engines that load weights by this node's orders, while it leads.
+    pub loading: Cell<usize>,
     /// Told where an order has ended.
     pub order_ended: Notify,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -69,7 +69,6 @@
         journal: Journal,
     ) -> Self {
         let store = Caller::new(settings.store.address, clock);
-        let loads = Semaphore::new(settings.limits.loads_at_once);
         let beliefs = Beliefs::new(&settings);
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -82,7 +81,7 @@
             store,
             stopping: Cell::new(false),
             running: Cell::new(0),
-            loads,
+            loading: Cell::new(0),
             order_ended: Notify::new(),
             leading: Cell::new(None),
         }
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use paddlemount_core::forwarding::rollout::{EngineReport, Manner, Step, Target, after_report};
+use paddlemount_core::forwarding::{
+    backends::Standing,
+    rollout::{EngineReport, Manner, Step, Target, after_report},
+};
 use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
 
 use crate::{
@@ -22,6 +25,8 @@
 const AGAIN: Duration = Duration::from_millis(200);
 /// The first look at an engine after an order that it took.
 const FIRST_LOOK: Duration = Duration::from_millis(500);
+/// The pause between two looks whether another engine may load.
+const TURN_PAUSE: Duration = Duration::from_millis(25);
 /// How long one engine is worked on before others get their turn.
 const LONGEST: Duration = Duration::from_secs(9);
 
@@ -40,11 +45,11 @@
     let backends = targets.iter().map(|target| target.backend.clone()).collect();
     // Nodes that do not hear of it learn it from refusals.
     let _ = ask_store(node, &StoreCall::Announce { token, backends }, STORE_PATIENCE).await;
-    for target in targets {
+    for mut target in targets {
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
             let began = node.now();
-            let outcome = bring(&node, &target, token, began).await;
+            let outcome = bring(&node, &mut target, token, began).await;
             tell(&node, &target, None, token, outcome, began);
             release(&node, std::slice::from_ref(&target));
             node.order_ended.notify_one();
@@ -63,7 +68,7 @@
 }
 
 /// Brings one engine to its version. What happened to an order whose answer is lost is read from the engine's report.
-async fn bring(node: &Node, target: &Target, token: FencingToken, began: Timestamp) -> &'static str {
+async fn bring(node: &Node, target: &mut Target, token: FencingToken, began: Timestamp) -> &'static str {
     let address = node.beliefs.borrow().backends.get(&target.backend).map(|backend| backend.entry.address);
     let Some(address) = address else { return "gone" };
     let engine = Caller::new(address, node.clock);
@@ -71,6 +76,10 @@
         if node.token() != Some(token) {
             return "leadership lost";
         }
+        // A newer version may have been named meanwhile: one load then serves both.
+        if let Some(newest) = node.beliefs.borrow().rollout.newest(&target.model) {
+            target.version = newest;
+        }
         let Some(report) = report(node, &engine).await else {
             tokio::time::sleep(AGAIN).await;
             continue;
@@ -126,11 +135,7 @@
     sequence: u64,
     manner: Manner,
 ) -> Option<OrderAnswer> {
-    // Loads that wait for each other take longer than loads one after the other.
-    let _turn = node.loads.acquire().await.ok()?;
-    if node.token() != Some(token) {
-        return None;
-    }
+    let _turn = LoadTurn::take(node, token).await?;
     let began = node.now();
     let order = WeightsOrder {
         backend: target.backend.clone(),
@@ -160,6 +165,39 @@
     answer
 }
 
+/// One of the few engines that load at the same time: loads that wait for each other take longer than loads one after
+/// the other.
+struct LoadTurn<'a>(&'a Node);
+
+impl<'a> LoadTurn<'a> {
+    /// Waits for a turn; none where the leadership was lost meanwhile.
+    async fn take(node: &'a Node, token: FencingToken) -> Option<Self> {
+        while node.token() == Some(token) {
+            if node.loading.get() < most_loads(node) {
+                node.loading.set(node.loading.get() + 1);
+                return Some(Self(node));
+            }
+            tokio::time::sleep(TURN_PAUSE).await;
+        }
+        None
+    }
+}
+
+impl Drop for LoadTurn<'_> {
+    fn drop(&mut self) {
+        self.0.loading.set(self.0.loading.get().saturating_sub(1));
+    }
+}
+
+fn most_loads(node: &Node) -> usize {
+    let beliefs = node.beliefs.borrow();
+    let engines = beliefs
+        .backends
+        .iter()
+        .filter(|backend| backend.standing == Standing::Ready && !backend.entry.weights.is_empty());
+    beliefs.rollout.loads_at_once(engines.count())
+}
+
 fn tell(
     node: &Node,
     target: &Target,
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -71,20 +71,22 @@
 }
 
 /// What the node allows itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct LimitSettings {
     /// The greatest number of nodes that share the retry slack.
     pub most_nodes: u32,
     /// Descriptors that the process may open.
     pub descriptors: u32,
-    /// Back ends that load weights at the same time.
+    /// Back ends of a pool that may load weights at the same time, where `loads_share` gives fewer.
     pub loads_at_once: usize,
+    /// Back ends of a pool that may load weights at the same time, as a share of the pool.
+    pub loads_share: f64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { most_nodes: 14, descriptors: 1_024, loads_at_once: 2 }
+        Self { most_nodes: 14, descriptors: 1_024, loads_at_once: 2, loads_share: 0.2 }
     }
 }
 
@@ -153,6 +155,9 @@
         if self.limits.loads_at_once == 0 {
             return wrong("limits.loads_at_once", "must be 1 or more");
         }
+        if !(0.0..=1.0).contains(&self.limits.loads_share) {
+            return wrong("limits.loads_share", "must lie between 0 and 1");
+        }
         Ok(())
     }
 }
@@ -184,6 +189,11 @@
         Duration::from_millis(self.configuration_ms * 3 / 2)
     }
 
+    /// How long changes gather between two watches of the store.
+    pub fn gather(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms / 4).clamp(100, 1_000))
+    }
+
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
     pub fn watch_wait(&self) -> Duration {
         Duration::from_millis((self.revocation_ms * 2 / 5).clamp(200, 5_000))
