--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -47,6 +47,11 @@
         Self { settings, steps: VecDeque::new() }
     }
 
+    /// Sets the repeats beside, as when the number of nodes that share them has changed.
+    pub const fn set_reserve(&mut self, reserve: u32) {
+        self.settings.reserve = reserve;
+    }
+
     /// A request was sent for the first time.
     pub fn request(&mut self, now: Timestamp) {
         self.step(now).requests += 1;
--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -7,9 +7,10 @@
 //!
 //! For other services the measure is the number of requests at the back end, weighed by how long it takes.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use paddlemount_protocol::{
+    fleet::KeptNews,
     identity::{TenantId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
@@ -19,7 +20,7 @@
     backends::BackendId,
     load::{BackendLoad, Loads},
     prefixes::{KeptPart, Prefixes, ScopeHash},
-    prompt::{CacheScope, Prompt},
+    prompt::{CacheScope, PartId, Prompt},
 };
 
 /// The cost of importing a token, in thousandths of the cost of reading it.
@@ -30,6 +31,8 @@
 const IMPORT_MINIMUM_TOKENS: u32 = 16;
 /// The cost of reading a part elsewhere than at its home, in multiples of reading it there: it may be read twice.
 const READ_TWICE: u64 = 4;
+/// Back ends that are homes of a part, where few others are weighed.
+const HOMES: usize = 2;
 /// The cost of a request that is being answered, in tokens read.
 const RUNNING_TOKENS: u64 = 40;
 /// The cost of a back end in another zone, in requests, for services without prompts.
@@ -82,6 +85,9 @@
     pub draw: u64,
     /// The store of kept parts, if there is one.
     pub store: Option<&'a Store<'a>>,
+    /// How many back ends are weighed, drawn for the request, beside the homes of its parts; all where none is given.
+    /// Where many nodes choose with the same late knowledge, each must weigh others, or all choose the same one.
+    pub considered: Option<usize>,
     /// Whether the run's memory is to be copied to another back end as it grows.
     pub copied: bool,
 }
@@ -136,7 +142,7 @@
     weights: WeightsVersion,
     scope: CacheScope,
     hash: ScopeHash,
-    home: Option<&'a BackendId>,
+    homes: Vec<&'a BackendId>,
     cold_tokens: u32,
 }
 
@@ -152,9 +158,27 @@
         self.loads.of(backend)
     }
 
-    /// A back end has read the shared parts of a prompt.
-    pub fn learned(&mut self, backend: &BackendId, scope: &CacheScope, prompt: &Prompt, now: Timestamp) {
-        self.prefixes.read(backend, scope.into(), prompt.shared(), now);
+    /// A back end has read the shared parts of a prompt. Gives what is news for other nodes.
+    pub fn learned(
+        &mut self,
+        backend: &BackendId,
+        scope: &CacheScope,
+        prompt: &Prompt,
+        now: Timestamp,
+    ) -> Vec<KeptNews> {
+        let news = |part: KeptPart| KeptNews {
+            engine: backend.clone(),
+            scope: part.scope.0,
+            part: part.part.0,
+            tokens: part.tokens,
+        };
+        self.prefixes.read(backend, scope.into(), prompt.shared(), now).into_iter().map(news).collect()
+    }
+
+    /// Another node has learned what a back end keeps.
+    pub fn heard(&mut self, news: &KeptNews, now: Timestamp) {
+        let kept = KeptPart { scope: ScopeHash(news.scope), part: PartId(news.part), tokens: news.tokens };
+        self.prefixes.set(&news.engine, &kept, now);
     }
 
     /// A feed told what a back end keeps.
@@ -175,7 +199,8 @@
     fn choose_by_requests(&self, placement: Placement<'_>, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let usual_ms = self.loads.usual_ms(candidates.iter().map(|candidate| candidate.id));
         let cost = |candidate: &Candidate<'_>| {
-            let requests = f64::from(self.load(candidate.id).requests) + 1.0;
+            let others = self.loads.of_others(candidate.id).map_or(0, |work| work.requests);
+            let requests = f64::from(self.load(candidate.id).requests + others) + 1.0;
             let distance = if candidate.zone == placement.zone { 0.0 } else { OTHER_ZONE_REQUESTS };
             ((requests * self.loads.slowness(candidate.id, usual_ms) + distance) * 1_000.0) as u64
         };
@@ -207,6 +232,7 @@
         let eligible = candidates.iter().filter(|candidate| candidate.eligible).count();
         let mut groups: Vec<Group<'_>> = Vec::new();
         let mut best: Option<(u64, u64, Choice)> = None;
+        let drawn_below = drawn_below(placement, candidates);
         for candidate in candidates.iter().filter(|candidate| candidate.eligible) {
             let Some(weights) = candidate.weights else { continue };
             let known = groups.iter().position(|group| group.weights == weights);
@@ -215,16 +241,18 @@
                 groups.len() - 1
             });
             let group = &groups[index];
+            let tie = tie(candidate.id, placement.draw);
+            if drawn_below.is_some_and(|below| tie > below) && !group.homes.contains(&candidate.id) {
+                continue;
+            }
             let mut choice = self.weigh(candidate, group, placement, prompt, candidates);
-            let load = self.load(candidate.id);
-            let waiting = load.unread_tokens + u64::from(load.requests) * RUNNING_TOKENS;
+            let waiting = self.waiting_tokens(candidate.id);
             let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
             let work = (waiting + choice.cost) as f64 * self.loads.slowness(candidate.id, usual_ms);
             let avoided = if candidate.avoided { AVOIDED_TOKENS } else { 0 };
             let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
             choice.cost = work as u64 + distance + avoided + outdated;
             choice.eligible = eligible;
-            let tie = tie(candidate.id, placement.draw);
             if best.as_ref().is_none_or(|(cost, order, _)| (choice.cost, tie) < (*cost, *order)) {
                 best = Some((choice.cost, tie, choice));
             }
@@ -236,6 +264,17 @@
         Some(choice)
     }
 
+    /// The work under way at a back end, in tokens, as far as it is known.
+    fn waiting_tokens(&self, id: &BackendId) -> u64 {
+        let own = self.load(id);
+        let own_tokens = own.unread_tokens + u64::from(own.requests) * RUNNING_TOKENS;
+        // What others tell is some hundred milliseconds old: about half of what was to be read has been.
+        let others = self.loads.of_others(id);
+        let other_tokens =
+            others.map_or(0, |work| work.unread_tokens / 2 + u64::from(work.requests) * RUNNING_TOKENS);
+        own_tokens + other_tokens
+    }
+
     /// Who gets a copy: the back end with the least under way among those with the same weights.
     fn copy_holder(
         &self,
@@ -269,15 +308,22 @@
             shared.iter().skip_while(|part| part.id != cold.id).map(|part| part.tokens).sum()
         });
         let rank =
-            |candidate: &&Candidate<'a>, seed| xxh3_64_with_seed(candidate.id.as_str().as_bytes(), seed);
-        let home = cold.and_then(|cold| {
+            |candidate: &Candidate<'a>, seed| xxh3_64_with_seed(candidate.id.as_str().as_bytes(), seed);
+        // Where all back ends are weighed, a part is read at one place until it is known to be kept. Where few are
+        // drawn, the homes of a request's last shared part are weighed beside them, also when it is kept already.
+        let (subject, homes) = match placement.considered {
+            None => (cold, 1),
+            Some(_) => (shared.last(), HOMES),
+        };
+        let homes = subject.map_or_else(Vec::new, |part| {
             let same = candidates
                 .iter()
                 .filter(|candidate| candidate.eligible && candidate.weights == Some(weights));
-            same.max_by_key(|candidate| (!candidate.avoided, rank(candidate, cold.id.0)))
-                .map(|candidate| candidate.id)
+            let mut ranked: Vec<&Candidate<'a>> = same.collect();
+            ranked.sort_by_key(|candidate| (candidate.avoided, Reverse(rank(candidate, part.id.0))));
+            ranked.into_iter().take(homes).map(|candidate| candidate.id).collect()
         });
-        Group { weights, scope, hash, home, cold_tokens }
+        Group { weights, scope, hash, homes, cold_tokens }
     }
 
     /// What the request would cost at `candidate` itself, and where its prefix would come from.
@@ -299,7 +345,8 @@
             .filter(|(_, kept)| *kept >= held + IMPORT_MINIMUM_TOKENS);
         let imported = source.map_or(0, |(_, kept)| u64::from(kept - held));
         let read = u64::from(shared_tokens - held) - imported;
-        let factor = if group.home.is_none_or(|home| home == candidate.id) { 1 } else { READ_TWICE };
+        let is_home = group.homes.is_empty() || group.homes.contains(&candidate.id);
+        let factor = if is_home { 1 } else { READ_TWICE };
         let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported * IMPORT_PER_MILLE / 1_000);
         let store = placement.store.map(|store| store.address);
         Choice {
@@ -333,12 +380,7 @@
         let best = others
             .map(|other| (other, kept(other.id)))
             .max_by_key(|(other, kept)| {
-                (
-                    *kept,
-                    other.eligible,
-                    other.zone == candidate.zone,
-                    std::cmp::Reverse(self.load(other.id).requests),
-                )
+                (*kept, other.eligible, other.zone == candidate.zone, Reverse(self.load(other.id).requests))
             })
             .map(|(other, kept)| (other.address, kept));
         let stored = placement.store.map(|store| (store.address, kept(store.id)));
@@ -350,6 +392,18 @@
     }
 }
 
+/// The greatest draw of the back ends that are weighed for a request; nothing where all are.
+fn drawn_below(placement: Placement<'_>, candidates: &[Candidate<'_>]) -> Option<u64> {
+    let considered = placement.considered?;
+    let eligible = candidates.iter().filter(|candidate| candidate.eligible);
+    let mut draws: Vec<u64> = eligible.map(|candidate| tie(candidate.id, placement.draw)).collect();
+    if draws.len() <= considered {
+        return None;
+    }
+    let (_, last, _) = draws.select_nth_unstable(considered.saturating_sub(1));
+    Some(*last)
+}
+
 fn tie(backend: &BackendId, draw: u64) -> u64 {
     xxh3_64_with_seed(backend.as_str().as_bytes(), draw)
 }
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use paddlemount_protocol::time::Timestamp;
+use paddlemount_protocol::{fleet::EngineWork, time::Timestamp};
 
 use super::backends::BackendId;
 
@@ -45,6 +45,8 @@
     by_backend: BTreeMap<BackendId, BackendLoad>,
     /// When requests were sent that no first byte has come for, by back end.
     unanswered: BTreeMap<BackendId, Vec<Timestamp>>,
+    /// What other nodes have under way, as they have told lately.
+    others: BTreeMap<BackendId, EngineWork>,
 }
 
 impl Loads {
@@ -89,6 +91,27 @@
         self.by_backend.get(backend).copied().unwrap_or_default()
     }
 
+    /// Other nodes have told what they have under way; nothing of what they told before holds on.
+    pub fn told(&mut self, work: Vec<EngineWork>) {
+        self.others = work.into_iter().map(|work| (work.engine.clone(), work)).collect();
+    }
+
+    /// What other nodes have under way at a back end, as far as they have told.
+    pub fn of_others(&self, backend: &BackendId) -> Option<&EngineWork> {
+        self.others.get(backend)
+    }
+
+    /// What this node has under way, to be told.
+    pub fn own_work(&self) -> Vec<EngineWork> {
+        let busy = self.by_backend.iter().filter(|(_, load)| load.requests > 0);
+        let work = |(backend, load): (&BackendId, &BackendLoad)| EngineWork {
+            engine: backend.clone(),
+            requests: load.requests,
+            unread_tokens: load.unread_tokens,
+        };
+        busy.map(work).collect()
+    }
+
     /// Whether a request has waited at a back end for much longer than answers there have lately taken: nothing more
     /// is sent there as long as others are left.
     pub fn is_suspect(&self, backend: &BackendId, now: Timestamp) -> bool {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -12,6 +12,9 @@
 //! | [`attempt`] | what may follow the end of a try |
 //! | [`budget`] | whether a request may be repeated |
 //! | [`events`] | which events of a stream are whole and may be passed on |
+//! | [`fleet`] | what a node knows of the others, and whom it reports to |
+//! | [`news`] | news of what engines keep, on its way between nodes |
+//! | [`relay_log`] | answers of the store, remembered for other nodes |
 //! | [`rollout`] | which back end gets new weights next |
 //!
 //! Everything here is pure: the present time is an argument.
@@ -22,10 +25,13 @@
 pub mod choice;
 pub mod document;
 pub mod events;
+pub mod fleet;
 pub mod freshness;
 pub mod load;
+pub mod news;
 pub mod partition;
 pub mod prefixes;
 pub mod prompt;
+pub mod relay_log;
 pub mod rollout;
 pub mod table;
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -19,12 +19,14 @@
 /// Engines keep parts by blocks; a part is whole where less than a block of it is missing.
 const BLOCK_TOKENS: u32 = 16;
 
+/// How long it is no news that a back end keeps a part.
+const NEWS_AGAIN: Duration = Duration::from_secs(4);
 /// The time in which what was counted fades to a third.
 const FADES: Duration = Duration::from_secs(4);
 
 /// A scope in short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ScopeHash(u64);
+pub struct ScopeHash(pub u64);
 
 impl ScopeHash {
     /// The hash of a scope's text, as feeds tell it.
@@ -53,6 +55,8 @@
 #[derive(Debug, Default)]
 struct Keepers {
     by_backend: Vec<(BackendId, u32)>,
+    /// When it was last told to other nodes.
+    told_at: Option<Timestamp>,
     used_at: Timestamp,
 }
 
@@ -103,11 +107,42 @@
         Duration::try_from_secs_f64(room as f64 / per_second.max(1.0)).unwrap_or(Duration::MAX)
     }
 
-    /// A back end has read all of `parts`.
-    pub fn read(&mut self, backend: &BackendId, scope: ScopeHash, parts: &[Part], now: Timestamp) {
-        for part in parts {
-            self.set(backend, &KeptPart { scope, part: part.id, tokens: part.tokens }, now);
+    /// A back end has read all of `parts`. Gives what is news for other nodes.
+    pub fn read(
+        &mut self,
+        backend: &BackendId,
+        scope: ScopeHash,
+        parts: &[Part],
+        now: Timestamp,
+    ) -> Vec<KeptPart> {
+        let kept = parts.iter().map(|part| KeptPart { scope, part: part.id, tokens: part.tokens });
+        kept.filter(|part| self.note_read(backend, part, now)).collect()
+    }
+
+    /// Notes that a back end keeps a part; whether other nodes should hear of it.
+    fn note_read(&mut self, backend: &BackendId, part: &KeptPart, now: Timestamp) -> bool {
+        let before = self.keeps(backend, part);
+        self.set(backend, part, now);
+        let Some(keepers) = self.keepers.get_mut(&(part.scope, part.part)) else { return false };
+        let told_lately = keepers.told_at.is_some_and(|at| now.saturating_since(at) < NEWS_AGAIN);
+        if before && told_lately {
+            return false;
         }
+        keepers.told_at = Some(now);
+        true
+    }
+
+    /// Whether a back end is believed to keep at least so much of a part.
+    pub fn keeps(&self, backend: &BackendId, part: &KeptPart) -> bool {
+        let keepers = self.keepers.get(&(part.scope, part.part));
+        keepers.is_some_and(|keepers| {
+            keepers.by_backend.iter().any(|(keeper, tokens)| keeper == backend && *tokens >= part.tokens)
+        })
+    }
+
+    /// Whether a back end is believed to keep anything of a part.
+    pub fn keeps_any(&self, backend: &BackendId, scope: ScopeHash, part: PartId) -> bool {
+        self.keeps(backend, &KeptPart { scope, part, tokens: 1 })
     }
 
     /// A back end keeps nothing any more.
--- /dev/null
+++ b/crates/core/src/forwarding/relay_log.rs
@@ -0,0 +1,56 @@
+//! Answers of the metadata store, remembered for the nodes below.
+//!
+//! The answers to one watch after the other tell all changes without a gap. A node below that knows all up to some
+//! revision gets the answers from there on. Where they are not remembered any more, or are too large to be passed on,
+//! it asks the store itself.
+
+use std::collections::VecDeque;
+
+use paddlemount_protocol::{fleet::RelayedAnswer, identity::Revision};
+
+/// Answers remembered.
+const MOST_ANSWERS: usize = 64;
+/// Bytes of answers that are remembered, and passed on at once.
+const MOST_BYTES: usize = 96 << 10;
+
+/// Remembered answers.
+#[derive(Debug, Default)]
+pub struct RelayLog {
+    answers: VecDeque<RelayedAnswer>,
+    bytes: usize,
+}
+
+impl RelayLog {
+    /// An answer came. One that doesn't follow the last begins the log anew.
+    pub fn push(&mut self, answer: RelayedAnswer) {
+        if self.answers.back().is_some_and(|last| last.upto != answer.after) {
+            self.clear();
+        }
+        if answer.upto <= answer.after {
+            return;
+        }
+        self.bytes += answer.body.len();
+        self.answers.push_back(answer);
+        while self.answers.len() > MOST_ANSWERS || self.bytes > MOST_BYTES {
+            let Some(oldest) = self.answers.pop_front() else { break };
+            self.bytes -= oldest.body.len();
+        }
+    }
+
+    /// Everything was listed anew.
+    pub fn clear(&mut self) {
+        self.answers.clear();
+        self.bytes = 0;
+    }
+
+    /// The answers that lead from `known` to `newest`; nothing where they are not all remembered.
+    pub fn since(&self, known: Revision, newest: Revision) -> Option<Vec<RelayedAnswer>> {
+        if known == newest {
+            return Some(Vec::new());
+        }
+        let first = self.answers.iter().position(|answer| answer.upto > known)?;
+        let reaches = self.answers.back().is_some_and(|last| last.upto >= newest);
+        let follows = self.answers[first].after <= known;
+        (reaches && follows).then(|| self.answers.iter().skip(first).cloned().collect())
+    }
+}
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -44,7 +44,15 @@
     }
 
     fn placement<'a>(&'a self, prompt: &'a Prompt, draw: u64) -> Placement<'a> {
-        Placement { prompt: Some(prompt), isolated: None, zone: &self.zone, draw, store: None, copied: false }
+        Placement {
+            prompt: Some(prompt),
+            isolated: None,
+            zone: &self.zone,
+            draw,
+            store: None,
+            considered: None,
+            copied: false,
+        }
     }
 }
 
@@ -150,8 +158,15 @@
 fn requests_without_prompts_go_where_fewest_are_and_avoid_a_slow_back_end() {
     let world = World::of(&[1; 3]);
     let mut chooser = Chooser::default();
-    let placement =
-        Placement { prompt: None, isolated: None, zone: &world.zone, draw: 3, store: None, copied: false };
+    let placement = Placement {
+        prompt: None,
+        isolated: None,
+        zone: &world.zone,
+        draw: 3,
+        store: None,
+        considered: None,
+        copied: false,
+    };
     chooser.loads.started(&world.ids[0], 0, Timestamp::ZERO);
     chooser.loads.started(&world.ids[1], 0, Timestamp::ZERO);
     let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -24,6 +24,12 @@
 
 use crate::settings::ForwardSettings;
 
+/// Connections to one back end that each node may have, however many nodes there are.
+const LEAST_CONNECTIONS: u32 = 6;
+/// Nodes up to which each knows by itself enough of what is under way to weigh all back ends.
+const KNOWING_NODES: usize = 8;
+/// Back ends that are weighed for a request at least.
+const LEAST_CONSIDERED: usize = 6;
 /// How long after its last failure the store counts as in trouble.
 const TROUBLE: Duration = Duration::from_secs(6);
 /// How long unused parts must be kept for copies of runs to be worth their room.
@@ -46,7 +52,7 @@
     /// The named versions of weights.
     pub rollout: Rollout,
     /// Who leads, where it is known that somebody does.
-    pub leader: Option<(NodeId, FencingToken)>,
+    pub leader: Option<Leader>,
     /// The revision up to which the store's changes are known.
     pub revision: Option<Revision>,
     /// Which back ends long prompts go to first.
@@ -57,6 +63,33 @@
     pub(crate) trouble_at: Option<Timestamp>,
 }
 
+/// The node that leads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// The node.
+    pub holder: NodeId,
+    /// The fencing token of its orders.
+    pub token: FencingToken,
+    /// Where it takes other nodes' reports.
+    pub peers: Option<std::net::SocketAddr>,
+}
+
+/// How many nodes there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Nodes {
+    /// As counted by the root, where this node has heard of it.
+    pub counted: Option<u32>,
+    /// As the settings assume.
+    pub assumed: u32,
+}
+
+impl Nodes {
+    /// The greatest number that may act.
+    pub fn most(self) -> u32 {
+        self.counted.unwrap_or(self.assumed).max(1)
+    }
+}
+
 /// What is asked of [`crate::node::Node::place`].
 #[derive(Clone, Copy)]
 pub struct Ask<'a> {
@@ -141,24 +174,28 @@
     }
 
     /// The retry budget of a service.
-    pub(crate) fn budget(&mut self, service: &ServiceId, settings: &ForwardSettings) -> &mut WindowBudget {
-        self.budgets.entry(service.clone()).or_insert_with(|| {
+    pub(crate) fn budget(
+        &mut self,
+        service: &ServiceId,
+        settings: &ForwardSettings,
+        counted: Option<u32>,
+    ) -> &mut WindowBudget {
+        // A process that starts again begins with its whole part once more: each counts twice.
+        let sharing = counted.map_or(settings.limits.most_nodes, |nodes| nodes.max(1) * 2);
+        let reserve = (settings.bounds.retry_slack / sharing).max(1);
+        let budget = self.budgets.entry(service.clone()).or_insert_with(|| {
             WindowBudget::new(WindowBudgetSettings {
                 share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
-                reserve: (settings.bounds.retry_slack / settings.limits.most_nodes).max(1),
+                reserve,
                 window: Duration::from_millis(settings.bounds.retry_window_ms),
             })
-        })
+        });
+        budget.set_reserve(reserve);
+        budget
     }
 
     /// Chooses the back end for a request.
-    pub(crate) fn place(
-        &self,
-        ask: Ask<'_>,
-        zone: &ZoneId,
-        most_nodes: u32,
-        now: Timestamp,
-    ) -> Option<Choice> {
+    pub(crate) fn place(&self, ask: Ask<'_>, zone: &ZoneId, nodes: Nodes, now: Timestamp) -> Option<Choice> {
         let store = self.store();
         let store = store.as_ref().map(|(id, address)| Store { id, address: *address });
         let placement = Placement {
@@ -167,16 +204,17 @@
             zone,
             draw: ask.draw,
             store: store.as_ref(),
+            considered: self.considered(ask.service, nodes),
             copied: ask.copied && self.can_copy(ask.service, now),
         };
         let strict = self.candidates(ask, now, |backend| {
-            self.is_free(backend, ask, now) && self.has_room(backend, ask, most_nodes)
+            self.is_free(backend, ask, now) && self.has_room(backend, ask, nodes)
         });
         if let Some(choice) = self.chooser.choose(placement, &strict) {
             return Some(choice);
         }
         // Back ends that may be unfit are better than none, but not those that were tried.
-        let lenient = self.candidates(ask, now, |backend| self.has_room(backend, ask, most_nodes));
+        let lenient = self.candidates(ask, now, |backend| self.has_room(backend, ask, nodes));
         self.chooser.choose(placement, &lenient)
     }
 
@@ -228,12 +266,19 @@
     }
 
     /// Whether this node has connections left of its part of those that a back end takes.
-    fn has_room(&self, backend: &Backend, ask: Ask<'_>, most_nodes: u32) -> bool {
+    fn has_room(&self, backend: &Backend, ask: Ask<'_>, nodes: Nodes) -> bool {
         let service = self.table.as_ref().and_then(|table| table.service(ask.service));
         let Some(most) = service.map(|service| service.max_connections).filter(|most| *most > 0) else {
             return true;
         };
-        self.chooser.load(&backend.entry.id).requests < (most / most_nodes).max(2)
+        self.chooser.load(&backend.entry.id).requests < (most / nodes.most()).max(LEAST_CONNECTIONS)
+    }
+
+    /// How many back ends a node weighs for a request: fewer, the more nodes choose among them.
+    fn considered(&self, service: &ServiceId, nodes: Nodes) -> Option<usize> {
+        let counted = nodes.counted? as usize;
+        let backends = self.backends.usable(service).count();
+        (counted > KNOWING_NODES).then(|| (backends * KNOWING_NODES / counted).max(LEAST_CONSIDERED))
     }
 }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -359,7 +359,15 @@
             self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
         }
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
-            self.node.beliefs.borrow_mut().chooser.learned(&choice.backend, scope, prompt, now);
+            let mut news =
+                self.node.beliefs.borrow_mut().chooser.learned(&choice.backend, scope, prompt, now);
+            if choice.save_to.is_some() {
+                let mut beliefs = self.node.beliefs.borrow_mut();
+                if let Some((store, _)) = beliefs.store() {
+                    news.extend(beliefs.chooser.learned(&store, scope, prompt, now));
+                }
+            }
+            self.node.publish(news);
         }
     }
 
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::Response;
-use paddlemount_protocol::{identity::Revision, time::Timestamp};
+use paddlemount_protocol::{fleet::RelayedAnswer, identity::Revision, time::Timestamp};
 
 use crate::{
     calls::CallError,
@@ -44,6 +44,15 @@
 
 /// Makes one call to the store.
 pub async fn ask_store(node: &Node, call: &StoreCall, patience: Duration) -> Result<StoreAnswer, StoreError> {
+    call_store(node, call, patience).await.map(|(answer, _)| answer)
+}
+
+/// Makes one call to the store, and gives the body of its answer beside.
+async fn call_store(
+    node: &Node,
+    call: &StoreCall,
+    patience: Duration,
+) -> Result<(StoreAnswer, Bytes), StoreError> {
     let began = node.now();
     let answer: Result<Response<Bytes>, CallError> =
         node.store.call(node.platform.store_request(call), patience).await;
@@ -51,7 +60,7 @@
     let result = answer.map_err(StoreError::from).and_then(|answer| {
         match node.platform.store_answer(call, &answer)? {
             StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
-            other => Ok(other),
+            other => Ok((other, answer.into_body())),
         }
     });
     let outcome = match &result {
@@ -80,26 +89,33 @@
     node: Rc<Node>,
     failures: u32,
     failing_since: Option<Timestamp>,
-    /// The revision from which to watch on; none where all has to be listed.
+    /// The revision of the last listing; none where all has to be listed.
     listed: Option<Revision>,
 }
 
 impl Feed {
     async fn turn(&mut self) -> Result<(), StoreError> {
         match self.listed {
+            Some(_) if self.node.is_relayed_to() => Ok(()),
             Some(after) => self.watch(after).await,
             None => self.list().await,
         }
     }
 
     async fn watch(&mut self, after: Revision) -> Result<(), StoreError> {
-        let wait = self.node.settings().bounds.watch_wait();
+        let after = self.node.beliefs.borrow().revision.unwrap_or(after);
+        let wait = self.wait();
         let sent_at = self.node.now();
-        match ask_store(&self.node, &StoreCall::Watch { after, wait }, wait + PATIENCE).await? {
+        let (answer, body) =
+            call_store(&self.node, &StoreCall::Watch { after, wait }, wait + PATIENCE).await?;
+        match answer {
+            // Another node has passed on more meanwhile.
+            StoreAnswer::Facts { .. } if self.node.beliefs.borrow().revision != Some(after) => Ok(()),
             StoreAnswer::Facts { facts, revision, .. } => {
                 let revision = revision.max(after);
                 self.node.learn(facts, revision, sent_at);
-                self.listed = Some(revision);
+                let body = String::from_utf8_lossy(&body).into_owned();
+                self.node.remember_answer(RelayedAnswer { after, upto: revision, body });
                 Ok(())
             }
             StoreAnswer::HistoryLost => {
@@ -131,6 +147,11 @@
             }
         }
         let revision = first_revision.unwrap_or_default();
+        if self.node.beliefs.borrow().revision.is_some_and(|known| known > revision) {
+            // Another node has passed on more meanwhile.
+            self.listed = Some(revision);
+            return Ok(());
+        }
         self.take_listing(all, revision, sent_at);
         Ok(())
     }
@@ -152,6 +173,9 @@
             self.node.beliefs.borrow_mut().leader = None;
         }
         self.node.learn(facts, revision, sent_at);
+        if let Some(peers) = &self.node.peers {
+            peers.borrow_mut().relay.clear();
+        }
         self.listed = Some(revision);
         self.node.journal.tell(&Event::StoreListed { items, revision: revision.0 });
     }
@@ -161,6 +185,12 @@
         if self.node.token().is_some() { LEADER_GATHER } else { self.node.settings().bounds.gather() }
     }
 
+    /// How long one watch waits. A leader's answers are proof for others too, who hear of them a little later.
+    fn wait(&self) -> Duration {
+        let wait = self.node.settings().bounds.watch_wait();
+        if self.node.token().is_some() && self.node.peers.is_some() { wait / 2 } else { wait }
+    }
+
     async fn account(&mut self, result: Result<(), StoreError>) {
         let now = self.node.now();
         match result {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -75,6 +75,10 @@
     WeightsNamed { model: &'a str, version: u64, revision: u64 },
     /// Whether callers are taken has changed.
     ReadinessChanged { ready: bool, why: &'static str, age_ms: Option<u64> },
+    /// Another node is reported to from now on, or none.
+    ParentChanged { parent: Option<&'a str> },
+    /// The node above did not answer a report.
+    ParentFailed { parent: &'a str, problem: String },
     /// This node leads.
     LeadershipGained { token: u64 },
     /// This node no longer leads.
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use paddlemount_core::forwarding::backends::BackendId;
+use paddlemount_protocol::fleet::KeptNews;
 
 use crate::{
     calls::Caller,
@@ -19,6 +20,10 @@
 const GATHER: Duration = Duration::from_millis(140);
 /// The pause between two looks for feeds to follow.
 const LOOK: Duration = Duration::from_millis(300);
+/// Nodes up to which each follows all feeds; engines serve a dozen readers.
+const MOST_READERS: usize = 10;
+/// Nodes that follow a feed where there are more: one may fail.
+const READERS_OF_MANY: usize = 2;
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(700);
 /// The pause where too many read a feed already.
@@ -50,7 +55,19 @@
     let beliefs = node.beliefs.borrow();
     let engines = beliefs.backends.iter().filter(|backend| !backend.entry.weights.is_empty());
     let engines = engines.map(|backend| (backend.entry.id.clone(), backend.entry.address));
-    engines.chain(beliefs.store()).collect()
+    let all = engines.chain(beliefs.store());
+    let Some(peers) = &node.peers else { return all.collect() };
+    let peers = peers.borrow();
+    // Before the nodes are counted nobody knows whose turn it is.
+    if peers.fleet.members().is_empty() {
+        return BTreeSet::new();
+    }
+    all.filter(|(id, _)| peers.fleet.follows(id, readers(peers.fleet.members().len()))).collect()
+}
+
+/// How many nodes follow one feed: all of a few, two of many.
+const fn readers(nodes: usize) -> usize {
+    if nodes <= MOST_READERS { MOST_READERS } else { READERS_OF_MANY }
 }
 
 /// Follows one feed for as long as its back end is known.
@@ -122,7 +139,22 @@
 
     fn learn(&self, page: &KeptPage) {
         let now = self.node.now();
-        self.node.beliefs.borrow_mut().chooser.told(&self.backend, &page.kept, now);
+        let mut beliefs = self.node.beliefs.borrow_mut();
+        let prefixes = &beliefs.chooser.prefixes;
+        let gone = page
+            .kept
+            .iter()
+            .filter(|part| part.tokens == 0 && prefixes.keeps_any(&self.backend, part.scope, part.part));
+        let news = gone.map(|part| KeptNews {
+            engine: self.backend.clone(),
+            scope: part.scope.0,
+            part: part.part.0,
+            tokens: 0,
+        });
+        let news = news.collect();
+        beliefs.chooser.told(&self.backend, &page.kept, now);
+        drop(beliefs);
+        self.node.publish(news);
     }
 
     fn note(&mut self, working: bool, detail: String) {
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -9,6 +9,7 @@
 use paddlemount_protocol::{identity::FencingToken, platform::LeaseResult, time::Timestamp};
 
 use crate::{
+    beliefs::Leader,
     feed::{StoreError, ask_store},
     journal::Event,
     node::Node,
@@ -94,12 +95,14 @@
         let granted = ask_store(&self.node, &StoreCall::Grant { ttl: self.ttl }, PATIENCE).await?;
         let StoreAnswer::Lease { lease, ttl } = granted else { return Err(StoreError::Unexpected) };
         let holder = self.node.settings().node.clone();
-        let taken = ask_store(&self.node, &StoreCall::Lead { holder: holder.clone(), lease }, PATIENCE).await;
+        let peers = self.node.peers.as_ref().map(|peers| peers.borrow().fleet.me().address);
+        let taken =
+            ask_store(&self.node, &StoreCall::Lead { holder: holder.clone(), peers, lease }, PATIENCE).await;
         match taken {
             Ok(StoreAnswer::Done { revision }) => {
                 let token = FencingToken(revision.0);
                 self.lease = Some(lease);
-                self.node.beliefs.borrow_mut().leader = Some((holder, token));
+                self.node.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
                 Ok(LeaseResult::Held { token, ttl_ms: ttl.as_millis() as u64 })
             }
             other => {
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -16,7 +16,12 @@
     time::Timestamp,
 };
 
-use crate::{beliefs::Beliefs, journal::Event, node::Node, ports::Fact};
+use crate::{
+    beliefs::{Beliefs, Leader},
+    journal::Event,
+    node::Node,
+    ports::Fact,
+};
 
 /// How long a back end is left alone that is said to load weights, where its end isn't heard of.
 const LOADING: Duration = Duration::from_millis(6_000);
@@ -51,7 +56,9 @@
                     self.journal.tell(&event);
                 }
             }
-            Fact::Leader { holder, token } => self.beliefs.borrow_mut().leader = Some((holder, token)),
+            Fact::Leader { holder, token, peers } => {
+                self.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
+            }
             Fact::NoLeader => self.beliefs.borrow_mut().leader = None,
             Fact::Loading(backends) => self.learn_loading(&backends, now),
             Fact::Unreadable { key, problem } => {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`feed`] | follows the metadata store |
 //! | [`kept`] | follows what engines and the store keep |
+//! | [`peers`] | what nodes tell each other |
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
 //! | [`ingress`], [`exchange`], [`attempts`], [`verdicts`], [`relay`] | takes requests, forwards them, decides what follows, passes streams on |
 //! | [`account`] | what is told of a request at its end |
@@ -37,6 +38,7 @@
 pub mod metrics;
 pub mod node;
 pub mod orders;
+pub mod peers;
 pub mod pool;
 pub mod ports;
 pub mod process;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -27,6 +27,8 @@
     StoreCalls(&'static str),
     /// Orders by outcome.
     Orders(&'static str),
+    /// Reports to the node above by outcome.
+    PeerCalls(&'static str),
     /// New connections to back ends.
     Connections,
     /// Requests whose prefix was to be imported.
@@ -42,6 +44,7 @@
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
             Self::StoreCalls(_) => "paddlemount_forward_store_calls_total",
             Self::Orders(_) => "paddlemount_forward_orders_total",
+            Self::PeerCalls(_) => "paddlemount_forward_peer_calls_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
             Self::Imports => "paddlemount_forward_imports_total",
         }
@@ -51,7 +54,9 @@
         match self {
             Self::Requests { kind, outcome } => format!("{{kind=\"{kind}\",outcome=\"{outcome}\"}}"),
             Self::Attempts(end) => format!("{{end=\"{end}\"}}"),
-            Self::StoreCalls(outcome) | Self::Orders(outcome) => format!("{{outcome=\"{outcome}\"}}"),
+            Self::StoreCalls(outcome) | Self::Orders(outcome) | Self::PeerCalls(outcome) => {
+                format!("{{outcome=\"{outcome}\"}}")
+            }
             Self::Retries | Self::Resumed | Self::Connections | Self::Imports => String::new(),
         }
     }
@@ -66,6 +71,8 @@
     Added,
     /// A call to the store.
     StoreCall,
+    /// A report to the node above.
+    PeerCall,
 }
 
 impl Distribution {
@@ -74,13 +81,14 @@
             Self::FirstByte(_) => "paddlemount_forward_first_byte_seconds",
             Self::Added => "paddlemount_forward_added_seconds",
             Self::StoreCall => "paddlemount_forward_store_call_seconds",
+            Self::PeerCall => "paddlemount_forward_peer_call_seconds",
         }
     }
 
     fn labels(self) -> String {
         match self {
             Self::FirstByte(kind) => format!("kind=\"{kind}\","),
-            Self::Added | Self::StoreCall => String::new(),
+            Self::Added | Self::StoreCall | Self::PeerCall => String::new(),
         }
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -11,17 +12,19 @@
     health::{HealthEvent, HealthVerdict},
 };
 use paddlemount_protocol::{
+    fleet::{KeptNews, Member},
     identity::{FencingToken, ServiceId},
     time::Timestamp,
 };
 use tokio::sync::Notify;
 
 use crate::{
-    beliefs::{Ask, Beliefs, health_settings},
+    beliefs::{Ask, Beliefs, Nodes, health_settings},
     calls::Caller,
     clock::SteadyClock,
     journal::Journal,
     metrics::{Gauge, Metrics},
+    peers::Peers,
     pool::Pool,
     ports::Platform,
     settings::ForwardSettings,
@@ -46,6 +49,8 @@
     pub beliefs: RefCell<Beliefs>,
     /// Idle connections to back ends.
     pub pool: RefCell<Pool>,
+    /// What is known of other nodes, where nodes talk to each other.
+    pub peers: Option<RefCell<Peers>>,
     /// Calls to the metadata store.
     pub store: Caller,
     /// Whether it has been told to stop.
@@ -67,9 +72,12 @@
         platform: Box<dyn Platform>,
         clock: SteadyClock,
         journal: Journal,
+        peers: Option<SocketAddr>,
     ) -> Self {
         let store = Caller::new(settings.store.address, clock);
         let beliefs = Beliefs::new(&settings);
+        let me = |address| Member { node: settings.node.clone(), zone: settings.zone.clone(), address };
+        let peers = peers.map(|address| RefCell::new(Peers::new(me(address), rand::random())));
         Self {
             settings: RefCell::new(Rc::new(settings)),
             platform,
@@ -78,6 +86,7 @@
             metrics: Metrics::default(),
             beliefs: RefCell::new(beliefs),
             pool: RefCell::default(),
+            peers,
             store,
             stopping: Cell::new(false),
             running: Cell::new(0),
@@ -145,11 +154,26 @@
         matches!(verdict, HealthVerdict::Ejected { .. })
     }
 
+    /// The number of nodes, where it is known.
+    pub fn nodes(&self) -> Option<u32> {
+        self.peers.as_ref()?.borrow().fleet.count(self.now())
+    }
+
+    /// Something was learned of what engines keep, that other nodes should hear.
+    pub fn publish(&self, news: Vec<KeptNews>) {
+        let Some(peers) = &self.peers else { return };
+        let mut peers = peers.borrow_mut();
+        for one in news {
+            peers.news.learned(one);
+        }
+    }
+
     /// Draws on the retry budget of a service.
     pub fn draw_retry(&self, service: &ServiceId) -> bool {
         let settings = self.settings();
+        let nodes = self.nodes();
         let mut beliefs = self.beliefs.borrow_mut();
-        beliefs.budget(service, &settings).repeat(self.now())
+        beliefs.budget(service, &settings, nodes).repeat(self.now())
     }
 
     /// Retries that the budget of a service would still grant.
@@ -165,7 +189,8 @@
     /// A request for a service was sent for the first time.
     pub fn earned_retry(&self, service: &ServiceId) {
         let settings = self.settings();
-        self.beliefs.borrow_mut().budget(service, &settings).request(self.now());
+        let nodes = self.nodes();
+        self.beliefs.borrow_mut().budget(service, &settings, nodes).request(self.now());
     }
 
     /// The share of a route whose turn it is.
@@ -177,7 +202,8 @@
     /// Chooses the back end for a request.
     pub fn place(&self, ask: Ask<'_>) -> Option<Choice> {
         let settings = self.settings();
-        self.beliefs.borrow().place(ask, &settings.zone, settings.limits.most_nodes, self.now())
+        let nodes = Nodes { counted: self.nodes(), assumed: settings.limits.most_nodes };
+        self.beliefs.borrow().place(ask, &settings.zone, nodes, self.now())
     }
 
     /// Drops what has grown old.
@@ -200,6 +226,7 @@
         vec![
             gauge("paddlemount_forward_configuration_age_seconds", age),
             gauge("paddlemount_forward_configuration_version", version as f64),
+            gauge("paddlemount_forward_nodes", self.nodes().map_or(f64::NAN, f64::from)),
             gauge("paddlemount_forward_running", self.running.get() as f64),
             gauge("paddlemount_forward_idle_connections", self.pool.borrow().idle() as f64),
             gauge("paddlemount_forward_leads", f64::from(u8::from(self.token().is_some()))),
--- /dev/null
+++ b/crates/forward/src/peers/intake.rs
@@ -0,0 +1,90 @@
+//! Takes in what the node above has told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use paddlemount_protocol::{
+    fleet::{Digest, RelayedAnswer, StoreRelay},
+    identity::Revision,
+    time::Timestamp,
+};
+
+use crate::{
+    node::Node,
+    ports::{StoreAnswer, StoreCall},
+};
+
+impl Node {
+    /// Takes in the answer to a report that was sent at `sent_at` and named `revision`.
+    pub(crate) fn take_digest(&self, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
+        let now = self.now();
+        let Some(peers) = &self.peers else { return };
+        {
+            let mut beliefs = self.beliefs.borrow_mut();
+            for news in &digest.news {
+                beliefs.chooser.heard(news, now);
+            }
+            beliefs.chooser.loads.told(digest.work.clone());
+        }
+        {
+            let mut peers = peers.borrow_mut();
+            peers.news.log(digest.news);
+            peers.fleet.told(digest.work, digest.nodes, digest.members, now);
+        }
+        if let Some(relay) = digest.store {
+            self.take_relay(relay, revision, sent_at);
+        }
+    }
+
+    /// Takes in what the store has told another node. It counts from when the report was sent, less the age that the
+    /// proof then had at the other node: so an answer that was long under way proves nothing recent.
+    fn take_relay(&self, relay: StoreRelay, revision: Option<Revision>, sent_at: Timestamp) {
+        // The store has told this node something meanwhile: what was passed on may be older.
+        if revision.is_none() || self.beliefs.borrow().revision != revision {
+            return;
+        }
+        let proved_at = sent_at - Duration::from_millis(relay.age_ms);
+        if relay.answers.is_empty() {
+            self.beliefs.borrow_mut().freshness.prove(proved_at);
+        }
+        for answer in relay.answers {
+            if !self.take_relayed_answer(answer, proved_at) {
+                return;
+            }
+        }
+        if let Some(peers) = &self.peers {
+            peers.borrow_mut().relayed_at = Some(sent_at);
+        }
+    }
+
+    fn take_relayed_answer(&self, relayed: RelayedAnswer, proved_at: Timestamp) -> bool {
+        let call = StoreCall::Watch { after: relayed.after, wait: Duration::ZERO };
+        let answer = Response::new(Bytes::from(relayed.body.clone()));
+        let Ok(StoreAnswer::Facts { facts, .. }) = self.platform.store_answer(&call, &answer) else {
+            return false;
+        };
+        self.learn(facts, relayed.upto, proved_at);
+        self.remember_answer(relayed);
+        true
+    }
+
+    /// Remembers an answer of the store for the nodes below.
+    pub(crate) fn remember_answer(&self, answer: RelayedAnswer) {
+        if let Some(peers) = &self.peers {
+            peers.borrow_mut().relay.push(answer);
+        }
+    }
+
+    /// Whether another node has lately passed on what the store told, and recently enough proved.
+    pub(crate) fn is_relayed_to(&self) -> bool {
+        let now = self.now();
+        let within = self.settings().bounds.relayed_within();
+        let Some(peers) = &self.peers else { return false };
+        let lately = peers.borrow().relayed_at.is_some_and(|at| now.saturating_since(at) < RELAYED_LATELY);
+        lately && self.beliefs.borrow().freshness.is_within(within, now)
+    }
+}
+
+/// How long after the last relayed answer a node waits for the next one before it asks the store itself.
+const RELAYED_LATELY: Duration = Duration::from_millis(900);
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -48,6 +48,8 @@
     Lead {
         /// Who takes it.
         holder: NodeId,
+        /// Where it takes other nodes' reports.
+        peers: Option<SocketAddr>,
         /// The lease.
         lease: StoreLease,
     },
@@ -116,6 +118,8 @@
         holder: NodeId,
         /// The fencing token of its orders.
         token: FencingToken,
+        /// Where it takes other nodes' reports.
+        peers: Option<SocketAddr>,
     },
     /// Nobody has the leadership.
     NoLeader,
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -15,6 +15,7 @@
     journal::{Event, Journal},
     kept, leadership,
     node::Node,
+    peers,
     ports::Platform,
     settings::{ForwardSettings, SettingsError},
 };
@@ -73,12 +74,19 @@
     let callers = ingress::listen(listen.callers).map_err(system("callers' address"))?;
     let readiness = ingress::listen(listen.readiness).map_err(system("readiness address"))?;
     let metrics = listen.metrics.map(ingress::listen).transpose().map_err(system("metrics address"))?;
-    let node = Rc::new(Node::new(settings, platform, clock, journal));
+    let peers = listen.peers.map(ingress::listen).transpose().map_err(system("peers' address"))?;
+    let peers_address =
+        peers.as_ref().map(TcpListener::local_addr).transpose().map_err(system("addresses"))?;
+    let node = Rc::new(Node::new(settings, platform, clock, journal, peers_address));
     let (stage, stage_seen) = watch::channel(StopStage::Serving);
     let open = Rc::new(Cell::new(0));
     let addresses = Addresses::of(&callers, &readiness, metrics.as_ref()).map_err(system("addresses"))?;
     tell_start(&node, addresses);
     tokio::task::spawn_local(feed::follow(Rc::clone(&node)));
+    if let Some(peers) = peers {
+        tokio::task::spawn_local(peers::server::serve(Rc::clone(&node), peers));
+        tokio::task::spawn_local(peers::client::report(Rc::clone(&node)));
+    }
     tokio::task::spawn_local(kept::follow_all(Rc::clone(&node)));
     tokio::task::spawn_local(keep_house(Rc::clone(&node), path, hangup));
     let leading = tokio::task::spawn_local(leadership::lead(Rc::clone(&node)));
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -34,6 +34,9 @@
     /// For metrics; none where they are not told.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// For other nodes; none where nodes tell each other nothing.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
 }
 
 /// The metadata store.
@@ -74,7 +77,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct LimitSettings {
-    /// The greatest number of nodes that share the retry slack.
+    /// The number of nodes that share the retry slack and the back ends' connections, where it isn't known.
     pub most_nodes: u32,
     /// Descriptors that the process may open.
     pub descriptors: u32,
@@ -86,7 +89,7 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { most_nodes: 14, descriptors: 1_024, loads_at_once: 2, loads_share: 0.2 }
+        Self { most_nodes: 64, descriptors: 1_024, loads_at_once: 2, loads_share: 0.2 }
     }
 }
 
@@ -194,6 +197,11 @@
         Duration::from_millis((self.configuration_ms / 4).clamp(100, 1_000))
     }
 
+    /// The age up to which what another node passes on of the store is enough.
+    pub fn relayed_within(&self) -> Duration {
+        self.stale_after().mul_f64(0.62)
+    }
+
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
     pub fn watch_wait(&self) -> Duration {
         Duration::from_millis((self.revocation_ms * 2 / 5).clamp(200, 5_000))
--- /dev/null
+++ b/crates/protocol/src/fleet.rs
@@ -0,0 +1,109 @@
+//! What forwarding nodes tell each other, as JSON in calls over HTTP/1.1.
+//!
+//! Nodes form a tree of two levels: the holder of the lease on orders is its root, one node of each other zone stands
+//! between the root and its zone. A node sends a [`Report`] up several times a second and gets a [`Digest`] back.
+//! Nothing here is needed for correctness: a node that hears nobody asks the metadata store itself.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{EngineId, NodeId, Revision, ZoneId};
+
+/// The path at which a node takes reports.
+pub const EXCHANGE_PATH: &str = "/fleet/exchange";
+
+/// A node, as the others reach it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where it takes reports.
+    pub address: SocketAddr,
+}
+
+/// What nodes have under way at one engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineWork {
+    /// The engine, or an instance of another service.
+    pub engine: EngineId,
+    /// Requests that have not ended.
+    pub requests: u32,
+    /// Tokens that requests without a first event have to read.
+    pub unread_tokens: u64,
+}
+
+/// How much of a part of a prompt an engine keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptNews {
+    /// The engine, or the store of kept parts.
+    pub engine: EngineId,
+    /// The hash of the part's scope.
+    pub scope: u64,
+    /// The part.
+    pub part: u64,
+    /// Tokens of it that are kept; none where it is gone.
+    pub tokens: u32,
+}
+
+/// An answer of the metadata store to a watch, as it came.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedAnswer {
+    /// The revision after which changes were asked for.
+    pub after: Revision,
+    /// The revision up to which it tells.
+    pub upto: Revision,
+    /// Its body.
+    pub body: String,
+}
+
+/// What the store has told, passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreRelay {
+    /// The age of the proof that nothing else has changed, in milliseconds, when the digest was written.
+    pub age_ms: u64,
+    /// Answers in order, from the revision on that the report named.
+    pub answers: Vec<RelayedAnswer>,
+}
+
+/// What a node tells the node above it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The node.
+    pub sender: Member,
+    /// The nodes that report to it.
+    pub below: Vec<Member>,
+    /// What it and they have under way.
+    pub work: Vec<EngineWork>,
+    /// What it and they have learned of engines since the last report that was answered.
+    pub news: Vec<KeptNews>,
+    /// The log that `cursor` belongs to.
+    pub log: u64,
+    /// The number of the last news that it has.
+    pub cursor: u64,
+    /// The digest of the list of members that it has.
+    pub members_digest: u64,
+    /// The revision of the store up to which it knows all.
+    pub revision: Option<Revision>,
+}
+
+/// What a node is told from above.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The log that `cursor` belongs to.
+    pub log: u64,
+    /// The number of the last news among these.
+    pub cursor: u64,
+    /// The number of nodes, where it is known.
+    pub nodes: Option<u32>,
+    /// All nodes, where the list differs from the one that the report named.
+    pub members: Option<Vec<Member>>,
+    /// What other nodes have under way.
+    pub work: Vec<EngineWork>,
+    /// What engines keep, in order.
+    pub news: Vec<KeptNews>,
+    /// What the store has told; nothing where the sender can't tell it without a gap.
+    pub store: Option<StoreRelay>,
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`booking`] | nodes and services beside the models |
 //! | [`configuration`] | the operator's configuration document |
 //! | [`peer`] | nodes and nodes |
+//! | [`fleet`] | forwarding nodes and forwarding nodes |
 //! | [`quota`] | nodes and nodes, on membership probes |
 //! | [`refusal`] | outcomes and refusals on every interface |
 
@@ -18,6 +19,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod engine;
+pub mod fleet;
 pub mod header;
 pub mod identity;
 pub mod peer;
