Let nodes tell each other how many they are, what they have under way and what the store and engines told

Cause: with 79 nodes before 90 engines each node knew a hundredth of what was under way and of what engines keep. Weighed: registration of each node in the store (two priced calls a start, and nothing of loads); gossip (every pair of nodes needs a connection); a tree of two levels under the holder of the lease on orders, chosen: its address lies with the lease, nothing else is agreed, and what it says is never needed for correctness.

--- /dev/null
+++ b/crates/cli/tests/forward/fleet.rs
@@ -0,0 +1,111 @@
+//! Nodes that tell each other what they know, as processes over loopback TCP.
+
+use http::StatusCode;
+use paddlemount_platform_standin::{
+    Place,
+    place::KEY,
+    proxy::{Harm, Proxy},
+};
+
+use crate::router::Router;
+
+/// Three nodes, each with its own way to the store, that know of each other.
+async fn fleet() -> (Place, Vec<Proxy>, Vec<Router>) {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let (mut links, mut routers) = (Vec::new(), Vec::new());
+    for number in 0..3 {
+        let link = Proxy::start(place.store_address).await.expect("a proxy starts");
+        routers.push(Router::start_at(link.address, &format!("node-{number}")).await);
+        links.push(link);
+    }
+    for router in &routers {
+        router.until("counted", async || gauge(router, "paddlemount_forward_nodes").await == Some(3.0)).await;
+    }
+    (place, links, routers)
+}
+
+async fn gauge(router: &Router, name: &str) -> Option<f64> {
+    let text = router.ask_metrics().await;
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// The number of the node that leads.
+async fn leader(routers: &[Router]) -> usize {
+    for (number, router) in routers.iter().enumerate() {
+        if gauge(router, "paddlemount_forward_leads").await == Some(1.0) {
+            return number;
+        }
+    }
+    panic!("nobody leads");
+}
+
+#[tokio::test]
+async fn a_node_that_is_cut_off_from_the_store_hears_of_changes_from_the_others() {
+    let (place, links, routers) = fleet().await;
+    let cut_off = (leader(&routers).await + 1) % routers.len();
+    links[cut_off].set(Harm::Silent);
+    place.configure(2, &["another-key"]);
+    let router = &routers[cut_off];
+    let refused =
+        async || router.send("/hold/1", "f1").await.is_some_and(|got| got.status == StatusCode::UNAUTHORIZED);
+    router.until("refused", refused).await;
+    assert_eq!(router.ask_readiness().await, Some(StatusCode::OK));
+}
+
+#[tokio::test]
+async fn when_the_leader_is_killed_the_others_serve_on_and_one_of_them_leads() {
+    let (place, _links, mut routers) = fleet().await;
+    let killed = leader(&routers).await;
+    drop(routers.remove(killed));
+    place.configure(2, &["another-key"]);
+    for (number, router) in routers.iter().enumerate() {
+        let served = async || {
+            let got = router.send_with_key("/hold/1", &format!("g{number}"), "another-key").await;
+            got.is_some_and(|got| got.status == StatusCode::OK)
+        };
+        router.until("serving by the new configuration", served).await;
+        assert_eq!(router.ask_readiness().await, Some(StatusCode::OK));
+    }
+    let (first, second) = (&routers[0], &routers[1]);
+    let led = async || {
+        let leads = async |router| gauge(router, "paddlemount_forward_leads").await == Some(1.0);
+        leads(first).await || leads(second).await
+    };
+    first.until("one of the others leading", led).await;
+}
+
+#[tokio::test]
+async fn a_leader_that_is_cut_off_from_the_store_proves_nothing_to_the_others() {
+    let (place, links, routers) = fleet().await;
+    let cut_off = leader(&routers).await;
+    links[cut_off].set(Harm::Silent);
+    place.configure(2, &["another-key"]);
+    for (number, router) in routers.iter().enumerate().filter(|(number, _)| *number != cut_off) {
+        let refused = async || {
+            let got = router.send("/hold/1", &format!("h{number}")).await;
+            got.is_some_and(|got| got.status == StatusCode::UNAUTHORIZED)
+        };
+        router.until("refused", refused).await;
+    }
+    let router = &routers[cut_off];
+    let refused = async || router.send("/hold/1", "h9").await.is_some_and(|got| !got.status.is_success());
+    router.until("not served on old keys", refused).await;
+}
+
+#[tokio::test]
+async fn nodes_that_hear_from_others_call_the_store_less_often() {
+    let (_place, _links, routers) = fleet().await;
+    let leader = leader(&routers).await;
+    let follower = &routers[(leader + 1) % routers.len()];
+    let calls = "paddlemount_forward_store_calls_total{outcome=\"answered\"}";
+    let before = gauge(follower, calls).await;
+    let reports = "paddlemount_forward_peer_calls_total{outcome=\"answered\"}";
+    let reported = gauge(follower, reports).await.unwrap_or_default();
+    let more = async || gauge(follower, reports).await.unwrap_or_default() >= reported + 15.0;
+    follower.until("reporting", more).await;
+    let called = gauge(follower, calls).await.unwrap_or_default() - before.unwrap_or_default();
+    // The watch that was under way when the others were first heard may still end.
+    assert!(called <= 1.0, "{called} calls to the store in 15 reports");
+}
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -3,5 +3,6 @@
 mod belief;
 mod delivery;
 mod ending;
+mod fleet;
 mod router;
 mod soak;
--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -199,8 +199,7 @@
     fn choose_by_requests(&self, placement: Placement<'_>, candidates: &[Candidate<'_>]) -> Option<Choice> {
         let usual_ms = self.loads.usual_ms(candidates.iter().map(|candidate| candidate.id));
         let cost = |candidate: &Candidate<'_>| {
-            let others = self.loads.of_others(candidate.id).map_or(0, |work| work.requests);
-            let requests = f64::from(self.load(candidate.id).requests + others) + 1.0;
+            let requests = f64::from(self.loads.requests_of_all(candidate.id)) + 1.0;
             let distance = if candidate.zone == placement.zone { 0.0 } else { OTHER_ZONE_REQUESTS };
             ((requests * self.loads.slowness(candidate.id, usual_ms) + distance) * 1_000.0) as u64
         };
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -101,6 +101,11 @@
         self.others.get(backend)
     }
 
+    /// Requests under way at a back end, of this node and, as far as they have told, of others.
+    pub fn requests_of_all(&self, backend: &BackendId) -> u32 {
+        self.of(backend).requests + self.of_others(backend).map_or(0, |work| work.requests)
+    }
+
     /// What this node has under way, to be told.
     pub fn own_work(&self) -> Vec<EngineWork> {
         let busy = self.by_backend.iter().filter(|(_, load)| load.requests > 0);
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -79,6 +79,8 @@
     ParentChanged { parent: Option<&'a str> },
     /// The node above did not answer a report.
     ParentFailed { parent: &'a str, problem: String },
+    /// The number of nodes that may act, where it is known.
+    NodesCounted { nodes: Option<u32>, before: Option<u32> },
     /// This node leads.
     LeadershipGained { token: u64 },
     /// This node no longer leads.
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -36,7 +36,7 @@
         let mut beliefs = node.beliefs.borrow_mut();
         let beliefs = &mut *beliefs;
         let chooser = &beliefs.chooser;
-        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.load(id).requests, node.now())
+        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.loads.requests_of_all(id), node.now())
     };
     let Some(token) = node.token().filter(|_| !targets.is_empty()) else {
         release(node, &targets);
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -27,10 +27,15 @@
 pub async fn report(node: Rc<Node>) {
     let Some(peers) = &node.peers else { return };
     let mut link: Option<Link> = None;
+    let mut counted = None;
     loop {
         tokio::time::sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
         let now = node.now();
         peers.borrow_mut().fleet.tick(node.token().is_some(), now);
+        let before = std::mem::replace(&mut counted, node.nodes());
+        if counted != before {
+            node.journal.tell(&Event::NodesCounted { nodes: counted, before });
+        }
         if node.token().is_some() {
             lead(&node, now);
             link = None;
