Keep what nodes tell each other small, let strong machines lead and a deserted leader give way

Ruled out: the store, which answered all the time. Change: a first report carries and fetches no news; a reader of another log begins with what comes next; 16 KB of the store's answers and 128 news at once; only parts of 256 tokens or more that were not known are news; work at the 32 busiest engines; small machines wait 600 ms longer for a free lease, and the strongest of a zone stands between; a leader that had heard others and hears none for 2.5 s gives the lease up.

--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -4,7 +4,7 @@
 //! add up on the way to the root, and what comes back is the sum of all others. All of it may be late or missing: it
 //! makes choices better, and nothing depends on it for correctness.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use paddlemount_protocol::{
     fleet::{EngineWork, Member},
@@ -14,9 +14,11 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// How long a node that says nothing still counts.
-const SILENT: Duration = Duration::from_secs(3);
+const SILENT: Duration = Duration::from_secs(8);
 /// How long a node that did not answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(3);
+/// How long a root that had heard others waits for reports before it takes itself for cut off.
+const DESERTED: Duration = Duration::from_millis(2_500);
 /// How long what came from above is used.
 const FRESH: Duration = Duration::from_millis(1_500);
 /// How long a root must have heard reports before its count of the nodes is good.
@@ -25,6 +27,8 @@
 const REMEMBERED: Duration = Duration::from_secs(12);
 /// Requests at an engine below which others need not hear of them.
 const FEWEST_TOLD: u32 = 2;
+/// Engines of whose work others hear, the busiest first.
+const MOST_TOLD: usize = 32;
 
 /// What a node below has reported.
 #[derive(Clone, Debug)]
@@ -142,8 +146,8 @@
         hash.digest()
     }
 
-    /// Whom this node reports to, where `root` leads: the root itself in the root's zone, elsewhere the first node of
-    /// the zone, which reports to the root. Nobody, where this node is the root or the root did not answer lately.
+    /// Whom this node reports to, where `root` leads: the root itself in the root's zone, elsewhere the strongest
+    /// node of the zone, which reports to the root. Nobody, where this node is the root or the root did not answer lately.
     pub fn parent(&self, root: &NodeId, root_address: SocketAddr, now: Timestamp) -> Option<Member> {
         if *root == self.me.node {
             return None;
@@ -155,7 +159,7 @@
             return Some(between.clone());
         }
         let zone = zone_of_root.unwrap_or(&self.me.zone).clone();
-        let member = Member { node: root.clone(), zone, address: root_address };
+        let member = Member { node: root.clone(), zone, address: root_address, capacity: 0 };
         (!self.is_passed_over(root, now)).then_some(member)
     }
 
@@ -163,15 +167,28 @@
     pub fn work_beside(&self, child: &NodeId, own: &[EngineWork], now: Timestamp) -> Vec<EngineWork> {
         let above = self.above.as_ref().filter(|above| now.saturating_since(above.at) < FRESH);
         let above = above.filter(|_| self.root_since.is_none()).into_iter().flat_map(|above| &above.work);
-        let below = self.below.iter().filter(|(node, _)| *node != child).flat_map(|(_, below)| &below.work);
+        let recent = |below: &&Below| now.saturating_since(below.at) < FRESH;
+        let others = self.below.iter().filter(|(node, _)| *node != child).map(|(_, below)| below);
+        let below = others.filter(recent).flat_map(|below| &below.work);
         let mut sum = summed(own.iter().chain(above).chain(below));
         sum.retain(|work| work.requests >= FEWEST_TOLD);
+        sum.sort_by_key(|work| Reverse((work.unread_tokens, work.requests)));
+        sum.truncate(MOST_TOLD);
         sum
     }
 
     /// What this node and those below it have under way.
-    pub fn work_below(&self, own: &[EngineWork]) -> Vec<EngineWork> {
-        summed(own.iter().chain(self.below.values().flat_map(|below| &below.work)))
+    pub fn work_below(&self, own: &[EngineWork], now: Timestamp) -> Vec<EngineWork> {
+        let recent = self.below.values().filter(|below| now.saturating_since(below.at) < FRESH);
+        summed(own.iter().chain(recent.flat_map(|below| &below.work)))
+    }
+
+    /// Whether this node is the root, had heard of others, and has heard none of them for a while: it may be cut off
+    /// from them, though the store still hears it.
+    pub fn is_deserted(&self, now: Timestamp) -> bool {
+        let long_enough = self.root_since.is_some_and(|since| now.saturating_since(since) >= DESERTED);
+        let newest = self.below.values().map(|below| below.at).max();
+        long_enough && newest.is_some_and(|at| now.saturating_since(at) >= DESERTED)
     }
 
     /// What all other nodes have under way.
@@ -191,7 +208,9 @@
 
     fn first_of_zone(&self, now: Timestamp) -> Option<&Member> {
         let of_zone = self.members.iter().filter(|member| member.zone == self.me.zone);
-        of_zone.filter(|member| !self.is_passed_over(&member.node, now)).min_by_key(|member| &member.node)
+        of_zone
+            .filter(|member| !self.is_passed_over(&member.node, now))
+            .min_by_key(|member| (Reverse(member.capacity), &member.node))
     }
 
     fn is_passed_over(&self, node: &NodeId, now: Timestamp) -> bool {
--- a/crates/core/src/forwarding/news.rs
+++ b/crates/core/src/forwarding/news.rs
@@ -12,7 +12,7 @@
 /// News that waits for the node above.
 const MOST_WAITING: usize = 1_024;
 /// News in one message.
-const MOST_AT_ONCE: usize = 512;
+const MOST_AT_ONCE: usize = 128;
 
 /// News at one node.
 #[derive(Debug)]
@@ -75,11 +75,11 @@
         }
     }
 
-    /// The news behind `cursor` of the log `id`, and the number of the last of them. A reader of another log gets
-    /// what is remembered.
+    /// The news behind `cursor` of the log `id`, and the number of the last of them. A reader of another log begins
+    /// with what comes next: it has heard the same news elsewhere, and all readers come at once where a root changes.
     pub fn since(&self, id: u64, cursor: u64) -> (Vec<KeptNews>, u64) {
         let first = self.last - self.logged.len() as u64;
-        let after = if id == self.id { cursor.clamp(first, self.last) } else { first };
+        let after = if id == self.id { cursor.clamp(first, self.last) } else { self.last };
         let skipped = (after - first) as usize;
         let news: Vec<KeptNews> = self.logged.iter().skip(skipped).take(MOST_AT_ONCE).cloned().collect();
         let upto = after + news.len() as u64;
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -19,8 +19,8 @@
 /// Engines keep parts by blocks; a part is whole where less than a block of it is missing.
 const BLOCK_TOKENS: u32 = 16;
 
-/// How long it is no news that a back end keeps a part.
-const NEWS_AGAIN: Duration = Duration::from_secs(4);
+/// Tokens of a part below which other nodes need not hear of it: it is read again in no time.
+const NEWS_MINIMUM_TOKENS: u32 = 256;
 /// The time in which what was counted fades to a third.
 const FADES: Duration = Duration::from_secs(4);
 
@@ -55,8 +55,6 @@
 #[derive(Debug, Default)]
 struct Keepers {
     by_backend: Vec<(BackendId, u32)>,
-    /// When it was last told to other nodes.
-    told_at: Option<Timestamp>,
     used_at: Timestamp,
 }
 
@@ -121,15 +119,9 @@
 
     /// Notes that a back end keeps a part; whether other nodes should hear of it.
     fn note_read(&mut self, backend: &BackendId, part: &KeptPart, now: Timestamp) -> bool {
-        let before = self.keeps(backend, part);
+        let known = self.keeps(backend, part);
         self.set(backend, part, now);
-        let Some(keepers) = self.keepers.get_mut(&(part.scope, part.part)) else { return false };
-        let told_lately = keepers.told_at.is_some_and(|at| now.saturating_since(at) < NEWS_AGAIN);
-        if before && told_lately {
-            return false;
-        }
-        keepers.told_at = Some(now);
-        true
+        !known && part.tokens >= NEWS_MINIMUM_TOKENS
     }
 
     /// Whether a back end is believed to keep at least so much of a part.
--- a/crates/core/src/forwarding/relay_log.rs
+++ b/crates/core/src/forwarding/relay_log.rs
@@ -10,8 +10,10 @@
 
 /// Answers remembered.
 const MOST_ANSWERS: usize = 64;
-/// Bytes of answers that are remembered, and passed on at once.
-const MOST_BYTES: usize = 96 << 10;
+/// Bytes of answers that are remembered.
+const MOST_BYTES: usize = 64 << 10;
+/// Bytes of answers that are passed on at once; a reader that lacks more asks the store, whose link is wider.
+const MOST_BYTES_AT_ONCE: usize = 16 << 10;
 
 /// Remembered answers.
 #[derive(Debug, Default)]
@@ -51,6 +53,8 @@
         let first = self.answers.iter().position(|answer| answer.upto > known)?;
         let reaches = self.answers.back().is_some_and(|last| last.upto >= newest);
         let follows = self.answers[first].after <= known;
-        (reaches && follows).then(|| self.answers.iter().skip(first).cloned().collect())
+        let missing = self.answers.iter().skip(first);
+        let bytes: usize = missing.clone().map(|answer| answer.body.len()).sum();
+        (reaches && follows && bytes <= MOST_BYTES_AT_ONCE).then(|| missing.cloned().collect())
     }
 }
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -25,6 +25,10 @@
 const LEASE_NAME: &str = "weights-orders";
 /// How much sooner than its lease ends a holder stops acting.
 const SAFETY: Duration = Duration::from_millis(150);
+/// How much longer a small machine waits: it should lead only where no other one can.
+const SMALL_WAITS: Duration = Duration::from_millis(600);
+/// How long a node that was cut off from the others leaves the lease to them.
+const STANDS_BACK: Duration = Duration::from_secs(10);
 /// The longest time by which nodes spread out when they ask for a free lease.
 const SPREAD: Duration = Duration::from_millis(200);
 
@@ -34,7 +38,7 @@
     let ttl = Duration::from_millis(settings.bounds.lease_ms.max(settings.store.shortest_lease_ms));
     let lease_settings = LeaseSettings { name: LEASE_NAME.into(), holder: settings.node.clone(), ttl };
     let holder = LeaseHolder::new(lease_settings, node.now());
-    let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None };
+    let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None, deserted_at: None };
     while !leadership.node.stopping.get() {
         leadership.turn().await;
         // What can be done next is looked for at once where something has ended.
@@ -49,6 +53,8 @@
     ttl: Duration,
     lease: Option<StoreLease>,
     free_since: Option<Timestamp>,
+    /// When this node last led and heard nobody.
+    deserted_at: Option<Timestamp>,
 }
 
 impl Leadership {
@@ -58,6 +64,10 @@
             self.publish(now);
             return;
         }
+        if self.is_deserted(now) {
+            self.give_way(now).await;
+            return;
+        }
         if let Some(request) = self.holder.handle(LeaseEvent::Tick, now) {
             let event = self.perform(request).await;
             self.holder.handle(event, self.node.now());
@@ -69,6 +79,31 @@
         }
     }
 
+    /// Whether this node leads and the others, which it had heard, hear it no longer.
+    fn is_deserted(&self, now: Timestamp) -> bool {
+        let peers = self.node.peers.as_ref();
+        self.node.token().is_some() && peers.is_some_and(|peers| peers.borrow().fleet.is_deserted(now))
+    }
+
+    /// Gives the lease up to nodes that the others can reach.
+    async fn give_way(&mut self, now: Timestamp) {
+        self.deserted_at = Some(now);
+        if let Some((token, _)) = self.node.leading.take() {
+            let event = Event::LeadershipLost { token: token.0, why: "no other node reports here" };
+            self.node.journal.tell(&event);
+        }
+        if let Some(request) = self.holder.handle(LeaseEvent::Stop, now) {
+            let event = self.perform(request).await;
+            self.holder.handle(event, self.node.now());
+        }
+        let settings = LeaseSettings {
+            name: LEASE_NAME.into(),
+            holder: self.node.settings().node.clone(),
+            ttl: self.ttl,
+        };
+        self.holder = LeaseHolder::new(settings, self.node.now());
+    }
+
     /// Whether the store has told that nobody leads, and this node's turn to ask has come.
     fn may_ask(&mut self, now: Timestamp) -> bool {
         let beliefs = self.node.beliefs.borrow();
@@ -79,7 +114,11 @@
             return false;
         }
         let since = *self.free_since.get_or_insert(now);
-        now.saturating_since(since) >= SPREAD.mul_f64(rand::random::<f64>())
+        let small = self.node.settings().limits.is_small();
+        let waits = if small { SMALL_WAITS } else { Duration::ZERO };
+        let stands_back = self.deserted_at.is_some_and(|at| now.saturating_since(at) < STANDS_BACK);
+        let waits = if stands_back { waits + STANDS_BACK / 2 } else { waits };
+        now.saturating_since(since) >= waits + SPREAD.mul_f64(rand::random::<f64>())
     }
 
     async fn perform(&mut self, request: LeaseRequest) -> LeaseEvent {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -76,7 +76,12 @@
     ) -> Self {
         let store = Caller::new(settings.store.address, clock);
         let beliefs = Beliefs::new(&settings);
-        let me = |address| Member { node: settings.node.clone(), zone: settings.zone.clone(), address };
+        let me = |address| Member {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            address,
+            capacity: settings.limits.capacity(),
+        };
         let peers = peers.map(|address| RefCell::new(Peers::new(me(address), rand::random())));
         Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -20,6 +20,8 @@
 
 /// The pause between two reports.
 const PERIOD: Duration = Duration::from_millis(200);
+/// The log of a node above that has not answered yet: the first report is short, as all may send theirs at once.
+const NO_LOG: u64 = 0;
 /// How long the node above may take to answer.
 const PATIENCE: Duration = Duration::from_millis(600);
 
@@ -80,7 +82,7 @@
 impl Link {
     fn to(parent: Member, node: &Node) -> Self {
         let calls = Caller::new(parent.address, node.clock);
-        Self { parent, calls, cursor: std::cell::Cell::new((0, 0)) }
+        Self { parent, calls, cursor: std::cell::Cell::new((NO_LOG, 0)) }
     }
 
     async fn exchange(&self, node: &Node) {
@@ -108,8 +110,8 @@
         Some(Report {
             sender: peers.fleet.me().clone(),
             below: peers.fleet.members_below(),
-            work: peers.fleet.work_below(&beliefs.chooser.loads.own_work()),
-            news: peers.news.waiting(),
+            work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), node.now()),
+            news: if log == NO_LOG { Vec::new() } else { peers.news.waiting() },
             log,
             cursor,
             members_digest: Fleet::members_digest(peers.fleet.members()),
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -79,6 +79,10 @@
 pub struct LimitSettings {
     /// The number of nodes that share the retry slack and the back ends' connections, where it isn't known.
     pub most_nodes: u32,
+    /// What the machine's link carries, in Mbit/s.
+    pub link_mbps: f64,
+    /// The process's share of a processor.
+    pub processor_share: f64,
     /// Descriptors that the process may open.
     pub descriptors: u32,
     /// Back ends of a pool that may load weights at the same time, where `loads_share` gives fewer.
@@ -89,7 +93,29 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { most_nodes: 64, descriptors: 1_024, loads_at_once: 2, loads_share: 0.2 }
+        Self {
+            most_nodes: 64,
+            link_mbps: 1_000.0,
+            processor_share: 1.0,
+            descriptors: 1_024,
+            loads_at_once: 2,
+            loads_share: 0.2,
+        }
+    }
+}
+
+/// The link of a machine that other nodes had better not depend on, in Mbit/s.
+const SMALL_LINK_MBPS: f64 = 50.0;
+
+impl LimitSettings {
+    /// What the machine can carry, compared with others.
+    pub fn capacity(&self) -> u32 {
+        (self.link_mbps * self.processor_share).clamp(0.0, 1e9) as u32
+    }
+
+    /// Whether the machine is so small that others should lead.
+    pub fn is_small(&self) -> bool {
+        self.link_mbps < SMALL_LINK_MBPS
     }
 }
 
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -2,6 +2,7 @@
 //!
 //! Nodes form a tree of two levels: the holder of the lease on orders is its root, one node of each other zone stands
 //! between the root and its zone. A node sends a [`Report`] up several times a second and gets a [`Digest`] back.
+//! Entries that come in numbers have short names on the wire: a node of a small machine sends them to dozens of others.
 //! Nothing here is needed for correctness: a node that hears nobody asks the metadata store itself.
 
 use std::net::SocketAddr;
@@ -22,16 +23,21 @@
     pub zone: ZoneId,
     /// Where it takes reports.
     pub address: SocketAddr,
+    /// What its machine can carry, compared with others: those that can carry more stand between.
+    pub capacity: u32,
 }
 
 /// What nodes have under way at one engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineWork {
     /// The engine, or an instance of another service.
+    #[serde(rename = "e")]
     pub engine: EngineId,
     /// Requests that have not ended.
+    #[serde(rename = "r")]
     pub requests: u32,
     /// Tokens that requests without a first event have to read.
+    #[serde(rename = "u")]
     pub unread_tokens: u64,
 }
 
@@ -39,12 +45,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptNews {
     /// The engine, or the store of kept parts.
+    #[serde(rename = "e")]
     pub engine: EngineId,
     /// The hash of the part's scope.
+    #[serde(rename = "s")]
     pub scope: u64,
     /// The part.
+    #[serde(rename = "p")]
     pub part: u64,
     /// Tokens of it that are kept; none where it is gone.
+    #[serde(rename = "t")]
     pub tokens: u32,
 }
 
