Keep what is known of new weights, read each part at one home, divide engines by slots held too

From the nodes' lines: after each version nearly all requests took their part for cold for 6 s: when the registry's word of an engine's new weights came, after other nodes' news of what it had read under them, all of that was forgotten. Each part had two homes and was copied to others for a small gain, and copies displaced parts that were asked again. Short prompts, whose answers hold a slot for long, got a seventh of the engines, whose 12 slots were taken. Ruled out: first reads for isolated tenants, a third of the cold ones, are not counted by the users. Change: what is believed of an engine's cache outlasts new weights (the scope names the version); one home; a copy elsewhere costs 0.35 of the reading where many nodes choose; taken slots cost; a request's weight in the division counts its answer's time in a slot; requests avoid the other side less (2,000 tokens). Request lines tell subject and at_home.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -25,6 +25,9 @@
 
 /// The cost of importing a token, in thousandths of the cost of reading it.
 const IMPORT_PER_MILLE: u64 = 80;
+/// The same where few back ends are weighed: with many engines what counts is that each part lies at few of them, as
+/// copies displace parts that will be asked for again.
+const IMPORT_AWAY_PER_MILLE: u64 = 350;
 /// The fixed cost of an import, in tokens read.
 const IMPORT_FIXED_TOKENS: u64 = 60;
 /// Tokens of a part below which an import doesn't pay: engines keep parts by blocks of this size.
@@ -32,13 +35,15 @@
 /// The cost of reading a part elsewhere than at its home, in multiples of reading it there: it may be read twice.
 const READ_TWICE: u64 = 4;
 /// Back ends that are homes of a part, where few others are weighed.
-const HOMES: usize = 2;
+const HOMES: usize = 1;
 /// The cost of a request that is being answered, in tokens read.
 const RUNNING_TOKENS: u64 = 40;
+/// The cost of each request that would have to wait for a slot, in tokens read.
+const QUEUED_TOKENS: u64 = 2_000;
 /// The cost of a back end in another zone, in requests, for services without prompts.
 const OTHER_ZONE_REQUESTS: f64 = 1.5;
 /// The cost of a back end that is rather left to prompts of the other length, in tokens.
-const AVOIDED_TOKENS: u64 = 4_000;
+const AVOIDED_TOKENS: u64 = 2_000;
 /// The cost of a back end whose weights are older than the preferred version, in tokens.
 const OUTDATED_TOKENS: u64 = 6_000;
 /// The same for prompts, in tokens.
@@ -55,6 +60,8 @@
     pub zone: &'a ZoneId,
     /// The version of the asked model's weights, where the request has a prompt.
     pub weights: Option<WeightsVersion>,
+    /// Requests that it works on at once; further ones wait.
+    pub slots: u32,
     /// Whether it may be chosen; others only keep parts.
     pub eligible: bool,
     /// Whether requests of this kind rather go to others.
@@ -113,6 +120,10 @@
     pub held_tokens: u32,
     /// Tokens of the prefix that nobody is believed to keep.
     pub cold_tokens: u32,
+    /// The last shared part of the prompt.
+    pub subject: Option<PartId>,
+    /// Whether the back end is where such a part is read first.
+    pub at_home: bool,
     /// The cost by which it was chosen.
     pub cost: u64,
     /// The number of eligible candidates.
@@ -216,6 +227,8 @@
             expected_tokens: 0,
             held_tokens: 0,
             cold_tokens: 0,
+            subject: None,
+            at_home: false,
             cost: cost(best),
             eligible: count,
         })
@@ -245,7 +258,7 @@
                 continue;
             }
             let mut choice = self.weigh(candidate, group, placement, prompt, candidates);
-            let waiting = self.waiting_tokens(candidate.id);
+            let waiting = self.waiting_tokens(candidate.id) + self.queue_tokens(candidate);
             let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
             let work = (waiting + choice.cost) as f64 * self.loads.slowness(candidate.id, usual_ms);
             let avoided = if candidate.avoided { AVOIDED_TOKENS } else { 0 };
@@ -274,6 +287,12 @@
         own_tokens + other_tokens
     }
 
+    /// The wait for a slot at a back end whose slots are taken, in tokens.
+    fn queue_tokens(&self, candidate: &Candidate<'_>) -> u64 {
+        let requests = self.loads.requests_of_all(candidate.id) + 1;
+        u64::from(requests.saturating_sub(candidate.slots.max(1))) * QUEUED_TOKENS
+    }
+
     /// Who gets a copy: the back end with the least under way among those with the same weights.
     fn copy_holder(
         &self,
@@ -346,7 +365,11 @@
         let read = u64::from(shared_tokens - held) - imported;
         let is_home = group.homes.is_empty() || group.homes.contains(&candidate.id);
         let factor = if is_home { 1 } else { READ_TWICE };
-        let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported * IMPORT_PER_MILLE / 1_000);
+        let per_mille = match placement.considered {
+            Some(_) if !group.homes.contains(&candidate.id) => IMPORT_AWAY_PER_MILLE,
+            _ => IMPORT_PER_MILLE,
+        };
+        let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported * per_mille / 1_000);
         let store = placement.store.map(|store| store.address);
         Choice {
             backend: candidate.id.clone(),
@@ -359,6 +382,8 @@
             expected_tokens: own + read + import_cost,
             held_tokens: held,
             cold_tokens: group.cold_tokens,
+            subject: shared.last().map(|part| part.id),
+            at_home: group.homes.contains(&candidate.id),
             cost: own + read * factor + import_cost,
             eligible: 0,
         }
--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -28,7 +28,7 @@
 /// Requests at an engine below which others need not hear of them.
 const FEWEST_TOLD: u32 = 2;
 /// Engines of whose work others hear, the busiest first.
-const MOST_TOLD: usize = 32;
+const MOST_TOLD: usize = 48;
 
 /// What a node below has reported.
 #[derive(Clone, Debug)]
@@ -172,7 +172,7 @@
         let below = others.filter(recent).flat_map(|below| &below.work);
         let mut sum = summed(own.iter().chain(above).chain(below));
         sum.retain(|work| work.requests >= FEWEST_TOLD);
-        sum.sort_by_key(|work| Reverse((work.unread_tokens, work.requests)));
+        sum.sort_by_key(|work| Reverse((work.requests, work.unread_tokens)));
         sum.truncate(MOST_TOLD);
         sum
     }
--- a/crates/core/src/forwarding/partition.rs
+++ b/crates/core/src/forwarding/partition.rs
@@ -10,8 +10,11 @@
 use paddlemount_protocol::identity::ServiceId;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::backends::BackendId;
+use super::{backends::BackendId, prompt::Prompt};
 
+/// What the writing of a token occupies of an engine that works on one request at a time, in tokens read: a step takes
+/// some 5 ms, in which some 200 tokens are read, and far fewer tokens than a caller allows are written.
+const WRITTEN_TOKEN: u32 = 40;
 /// The weight of a new request in a route's average.
 const AVERAGE_WEIGHT: f64 = 0.05;
 /// Requests of a service below which nothing is divided.
@@ -33,6 +36,13 @@
     requests: u32,
 }
 
+/// What a request occupies of an engine with so many slots, in tokens read: its own part of the prompt is read, and its
+/// answer takes a slot while it is written.
+pub fn work_of(prompt: &Prompt, slots: u32) -> u32 {
+    let own = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
+    own.saturating_add(prompt.output_tokens.saturating_mul(WRITTEN_TOKEN) / slots.max(1))
+}
+
 /// The side of a division.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -49,7 +59,7 @@
 }
 
 impl Partition {
-    /// A request of `route` has `tokens` of its own to be read.
+    /// A request of `route` occupies an engine for as long as `tokens` take to be read.
     pub fn seen(&mut self, service: &ServiceId, route: &str, tokens: u32) {
         let mix = self.services.entry(service.clone()).or_default();
         mix.requests = mix.requests.saturating_add(1);
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -1,15 +1,16 @@
 //! Choosing back ends for prompts and other requests.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use paddlemount_core::forwarding::{
     backends::BackendId,
     choice::{Candidate, Choice, Chooser, Placement, Store},
-    partition::{Partition, Side, takes_long},
+    partition::{Partition, Side, takes_long, work_of},
     prefixes::{KeptPart, ScopeHash},
     prompt::{CacheScope, Part, PartId, Prompt},
 };
 use paddlemount_protocol::{
+    fleet::EngineWork,
     identity::{ModelId, ServiceId, TenantId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
@@ -36,6 +37,7 @@
             address: address(number),
             zone: &self.zone,
             weights: Some(WeightsVersion(self.weights[number])),
+            slots: 8,
             eligible: true,
             avoided: false,
             outdated: false,
@@ -253,3 +255,46 @@
     let chosen = chooser.choose(world.placement(&prompt, 1), &candidates).expect("a choice");
     assert_eq!(chosen.backend, world.ids[0]);
 }
+
+#[test]
+fn a_back_end_whose_slots_are_taken_by_anyones_requests_is_left() {
+    let world = World::of(&[1, 1]);
+    let mut chooser = Chooser::default();
+    let prompt = prompt(&[], 400);
+    let work = EngineWork { engine: world.ids[0].clone(), requests: 8, unread_tokens: 0 };
+    let light = EngineWork { engine: world.ids[1].clone(), requests: 2, unread_tokens: 2_500 };
+    chooser.loads.told(vec![work, light]);
+    for draw in 0..20 {
+        let chosen = chooser.choose(world.placement(&prompt, draw), &world.candidates()).expect("a choice");
+        assert_eq!(chosen.backend, world.ids[1]);
+    }
+}
+
+#[test]
+fn answers_that_hold_a_slot_for_long_weigh_more_where_slots_are_few() {
+    let short = prompt(&[(1, 100)], 600);
+    assert_eq!(short.output_tokens, 50);
+    assert_eq!(work_of(&short, 50), 640);
+    assert_eq!(work_of(&short, 10), 800);
+}
+
+#[test]
+fn where_many_nodes_choose_each_weighs_a_few_back_ends_and_the_home_of_the_part() {
+    let world = World::of(&[1; 60]);
+    let chooser = Chooser::default();
+    let prompt = prompt(&[(7, 3_000)], 500);
+    let few = |draw| Placement { considered: Some(4), ..world.placement(&prompt, draw) };
+    let homes: BTreeSet<_> = (0..30)
+        .map(|draw| chooser.choose(few(draw), &world.candidates()).expect("a choice"))
+        .map(|choice| (choice.backend, choice.at_home))
+        .collect();
+    assert_eq!(homes.len(), 1, "nobody keeps the part: all read it at its home");
+    assert!(homes.iter().all(|(_, at_home)| *at_home));
+    let mut busy = Chooser::default();
+    let home = homes.first().expect("a home").0.clone();
+    busy.loads.told(vec![EngineWork { engine: home.clone(), requests: 40, unread_tokens: 200_000 }]);
+    let away: BTreeSet<_> =
+        (0..30).map(|draw| busy.choose(few(draw), &world.candidates()).expect("a choice").backend).collect();
+    assert!(!away.contains(&home));
+    assert!(away.len() > 10, "different requests weigh different back ends: {}", away.len());
+}
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -224,6 +224,6 @@
     let many = (0..200).map(|number| work(&format!("e{number:03}"), number)).collect();
     root.reported(member("a2", "a"), Vec::new(), many, at(0));
     let told = root.work_of_others(at(1));
-    assert_eq!(told.len(), 32);
+    assert_eq!(told.len(), 48);
     assert_eq!(told[0], work("e199", 199));
 }
--- a/crates/forward/src/account.rs
+++ b/crates/forward/src/account.rs
@@ -67,6 +67,8 @@
             expected_tokens: choice.map_or(0, |choice| choice.expected_tokens),
             held_tokens: choice.map_or(0, |choice| choice.held_tokens),
             cold_tokens: choice.map_or(0, |choice| choice.cold_tokens),
+            subject: choice.and_then(|choice| choice.subject).map(|part| format!("{:x}", part.0)),
+            at_home: choice.is_some_and(|choice| choice.at_home),
             imported: choice.is_some_and(|choice| choice.import_from.is_some()),
             weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
             first_ms: self.first_at.map(since),
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -244,6 +244,7 @@
                     address: backend.entry.address,
                     zone: &backend.entry.zone,
                     weights,
+                    slots: backend.entry.slots,
                     eligible: untried && weights >= required && fit(backend),
                     outdated: weights < preferred,
                     avoided: long.as_ref().is_some_and(|(side, long)| (*side == Side::Long) != long[index]),
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -11,6 +11,7 @@
     backends::BackendId,
     choice::Choice,
     document::{Route, RouteKind, rank},
+    partition::work_of,
     table::Admission,
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
@@ -201,8 +202,9 @@
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
             self.node.earned_retry(&self.service);
             if let Some(prompt) = &self.head.prompt {
-                let own = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
-                self.node.beliefs.borrow_mut().partition.seen(&self.service, &self.route.name, own);
+                let mut beliefs = self.node.beliefs.borrow_mut();
+                let slots = beliefs.backends.get(&choice.backend).map_or(1, |backend| backend.entry.slots);
+                beliefs.partition.seen(&self.service, &self.route.name, work_of(prompt, slots));
             }
         }
         if choice.import_from.is_some() {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -146,6 +146,10 @@
     pub held_tokens: u32,
     /// Tokens of the prefix that nobody was believed to keep.
     pub cold_tokens: u32,
+    /// The last shared part of the prompt.
+    pub subject: Option<String>,
+    /// Whether the back end is where such a part is read first.
+    pub at_home: bool,
     /// Whether the prefix was to be imported.
     pub imported: bool,
     /// The version of the weights asked for.
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -73,10 +73,6 @@
         let seen = HealthEvent::Seen { pool: &pool, incarnation: Incarnation(1) };
         beliefs.health.apply(&entry.id, seen, self.now());
         let id = entry.id.clone();
-        let before = beliefs.backends.get(&id).map(|backend| backend.entry.weights.clone());
-        if before.is_some_and(|before| before != entry.weights) {
-            beliefs.chooser.prefixes.forget(&id);
-        }
         let change = beliefs.backends.put(entry);
         self.tell_backend(&beliefs, &id, change, revision);
     }
@@ -154,9 +150,10 @@
         let Some(backend) = beliefs.backends.get_mut(id) else { return };
         let known = backend.entry.weights.get(model).copied();
         if known.is_none_or(|known| known < version) {
+            // What is believed of its cache stays: the scope of cached parts names the version, so that nothing of
+            // the older one is asked for, and what other nodes have told of the newer one may have come first.
             backend.entry.weights.insert(model.clone(), version);
             backend.loading_until = None;
-            beliefs.chooser.prefixes.forget(id);
         }
     }
 }
