Ask the store at once where others know more than they can pass on; search the relayed proof exhaustively

From the nodes' lines: the leader had it after 0.1 s; its answer was over the 16 KB that are passed on, so the nodes between asked the store 1.5 s later, and those below them another 1.5 s later, as the node between proved its own older knowledge all the while. Change: digests name the newest revision heard of, also through nodes that lack it; a node that lacks it asks the store at once. What is passed on counts up to 0.65 of the configuration's bound, so that nodes whose leader has lost the store still hear in time; a leader's watch waits a fifth of that bound. 24 KB are passed on. A source is named also for a prefix that an engine is believed to keep. Proof: specs/relay searches report, digest, watch and change in all orders over core's own functions: holds; counting from the digest's arrival, or taking any digest, gives a counterexample.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -270,6 +270,9 @@
             }
         }
         let (_, _, mut choice) = best?;
+        if choice.import_from.is_none() {
+            choice.import_from = self.source_in_reserve(&choice, placement, prompt, candidates);
+        }
         if placement.copied {
             choice.copy_to = self.copy_holder(&choice, placement, candidates);
         }
@@ -389,6 +392,32 @@
         }
     }
 
+    /// Whom to name where the back end is believed to keep the whole prefix itself: that may be wrong, and where it is
+    /// right nothing is moved.
+    fn source_in_reserve(
+        &self,
+        choice: &Choice,
+        placement: Placement<'_>,
+        prompt: &Prompt,
+        candidates: &[Candidate<'_>],
+    ) -> Option<SocketAddr> {
+        let scope = choice.scope.as_ref()?;
+        if choice.held_tokens < IMPORT_MINIMUM_TOKENS {
+            return None;
+        }
+        let hash = ScopeHash::from(scope);
+        let keeps = |other: &&Candidate<'_>| {
+            *other.id != choice.backend
+                && other.weights == Some(scope.weights)
+                && self.prefixes.kept(other.id, hash, prompt.shared()) >= choice.held_tokens
+        };
+        let other = candidates
+            .iter()
+            .filter(keeps)
+            .min_by_key(|other| (other.zone != placement.zone, tie(other.id, placement.draw)));
+        other.map(|other| other.address).or(placement.store.map(|store| store.address))
+    }
+
     /// Who keeps most of the prefix under the same weights: another back end, else the store.
     fn source(
         &self,
--- a/crates/core/src/forwarding/freshness.rs
+++ b/crates/core/src/forwarding/freshness.rs
@@ -8,7 +8,7 @@
 use paddlemount_protocol::time::Timestamp;
 
 /// Proof of freshness.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Freshness {
     proved_at: Option<Timestamp>,
 }
--- a/crates/core/src/forwarding/relay_log.rs
+++ b/crates/core/src/forwarding/relay_log.rs
@@ -4,19 +4,32 @@
 //! revision gets the answers from there on. Where they are not remembered any more, or are too large to be passed on,
 //! it asks the store itself.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
-use paddlemount_protocol::{fleet::RelayedAnswer, identity::Revision};
+use paddlemount_protocol::{fleet::RelayedAnswer, identity::Revision, time::Timestamp};
 
 /// Answers remembered.
 const MOST_ANSWERS: usize = 64;
 /// Bytes of answers that are remembered.
 const MOST_BYTES: usize = 64 << 10;
 /// Bytes of answers that are passed on at once; a reader that lacks more asks the store, whose link is wider.
-const MOST_BYTES_AT_ONCE: usize = 16 << 10;
+const MOST_BYTES_AT_ONCE: usize = 24 << 10;
+
+/// The moment that a relayed proof counts from, on the reader's clock: when the reader's report was sent, less the age
+/// that the proof had at the other node when it answered. The answer was written later than the report was sent, so
+/// that the moment is never too late, however long either was under way.
+pub fn relayed_proof(report_sent_at: Timestamp, age: Duration) -> Timestamp {
+    report_sent_at - age
+}
+
+/// Whether what was passed on for a reader that knew `reported` may be taken in where it now knows `known`. Where the
+/// store has told it something meanwhile, what was passed on may be older.
+pub fn is_still_asked_for(reported: Option<Revision>, known: Option<Revision>) -> bool {
+    reported.is_some() && reported == known
+}
 
 /// Remembered answers.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct RelayLog {
     answers: VecDeque<RelayedAnswer>,
     bytes: usize,
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -298,3 +298,22 @@
     assert!(!away.contains(&home));
     assert!(away.len() > 10, "different requests weigh different back ends: {}", away.len());
 }
+
+#[test]
+fn a_source_is_named_also_for_a_prefix_that_the_back_end_is_believed_to_keep() {
+    let world = World::of(&[1, 1, 1]);
+    let mut chooser = Chooser::default();
+    let prompt = prompt(&[(7, 3_000)], 500);
+    let scope = CacheScope { model: prompt.model.clone(), weights: WeightsVersion(1), tenant: None };
+    chooser.learned(&world.ids[0], &scope, &prompt, Timestamp::from_millis(1));
+    let id = BackendId::from("store");
+    let store = Store { id: &id, address: address(90) };
+    let placement = Placement { store: Some(&store), ..world.placement(&prompt, 1) };
+    let alone = chooser.choose(placement, &world.candidates()).expect("a choice");
+    assert_eq!((&alone.backend, alone.held_tokens), (&world.ids[0], 3_000));
+    assert_eq!(alone.import_from, Some(store.address), "what is believed may be wrong");
+    chooser.learned(&world.ids[1], &scope, &prompt, Timestamp::from_millis(2));
+    let with_other = chooser.choose(placement, &world.candidates()).expect("a choice");
+    let other = if with_other.backend == world.ids[0] { address(1) } else { address(0) };
+    assert_eq!(with_other.import_from, Some(other));
+}
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -25,6 +25,9 @@
 /// The least time between two watches of the leader, whose orders wait for news.
 const LEADER_GATHER: Duration = Duration::from_millis(200);
 
+/// The pause between two looks whether other nodes still pass on what the store tells.
+const RELAYED_LOOK: Duration = Duration::from_millis(100);
+
 /// Why a call to the store brought nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -182,13 +185,18 @@
 
     /// The least time between two watches, in which changes gather: each answer costs a call.
     fn gather(&self) -> Duration {
-        if self.node.token().is_some() { LEADER_GATHER } else { self.node.settings().bounds.gather() }
+        match (self.node.token().is_some(), self.node.is_relayed_to()) {
+            (true, _) => LEADER_GATHER,
+            (false, true) => RELAYED_LOOK,
+            (false, false) => self.node.settings().bounds.gather(),
+        }
     }
 
     /// How long one watch waits. A leader's answers are proof for others too, who hear of them a little later.
     fn wait(&self) -> Duration {
-        let wait = self.node.settings().bounds.watch_wait();
-        if self.node.token().is_some() && self.node.peers.is_some() { wait / 2 } else { wait }
+        let bounds = self.node.settings().bounds;
+        let proves_for_others = self.node.token().is_some() && self.node.peers.is_some();
+        if proves_for_others { bounds.leader_watch_wait() } else { bounds.watch_wait() }
     }
 
     async fn account(&mut self, result: Result<(), StoreError>) {
@@ -200,7 +208,7 @@
                     self.node.journal.tell(&Event::StoreRegained { after_ms });
                 }
                 self.failures = 0;
-                tokio::time::sleep(self.gather()).await;
+                let _ = tokio::time::timeout(self.gather(), self.node.store_has_news.notified()).await;
             }
             Err(error) => {
                 if self.failing_since.is_none() {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -39,6 +39,7 @@
         callers: String,
         readiness: String,
         metrics: Option<String>,
+        peers: Option<String>,
         software: &'static str,
     },
     /// A signal to stop came.
@@ -150,7 +151,7 @@
     pub subject: Option<String>,
     /// Whether the back end is where such a part is read first.
     pub at_home: bool,
-    /// Whether the prefix was to be imported.
+    /// Whether another back end or the store was named to import the prefix from.
     pub imported: bool,
     /// The version of the weights asked for.
     pub weights: Option<u64>,
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -59,6 +59,8 @@
     pub running: Cell<usize>,
     /// Engines that load weights by this node's orders, while it leads.
     pub loading: Cell<usize>,
+    /// Told where other nodes have heard more of the store than they could pass on.
+    pub store_has_news: Notify,
     /// Told where an order has ended.
     pub order_ended: Notify,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -96,6 +98,7 @@
             stopping: Cell::new(false),
             running: Cell::new(0),
             loading: Cell::new(0),
+            store_has_news: Notify::new(),
             order_ended: Notify::new(),
             leading: Cell::new(None),
         }
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::Response;
+use paddlemount_core::forwarding::relay_log::{is_still_asked_for, relayed_proof};
 use paddlemount_protocol::{
     fleet::{Digest, RelayedAnswer, StoreRelay},
     identity::Revision,
@@ -17,7 +18,7 @@
 
 impl Node {
     /// Takes in the answer to a report that was sent at `sent_at` and named `revision`.
-    pub(crate) fn take_digest(&self, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
+    pub fn take_digest(&self, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
         let now = self.now();
         let Some(peers) = &self.peers else { return };
         {
@@ -31,20 +32,29 @@
             let mut peers = peers.borrow_mut();
             peers.news.log(digest.news);
             peers.fleet.told(digest.work, digest.nodes, digest.members, now);
+            peers.newest = digest.newest;
         }
         if let Some(relay) = digest.store {
             self.take_relay(relay, revision, sent_at);
         }
+        if self.is_behind() {
+            self.store_has_news.notify_one();
+        }
+    }
+
+    /// Whether the store has told others more than they could pass on: it is to be asked at once.
+    fn is_behind(&self) -> bool {
+        let Some(peers) = &self.peers else { return false };
+        peers.borrow().newest > self.beliefs.borrow().revision
     }
 
     /// Takes in what the store has told another node. It counts from when the report was sent, less the age that the
     /// proof then had at the other node: so an answer that was long under way proves nothing recent.
     fn take_relay(&self, relay: StoreRelay, revision: Option<Revision>, sent_at: Timestamp) {
-        // The store has told this node something meanwhile: what was passed on may be older.
-        if revision.is_none() || self.beliefs.borrow().revision != revision {
+        if !is_still_asked_for(revision, self.beliefs.borrow().revision) {
             return;
         }
-        let proved_at = sent_at - Duration::from_millis(relay.age_ms);
+        let proved_at = relayed_proof(sent_at, Duration::from_millis(relay.age_ms));
         if relay.answers.is_empty() {
             self.beliefs.borrow_mut().freshness.prove(proved_at);
         }
@@ -77,14 +87,15 @@
     }
 
     /// Whether another node has lately passed on what the store told, and recently enough proved.
-    pub(crate) fn is_relayed_to(&self) -> bool {
+    pub fn is_relayed_to(&self) -> bool {
+        if self.is_behind() {
+            return false;
+        }
         let now = self.now();
-        let within = self.settings().bounds.relayed_within();
+        let bounds = self.settings().bounds;
+        let (within, lately) = (bounds.relayed_within(), bounds.relayed_lately());
         let Some(peers) = &self.peers else { return false };
-        let lately = peers.borrow().relayed_at.is_some_and(|at| now.saturating_since(at) < RELAYED_LATELY);
+        let lately = peers.borrow().relayed_at.is_some_and(|at| now.saturating_since(at) < lately);
         lately && self.beliefs.borrow().freshness.is_within(within, now)
     }
 }
-
-/// How long after the last relayed answer a node waits for the next one before it asks the store itself.
-const RELAYED_LATELY: Duration = Duration::from_millis(900);
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -15,7 +15,7 @@
 pub mod server;
 
 use paddlemount_core::forwarding::{fleet::Fleet, news::NewsLog, relay_log::RelayLog};
-use paddlemount_protocol::{fleet::Member, time::Timestamp};
+use paddlemount_protocol::{fleet::Member, identity::Revision, time::Timestamp};
 
 /// What a node knows of the others, and what it has to pass on.
 #[derive(Debug)]
@@ -26,6 +26,8 @@
     pub news: NewsLog,
     /// The store's answers.
     pub relay: RelayLog,
+    /// The newest revision of the store that a node above has heard of.
+    pub newest: Option<Revision>,
     /// When the last report was sent whose answer told what the store has told.
     pub relayed_at: Option<Timestamp>,
 }
@@ -33,6 +35,12 @@
 impl Peers {
     /// A node that knows nobody yet; `log` is a number drawn for this process.
     pub fn new(me: Member, log: u64) -> Self {
-        Self { fleet: Fleet::new(me), news: NewsLog::new(log), relay: RelayLog::default(), relayed_at: None }
+        Self {
+            fleet: Fleet::new(me),
+            news: NewsLog::new(log),
+            relay: RelayLog::default(),
+            newest: None,
+            relayed_at: None,
+        }
     }
 }
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -86,6 +86,7 @@
         work: peers.fleet.work_beside(&child, &own, now),
         news,
         store: store_relay(&beliefs, &peers.relay, report.revision, now),
+        newest: beliefs.revision.max(peers.newest),
     })
 }
 
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: start, signals, reload of settings, planned stop.
 
-use std::{cell::Cell, io, path::PathBuf, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use tokio::{
     net::TcpListener,
@@ -77,10 +77,12 @@
     let peers = listen.peers.map(ingress::listen).transpose().map_err(system("peers' address"))?;
     let peers_address =
         peers.as_ref().map(TcpListener::local_addr).transpose().map_err(system("addresses"))?;
-    let node = Rc::new(Node::new(settings, platform, clock, journal, peers_address));
+    let advertised = peers_address.map(|address| listen.peers_advertised.unwrap_or(address));
+    let node = Rc::new(Node::new(settings, platform, clock, journal, advertised));
     let (stage, stage_seen) = watch::channel(StopStage::Serving);
     let open = Rc::new(Cell::new(0));
-    let addresses = Addresses::of(&callers, &readiness, metrics.as_ref()).map_err(system("addresses"))?;
+    let addresses =
+        Addresses::of(&callers, &readiness, metrics.as_ref(), peers_address).map_err(system("addresses"))?;
     tell_start(&node, addresses);
     tokio::task::spawn_local(feed::follow(Rc::clone(&node)));
     if let Some(peers) = peers {
@@ -112,15 +114,22 @@
     callers: String,
     readiness: String,
     metrics: Option<String>,
+    peers: Option<String>,
 }
 
 impl Addresses {
-    fn of(callers: &TcpListener, readiness: &TcpListener, metrics: Option<&TcpListener>) -> io::Result<Self> {
+    fn of(
+        callers: &TcpListener,
+        readiness: &TcpListener,
+        metrics: Option<&TcpListener>,
+        peers: Option<SocketAddr>,
+    ) -> io::Result<Self> {
         let metrics = metrics.map(TcpListener::local_addr).transpose()?;
         Ok(Self {
             callers: callers.local_addr()?.to_string(),
             readiness: readiness.local_addr()?.to_string(),
             metrics: metrics.map(|address| address.to_string()),
+            peers: peers.map(|address| address.to_string()),
         })
     }
 }
@@ -131,6 +140,7 @@
         callers: addresses.callers,
         readiness: addresses.readiness,
         metrics: addresses.metrics,
+        peers: addresses.peers,
         software: env!("CARGO_PKG_VERSION"),
     });
 }
--- a/crates/forward/src/settings.rs
+++ b/crates/forward/src/settings.rs
@@ -37,6 +37,9 @@
     /// For other nodes; none where nodes tell each other nothing.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// Where other nodes reach that, if it is another address than the one listened on.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddr>,
 }
 
 /// The metadata store.
@@ -223,9 +226,20 @@
         Duration::from_millis((self.configuration_ms / 4).clamp(100, 1_000))
     }
 
-    /// The age up to which what another node passes on of the store is enough.
+    /// The age up to which what another node passes on of the store is enough: a node whose leader has lost the store
+    /// must still hear of a change in time by asking the store itself.
     pub fn relayed_within(&self) -> Duration {
-        self.stale_after().mul_f64(0.62)
+        Duration::from_millis(self.configuration_ms.min(self.revocation_ms) * 13 / 20)
+    }
+
+    /// How long one watch of a leader waits, whose answers are proof for others too.
+    pub fn leader_watch_wait(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms / 5).clamp(100, 1_000))
+    }
+
+    /// How long after a report a node waits for the next one's answer before it asks the store itself.
+    pub fn relayed_lately(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms / 4).clamp(300, 900))
     }
 
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -59,7 +59,7 @@
 }
 
 /// An answer of the metadata store to a watch, as it came.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RelayedAnswer {
     /// The revision after which changes were asked for.
     pub after: Revision,
@@ -116,4 +116,6 @@
     pub news: Vec<KeptNews>,
     /// What the store has told; nothing where the sender can't tell it without a gap.
     pub store: Option<StoreRelay>,
+    /// The newest revision of the store that the sender has heard of, even where it does not know what changed.
+    pub newest: Option<Revision>,
 }
--- a/specs/src/lib.rs
+++ b/specs/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod lease;
 mod opaque;
+pub mod relay;
 mod search;
 
 pub use search::{Counterexample, SearchReport, Specification, Step, search};
