--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -12,12 +12,12 @@
     choice::Choice,
     document::{Route, RouteKind, rank},
     partition::work_of,
-    table::Admission,
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
     account::Account,
+    admission::admit,
     answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
     beliefs::Ask,
@@ -102,42 +102,6 @@
     }
 }
 
-/// Finds a request's route and tenant, and the service whose turn it is.
-fn admit(
-    node: &Node,
-    parts: &request::Parts,
-    head: &RequestHead,
-    account: &mut Account,
-) -> Result<(Arc<Route>, ServiceId), Reason> {
-    let now = node.now();
-    let bounds = node.settings().bounds;
-    let (table, age) = {
-        let beliefs = node.beliefs.borrow();
-        (beliefs.table.clone().ok_or(Reason::NoConfiguration)?, beliefs.freshness.age(now))
-    };
-    account.configuration = Some(table.version());
-    account.configuration_age = age;
-    let is_within = |bound: Duration| age.is_some_and(|age| age < bound);
-    let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    // What is unknown to old knowledge may only be unknown yet.
-    let doubtful = !is_within(bounds.doubtful_after());
-    match table.admit(host, parts.uri.path(), head.key.as_deref()) {
-        Admission::NoRoute | Admission::UnknownKey if doubtful => Err(Reason::ConfigurationTooOld),
-        Admission::NoRoute => Err(Reason::NoRoute),
-        Admission::UnknownKey => Err(Reason::UnknownKey),
-        Admission::Admitted { route, tenant } => {
-            account.route = Some(Arc::clone(&route));
-            account.tenant.clone_from(&tenant);
-            if tenant.is_some() && bounds.revocation_fails_closed && !is_within(bounds.stale_after()) {
-                return Err(Reason::ConfigurationTooOld);
-            }
-            let service = node.share(&route).ok_or(Reason::NoBackend)?;
-            Ok((route, service))
-        }
-    }
-}
-
 impl Exchange {
     async fn read_body(&mut self, body: Incoming) -> Result<(), Reason> {
         let most = self.node.beliefs.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`kept`] | follows what engines and the store keep |
 //! | [`peers`] | what nodes tell each other |
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
+//! | [`admission`] | route, tenant, and whether what is known may be trusted |
 //! | [`ingress`], [`exchange`], [`attempts`], [`verdicts`], [`relay`] | takes requests, forwards them, decides what follows, passes streams on |
 //! | [`account`] | what is told of a request at its end |
 //! | [`answers`] | the node's own answers |
@@ -22,6 +23,7 @@
 //! | [`process`] | start, signals, stop |
 
 pub mod account;
+pub mod admission;
 pub mod answers;
 pub mod attempts;
 pub mod beliefs;
