Bound the feeds that a node follows, and follow some from the start

Each node that got a list of a few took itself for a reader of all feeds (few nodes follow everything) and began 91 feeds from their first entries: 697 feeds begun in one second, on links of 10 Mbit/s and 0.12 of a core. Requests then waited over a second before the process read them, and so did their time-outs. Change: a root keeps the list that it knew until it has counted for 2 s; a node follows 24 feeds at most (16 while nobody is counted), by a pure choice in core::forwarding::readers. A feed begins with the list of what is kept, not with its history, and at once, not when the nodes are counted: after all nodes restart at once nothing was known for 3 s. Tests: a node follows few feeds however short its list, a new root keeps its list.

--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -11,7 +11,7 @@
     identity::{EngineId, NodeId},
     time::Timestamp,
 };
-use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+use xxhash_rust::xxh3::Xxh3;
 
 /// How long a node that says nothing still counts.
 const SILENT: Duration = Duration::from_secs(8);
@@ -82,11 +82,10 @@
         self.below.retain(|_, below| now.saturating_since(below.at) < SILENT);
         self.passed_over.retain(|_, at| now.saturating_since(*at) < PASSED_OVER);
         self.counts.retain(|(at, _)| now.saturating_since(*at) < REMEMBERED);
-        if is_root {
+        // A root that has just begun has heard few of the others: what it knew of them before is better.
+        if is_root && self.counts_well(now) {
             self.members = self.subtree_members();
-            if self.counts_well(now) {
-                self.remember_count(self.members.len() as u32, now);
-            }
+            self.remember_count(self.members.len() as u32, now);
         }
     }
 
@@ -196,16 +195,6 @@
         self.work_beside(&self.me.node, &[], now)
     }
 
-    /// Whether this node is among the `readers` that follow the feed of `engine`: all nodes find the same ones.
-    pub fn follows(&self, engine: &EngineId, readers: usize) -> bool {
-        if self.members.len() <= readers {
-            return true;
-        }
-        let rank = |node: &NodeId| xxh3_64_with_seed(node.as_str().as_bytes(), hash_of(engine));
-        let mine = rank(&self.me.node);
-        self.members.iter().filter(|member| rank(&member.node) > mine).count() < readers
-    }
-
     fn first_of_zone(&self, now: Timestamp) -> Option<&Member> {
         let of_zone = self.members.iter().filter(|member| member.zone == self.me.zone);
         of_zone
@@ -237,10 +226,6 @@
     }
 }
 
-fn hash_of(engine: &EngineId) -> u64 {
-    xxh3_64_with_seed(engine.as_str().as_bytes(), 0)
-}
-
 fn summed<'a>(work: impl Iterator<Item = &'a EngineWork>) -> Vec<EngineWork> {
     let mut by_engine: BTreeMap<&EngineId, EngineWork> = BTreeMap::new();
     for part in work {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 //! | [`events`] | which events of a stream are whole and may be passed on |
 //! | [`fleet`] | what a node knows of the others, and whom it reports to |
 //! | [`news`] | news of what engines keep, on its way between nodes |
+//! | [`readers`] | which feeds of kept parts a node follows |
 //! | [`relay_log`] | answers of the store, remembered for other nodes |
 //! | [`rollout`] | which back end gets new weights next |
 //!
@@ -32,6 +33,7 @@
 pub mod partition;
 pub mod prefixes;
 pub mod prompt;
+pub mod readers;
 pub mod relay_log;
 pub mod rollout;
 pub mod table;
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use paddlemount_core::forwarding::{fleet::Fleet, news::NewsLog, relay_log::RelayLog};
+use paddlemount_core::forwarding::{fleet::Fleet, news::NewsLog, readers::followed, relay_log::RelayLog};
 use paddlemount_protocol::{
     fleet::{EngineWork, KeptNews, Member, RelayedAnswer},
     identity::{EngineId, NodeId, Revision, ZoneId},
@@ -29,6 +29,14 @@
     vec![member("a1", "a"), member("a2", "a"), member("b1", "b"), member("b2", "b")]
 }
 
+fn nodes(count: usize) -> Vec<Member> {
+    (0..count).map(|number| member(&format!("n{number}"), "z")).collect()
+}
+
+fn engines(count: usize) -> Vec<EngineId> {
+    (0..count).map(|number| EngineId::from(format!("e{number}").as_str())).collect()
+}
+
 fn parent_of(fleet: &Fleet, now: Timestamp) -> Option<String> {
     let parent = fleet.parent(&NodeId::from("a1"), address(), now)?;
     Some(parent.node.as_str().to_owned())
@@ -113,17 +121,49 @@
 
 #[test]
 fn two_of_many_nodes_follow_a_feed_and_all_agree_which() {
-    let members: Vec<Member> = (0..30).map(|number| member(&format!("n{number}"), "z")).collect();
+    let members = nodes(30);
     for engine in ["e1", "e2", "e3"] {
-        let follows = |member: &&Member| {
-            let mut fleet = Fleet::new((*member).clone());
-            fleet.told(Vec::new(), Some(30), Some(members.clone()), at(0));
-            fleet.follows(&EngineId::from(engine), 2)
-        };
+        let engine = EngineId::from(engine);
+        let follows = |member: &&Member| !followed(&member.node, &members, [&engine].into_iter()).is_empty();
         assert_eq!(members.iter().filter(follows).count(), 2, "{engine}");
     }
 }
 
+#[test]
+fn each_of_few_nodes_follows_all_feeds_of_few_engines() {
+    let (members, engines) = (nodes(8), engines(13));
+    for member in &members {
+        assert_eq!(followed(&member.node, &members, engines.iter()).len(), 13);
+    }
+}
+
+#[test]
+fn a_node_follows_few_feeds_of_many_engines_however_short_its_list_of_nodes_is() {
+    let engines = engines(90);
+    for known in [0, 1, 3, 10] {
+        let count = followed(&NodeId::from("n0"), &nodes(known), engines.iter()).len();
+        assert!((10..=24).contains(&count), "{count} feeds with {known} nodes known");
+    }
+}
+
+#[test]
+fn nodes_that_know_nobody_follow_different_feeds() {
+    let engines = engines(90);
+    let first = followed(&NodeId::from("n0"), &[], engines.iter());
+    let second = followed(&NodeId::from("n1"), &[], engines.iter());
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_root_that_has_just_begun_keeps_the_list_of_nodes_that_it_knew() {
+    let mut root = informed("a2", "a");
+    root.tick(true, at(100));
+    assert_eq!(root.members().len(), 4, "nobody has reported yet");
+    root.reported(member("b1", "b"), Vec::new(), Vec::new(), at(1_900));
+    root.tick(true, at(2_100));
+    assert_eq!(root.members().len(), 2, "by now all that are left have reported");
+}
+
 fn news(part: u64) -> KeptNews {
     KeptNews { engine: EngineId::from("e"), scope: 1, part, tokens: 10 }
 }
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -1,8 +1,14 @@
 //! Follows the feeds in which engines and the store tell what parts of prompts they keep.
 
-use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
-use paddlemount_core::forwarding::backends::BackendId;
+use paddlemount_core::forwarding::{backends::BackendId, readers::followed};
 use paddlemount_protocol::fleet::KeptNews;
 
 use crate::{
@@ -20,10 +26,6 @@
 const GATHER: Duration = Duration::from_millis(140);
 /// The pause between two looks for feeds to follow.
 const LOOK: Duration = Duration::from_millis(300);
-/// Nodes up to which each follows all feeds; engines serve a dozen readers.
-const MOST_READERS: usize = 10;
-/// Nodes that follow a feed where there are more: one may fail.
-const READERS_OF_MANY: usize = 2;
 /// The pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(700);
 /// The pause where too many read a feed already.
@@ -57,17 +59,10 @@
     let engines = engines.map(|backend| (backend.entry.id.clone(), backend.entry.address));
     let all = engines.chain(beliefs.store());
     let Some(peers) = &node.peers else { return all.collect() };
+    let all: BTreeMap<BackendId, SocketAddr> = all.collect();
     let peers = peers.borrow();
-    // Before the nodes are counted nobody knows whose turn it is.
-    if peers.fleet.members().is_empty() {
-        return BTreeSet::new();
-    }
-    all.filter(|(id, _)| peers.fleet.follows(id, readers(peers.fleet.members().len()))).collect()
-}
-
-/// How many nodes follow one feed: all of a few, two of many.
-const fn readers(nodes: usize) -> usize {
-    if nodes <= MOST_READERS { MOST_READERS } else { READERS_OF_MANY }
+    let followed = followed(&peers.fleet.me().node, peers.fleet.members(), all.keys());
+    followed.into_iter().filter_map(|id| Some((id.clone(), *all.get(id)?))).collect()
 }
 
 /// Follows one feed for as long as its back end is known.
@@ -75,7 +70,7 @@
     let calls = Caller::new(source.1, node.clock);
     let mut feed = Feed { node, backend: source.0.clone(), calls, life: NO_LIFE, next: 0, working: false };
     while sources(&feed.node).contains(source) {
-        let pause = feed.turn().await;
+        let pause = if feed.life == NO_LIFE { feed.list().await } else { feed.turn().await };
         tokio::time::sleep(pause).await;
     }
 }
