Set engines aside whose order failed, list feeds as soon as back ends are known

And after all nodes restart feeds were looked for before the store had been listed, then 300 ms later; by then some 60 requests had been placed blindly. Change: an engine that an order could not bring to its version, for whatever reason, is left alone for 1 s; feeds are looked for when the listing is there.

--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -117,8 +117,8 @@
     settings: RolloutSettings,
     named: BTreeMap<ModelId, Vec<Named>>,
     active: BTreeSet<BackendId>,
-    /// Back ends that did not answer, and until when others come before them.
-    silent_until: BTreeMap<BackendId, Timestamp>,
+    /// Back ends that could not be brought to their version, and until when they are left alone.
+    set_aside_until: BTreeMap<BackendId, Timestamp>,
 }
 
 /// Named versions that are remembered for a model.
@@ -137,8 +137,8 @@
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 /// The longest wait at a back end that is reckoned with.
 const LONGEST_WAIT: Duration = Duration::from_millis(3_000);
-/// How long a back end that did not answer is left alone: the others get new weights meanwhile.
-const SILENT_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a back end that could not be brought to its version is left alone: the others get theirs meanwhile.
+const SET_ASIDE: Duration = Duration::from_millis(1_000);
 /// Thousandths in a whole.
 const PER_MILLE: usize = 1_000;
 /// One in so many back ends is worked on at the same time.
@@ -150,7 +150,7 @@
 impl Rollout {
     /// Knows no version.
     pub const fn new(settings: RolloutSettings) -> Self {
-        Self { settings, named: BTreeMap::new(), active: BTreeSet::new(), silent_until: BTreeMap::new() }
+        Self { settings, named: BTreeMap::new(), active: BTreeSet::new(), set_aside_until: BTreeMap::new() }
     }
 
     /// The operator has named a version. Tells whether it is news.
@@ -211,10 +211,10 @@
         requests: impl Fn(&BackendId) -> u32,
         now: Timestamp,
     ) -> Vec<Target> {
-        self.silent_until.retain(|_, until| now < *until);
+        self.set_aside_until.retain(|_, until| now < *until);
         let ready: Vec<&Backend> = backends
             .filter(|backend| backend.standing == Standing::Ready && !backend.entry.weights.is_empty())
-            .filter(|backend| !self.silent_until.contains_key(&backend.entry.id))
+            .filter(|backend| !self.set_aside_until.contains_key(&backend.entry.id))
             .collect();
         let at_once = self.at_once(ready.len());
         let free = at_once.saturating_sub(self.active.len());
@@ -242,10 +242,11 @@
         self.active.remove(backend);
     }
 
-    /// A back end does not answer: it makes room for others, and is asked again after a pause.
-    pub fn silent(&mut self, backend: &BackendId, now: Timestamp) {
+    /// A back end could not be brought to its version, as where it does not answer or another process has its address:
+    /// it makes room for others, and is tried again after a pause.
+    pub fn set_aside(&mut self, backend: &BackendId, now: Timestamp) {
         self.active.remove(backend);
-        self.silent_until.insert(backend.clone(), now + SILENT_PAUSE);
+        self.set_aside_until.insert(backend.clone(), now + SET_ASIDE);
     }
 
     /// A part of the back ends at the same time: the others carry its requests.
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -124,7 +124,7 @@
     let begun = rollout.begin(backends.iter(), |_| 0, at(0));
     assert_eq!(begun.len(), 2);
     for target in &begun {
-        rollout.silent(&target.backend, at(500));
+        rollout.set_aside(&target.backend, at(500));
     }
     let others = rollout.begin(backends.iter(), |_| 0, at(500));
     assert_eq!(others.len(), 2, "silent back ends hold no places");
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -180,6 +180,7 @@
             peers.borrow_mut().relay.clear();
         }
         self.listed = Some(revision);
+        self.node.store_listed.notify_one();
         self.node.journal.tell(&Event::StoreListed { items, revision: revision.0 });
     }
 
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -46,7 +46,8 @@
                 followed.borrow_mut().remove(&source);
             });
         }
-        tokio::time::sleep(LOOK).await;
+        // After a start every moment without feeds is one in which parts are read again.
+        let _ = tokio::time::timeout(LOOK, node.store_listed.notified()).await;
     }
 }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -61,6 +61,8 @@
     pub loading: Cell<usize>,
     /// Told where other nodes have heard more of the store than they could pass on.
     pub store_has_news: Notify,
+    /// Told where the store's whole content has been listed.
+    pub store_listed: Notify,
     /// Told where an order has ended.
     pub order_ended: Notify,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -99,6 +101,7 @@
             running: Cell::new(0),
             loading: Cell::new(0),
             store_has_news: Notify::new(),
+            store_listed: Notify::new(),
             order_ended: Notify::new(),
             leading: Cell::new(None),
         }
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -30,9 +30,6 @@
 /// How long one engine is worked on before others get their turn.
 const LONGEST: Duration = Duration::from_secs(9);
 
-/// How the work on an engine ends that does not report: it may be dead, and must not keep others waiting.
-const SILENT: &str = "no report";
-
 /// Begins with as many engines as may load at once.
 pub async fn give(node: &Rc<Node>) {
     let targets = {
@@ -55,8 +52,8 @@
             let outcome = bring(&node, &mut target, token, began).await;
             tell(&node, &target, None, token, outcome, began);
             release(&node, std::slice::from_ref(&target));
-            if outcome == SILENT {
-                node.beliefs.borrow_mut().rollout.silent(&target.backend, node.now());
+            if !holds(&node, &target) {
+                node.beliefs.borrow_mut().rollout.set_aside(&target.backend, node.now());
             }
             node.order_ended.notify_one();
         });
@@ -87,7 +84,8 @@
             target.version = newest;
         }
         let Some(report) = report(node, &engine).await else {
-            return SILENT;
+            // It may be dead, and must not keep others waiting.
+            return "no report";
         };
         match after_report(target, &report, node.now().saturating_since(began)) {
             Step::Done => {
