Let a leader's next process take its own lease over

Cause: after all nodes restart nobody led until the lease of the earlier process had run out (3 s): no count of the nodes, no work of others known, no orders. Change: where the store names this node, at this node's own address, as leader, and this process does not lead, it replaces the key under the condition that it is unchanged. It is the same machine, whose earlier process has ended; the fencing token rises as with any change of leader. The test with a lease of ten minutes fails without the change (run).

--- a/crates/cli/tests/forward/fleet.rs
+++ b/crates/cli/tests/forward/fleet.rs
@@ -76,6 +76,19 @@
     first.until("one of the others leading", led).await;
 }
 
+#[tokio::test]
+async fn a_leader_that_is_killed_and_starts_again_need_not_wait_until_its_own_lease_runs_out() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let link = Proxy::start(place.store_address).await.expect("a proxy starts");
+    let start = async || Router::start_with_long_lease(place.store_address, "node-0", &link).await;
+    let killed = start().await;
+    killed.until("leading", async || killed.told("leadership_gained")).await;
+    drop(killed);
+    let again = start().await;
+    again.until("leading again", async || again.told("leadership_gained")).await;
+}
+
 #[tokio::test]
 async fn a_leader_that_is_cut_off_from_the_store_proves_nothing_to_the_others() {
     let (place, links, routers) = fleet().await;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -87,8 +87,14 @@
 
     /// The same, where other nodes reach it only through `link`.
     pub async fn start_behind(store: SocketAddr, name: &str, link: &Proxy) -> Self {
-        let advertised = format!("peers = \"127.0.0.1:0\"\npeers_advertised = \"{}\"\n", link.address);
-        let text = settings_at(store, name, 5_000).replace("peers = \"127.0.0.1:0\"\n", &advertised);
+        let router = Self::start_with(&settings_behind(store, name, link)).await;
+        link.aim(router.peers);
+        router
+    }
+
+    /// The same, with a lease that outlasts any test.
+    pub async fn start_with_long_lease(store: SocketAddr, name: &str, link: &Proxy) -> Self {
+        let text = settings_behind(store, name, link).replace("lease_ms = 3000", "lease_ms = 600000");
         let router = Self::start_with(&text).await;
         link.aim(router.peers);
         router
@@ -258,6 +264,12 @@
     )
 }
 
+/// Settings of a node that other nodes reach only through `link`.
+fn settings_behind(store: SocketAddr, name: &str, link: &Proxy) -> String {
+    let advertised = format!("peers = \"127.0.0.1:0\"\npeers_advertised = \"{}\"\n", link.address);
+    settings_at(store, name, 5_000).replace("peers = \"127.0.0.1:0\"\n", &advertised)
+}
+
 fn rand_name() -> u64 {
     use std::sync::atomic::{AtomicU64, Ordering};
     static NEXT: AtomicU64 = AtomicU64::new(0);
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -104,10 +104,17 @@
         self.holder = LeaseHolder::new(settings, self.node.now());
     }
 
-    /// Whether the store has told that nobody leads, and this node's turn to ask has come.
+    /// Whether an earlier process of this node leads. It has ended, so nobody has to wait until its lease runs out.
+    fn is_own(&self, leader: &Leader) -> bool {
+        let peers = self.node.peers.as_ref().map(|peers| peers.borrow().fleet.me().address);
+        leader.holder == self.node.settings().node && leader.peers == peers
+    }
+
+    /// Whether the store has told that nobody else leads, and this node's turn to ask has come.
     fn may_ask(&mut self, now: Timestamp) -> bool {
         let beliefs = self.node.beliefs.borrow();
-        let free = beliefs.revision.is_some() && beliefs.leader.is_none();
+        let free = beliefs.leader.as_ref().is_none_or(|leader| self.is_own(leader));
+        let free = free && beliefs.revision.is_some();
         drop(beliefs);
         if !free {
             self.free_since = None;
@@ -135,8 +142,9 @@
         let StoreAnswer::Lease { lease, ttl } = granted else { return Err(StoreError::Unexpected) };
         let holder = self.node.settings().node.clone();
         let peers = self.node.peers.as_ref().map(|peers| peers.borrow().fleet.me().address);
-        let taken =
-            ask_store(&self.node, &StoreCall::Lead { holder: holder.clone(), peers, lease }, PATIENCE).await;
+        let replaces = self.node.beliefs.borrow().leader.as_ref().map(|leader| leader.token);
+        let call = StoreCall::Lead { replaces, holder: holder.clone(), peers, lease };
+        let taken = ask_store(&self.node, &call, PATIENCE).await;
         match taken {
             Ok(StoreAnswer::Done { revision }) => {
                 let token = FencingToken(revision.0);
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -44,8 +44,10 @@
     Renew(StoreLease),
     /// Ends a lease and removes what is bound to it.
     End(StoreLease),
-    /// Takes the leadership where nobody has it, bound to a lease.
+    /// Takes the leadership, bound to a lease, where nobody has it or an earlier process of this node had it.
     Lead {
+        /// The token of that earlier process.
+        replaces: Option<FencingToken>,
         /// Who takes it.
         holder: NodeId,
         /// Where it takes other nodes' reports.
