Doubt lapsed entries until shortly after the store's return, then let them go

The code doubted for 8 s from when the entry vanished, and took any failed call of the last 6 s for an outage: back ends that were gone for good stayed known too long, and in a longer outage those that were there were dropped too early. Change: core::forwarding::registry, a state machine of three states (serving, away, returning for 2.3 s); a doubted back end is dropped at the end of the return, not before, and after 30 s at the latest. `Backends::retain`, used by nothing, is gone. A test handed the trouble in as an argument; it now drives the states, asserts what it did, and that nothing is dropped while the store is away.

--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -1,25 +1,23 @@
 //! Back ends as the registry tells of them.
 //!
 //! A back end is known by the identity of one start of its process. The registry's word that it is leaving counts
-//! at once. An entry that vanishes while the registry is in trouble says little: such a back end is doubted for a
-//! while and gets work only where too few others are left.
+//! at once. An entry that vanishes while the registry is away, or has just returned, says little: such a back end is
+//! doubted and gets work only where too few others are left.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use paddlemount_protocol::{
     identity::{EngineId, ModelId, ServiceId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
 
+use super::registry::Registry;
+
 /// One start of a back end: a model engine, or an instance of another service.
 pub type BackendId = EngineId;
 
-/// How long a back end is doubted whose entry vanished while the registry was in trouble.
-const DOUBT: Duration = Duration::from_secs(8);
+/// How long a back end is doubted at most, however long the registry is away.
+const LONGEST_DOUBT: Duration = Duration::from_secs(30);
 
 /// A back end's entry in the registry.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,7 +45,7 @@
     Ready,
     /// It must not: it is leaving.
     Leaving,
-    /// Its entry vanished while the registry was in trouble.
+    /// Its entry vanished while the registry was away or returning.
     Doubted {
         /// When the entry vanished.
         since: Timestamp,
@@ -68,6 +66,8 @@
 /// All back ends believed to exist.
 #[derive(Debug, Default)]
 pub struct Backends {
+    /// Whether the registry's silence about a back end counts.
+    pub registry: Registry,
     by_id: BTreeMap<BackendId, Backend>,
 }
 
@@ -84,7 +84,7 @@
     None,
     /// The entry is gone, and the back end with it.
     Removed,
-    /// The entry is gone while the registry is in trouble.
+    /// The entry is gone while the registry is away or returning.
     Doubted,
 }
 
@@ -113,34 +113,26 @@
     }
 
     /// An entry is gone.
-    pub fn remove(&mut self, id: &BackendId, registry_in_trouble: bool, now: Timestamp) -> Change {
+    pub fn remove(&mut self, id: &BackendId, now: Timestamp) -> Change {
         let Some(known) = self.by_id.get_mut(id) else { return Change::None };
-        if registry_in_trouble && known.standing == Standing::Ready {
-            known.standing = Standing::Doubted { since: now };
-            return Change::Doubted;
+        let doubtful = self.registry.lacks_entries(now);
+        match known.standing {
+            Standing::Ready if doubtful => {
+                known.standing = Standing::Doubted { since: now };
+                return Change::Doubted;
+            }
+            Standing::Doubted { .. } if doubtful => return Change::None,
+            Standing::Ready | Standing::Doubted { .. } | Standing::Leaving => {}
         }
         self.by_id.remove(id);
         Change::Removed
     }
 
-    /// A whole listing: what it does not hold is gone.
-    pub fn retain(
-        &mut self,
-        listed: &BTreeSet<BackendId>,
-        registry_in_trouble: bool,
-        now: Timestamp,
-    ) -> Vec<BackendId> {
-        let missing: Vec<BackendId> = self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-        for id in &missing {
-            self.remove(id, registry_in_trouble, now);
-        }
-        missing
-    }
-
-    /// Drops back ends that have been doubted for too long.
+    /// Drops back ends that are still missing after the registry's return.
     pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
+        let returned = !self.registry.lacks_entries(now);
         let expired = |backend: &Backend| match backend.standing {
-            Standing::Doubted { since } => now.saturating_since(since) >= DOUBT,
+            Standing::Doubted { since } => returned || now.saturating_since(since) >= LONGEST_DOUBT,
             Standing::Ready | Standing::Leaving => false,
         };
         let ids: Vec<BackendId> =
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 //! | [`fleet`] | what a node knows of the others, and whom it reports to |
 //! | [`news`] | news of what engines keep, on its way between nodes |
 //! | [`readers`] | which feeds of kept parts a node follows |
+//! | [`registry`] | whether an entry that has vanished says that its back end is gone |
 //! | [`relay_log`] | answers of the store, remembered for other nodes |
 //! | [`rollout`] | which back end gets new weights next |
 //!
@@ -34,6 +35,7 @@
 pub mod prefixes;
 pub mod prompt;
 pub mod readers;
+pub mod registry;
 pub mod relay_log;
 pub mod rollout;
 pub mod table;
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -184,19 +184,36 @@
 }
 
 #[test]
-fn an_entry_that_vanishes_in_trouble_is_doubted_and_used_only_where_few_are_left() {
+fn an_entry_that_vanishes_while_the_registry_is_away_is_doubted_and_used_only_where_few_are_left() {
     let at = Timestamp::from_millis;
     let mut backends = Backends::default();
     for id in ["a", "b", "c"] {
         backends.put(entry(id, false));
     }
-    assert_eq!(backends.remove(&BackendId::from("a"), true, at(0)), Change::Doubted);
+    backends.registry.failed();
+    assert_eq!(backends.remove(&BackendId::from("a"), at(0)), Change::Doubted);
     assert_eq!(usable(&backends), ["b", "c"]);
-    assert_eq!(backends.remove(&BackendId::from("b"), true, at(0)), Change::Doubted);
+    assert_eq!(backends.remove(&BackendId::from("b"), at(0)), Change::Doubted);
     assert_eq!(usable(&backends), ["a", "b", "c"]);
-    assert_eq!(backends.remove(&BackendId::from("c"), false, at(0)), Change::Removed);
-    assert_eq!(backends.expire(at(10_000)).len(), 2);
-    assert!(usable(&backends).is_empty());
+    assert!(backends.expire(at(10_000)).is_empty(), "nothing is gone while the registry is away");
+    backends.registry.answered(at(10_000));
+    assert_eq!(backends.remove(&BackendId::from("c"), at(10_500)), Change::Doubted);
+    backends.put(entry("a", false));
+    assert!(backends.expire(at(12_000)).is_empty(), "entries are still being written anew");
+    assert_eq!(backends.expire(at(12_400)).len(), 2, "what is missing now is gone");
+    assert_eq!(usable(&backends), ["a"]);
+    backends.registry.answered(at(12_400));
+    assert_eq!(backends.remove(&BackendId::from("a"), at(12_500)), Change::Removed);
+}
+
+#[test]
+fn an_entry_that_vanishes_long_after_an_outage_is_gone_at_once() {
+    let at = Timestamp::from_millis;
+    let mut backends = Backends::default();
+    backends.put(entry("a", false));
+    backends.registry.failed();
+    backends.registry.answered(at(0));
+    assert_eq!(backends.remove(&BackendId::from("a"), at(2_400)), Change::Removed);
 }
 
 #[test]
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -30,8 +30,6 @@
 const KNOWING_NODES: usize = 8;
 /// Back ends that are weighed for a request at least.
 const LEAST_CONSIDERED: usize = 6;
-/// How long after its last failure the store counts as in trouble.
-const TROUBLE: Duration = Duration::from_secs(6);
 /// How long unused parts must be kept for copies of runs to be worth their room.
 const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(14);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
@@ -60,7 +58,6 @@
     pub(crate) wheel: ShareWheel,
     pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
-    pub(crate) trouble_at: Option<Timestamp>,
 }
 
 /// The node that leads.
@@ -132,15 +129,9 @@
             wheel: ShareWheel::default(),
             budgets: BTreeMap::new(),
             refused_until: BTreeMap::new(),
-            trouble_at: None,
         }
     }
 
-    /// Whether the store failed not long ago.
-    pub fn in_trouble(&self, now: Timestamp) -> bool {
-        self.trouble_at.is_some_and(|at| now.saturating_since(at) < TROUBLE)
-    }
-
     /// Whether engines copy runs, and have so much room that copies displace nothing that will be used again.
     fn can_copy(&self, service: &ServiceId, now: Timestamp) -> bool {
         let traits = self.table.as_ref().and_then(|table| table.service(service));
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -73,8 +73,9 @@
         Err(StoreError::Refused(_)) => "refused",
     };
     node.metrics.count(Counter::StoreCalls(outcome));
-    if result.is_err() {
-        node.store_failed();
+    match &result {
+        Ok(_) => node.store_answered(),
+        Err(_) => node.store_failed(),
     }
     result
 }
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -107,9 +107,8 @@
     pub fn lose_backend(&self, id: &BackendId, revision: Revision) {
         let now = self.now();
         let mut beliefs = self.beliefs.borrow_mut();
-        let trouble = beliefs.in_trouble(now);
         let service = beliefs.backends.get(id).map(|backend| backend.entry.service.clone());
-        let change = beliefs.backends.remove(id, trouble, now);
+        let change = beliefs.backends.remove(id, now);
         if let (Change::Removed, Some(service)) = (change, service) {
             beliefs.forget(id);
             self.pool.borrow_mut().close(id);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -140,7 +140,13 @@
 
     /// The store did not answer, or refused.
     pub fn store_failed(&self) {
-        self.beliefs.borrow_mut().trouble_at = Some(self.now());
+        self.beliefs.borrow_mut().backends.registry.failed();
+    }
+
+    /// The store answered.
+    pub fn store_answered(&self) {
+        let now = self.now();
+        self.beliefs.borrow_mut().backends.registry.answered(now);
     }
 
     /// A back end refused a request: it is full, or it loads weights.
