Let a leader's next process replace only its own key

So three nodes led at once (leadership_gained 66, 67, 69 within 0.3 s). Change: the key is replaced only where it names this node at this node's address; the rule stands by itself as Leader::token_of, with a test. The condition on the key's revision was right all along, its choice was not.

--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -71,6 +71,14 @@
     pub peers: Option<std::net::SocketAddr>,
 }
 
+impl Leader {
+    /// The token of this leadership, where it is that of a process of node `node` that other nodes reached at `peers`.
+    /// Only such a one may be replaced, by the node's next process.
+    pub fn token_of(&self, node: &NodeId, peers: Option<std::net::SocketAddr>) -> Option<FencingToken> {
+        (self.holder == *node && self.peers == peers).then_some(self.token)
+    }
+}
+
 /// How many nodes there are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Nodes {
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -104,18 +104,20 @@
         self.holder = LeaseHolder::new(settings, self.node.now());
     }
 
-    /// Whether an earlier process of this node leads. It has ended, so nobody has to wait until its lease runs out.
-    fn is_own(&self, leader: &Leader) -> bool {
+    /// The token of an earlier process of this node, where that one leads by the store's latest word. It has ended, so
+    /// that nobody has to wait until its lease runs out.
+    fn own_token(&self) -> Option<FencingToken> {
         let peers = self.node.peers.as_ref().map(|peers| peers.borrow().fleet.me().address);
-        leader.holder == self.node.settings().node && leader.peers == peers
+        let node = self.node.settings().node.clone();
+        self.node.beliefs.borrow().leader.as_ref().and_then(|leader| leader.token_of(&node, peers))
     }
 
     /// Whether the store has told that nobody else leads, and this node's turn to ask has come.
     fn may_ask(&mut self, now: Timestamp) -> bool {
         let beliefs = self.node.beliefs.borrow();
-        let free = beliefs.leader.as_ref().is_none_or(|leader| self.is_own(leader));
-        let free = free && beliefs.revision.is_some();
+        let (listed, led) = (beliefs.revision.is_some(), beliefs.leader.is_some());
         drop(beliefs);
+        let free = listed && (!led || self.own_token().is_some());
         if !free {
             self.free_since = None;
             return false;
@@ -142,7 +144,8 @@
         let StoreAnswer::Lease { lease, ttl } = granted else { return Err(StoreError::Unexpected) };
         let holder = self.node.settings().node.clone();
         let peers = self.node.peers.as_ref().map(|peers| peers.borrow().fleet.me().address);
-        let replaces = self.node.beliefs.borrow().leader.as_ref().map(|leader| leader.token);
+        // Another node may have begun to lead since this one's turn to ask came: that one is never replaced.
+        let replaces = self.own_token();
         let call = StoreCall::Lead { replaces, holder: holder.clone(), peers, lease };
         let taken = ask_store(&self.node, &call, PATIENCE).await;
         match taken {
