Divide kept parts among all stores of the configuration

Cause: the large deployments have six stores of kept cache with an own address each; the first in the configuration was used and the five others never. Its room is a fifth of what one version's shared parts need. Ruled out: a store for each zone, whose room would be too small for the distinct parts of one version (2,336 subjects of 3,780 tokens against room for 2.3 million tokens). Change: a prompt's parts belong to one store, found by rendezvous hashing of the last shared part; all stores' feeds are followed; a choice names the store by identity, so that what was saved is noted for the right one.

--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -259,7 +259,7 @@
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
-         grace_ms = 6000\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
+         grace_s = 6\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
         store
     )
 }
--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -10,9 +10,11 @@
 //! | module | job |
 //! |---|---|
 //! | `prompts` | weighs the back ends of a prompt |
+//! | `shards` | which of several stores a prompt's parts belong to |
 //! | `sources` | whom to import a prefix from, and who gets a copy of a run |
 
 mod prompts;
+mod shards;
 mod sources;
 
 use std::net::SocketAddr;
@@ -24,6 +26,8 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use shards::shard_of;
+
 use super::{
     backends::BackendId,
     load::{BackendLoad, Loads},
@@ -56,10 +60,10 @@
 }
 
 /// A store of kept parts.
-#[derive(Clone, Debug)]
-pub struct Store<'a> {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
     /// The name under which its feed is known.
-    pub id: &'a BackendId,
+    pub id: BackendId,
     /// Its address.
     pub address: SocketAddr,
 }
@@ -75,8 +79,8 @@
     pub zone: &'a ZoneId,
     /// A number drawn for the request; breaks ties.
     pub draw: u64,
-    /// The store of kept parts, if there is one.
-    pub store: Option<&'a Store<'a>>,
+    /// The store that this prompt's parts belong to, if there is one ([`shard_of`]).
+    pub store: Option<&'a Store>,
     /// How many back ends are weighed, drawn for the request, beside the homes of its parts; all where none is given.
     /// Where many nodes choose with the same late knowledge, each must weigh others, or all choose the same one.
     pub considered: Option<usize>,
@@ -96,7 +100,7 @@
     /// Whom to import the prefix from.
     pub import_from: Option<SocketAddr>,
     /// Whom to hand the parts to that nobody kept yet.
-    pub save_to: Option<SocketAddr>,
+    pub save_to: Option<Store>,
     /// The back end that gets a copy of the run's memory as it grows.
     pub copy_to: Option<CopyHolder>,
     /// Tokens that the back end is expected to read, imports weighed.
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -166,14 +166,16 @@
             _ => IMPORT_PER_MILLE,
         };
         let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported * per_mille / 1_000);
-        let store = placement.store.map(|store| store.address);
+        let store = placement.store;
         Choice {
             backend: candidate.id.clone(),
             address: candidate.address,
             scope: Some(group.scope.clone()),
             // Feeds are late: the store may keep what is not known to be kept yet, and a miss costs next to nothing.
-            import_from: source.map(|(address, _)| address).or(store.filter(|_| held < shared_tokens)),
-            save_to: store.filter(|_| group.cold_tokens > 0),
+            import_from: source
+                .map(|(address, _)| address)
+                .or(store.filter(|_| held < shared_tokens).map(|store| store.address)),
+            save_to: store.filter(|_| group.cold_tokens > 0).cloned(),
             copy_to: None,
             expected_tokens: own + read + import_cost,
             held_tokens: held,
--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -71,7 +71,7 @@
                 (*kept, other.eligible, other.zone == candidate.zone, Reverse(self.load(other.id).requests))
             })
             .map(|(other, kept)| (other.address, kept));
-        let stored = placement.store.map(|store| (store.address, kept(store.id)));
+        let stored = placement.store.map(|store| (store.address, kept(&store.id)));
         match (best, stored) {
             (Some(best), Some(stored)) if stored.1 > best.1 => Some(stored),
             (None, stored) => stored,
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -132,11 +132,11 @@
     let world = World::of(&[1; 3]);
     let prompt = prompt(&[(7, 4_000)], 300);
     let id = BackendId::from("store");
-    let store = Store { id: &id, address: address(50) };
+    let store = Store { id: id.clone(), address: address(50) };
     let placement = |draw| Placement { store: Some(&store), ..world.placement(&prompt, draw) };
     let mut chooser = Chooser::default();
     let first = chooser.choose(placement(1), &world.candidates()).expect("a back end");
-    assert_eq!(first.save_to, Some(address(50)));
+    assert_eq!(first.save_to, Some(store.clone()));
     let kept = KeptPart { scope: ScopeHash::from(&scope(1)), part: PartId(7), tokens: 4_000 };
     chooser.told(&id, &[kept], Timestamp::ZERO);
     let second = chooser.choose(placement(2), &world.candidates()).expect("a back end");
@@ -307,7 +307,7 @@
     let scope = CacheScope { model: prompt.model.clone(), weights: WeightsVersion(1), tenant: None };
     chooser.learned(&world.ids[0], &scope, &prompt, Timestamp::from_millis(1));
     let id = BackendId::from("store");
-    let store = Store { id: &id, address: address(90) };
+    let store = Store { id: id.clone(), address: address(90) };
     let placement = Placement { store: Some(&store), ..world.placement(&prompt, 1) };
     let alone = chooser.choose(placement, &world.candidates()).expect("a choice");
     assert_eq!((&alone.backend, alone.held_tokens), (&world.ids[0], 3_000));
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -6,7 +6,7 @@
     forwarding::{
         backends::{Backend, BackendId, Backends, Standing},
         budget::{WindowBudget, WindowBudgetSettings, reserve_of},
-        choice::{Candidate, Choice, Chooser, Placement, Store},
+        choice::{Candidate, Choice, Chooser, Placement, Store, shard_of},
         freshness::Freshness,
         partition::{Partition, Side, takes_long},
         prompt::Prompt,
@@ -156,12 +156,12 @@
         })
     }
 
-    /// The store of kept parts, if the configuration has one, under the name by which its feed is known.
-    pub fn store(&self) -> Option<(BackendId, std::net::SocketAddr)> {
-        let table = self.table.as_ref()?;
-        table.services().find_map(|(name, service)| {
+    /// The stores of kept parts that the configuration has, each under the name by which its feed is known.
+    pub fn stores(&self) -> impl Iterator<Item = Store> + '_ {
+        let services = self.table.iter().flat_map(|table| table.services());
+        services.filter_map(|(name, service)| {
             let kept = service.kept_cache.as_ref()?;
-            Some((BackendId::from(name.as_str()), kept.address))
+            Some(Store { id: BackendId::from(name.as_str()), address: kept.address })
         })
     }
 
@@ -193,8 +193,7 @@
 
     /// Chooses the back end for a request.
     pub(crate) fn place(&self, ask: Ask<'_>, zone: &ZoneId, nodes: Nodes, now: Timestamp) -> Option<Choice> {
-        let store = self.store();
-        let store = store.as_ref().map(|(id, address)| Store { id, address: *address });
+        let store = ask.prompt.and_then(|prompt| shard_of(prompt, self.stores()));
         let placement = Placement {
             prompt: ask.prompt,
             isolated: ask.isolated,
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -277,7 +277,7 @@
             rank: rank(self.account.tenant.as_deref(), &self.route),
             scope: choice.scope.as_ref(),
             import_from: choice.import_from,
-            save_to: choice.save_to,
+            save_to: choice.save_to.as_ref().map(|store| store.address),
             copy_to: choice.copy_to.as_ref().map(|holder| holder.address),
             continues: resume.continues.as_ref(),
             resume_after: resume.after,
@@ -327,11 +327,9 @@
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut news =
                 self.node.beliefs.borrow_mut().chooser.learned(&choice.backend, scope, prompt, now);
-            if choice.save_to.is_some() {
+            if let Some(store) = &choice.save_to {
                 let mut beliefs = self.node.beliefs.borrow_mut();
-                if let Some((store, _)) = beliefs.store() {
-                    news.extend(beliefs.chooser.learned(&store, scope, prompt, now));
-                }
+                news.extend(beliefs.chooser.learned(&store.id, scope, prompt, now));
             }
             self.node.publish(news);
         }
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -1,4 +1,4 @@
-//! Follows the feeds in which engines and the store tell what parts of prompts they keep.
+//! Follows the feeds in which engines and the stores of kept parts tell what parts of prompts they keep.
 
 use std::{
     cell::RefCell,
@@ -33,7 +33,7 @@
 /// The life of a process that was never heard of.
 const NO_LIFE: u64 = 0;
 
-/// Follows the feeds of all engines and of the store, for as long as the process lives.
+/// Follows the feeds of engines and of the stores of kept parts, for as long as the process lives.
 pub async fn follow_all(node: Rc<Node>) {
     let followed: Rc<RefCell<BTreeSet<Source>>> = Rc::default();
     loop {
@@ -58,7 +58,8 @@
     let beliefs = node.beliefs.borrow();
     let engines = beliefs.backends.iter().filter(|backend| !backend.entry.weights.is_empty());
     let engines = engines.map(|backend| (backend.entry.id.clone(), backend.entry.address));
-    let all = engines.chain(beliefs.store());
+    let stores = beliefs.stores().map(|store| (store.id, store.address));
+    let all = engines.chain(stores);
     let Some(peers) = &node.peers else { return all.collect() };
     let all: BTreeMap<BackendId, SocketAddr> = all.collect();
     let peers = peers.borrow();
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -5,6 +5,8 @@
 use paddlemount_protocol::identity::{NodeId, ZoneId};
 use serde::Deserialize;
 
+mod figures;
+
 /// Settings of a forwarding node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct ForwardSettings {
@@ -12,6 +14,9 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Whether all nodes start for the first time: no caller is waiting yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Where it listens.
     pub listen: ListenSettings,
     /// The metadata store.
@@ -48,31 +53,39 @@
     /// Its address.
     pub address: SocketAddr,
     /// The shortest life of a lease that it grants, in milliseconds.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "figures::whole")]
     pub shortest_lease_ms: u64,
 }
 
 /// Bounds that the operator has set. Times are in milliseconds. Where the operator sets none, a cautious one holds.
+/// Figures may be fractions, which are rounded down.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct BoundSettings {
     /// A changed configuration is in force after this time.
+    #[serde(deserialize_with = "figures::whole")]
     pub configuration_ms: u64,
     /// A removed key is refused after this time, also by a node that cannot reach the store.
+    #[serde(deserialize_with = "figures::whole")]
     pub revocation_ms: u64,
     /// Whether keys are refused where it is not known that they still hold.
     pub revocation_fails_closed: bool,
-    /// The time from a stop signal to the end of the process.
+    /// The time from a stop signal to the end of the process; in seconds in the file.
+    #[serde(rename = "grace_s", deserialize_with = "figures::seconds")]
     pub grace_ms: u64,
     /// Retries of a service, as a share of its requests.
     pub retry_share: f64,
-    /// The window over which retries are counted.
+    /// The window over which retries are counted; in seconds in the file.
+    #[serde(rename = "retry_window_s", deserialize_with = "figures::seconds")]
     pub retry_window_ms: u64,
     /// Retries of a service beyond its share, in a window, over all nodes.
+    #[serde(deserialize_with = "figures::whole")]
     pub retry_slack: u32,
     /// The life of the lease on orders.
+    #[serde(deserialize_with = "figures::whole")]
     pub lease_ms: u64,
     /// No request begins on an older version after this time from when a newer one was named.
+    #[serde(deserialize_with = "figures::whole")]
     pub weights_ms: u64,
 }
 
@@ -81,12 +94,14 @@
 #[serde(default)]
 pub struct LimitSettings {
     /// The number of nodes that share the retry slack and the back ends' connections, where it isn't known.
+    #[serde(deserialize_with = "figures::whole")]
     pub most_nodes: u32,
     /// What the machine's link carries, in Mbit/s.
     pub link_mbps: f64,
     /// The process's share of a processor.
     pub processor_share: f64,
     /// Descriptors that the process may open.
+    #[serde(deserialize_with = "figures::whole")]
     pub descriptors: u32,
     /// Back ends of a pool that may load weights at the same time, where `loads_share` gives fewer.
     pub loads_at_once: usize,
@@ -173,7 +188,7 @@
             return wrong("bounds.retry_share", "must lie between 0 and 1");
         }
         if self.bounds.retry_window_ms < 100 {
-            return wrong("bounds.retry_window_ms", "must be 100 or more");
+            return wrong("bounds.retry_window_s", "must be 0.1 or more");
         }
         if self.bounds.revocation_ms < 500 {
             return wrong("bounds.revocation_ms", "must be 500 or more");
