Start with few calls to the store, tell loading engines by digest, divide engines by what all nodes have seen

By the lines: each node lists, then watches about once a second until another node tells it; 280 small machines ask for the free lease 0.6 s after the start, before most have heard that another has it (three calls each); each wave of a rollout is written to the store; and whenever the root is lost every node asks the store by itself until another leads. Ruled out: the nodes' own processors (0.0046 cores a node on average); the engines as a whole (p50 46 ms). Change: where all start for the first time a node lists by a read that may be old (a tenth of the price) and waits to be told; such a listing proves nothing, and a node without proof serves nobody. Before a lease is asked for, a cheap read looks who leads; small machines wait longer. Where nobody is known to lead, the first node of each zone asks the store for its zone. Engines that load are told in digests, the key in the store is gone. Requests and tokens by route are added up over all nodes. Calls are counted by purpose.

--- a/crates/cli/tests/forward/fleet.rs
+++ b/crates/cli/tests/forward/fleet.rs
@@ -31,6 +31,13 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
+/// All calls to the store, whatever they were for and however they ended.
+async fn store_calls(router: &Router) -> f64 {
+    let text = router.ask_metrics().await;
+    let lines = text.lines().filter(|line| line.starts_with("paddlemount_forward_store_calls_total"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
 /// The number of the node that leads.
 async fn leader(routers: &[Router]) -> usize {
     for (number, router) in routers.iter().enumerate() {
@@ -112,13 +119,12 @@
     let (_place, _links, routers) = fleet().await;
     let leader = leader(&routers).await;
     let follower = &routers[(leader + 1) % routers.len()];
-    let calls = "paddlemount_forward_store_calls_total{outcome=\"answered\"}";
-    let before = gauge(follower, calls).await;
+    let before = store_calls(follower).await;
     let reports = "paddlemount_forward_peer_calls_total{outcome=\"answered\"}";
     let reported = gauge(follower, reports).await.unwrap_or_default();
     let more = async || gauge(follower, reports).await.unwrap_or_default() >= reported + 15.0;
     follower.until("reporting", more).await;
-    let called = gauge(follower, calls).await.unwrap_or_default() - before.unwrap_or_default();
+    let called = store_calls(follower).await - before;
     // The watch that was under way when the others were first heard may still end.
     assert!(called <= 1.0, "{called} calls to the store in 15 reports");
 }
--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -4,7 +4,11 @@
 //! at once. An entry that vanishes while the registry is away, or has just returned, says little: such a back end is
 //! doubted and gets work only where too few others are left.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use paddlemount_protocol::{
     identity::{EngineId, ModelId, ServiceId, WeightsVersion, ZoneId},
@@ -63,6 +67,13 @@
     pub loading_until: Option<Timestamp>,
 }
 
+impl Backend {
+    /// Whether it is being given new weights.
+    pub fn is_loading(&self, now: Timestamp) -> bool {
+        self.loading_until.is_some_and(|until| now < until)
+    }
+}
+
 /// All back ends believed to exist.
 #[derive(Debug, Default)]
 pub struct Backends {
@@ -153,6 +164,20 @@
         self.by_id.get_mut(id)
     }
 
+    /// Exactly `loading` are being given new weights, until `until` at most.
+    pub fn set_loading(&mut self, loading: &[BackendId], until: Timestamp) {
+        let loading: BTreeSet<&BackendId> = loading.iter().collect();
+        for backend in self.by_id.values_mut() {
+            backend.loading_until = loading.contains(&backend.entry.id).then_some(until);
+        }
+    }
+
+    /// Back ends that are being given new weights.
+    pub fn loading(&self, now: Timestamp) -> Vec<BackendId> {
+        let loads = |backend: &&Backend| backend.is_loading(now);
+        self.by_id.values().filter(loads).map(|backend| backend.entry.id.clone()).collect()
+    }
+
     /// All back ends.
     pub fn iter(&self) -> impl Iterator<Item = &Backend> {
         self.by_id.values()
--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -135,6 +135,11 @@
         self.below.values().flat_map(|below| below.members.iter().cloned()).collect()
     }
 
+    /// Whether other nodes report to this one.
+    pub fn is_reported_to(&self) -> bool {
+        !self.below.is_empty()
+    }
+
     /// The digest of a list of members.
     pub fn members_digest(members: &[Member]) -> u64 {
         let mut hash = Xxh3::new();
@@ -145,21 +150,25 @@
         hash.digest()
     }
 
-    /// Whom this node reports to, where `root` leads: the root itself in the root's zone, elsewhere the strongest
-    /// node of the zone, which reports to the root. Nobody, where this node is the root or the root did not answer lately.
-    pub fn parent(&self, root: &NodeId, root_address: SocketAddr, now: Timestamp) -> Option<Member> {
+    /// Whom this node reports to: the root itself in the root's zone, elsewhere the strongest node of the zone, which
+    /// reports to the root. Where nobody is known to lead, or the root did not answer lately, the strongest node of
+    /// the zone asks the store for all others of the zone. Nobody, where this node is the root or that node.
+    pub fn parent(&self, root: Option<(&NodeId, SocketAddr)>, now: Timestamp) -> Option<Member> {
+        let first_of_zone = || self.first_of_zone(now).filter(|first| first.node != self.me.node).cloned();
+        let Some((root, address)) = root else { return first_of_zone() };
         if *root == self.me.node {
             return None;
         }
         let zone_of_root = self.members.iter().find(|member| member.node == *root).map(|member| &member.zone);
-        let between =
-            zone_of_root.filter(|zone| **zone != self.me.zone).and_then(|_| self.first_of_zone(now));
-        if let Some(between) = between.filter(|member| member.node != self.me.node) {
-            return Some(between.clone());
+        let elsewhere = zone_of_root.is_some_and(|zone| *zone != self.me.zone);
+        if elsewhere && let Some(between) = first_of_zone() {
+            return Some(between);
+        }
+        if self.is_passed_over(root, now) {
+            return first_of_zone();
         }
         let zone = zone_of_root.unwrap_or(&self.me.zone).clone();
-        let member = Member { node: root.clone(), zone, address: root_address, capacity: 0 };
-        (!self.is_passed_over(root, now)).then_some(member)
+        Some(Member { node: root.clone(), zone, address, capacity: 0 })
     }
 
     /// What all nodes have under way except `child` and those below it.
--- a/crates/core/src/forwarding/partition.rs
+++ b/crates/core/src/forwarding/partition.rs
@@ -2,12 +2,17 @@
 //!
 //! An engine reads a prompt in pieces between the tokens of others, so that one long prompt makes the streams beside
 //! it pause. Where the routes of a service differ much in how much they have read, the back ends are divided in
-//! proportion to the tokens of either side. All nodes see the same mix and the same back ends, and divide them the
-//! same way without a word between them. The division is a preference: under load it gives way.
+//! proportion to the tokens of either side. A node of hundreds sees too few requests to know the mix by itself, and
+//! nodes that divide differently put both kinds on the same engines: so nodes add up what they have seen, and all
+//! divide by the sum. The division is a preference: under load it gives way.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use paddlemount_protocol::identity::ServiceId;
+use paddlemount_protocol::{
+    fleet::RouteWork,
+    identity::{NodeId, ServiceId},
+    time::Timestamp,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{backends::BackendId, prompt::Prompt};
@@ -15,25 +20,42 @@
 /// What the writing of a token occupies of an engine that works on one request at a time, in tokens read: a step takes
 /// some 5 ms, in which some 200 tokens are read, and far fewer tokens than a caller allows are written.
 const WRITTEN_TOKEN: u32 = 40;
-/// The weight of a new request in a route's average.
-const AVERAGE_WEIGHT: f64 = 0.05;
+/// The time in which what was seen fades to a third.
+const FADES: Duration = Duration::from_secs(10);
+/// How long what another node has told is used: many reports, and most changes of the node above.
+const FRESH: Duration = Duration::from_secs(3);
 /// Requests of a service below which nothing is divided.
-const FEWEST_REQUESTS: u32 = 12;
+const FEWEST_REQUESTS: f64 = 12.0;
 /// How far above its service's mean a route's prompts must lie to count as long.
 const LONG_FACTOR: f64 = 1.25;
-/// The share of a service's requests by which old ones are forgotten.
-const DECAY: f64 = 0.995;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct RouteMix {
-    average_tokens: f64,
+/// What this node has seen of one route.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
     requests: f64,
+    tokens: f64,
+    at: Timestamp,
 }
 
-#[derive(Clone, Debug, Default)]
-struct ServiceMix {
-    routes: BTreeMap<String, RouteMix>,
-    requests: u32,
+impl Seen {
+    fn faded(self, now: Timestamp) -> Self {
+        let elapsed = now.saturating_since(self.at).as_secs_f64();
+        let left = (-elapsed / FADES.as_secs_f64()).exp();
+        Self { requests: self.requests * left, tokens: self.tokens * left, at: now }
+    }
+}
+
+/// What another node has told, and when.
+#[derive(Clone, Debug)]
+struct Told {
+    mix: Vec<RouteWork>,
+    at: Timestamp,
+}
+
+impl Told {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.saturating_since(self.at) < FRESH
+    }
 }
 
 /// What a request occupies of an engine with so many slots, in tokens read: its own part of the prompt is read, and its
@@ -52,51 +74,86 @@
     Short,
 }
 
-/// What one node has seen of the prompts of each service.
+/// What nodes have seen of the prompts of each service.
 #[derive(Clone, Debug, Default)]
 pub struct Partition {
-    services: BTreeMap<ServiceId, ServiceMix>,
+    seen: BTreeMap<(ServiceId, String), Seen>,
+    below: BTreeMap<NodeId, Told>,
+    above: Option<Told>,
 }
 
 impl Partition {
     /// A request of `route` occupies an engine for as long as `tokens` take to be read.
-    pub fn seen(&mut self, service: &ServiceId, route: &str, tokens: u32) {
-        let mix = self.services.entry(service.clone()).or_default();
-        mix.requests = mix.requests.saturating_add(1);
-        for route in mix.routes.values_mut() {
-            route.requests *= DECAY;
+    pub fn seen(&mut self, service: &ServiceId, route: &str, tokens: u64, now: Timestamp) {
+        let nothing = Seen { requests: 0.0, tokens: 0.0, at: now };
+        let seen = self.seen.entry((service.clone(), route.to_owned())).or_insert(nothing);
+        let faded = seen.faded(now);
+        *seen = Seen { requests: faded.requests + 1.0, tokens: faded.tokens + tokens as f64, at: now };
+    }
+
+    /// A node that reports to this one has told what it and those below it have seen.
+    pub fn reported(&mut self, node: NodeId, mix: Vec<RouteWork>, now: Timestamp) {
+        self.below.insert(node, Told { mix, at: now });
+        self.below.retain(|_, told| told.is_fresh(now));
+    }
+
+    /// The node above has told what all nodes have seen.
+    pub fn told(&mut self, mix: Vec<RouteWork>, now: Timestamp) {
+        self.above = (!mix.is_empty()).then_some(Told { mix, at: now });
+    }
+
+    /// What this node and those below it have seen.
+    pub fn seen_below(&self, now: Timestamp) -> Vec<RouteWork> {
+        let mut sum: BTreeMap<(&ServiceId, &str), (f64, f64)> = BTreeMap::new();
+        let mut add = |service, route, requests, tokens| {
+            let route: &mut (f64, f64) = sum.entry((service, route)).or_default();
+            route.0 += requests;
+            route.1 += tokens;
+        };
+        for ((service, route), seen) in &self.seen {
+            let faded = seen.faded(now);
+            add(service, route.as_str(), faded.requests, faded.tokens);
         }
-        if !mix.routes.contains_key(route) {
-            mix.routes
-                .insert(route.to_owned(), RouteMix { average_tokens: f64::from(tokens), requests: 0.0 });
+        for told in self.below.values().filter(|told| told.is_fresh(now)) {
+            for work in &told.mix {
+                add(&work.service, work.route.as_str(), work.requests, work.tokens);
+            }
         }
-        if let Some(route) = mix.routes.get_mut(route) {
-            route.requests += 1.0;
-            route.average_tokens += (f64::from(tokens) - route.average_tokens) * AVERAGE_WEIGHT;
+        let work = |((service, route), (requests, tokens)): ((&ServiceId, &str), (f64, f64))| RouteWork {
+            service: service.clone(),
+            route: route.to_owned(),
+            requests,
+            tokens,
+        };
+        sum.into_iter().map(work).collect()
+    }
+
+    /// What all nodes have seen, as far as this one has been told.
+    pub fn seen_by_all(&self, now: Timestamp) -> Vec<RouteWork> {
+        match &self.above {
+            Some(above) if above.is_fresh(now) => above.mix.clone(),
+            _ => self.seen_below(now),
         }
     }
 
     /// The side on which a route's requests are, and the share of the back ends that long prompts get. Nothing where
     /// the service's routes are alike or too little is known.
-    pub fn side(&self, service: &ServiceId, route: &str) -> Option<(Side, f64)> {
-        let mix = self.services.get(service)?;
-        if mix.requests < FEWEST_REQUESTS {
+    pub fn side(&self, service: &ServiceId, route: &str, now: Timestamp) -> Option<(Side, f64)> {
+        let all = self.seen_by_all(now);
+        let of_service: Vec<&RouteWork> = all.iter().filter(|work| work.service == *service).collect();
+        let requests: f64 = of_service.iter().map(|work| work.requests).sum();
+        let tokens: f64 = of_service.iter().map(|work| work.tokens).sum();
+        if requests < FEWEST_REQUESTS || tokens <= 0.0 {
             return None;
         }
-        let requests: f64 = mix.routes.values().map(|route| route.requests).sum();
-        let tokens: f64 = mix.routes.values().map(|route| route.requests * route.average_tokens).sum();
-        let mean = tokens / requests.max(1.0);
-        let is_long = |route: &RouteMix| route.average_tokens > mean * LONG_FACTOR;
-        let long: f64 = mix
-            .routes
-            .values()
-            .filter(|route| is_long(route))
-            .map(|route| route.requests * route.average_tokens)
-            .sum();
-        if long <= 0.0 || tokens <= 0.0 {
+        let mean = tokens / requests;
+        let is_long = |work: &RouteWork| work.tokens > mean * LONG_FACTOR * work.requests;
+        let long: f64 = of_service.iter().filter(|work| is_long(work)).map(|work| work.tokens).sum();
+        if long <= 0.0 {
             return None;
         }
-        let side = if mix.routes.get(route).is_some_and(is_long) { Side::Long } else { Side::Short };
+        let asked = of_service.iter().find(|work| work.route == route);
+        let side = if asked.is_some_and(|work| is_long(work)) { Side::Long } else { Side::Short };
         Some((side, long / tokens))
     }
 }
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -11,7 +11,7 @@
 };
 use paddlemount_protocol::{
     fleet::EngineWork,
-    identity::{ModelId, ServiceId, TenantId, WeightsVersion, ZoneId},
+    identity::{ModelId, NodeId, ServiceId, TenantId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
 
@@ -187,13 +187,13 @@
     let mut partition = Partition::default();
     let service = ServiceId::from("pool");
     for _ in 0..40 {
-        partition.seen(&service, "long", 3_000);
-        partition.seen(&service, "short", 500);
+        partition.seen(&service, "long", 3_000, Timestamp::ZERO);
+        partition.seen(&service, "short", 500, Timestamp::ZERO);
     }
-    let (side, share) = partition.side(&service, "long").expect("the routes differ");
+    let (side, share) = partition.side(&service, "long", Timestamp::ZERO).expect("the routes differ");
     assert_eq!(side, Side::Long);
     assert!((0.75..0.95).contains(&share), "{share}");
-    assert_eq!(partition.side(&service, "short").expect("the routes differ").0, Side::Short);
+    assert_eq!(partition.side(&service, "short", Timestamp::ZERO).expect("the routes differ").0, Side::Short);
     let world = World::of(&[1; 10]);
     let divided = takes_long(world.ids.iter(), share);
     assert_eq!(divided, takes_long(world.ids.iter(), share + 0.01));
@@ -201,15 +201,42 @@
     assert!((7..=9).contains(&long), "{long}");
 }
 
+#[test]
+fn nodes_that_have_seen_few_requests_divide_by_what_all_have_seen() {
+    let (service, at) = (ServiceId::from("pool"), Timestamp::from_millis);
+    let node = |number: u64| {
+        let mut partition = Partition::default();
+        // Each sees another mix of a few requests.
+        for _ in 0..=number % 3 {
+            partition.seen(&service, "long", 2_500 + number * 10, at(0));
+        }
+        partition.seen(&service, "short", 500, at(0));
+        partition
+    };
+    let mut nodes: Vec<Partition> = (0..30).map(node).collect();
+    assert!(nodes.iter().all(|node| node.side(&service, "long", at(0)).is_none()), "each knows too little");
+    let mut root = Partition::default();
+    for (number, node) in nodes.iter().enumerate() {
+        root.reported(NodeId::from(format!("n{number}").as_str()), node.seen_below(at(0)), at(0));
+    }
+    let all = root.seen_by_all(at(100));
+    for node in &mut nodes {
+        node.told(all.clone(), at(200));
+        assert_eq!(node.side(&service, "long", at(200)), root.side(&service, "long", at(100)));
+        assert_eq!(node.side(&service, "short", at(200)).expect("a side").0, Side::Short);
+        assert_eq!(node.side(&service, "long", at(9_000)), None, "what was told is used for a while only");
+    }
+}
+
 #[test]
 fn routes_that_are_alike_are_not_divided() {
     let mut partition = Partition::default();
     let service = ServiceId::from("pool");
     for _ in 0..40 {
-        partition.seen(&service, "one", 900);
-        partition.seen(&service, "two", 1_000);
+        partition.seen(&service, "one", 900, Timestamp::ZERO);
+        partition.seen(&service, "two", 1_000, Timestamp::ZERO);
     }
-    assert_eq!(partition.side(&service, "one"), None);
+    assert_eq!(partition.side(&service, "one", Timestamp::ZERO), None);
 }
 
 #[test]
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -38,7 +38,7 @@
 }
 
 fn parent_of(fleet: &Fleet, now: Timestamp) -> Option<String> {
-    let parent = fleet.parent(&NodeId::from("a1"), address(), now)?;
+    let parent = fleet.parent(Some((&NodeId::from("a1"), address())), now)?;
     Some(parent.node.as_str().to_owned())
 }
 
@@ -71,6 +71,25 @@
     assert_eq!(parent_of(&fleet, at(4_000)).as_deref(), Some("b1"));
 }
 
+#[test]
+fn where_nobody_leads_the_first_of_each_zone_asks_for_its_zone() {
+    let parent = |node: &str, zone: &str| informed(node, zone).parent(None, at(1)).map(|parent| parent.node);
+    assert_eq!(parent("b2", "b"), Some(NodeId::from("b1")));
+    assert_eq!(parent("a2", "a"), Some(NodeId::from("a1")));
+    assert_eq!(parent("b1", "b"), None);
+    assert_eq!(Fleet::new(member("b2", "b")).parent(None, at(1)), None, "nobody is known");
+}
+
+#[test]
+fn nodes_of_a_roots_zone_that_it_does_not_answer_report_to_the_next_of_the_zone() {
+    let mut members = all();
+    members.push(member("a3", "a"));
+    let mut fleet = Fleet::new(member("a3", "a"));
+    fleet.told(Vec::new(), Some(5), Some(members), at(0));
+    fleet.failed(&NodeId::from("a1"), at(100));
+    assert_eq!(parent_of(&fleet, at(200)).as_deref(), Some("a2"));
+}
+
 #[test]
 fn a_root_counts_only_after_it_has_heard_reports_for_a_while_and_remembers_the_greatest_count() {
     let mut root = Fleet::new(member("a1", "a"));
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -19,11 +19,13 @@
     let bounds = node.settings().bounds;
     let (table, age) = {
         let beliefs = node.beliefs.borrow();
-        (beliefs.table.clone().ok_or(Reason::NoConfiguration)?, beliefs.freshness.age(now))
+        // What was listed without proof may be old: nobody is served by it.
+        let age = beliefs.freshness.age(now).ok_or(Reason::NoConfiguration)?;
+        (beliefs.table.clone().ok_or(Reason::NoConfiguration)?, age)
     };
     account.configuration = Some(table.version());
-    account.configuration_age = age;
-    let is_within = |bound: Duration| age.is_some_and(|age| age < bound);
+    account.configuration_age = Some(age);
+    let is_within = |bound: Duration| age < bound;
     let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     // What is unknown to old knowledge may only be unknown yet.
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -225,7 +225,7 @@
             self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
         });
         let preferred = ask.prompt.and_then(|prompt| self.rollout.preferred(&prompt.model, now));
-        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route));
+        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route, now));
         let long = side.map(|(side, share)| {
             (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
         });
@@ -252,7 +252,7 @@
     /// Whether nothing speaks against a back end for the moment.
     fn is_free(&self, backend: &Backend, ask: Ask<'_>, now: Timestamp) -> bool {
         let id: &EngineId = &backend.entry.id;
-        let loading = ask.prompt.is_some() && backend.loading_until.is_some_and(|until| now < until);
+        let loading = ask.prompt.is_some() && backend.is_loading(now);
         let refused = self.refused_until.get(id).is_some_and(|until| now < *until);
         let healthy = match self.health.verdict(id, 0.0, now) {
             HealthVerdict::Usable | HealthVerdict::SlowStart { .. } | HealthVerdict::Probe => true,
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -13,7 +13,7 @@
     journal::Event,
     metrics::{Counter, Distribution},
     node::Node,
-    ports::{Fact, Misread, StoreAnswer, StoreCall},
+    ports::{Consistency, Fact, Misread, StoreAnswer, StoreCall},
 };
 
 /// How long an answer may take beyond what was asked to wait.
@@ -27,6 +27,8 @@
 
 /// The pause between two looks whether other nodes still pass on what the store tells.
 const RELAYED_LOOK: Duration = Duration::from_millis(100);
+/// The pause between two looks who leads, while nobody is known to.
+const LEADER_LOOK: Duration = Duration::from_millis(300);
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, thiserror::Error)]
@@ -72,7 +74,7 @@
         Err(StoreError::Misread(_) | StoreError::Unexpected) => "misread",
         Err(StoreError::Refused(_)) => "refused",
     };
-    node.metrics.count(Counter::StoreCalls(outcome));
+    node.metrics.count(Counter::StoreCalls { purpose: call.purpose(), outcome });
     match &result {
         Ok(_) => node.store_answered(),
         Err(_) => node.store_failed(),
@@ -80,9 +82,20 @@
     result
 }
 
+/// Looks who leads, by a read that may be old and costs little.
+pub async fn find_leader(node: &Node) -> Result<(), StoreError> {
+    match ask_store(node, &StoreCall::FindLeader, PATIENCE).await? {
+        StoreAnswer::Facts { facts, .. } => {
+            node.learn_leader(facts);
+            Ok(())
+        }
+        _ => Err(StoreError::Unexpected),
+    }
+}
+
 /// Follows the store for as long as the process lives.
 pub async fn follow(node: Rc<Node>) {
-    let mut feed = Feed { node, failures: 0, failing_since: None, listed: None };
+    let mut feed = Feed { node, failures: 0, failing_since: None, listed: None, awaits_until: None };
     loop {
         let result = feed.turn().await;
         feed.account(result).await;
@@ -95,17 +108,42 @@
     failing_since: Option<Timestamp>,
     /// The revision of the last listing; none where all has to be listed.
     listed: Option<Revision>,
+    /// Until when another node is given the time to tell what follows the first listing; none before it.
+    awaits_until: Option<Timestamp>,
 }
 
 impl Feed {
     async fn turn(&mut self) -> Result<(), StoreError> {
         match self.listed {
             Some(_) if self.node.is_relayed_to() => Ok(()),
+            Some(_) if self.awaits_others() => self.await_others().await,
             Some(after) => self.watch(after).await,
             None => self.list().await,
         }
     }
 
+    /// Whether this node has lately begun, and another one may soon tell it what follows its listing.
+    fn awaits_others(&self) -> bool {
+        let leads = self.node.token().is_some();
+        !leads && !self.node.is_behind() && self.awaits_until.is_some_and(|until| self.node.now() < until)
+    }
+
+    /// Looks for the leader where none is known; whoever is known is reported to meanwhile.
+    async fn await_others(&mut self) -> Result<(), StoreError> {
+        if self.node.beliefs.borrow().leader.is_none() {
+            find_leader(&self.node).await?;
+            tokio::time::sleep(LEADER_LOOK).await;
+        }
+        Ok(())
+    }
+
+    /// How recent the next listing has to be. Where all nodes start for the first time no caller waits, and each is
+    /// soon told what holds by a node that has asked.
+    fn consistency(&self) -> Consistency {
+        let first = self.node.settings().first_start && self.awaits_until.is_none();
+        if first && self.node.peers.is_some() { Consistency::Stale } else { Consistency::Linearizable }
+    }
+
     async fn watch(&mut self, after: Revision) -> Result<(), StoreError> {
         let after = self.node.beliefs.borrow().revision.unwrap_or(after);
         let wait = self.wait();
@@ -136,8 +174,9 @@
         let mut first_revision = None;
         let mut all = Vec::new();
         let mut after = None;
+        let consistency = self.consistency();
         loop {
-            let call = StoreCall::List { after };
+            let call = StoreCall::List { after, consistency };
             match ask_store(&self.node, &call, PATIENCE).await? {
                 StoreAnswer::Facts { facts, revision, more_after } => {
                     first_revision.get_or_insert(revision);
@@ -156,11 +195,16 @@
             self.listed = Some(revision);
             return Ok(());
         }
-        self.take_listing(all, revision, sent_at);
+        let proved_at = (consistency == Consistency::Linearizable).then_some(sent_at);
+        self.take_listing(all, revision, proved_at);
+        if self.node.peers.is_some() && self.awaits_until.is_none() {
+            let settings = self.node.settings();
+            self.awaits_until = Some(sent_at + settings.bounds.relay_awaited(settings.first_start));
+        }
         Ok(())
     }
 
-    fn take_listing(&mut self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+    fn take_listing(&mut self, facts: Vec<Fact>, revision: Revision, proved_at: Option<Timestamp>) {
         let items = facts.len();
         let present = facts.iter().filter_map(|fact| match fact {
             Fact::Backend(entry) => Some(entry.id.clone()),
@@ -176,7 +220,10 @@
         if !led {
             self.node.beliefs.borrow_mut().leader = None;
         }
-        self.node.learn(facts, revision, sent_at);
+        match proved_at {
+            Some(proved_at) => self.node.learn(facts, revision, proved_at),
+            None => self.node.learn_unproved(facts, revision),
+        }
         if let Some(peers) = &self.node.peers {
             peers.borrow_mut().relay.clear();
         }
@@ -187,18 +234,25 @@
 
     /// The least time between two watches, in which changes gather: each answer costs a call.
     fn gather(&self) -> Duration {
-        match (self.node.token().is_some(), self.node.is_relayed_to()) {
-            (true, _) => LEADER_GATHER,
-            (false, true) => RELAYED_LOOK,
-            (false, false) => self.node.settings().bounds.gather(),
+        if self.proves_for_others() {
+            LEADER_GATHER
+        } else if self.node.is_relayed_to() || self.awaits_others() {
+            RELAYED_LOOK
+        } else {
+            self.node.settings().bounds.gather()
         }
     }
 
+    /// Whether this node asks the store for others too: it leads, or others report to it while nobody else tells it.
+    fn proves_for_others(&self) -> bool {
+        let Some(peers) = &self.node.peers else { return false };
+        self.node.token().is_some() || (!self.node.is_relayed_to() && peers.borrow().fleet.is_reported_to())
+    }
+
     /// How long one watch waits. A leader's answers are proof for others too, who hear of them a little later.
     fn wait(&self) -> Duration {
         let bounds = self.node.settings().bounds;
-        let proves_for_others = self.node.token().is_some() && self.node.peers.is_some();
-        if proves_for_others { bounds.leader_watch_wait() } else { bounds.watch_wait() }
+        if self.proves_for_others() { bounds.leader_watch_wait() } else { bounds.watch_wait() }
     }
 
     async fn account(&mut self, result: Result<(), StoreError>) {
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     beliefs::Leader,
-    feed::{StoreError, ask_store},
+    feed::{StoreError, ask_store, find_leader},
     journal::Event,
     node::Node,
     orders,
@@ -26,11 +26,14 @@
 /// How much sooner than its lease ends a holder stops acting.
 const SAFETY: Duration = Duration::from_millis(150);
 /// How much longer a small machine waits: it should lead only where no other one can.
-const SMALL_WAITS: Duration = Duration::from_millis(600);
+const SMALL_WAITS: Duration = Duration::from_millis(1_500);
 /// How long a node that was cut off from the others leaves the lease to them.
 const STANDS_BACK: Duration = Duration::from_secs(10);
-/// The longest time by which nodes spread out when they ask for a free lease.
+/// The longest time by which nodes spread out when they ask for a free lease: the first of them is to be seen by most
+/// others before their turn.
 const SPREAD: Duration = Duration::from_millis(200);
+/// The same for small machines, of which there may be hundreds.
+const SMALL_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// Leads where nobody else does, for as long as the process lives.
 pub async fn lead(node: Rc<Node>) {
@@ -68,6 +71,9 @@
             self.give_way(now).await;
             return;
         }
+        if self.holder.token(now).is_none() && self.is_led_meanwhile().await {
+            return;
+        }
         if let Some(request) = self.holder.handle(LeaseEvent::Tick, now) {
             let event = self.perform(request).await;
             self.holder.handle(event, self.node.now());
@@ -75,7 +81,7 @@
         let now = self.node.now();
         self.publish(now);
         if self.node.token().is_some() {
-            orders::give(&self.node).await;
+            orders::give(&self.node);
         }
     }
 
@@ -124,10 +130,17 @@
         }
         let since = *self.free_since.get_or_insert(now);
         let small = self.node.settings().limits.is_small();
-        let waits = if small { SMALL_WAITS } else { Duration::ZERO };
+        let (waits, spread) = if small { (SMALL_WAITS, SMALL_SPREAD) } else { (Duration::ZERO, SPREAD) };
         let stands_back = self.deserted_at.is_some_and(|at| now.saturating_since(at) < STANDS_BACK);
         let waits = if stands_back { waits + STANDS_BACK / 2 } else { waits };
-        now.saturating_since(since) >= waits + SPREAD.mul_f64(rand::random::<f64>())
+        now.saturating_since(since) >= waits + spread.mul_f64(rand::random::<f64>())
+    }
+
+    /// Whether somebody else has begun to lead since the store last told: a look costs less than a lease that is asked
+    /// for in vain.
+    async fn is_led_meanwhile(&self) -> bool {
+        let _ = find_leader(&self.node).await;
+        self.node.beliefs.borrow().leader.is_some() && self.own_token().is_none()
     }
 
     async fn perform(&mut self, request: LeaseRequest) -> LeaseEvent {
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -1,6 +1,6 @@
 //! What a node takes in: facts of the store, and what answers show.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use paddlemount_core::{
     forwarding::{
@@ -23,18 +23,31 @@
     ports::Fact,
 };
 
-/// How long a back end is left alone that is said to load weights, where its end isn't heard of.
-const LOADING: Duration = Duration::from_millis(6_000);
-
 impl Node {
     /// Takes in facts that the store told up to `revision`, in answer to a call sent at `sent_at`.
     pub fn learn(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        self.learn_unproved(facts, revision);
+        self.beliefs.borrow_mut().freshness.prove(sent_at);
+    }
+
+    /// Takes in facts that held at `revision`, which may be some time ago.
+    pub fn learn_unproved(&self, facts: Vec<Fact>, revision: Revision) {
         for fact in facts {
             self.learn_one(fact, revision);
         }
+        self.beliefs.borrow_mut().revision = Some(revision);
+    }
+
+    /// Takes in who leads, as a read told that may be old: only a leadership that began after all that is known is
+    /// news, since the end of an older one may be known already.
+    pub fn learn_leader(&self, facts: Vec<Fact>) {
         let mut beliefs = self.beliefs.borrow_mut();
-        beliefs.revision = Some(revision);
-        beliefs.freshness.prove(sent_at);
+        for fact in facts {
+            let Fact::Leader { holder, token, peers } = fact else { continue };
+            if beliefs.revision.is_none_or(|known| token.0 > known.0) {
+                beliefs.leader = Some(Leader { holder, token, peers });
+            }
+        }
     }
 
     fn learn_one(&self, fact: Fact, revision: Revision) {
@@ -60,7 +73,6 @@
                 self.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
             }
             Fact::NoLeader => self.beliefs.borrow_mut().leader = None,
-            Fact::Loading(backends) => self.learn_loading(&backends, now),
             Fact::Unreadable { key, problem } => {
                 self.journal.tell(&Event::ItemUnreadable { key: &key, problem: &problem });
             }
@@ -94,15 +106,6 @@
         self.journal.tell(&Event::ConfigurationApplied { version, before, routes, revision: revision.0 });
     }
 
-    fn learn_loading(&self, loading: &[BackendId], now: Timestamp) {
-        let mut beliefs = self.beliefs.borrow_mut();
-        for id in loading {
-            if let Some(backend) = beliefs.backends.get_mut(id) {
-                backend.loading_until = Some(now + LOADING);
-            }
-        }
-    }
-
     /// The registry holds no entry of a back end any more.
     pub fn lose_backend(&self, id: &BackendId, revision: Revision) {
         let now = self.now();
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -23,8 +23,13 @@
     Retries,
     /// Streams that went on at another back end.
     Resumed,
-    /// Calls to the store by outcome.
-    StoreCalls(&'static str),
+    /// Calls to the store by what they are for and how they ended.
+    StoreCalls {
+        /// What the call is for.
+        purpose: &'static str,
+        /// How it ended.
+        outcome: &'static str,
+    },
     /// Orders by outcome.
     Orders(&'static str),
     /// Reports to the node above by outcome.
@@ -42,7 +47,7 @@
             Self::Attempts(_) => "paddlemount_forward_attempts_failed_total",
             Self::Retries => "paddlemount_forward_retries_total",
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
-            Self::StoreCalls(_) => "paddlemount_forward_store_calls_total",
+            Self::StoreCalls { .. } => "paddlemount_forward_store_calls_total",
             Self::Orders(_) => "paddlemount_forward_orders_total",
             Self::PeerCalls(_) => "paddlemount_forward_peer_calls_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
@@ -54,7 +59,10 @@
         match self {
             Self::Requests { kind, outcome } => format!("{{kind=\"{kind}\",outcome=\"{outcome}\"}}"),
             Self::Attempts(end) => format!("{{end=\"{end}\"}}"),
-            Self::StoreCalls(outcome) | Self::Orders(outcome) | Self::PeerCalls(outcome) => {
+            Self::StoreCalls { purpose, outcome } => {
+                format!("{{purpose=\"{purpose}\",outcome=\"{outcome}\"}}")
+            }
+            Self::Orders(outcome) | Self::PeerCalls(outcome) => {
                 format!("{{outcome=\"{outcome}\"}}")
             }
             Self::Retries | Self::Resumed | Self::Connections | Self::Imports => String::new(),
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -128,7 +128,7 @@
         if self.stopping.get() {
             return Err("stopping");
         }
-        if beliefs.table.is_none() {
+        if beliefs.table.is_none() || beliefs.freshness.age(self.now()).is_none() {
             return Err("no_configuration");
         }
         let bounds = self.settings().bounds;
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -10,17 +10,14 @@
 
 use crate::{
     calls::Caller,
-    feed::ask_store,
     journal::Event,
     metrics::Counter,
     node::Node,
-    ports::{OrderAnswer, StoreCall, WeightsOrder},
+    ports::{OrderAnswer, WeightsOrder},
 };
 
 /// How long an engine may take to answer.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// How long the store may take.
-const STORE_PATIENCE: Duration = Duration::from_millis(600);
 /// The pause before an engine that is at work is asked again.
 const AGAIN: Duration = Duration::from_millis(200);
 /// The first look at an engine after an order that it took.
@@ -31,7 +28,7 @@
 const LONGEST: Duration = Duration::from_secs(9);
 
 /// Begins with as many engines as may load at once.
-pub async fn give(node: &Rc<Node>) {
+pub fn give(node: &Rc<Node>) {
     let targets = {
         let mut beliefs = node.beliefs.borrow_mut();
         let beliefs = &mut *beliefs;
@@ -42,9 +39,13 @@
         release(node, &targets);
         return;
     };
-    let backends = targets.iter().map(|target| target.backend.clone()).collect();
-    // Nodes that do not hear of it learn it from refusals.
-    let _ = ask_store(node, &StoreCall::Announce { token, backends }, STORE_PATIENCE).await;
+    // Other nodes are told with the next answer to their reports; those that do not hear of it learn it from refusals.
+    let until = node.now() + LONGEST;
+    for target in &targets {
+        if let Some(backend) = node.beliefs.borrow_mut().backends.get_mut(&target.backend) {
+            backend.loading_until = Some(until);
+        }
+    }
     for mut target in targets {
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -67,8 +67,9 @@
 }
 
 fn parent(node: &Node, now: Timestamp) -> Option<Member> {
-    let leader = node.beliefs.borrow().leader.clone()?;
-    node.peers.as_ref()?.borrow().fleet.parent(&leader.holder, leader.peers?, now)
+    let leader = node.beliefs.borrow().leader.clone();
+    let root = leader.as_ref().and_then(|leader| Some((&leader.holder, leader.peers?)));
+    node.peers.as_ref()?.borrow().fleet.parent(root, now)
 }
 
 /// The way to the node above.
@@ -111,6 +112,7 @@
             sender: peers.fleet.me().clone(),
             below: peers.fleet.members_below(),
             work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), node.now()),
+            mix: beliefs.partition.seen_below(node.now()),
             news: if log == NO_LOG { Vec::new() } else { peers.news.waiting() },
             log,
             cursor,
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -16,6 +16,9 @@
     ports::{StoreAnswer, StoreCall},
 };
 
+/// How long engines that were told to load weights get no requests, where nothing more is heard of them.
+const LOADING: Duration = Duration::from_millis(1_500);
+
 impl Node {
     /// Takes in the answer to a report that was sent at `sent_at` and named `revision`.
     pub fn take_digest(&self, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
@@ -27,6 +30,8 @@
                 beliefs.chooser.heard(news, now);
             }
             beliefs.chooser.loads.told(digest.work.clone());
+            beliefs.partition.told(digest.mix, now);
+            beliefs.backends.set_loading(&digest.loading, now + LOADING);
         }
         {
             let mut peers = peers.borrow_mut();
@@ -43,7 +48,7 @@
     }
 
     /// Whether the store has told others more than they could pass on: it is to be asked at once.
-    fn is_behind(&self) -> bool {
+    pub(crate) fn is_behind(&self) -> bool {
         let Some(peers) = &self.peers else { return false };
         peers.borrow().newest > self.beliefs.borrow().revision
     }
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -73,6 +73,7 @@
         peers.news.learned(news.clone());
     }
     let child = report.sender.node.clone();
+    beliefs.partition.reported(child.clone(), report.mix, now);
     peers.fleet.reported(report.sender, report.below, report.work, now);
     let own = beliefs.chooser.loads.own_work();
     let (news, cursor) = peers.news.since(report.log, report.cursor);
@@ -84,6 +85,8 @@
         nodes: peers.fleet.count(now),
         members: members_changed.then(|| members.to_vec()),
         work: peers.fleet.work_beside(&child, &own, now),
+        mix: beliefs.partition.seen_by_all(now),
+        loading: beliefs.backends.loading(now),
         news,
         store: store_relay(&beliefs, &peers.relay, report.revision, now),
         newest: beliefs.revision.max(peers.newest),
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -20,6 +20,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreLease(pub u64);
 
+/// How recent the answer to a reading call has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Consistency {
+    /// It tells the state of a moment after the call was sent, and so proves that what it tells holds.
+    Linearizable,
+    /// It may be seconds old and proves nothing; it costs a small part of the other.
+    Stale,
+}
+
 /// A call to the metadata store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreCall {
@@ -34,7 +43,11 @@
     List {
         /// The last key of the page before.
         after: Option<String>,
+        /// How recent the answer has to be.
+        consistency: Consistency,
     },
+    /// Reads who leads. The answer may be old, and costs little.
+    FindLeader,
     /// Asks for a lease.
     Grant {
         /// Its life without renewal.
@@ -55,13 +68,22 @@
         /// The lease.
         lease: StoreLease,
     },
-    /// Tells all nodes which back ends are being given new weights, where the leadership is still held.
-    Announce {
-        /// The revision of the leadership.
-        token: FencingToken,
-        /// The back ends.
-        backends: Vec<BackendId>,
-    },
+}
+
+impl StoreCall {
+    /// What the call is for, as metrics name it.
+    pub const fn purpose(&self) -> &'static str {
+        match self {
+            Self::Watch { .. } => "watch",
+            Self::List { consistency: Consistency::Linearizable, .. } => "list",
+            Self::List { consistency: Consistency::Stale, .. } => "list_stale",
+            Self::FindLeader => "find_leader",
+            Self::Grant { .. } => "grant",
+            Self::Renew(_) => "renew",
+            Self::End(_) => "end",
+            Self::Lead { .. } => "lead",
+        }
+    }
 }
 
 /// What the store answered.
@@ -125,8 +147,6 @@
     },
     /// Nobody has the leadership.
     NoLeader,
-    /// Back ends are being given new weights.
-    Loading(Vec<BackendId>),
     /// An item could not be understood. What was known of it before still holds.
     Unreadable {
         /// The item's key.
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -257,6 +257,13 @@
         Duration::from_millis((self.configuration_ms / 4).clamp(300, 900))
     }
 
+    /// How long after its listing a node waits to be told by another node, before it watches the store itself. What it
+    /// has listed is certain for as long; where nobody waits for it yet, it may wait for longer.
+    pub fn relay_awaited(&self, first_start: bool) -> Duration {
+        let bound = self.configuration_ms.min(self.revocation_ms);
+        if first_start { Duration::from_millis(bound) } else { Duration::from_millis(bound * 3 / 10) }
+    }
+
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
     pub fn watch_wait(&self) -> Duration {
         Duration::from_millis((self.revocation_ms * 2 / 5).clamp(200, 5_000))
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::{EngineId, NodeId, Revision, ZoneId};
+use crate::identity::{EngineId, NodeId, Revision, ServiceId, ZoneId};
 
 /// The path at which a node takes reports.
 pub const EXCHANGE_PATH: &str = "/fleet/exchange";
@@ -41,6 +41,19 @@
     pub unread_tokens: u64,
 }
 
+/// What the requests of one route have lately asked of engines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RouteWork {
+    /// The service whose engines answer them.
+    pub service: ServiceId,
+    /// The route's name.
+    pub route: String,
+    /// Requests; older ones count less.
+    pub requests: f64,
+    /// Tokens for whose reading they occupied engines; older ones count less.
+    pub tokens: f64,
+}
+
 /// How much of a part of a prompt an engine keeps.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptNews {
@@ -79,7 +92,7 @@
 }
 
 /// What a node tells the node above it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The node.
     pub sender: Member,
@@ -87,6 +100,9 @@
     pub below: Vec<Member>,
     /// What it and they have under way.
     pub work: Vec<EngineWork>,
+    /// What their requests have asked of engines.
+    #[serde(default)]
+    pub mix: Vec<RouteWork>,
     /// What it and they have learned of engines since the last report that was answered.
     pub news: Vec<KeptNews>,
     /// The log that `cursor` belongs to.
@@ -100,7 +116,7 @@
 }
 
 /// What a node is told from above.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The log that `cursor` belongs to.
     pub log: u64,
@@ -112,6 +128,12 @@
     pub members: Option<Vec<Member>>,
     /// What other nodes have under way.
     pub work: Vec<EngineWork>,
+    /// What the requests of all nodes have asked of engines, as far as the sender knows.
+    #[serde(default)]
+    pub mix: Vec<RouteWork>,
+    /// Engines that are being given new weights: they get no new requests.
+    #[serde(default)]
+    pub loading: Vec<EngineId>,
     /// What engines keep, in order.
     pub news: Vec<KeptNews>,
     /// What the store has told; nothing where the sender can't tell it without a gap.
