Trial: prefer new weights as far as their engines carry, stores before engines as sources, larger relays

Change: requests prefer a version in proportion to the engines that have it; the store is preferred as a source where it keeps as much; patience follows the slowest recent answer of any engine, which fades with time; relays carry up to 128 KB.

--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -28,7 +28,7 @@
 /// The cost of each request that would have to wait for a slot, in tokens read.
 const QUEUED_TOKENS: u64 = 2_000;
 /// The cost of a back end that is rather left to prompts of the other length, in tokens.
-const AVOIDED_TOKENS: u64 = 2_000;
+const AVOIDED_TOKENS: u64 = 16_000;
 /// The cost of a back end whose weights are older than the preferred version, in tokens.
 const OUTDATED_TOKENS: u64 = 6_000;
 /// The cost of a back end in another zone, in tokens read.
--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -73,7 +73,7 @@
             .map(|(other, kept)| (other.address, kept));
         let stored = placement.store.map(|store| (store.address, kept(&store.id)));
         match (best, stored) {
-            (Some(best), Some(stored)) if stored.1 > best.1 => Some(stored),
+            (Some(best), Some(stored)) if stored.1 >= best.1 => Some(stored),
             (None, stored) => stored,
             (best, _) => best,
         }
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -10,6 +10,9 @@
 const AVERAGE_WEIGHT: f64 = 0.2;
 /// What is left of the greatest time with each further answer.
 const SLOWEST_FADES: f64 = 0.93;
+/// The time in which the greatest time fades to a third where no further answer comes: a node of hundreds meets each
+/// back end only now and then.
+const SLOWEST_FADES_IN: Duration = Duration::from_secs(4);
 /// Measurements below which an average says nothing.
 const FEWEST_MEASUREMENTS: u32 = 5;
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
@@ -27,15 +30,22 @@
     pub unread_tokens: u64,
     /// The moving average of the time to the first byte of an answer, in milliseconds.
     average_ms: f64,
-    /// The greatest recent time to the first byte of an answer, in milliseconds; fades with each answer.
+    /// The greatest recent time to the first byte of an answer, in milliseconds; fades with each answer and with time.
     slowest_ms: f64,
+    /// When the last answer began.
+    measured_at: Timestamp,
     measurements: u32,
 }
 
 impl BackendLoad {
     /// The time in which an answer of this back end has lately begun, the slow ones included.
-    pub fn slowest(&self) -> Duration {
-        Duration::try_from_secs_f64(self.slowest_ms / 1_000.0).unwrap_or_default()
+    pub fn slowest(&self, now: Timestamp) -> Duration {
+        Duration::try_from_secs_f64(self.faded_slowest_ms(now) / 1_000.0).unwrap_or_default()
+    }
+
+    fn faded_slowest_ms(&self, now: Timestamp) -> f64 {
+        let elapsed = now.saturating_since(self.measured_at).as_secs_f64();
+        self.slowest_ms * (-elapsed / SLOWEST_FADES_IN.as_secs_f64()).exp()
     }
 }
 
@@ -77,13 +87,14 @@
         }
     }
 
-    /// An answer began after `milliseconds`.
-    pub fn measured(&mut self, backend: &BackendId, milliseconds: f64) {
+    /// An answer began at `now`, after `milliseconds`.
+    pub fn measured(&mut self, backend: &BackendId, milliseconds: f64, now: Timestamp) {
         let load = self.by_backend.entry(backend.clone()).or_default();
         load.measurements += 1;
         let weight = if load.measurements == 1 { 1.0 } else { AVERAGE_WEIGHT };
         load.average_ms += (milliseconds - load.average_ms) * weight;
-        load.slowest_ms = milliseconds.max(load.slowest_ms * SLOWEST_FADES);
+        load.slowest_ms = milliseconds.max(load.faded_slowest_ms(now) * SLOWEST_FADES);
+        load.measured_at = now;
     }
 
     /// What is under way at a back end.
@@ -123,7 +134,7 @@
         let Some(oldest) = self.unanswered.get(backend).and_then(|unanswered| unanswered.iter().min()) else {
             return false;
         };
-        let patience = LEAST_PATIENCE.max(self.of(backend).slowest() * 3);
+        let patience = LEAST_PATIENCE.max(self.of(backend).slowest(now) * 3);
         now.saturating_since(*oldest) >= patience
     }
 
@@ -134,8 +145,8 @@
     }
 
     /// The time in which answers have lately begun at the slowest of all back ends.
-    pub fn slowest(&self) -> Duration {
-        self.by_backend.values().map(BackendLoad::slowest).max().unwrap_or_default()
+    pub fn slowest(&self, now: Timestamp) -> Duration {
+        self.by_backend.values().map(|load| load.slowest(now)).max().unwrap_or_default()
     }
 
     /// The median of the back ends' average times, in milliseconds; zero where too little is known.
--- a/crates/core/src/forwarding/relay_log.rs
+++ b/crates/core/src/forwarding/relay_log.rs
@@ -11,9 +11,10 @@
 /// Answers remembered.
 const MOST_ANSWERS: usize = 64;
 /// Bytes of answers that are remembered.
-const MOST_BYTES: usize = 64 << 10;
-/// Bytes of answers that are passed on at once; a reader that lacks more asks the store, whose link is wider.
-const MOST_BYTES_AT_ONCE: usize = 24 << 10;
+const MOST_BYTES: usize = 256 << 10;
+/// Bytes of answers that are passed on at once: a tenth of a second on a link of 10 Mbit/s, and several documents of some
+/// hundred tenants. A reader that lacks more asks the store, which hundreds of nodes would do at the same moment.
+const MOST_BYTES_AT_ONCE: usize = 128 << 10;
 
 /// The moment that a relayed proof counts from, on the reader's clock: when the reader's report was sent, less the age
 /// that the proof had at the other node when it answered. The answer was written later than the report was sent, so
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -121,6 +121,17 @@
     set_aside_until: BTreeMap<BackendId, Timestamp>,
 }
 
+/// How much more than their part of the requests the engines with a preferred version get. What nodes know of each
+/// other's requests is late: if all requests preferred the first few engines that have a version, they would queue there
+/// for longer than the older weights cost.
+const PREFERRED_MORE: f64 = 1.5;
+
+/// Whether a request with this `draw` prefers the engines that have the preferred version, `having` of `all`.
+pub fn prefers(draw: u64, having: usize, all: usize) -> bool {
+    let share = having as f64 / all.max(1) as f64;
+    (draw as f64) < share * PREFERRED_MORE * u64::MAX as f64
+}
+
 /// Named versions that are remembered for a model.
 const MOST_NAMED: usize = 16;
 /// The time that loading usually takes, with the order and the look at what came of it.
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -44,6 +44,20 @@
     Timestamp::from_millis(milliseconds)
 }
 
+#[test]
+fn as_many_requests_prefer_new_weights_as_the_engines_that_have_them_can_carry() {
+    use paddlemount_core::forwarding::rollout::prefers;
+    let preferring = |having, all| {
+        let draws = (0..1_000_u64).map(|number| number * (u64::MAX / 1_000));
+        draws.filter(|draw| prefers(*draw, having, all)).count()
+    };
+    assert_eq!(preferring(0, 240), 0);
+    assert!((145..=155).contains(&preferring(24, 240)), "{}", preferring(24, 240));
+    assert_eq!(preferring(180, 240), 1_000);
+    assert_eq!(preferring(1, 1), 1_000);
+    assert_eq!(preferring(0, 0), 0);
+}
+
 #[test]
 fn a_back_end_with_the_oldest_version_comes_before_idle_ones() {
     let mut rollout = rollout();
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -99,10 +99,11 @@
     /// The first part of the answer is here.
     pub fn first_part(&mut self) {
         if let Some(tokens) = self.unread_tokens.take() {
-            let milliseconds = self.node.now().saturating_since(self.began).as_secs_f64() * 1_000.0;
+            let now = self.node.now();
+            let milliseconds = now.saturating_since(self.began).as_secs_f64() * 1_000.0;
             let mut beliefs = self.node.beliefs.borrow_mut();
             beliefs.chooser.loads.read(&self.backend, tokens, self.began);
-            beliefs.chooser.loads.measured(&self.backend, milliseconds);
+            beliefs.chooser.loads.measured(&self.backend, milliseconds, now);
         }
     }
 }
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -10,7 +10,7 @@
         freshness::Freshness,
         partition::{Partition, Side, takes_long},
         prompt::Prompt,
-        rollout::{Rollout, RolloutSettings},
+        rollout::{Rollout, RolloutSettings, prefers},
         table::{RouteTable, ShareWheel},
     },
     health::{Health, HealthEvent, HealthSettings, HealthVerdict},
@@ -221,10 +221,10 @@
         fit: impl Fn(&Backend) -> bool,
     ) -> Vec<Candidate<'a>> {
         let required = ask.prompt.and_then(|prompt| {
-            let waits = self.chooser.loads.slowest();
+            let waits = self.chooser.loads.slowest(now);
             self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
         });
-        let preferred = ask.prompt.and_then(|prompt| self.rollout.preferred(&prompt.model, now));
+        let preferred = ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now));
         let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route, now));
         let long = side.map(|(side, share)| {
             (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
@@ -249,6 +249,15 @@
             .collect()
     }
 
+    /// The version that this request rather begins on: as many requests prefer it as engines have it.
+    fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
+        let preferred = self.rollout.preferred(&prompt.model, now)?;
+        let held = self.backends.usable(ask.service).filter(|backend| !backend.is_loading(now));
+        let held: Vec<_> = held.filter_map(|backend| backend.entry.weights.get(&prompt.model)).collect();
+        let having = held.iter().filter(|version| ***version >= preferred).count();
+        prefers(ask.draw, having, held.len()).then_some(preferred)
+    }
+
     /// Whether nothing speaks against a back end for the moment.
     fn is_free(&self, backend: &Backend, ask: Ask<'_>, now: Timestamp) -> bool {
         let id: &EngineId = &backend.entry.id;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -198,9 +198,10 @@
         self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
     }
 
-    /// The time in which an answer of a back end has lately begun, the slow ones included.
-    pub fn slowest(&self, backend: &BackendId) -> Duration {
-        self.beliefs.borrow().chooser.load(backend).slowest()
+    /// The time in which answers have lately begun, the slow ones included. Of any back end: a node of hundreds meets
+    /// each one too seldom to know its own, and a second try while all are busy makes them busier.
+    pub fn slowest(&self) -> Duration {
+        self.beliefs.borrow().chooser.loads.slowest(self.now())
     }
 
     /// A request for a service was sent for the first time.
