--- a/crates/core/src/forwarding/partition.rs
+++ b/crates/core/src/forwarding/partition.rs
@@ -18,7 +18,7 @@
 use super::{backends::BackendId, prompt::Prompt};
 
 /// What the writing of a token occupies of an engine that works on one request at a time, in tokens read: a step takes
-/// some 5 ms, in which some 200 tokens are read, and far fewer tokens than a caller allows are written.
+/// some 5 ms, in which some 200 tokens are read, and other requests share the step.
 const WRITTEN_TOKEN: u32 = 40;
 /// The time in which what was seen fades to a third.
 const FADES: Duration = Duration::from_secs(10);
@@ -33,7 +33,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     requests: f64,
-    tokens: f64,
+    read_tokens: f64,
+    work_tokens: f64,
     at: Timestamp,
 }
 
@@ -41,7 +42,12 @@
     fn faded(self, now: Timestamp) -> Self {
         let elapsed = now.saturating_since(self.at).as_secs_f64();
         let left = (-elapsed / FADES.as_secs_f64()).exp();
-        Self { requests: self.requests * left, tokens: self.tokens * left, at: now }
+        Self {
+            requests: self.requests * left,
+            read_tokens: self.read_tokens * left,
+            work_tokens: self.work_tokens * left,
+            at: now,
+        }
     }
 }
 
@@ -58,11 +64,20 @@
     }
 }
 
-/// What a request occupies of an engine with so many slots, in tokens read: its own part of the prompt is read, and its
-/// answer takes a slot while it is written.
-pub fn work_of(prompt: &Prompt, slots: u32) -> u32 {
-    let own = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
-    own.saturating_add(prompt.output_tokens.saturating_mul(WRITTEN_TOKEN) / slots.max(1))
+/// What a request asks of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestWork {
+    /// Tokens of its own part of the prompt, which the engine has to read.
+    pub read_tokens: u32,
+    /// What it occupies of the engine, in tokens read: its answer takes a slot while it is written.
+    pub work_tokens: u32,
+}
+
+/// What a request asks of an engine with so many slots.
+pub fn work_of(prompt: &Prompt, slots: u32) -> RequestWork {
+    let read_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
+    let written = prompt.output_tokens.saturating_mul(WRITTEN_TOKEN) / slots.max(1);
+    RequestWork { read_tokens, work_tokens: read_tokens.saturating_add(written) }
 }
 
 /// The side of a division.
@@ -83,12 +98,17 @@
 }
 
 impl Partition {
-    /// A request of `route` occupies an engine for as long as `tokens` take to be read.
-    pub fn seen(&mut self, service: &ServiceId, route: &str, tokens: u64, now: Timestamp) {
-        let nothing = Seen { requests: 0.0, tokens: 0.0, at: now };
+    /// A request of `route` asks so much of an engine.
+    pub fn seen(&mut self, service: &ServiceId, route: &str, work: RequestWork, now: Timestamp) {
+        let nothing = Seen { requests: 0.0, read_tokens: 0.0, work_tokens: 0.0, at: now };
         let seen = self.seen.entry((service.clone(), route.to_owned())).or_insert(nothing);
         let faded = seen.faded(now);
-        *seen = Seen { requests: faded.requests + 1.0, tokens: faded.tokens + tokens as f64, at: now };
+        *seen = Seen {
+            requests: faded.requests + 1.0,
+            read_tokens: faded.read_tokens + f64::from(work.read_tokens),
+            work_tokens: faded.work_tokens + f64::from(work.work_tokens),
+            at: now,
+        };
     }
 
     /// A node that reports to this one has told what it and those below it have seen.
@@ -104,28 +124,26 @@
 
     /// What this node and those below it have seen.
     pub fn seen_below(&self, now: Timestamp) -> Vec<RouteWork> {
-        let mut sum: BTreeMap<(&ServiceId, &str), (f64, f64)> = BTreeMap::new();
-        let mut add = |service, route, requests, tokens| {
-            let route: &mut (f64, f64) = sum.entry((service, route)).or_default();
-            route.0 += requests;
-            route.1 += tokens;
-        };
-        for ((service, route), seen) in &self.seen {
-            let faded = seen.faded(now);
-            add(service, route.as_str(), faded.requests, faded.tokens);
-        }
-        for told in self.below.values().filter(|told| told.is_fresh(now)) {
-            for work in &told.mix {
-                add(&work.service, work.route.as_str(), work.requests, work.tokens);
+        let mut sum: BTreeMap<(ServiceId, String), RouteWork> = BTreeMap::new();
+        let own = self.seen.iter().map(|((service, route), seen)| {
+            let Seen { requests, read_tokens, work_tokens, .. } = seen.faded(now);
+            RouteWork { service: service.clone(), route: route.clone(), requests, read_tokens, work_tokens }
+        });
+        let told = self.below.values().filter(|told| told.is_fresh(now));
+        for work in own.chain(told.flat_map(|told| told.mix.iter().cloned())) {
+            let key = (work.service.clone(), work.route.clone());
+            match sum.get_mut(&key) {
+                Some(known) => {
+                    known.requests += work.requests;
+                    known.read_tokens += work.read_tokens;
+                    known.work_tokens += work.work_tokens;
+                }
+                None => {
+                    sum.insert(key, work);
+                }
             }
         }
-        let work = |((service, route), (requests, tokens)): ((&ServiceId, &str), (f64, f64))| RouteWork {
-            service: service.clone(),
-            route: route.to_owned(),
-            requests,
-            tokens,
-        };
-        sum.into_iter().map(work).collect()
+        sum.into_values().collect()
     }
 
     /// What all nodes have seen, as far as this one has been told.
@@ -141,20 +159,20 @@
     pub fn side(&self, service: &ServiceId, route: &str, now: Timestamp) -> Option<(Side, f64)> {
         let all = self.seen_by_all(now);
         let of_service: Vec<&RouteWork> = all.iter().filter(|work| work.service == *service).collect();
-        let requests: f64 = of_service.iter().map(|work| work.requests).sum();
-        let tokens: f64 = of_service.iter().map(|work| work.tokens).sum();
-        if requests < FEWEST_REQUESTS || tokens <= 0.0 {
+        let total = |tokens: fn(&RouteWork) -> f64| of_service.iter().map(|work| tokens(work)).sum::<f64>();
+        let (requests, work_tokens) = (total(|work| work.requests), total(|work| work.work_tokens));
+        if requests < FEWEST_REQUESTS || work_tokens <= 0.0 {
             return None;
         }
-        let mean = tokens / requests;
-        let is_long = |work: &RouteWork| work.tokens > mean * LONG_FACTOR * work.requests;
-        let long: f64 = of_service.iter().filter(|work| is_long(work)).map(|work| work.tokens).sum();
+        let mean_read = total(|work| work.read_tokens) / requests;
+        let is_long = |work: &RouteWork| work.read_tokens > mean_read * LONG_FACTOR * work.requests;
+        let long = of_service.iter().filter(|work| is_long(work)).map(|work| work.work_tokens).sum::<f64>();
         if long <= 0.0 {
             return None;
         }
         let asked = of_service.iter().find(|work| work.route == route);
         let side = if asked.is_some_and(|work| is_long(work)) { Side::Long } else { Side::Short };
-        Some((side, long / tokens))
+        Some((side, long / work_tokens))
     }
 }
 
--- a/crates/core/src/forwarding/prompt.rs
+++ b/crates/core/src/forwarding/prompt.rs
@@ -22,7 +22,7 @@
     pub model: ModelId,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u32,
-    /// Tokens of the answer at most.
+    /// Tokens that the answer is expected to have: what the caller guesses, else the most that it allows.
     pub output_tokens: u32,
     /// The parts in order; the last is the request's or its session's own.
     pub parts: Vec<Part>,
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -5,7 +5,7 @@
 use paddlemount_core::forwarding::{
     backends::BackendId,
     choice::{Candidate, Choice, Chooser, Placement, Store},
-    partition::{Partition, Side, takes_long, work_of},
+    partition::{Partition, RequestWork, Side, takes_long, work_of},
     prefixes::{KeptPart, ScopeHash},
     prompt::{CacheScope, Part, PartId, Prompt},
 };
@@ -58,6 +58,11 @@
     }
 }
 
+/// A request that reads so much, and writes next to nothing.
+fn reading(tokens: u32) -> RequestWork {
+    RequestWork { read_tokens: tokens, work_tokens: tokens }
+}
+
 fn prompt(shared: &[(u64, u32)], own: u32) -> Prompt {
     let mut parts: Vec<Part> =
         shared.iter().map(|(id, tokens)| Part { id: PartId(*id), tokens: *tokens }).collect();
@@ -187,8 +192,8 @@
     let mut partition = Partition::default();
     let service = ServiceId::from("pool");
     for _ in 0..40 {
-        partition.seen(&service, "long", 3_000, Timestamp::ZERO);
-        partition.seen(&service, "short", 500, Timestamp::ZERO);
+        partition.seen(&service, "long", reading(3_000), Timestamp::ZERO);
+        partition.seen(&service, "short", reading(500), Timestamp::ZERO);
     }
     let (side, share) = partition.side(&service, "long", Timestamp::ZERO).expect("the routes differ");
     assert_eq!(side, Side::Long);
@@ -204,13 +209,13 @@
 #[test]
 fn nodes_that_have_seen_few_requests_divide_by_what_all_have_seen() {
     let (service, at) = (ServiceId::from("pool"), Timestamp::from_millis);
-    let node = |number: u64| {
+    let node = |number: u32| {
         let mut partition = Partition::default();
         // Each sees another mix of a few requests.
         for _ in 0..=number % 3 {
-            partition.seen(&service, "long", 2_500 + number * 10, at(0));
+            partition.seen(&service, "long", reading(2_500 + number * 10), at(0));
         }
-        partition.seen(&service, "short", 500, at(0));
+        partition.seen(&service, "short", reading(500), at(0));
         partition
     };
     let mut nodes: Vec<Partition> = (0..30).map(node).collect();
@@ -233,8 +238,8 @@
     let mut partition = Partition::default();
     let service = ServiceId::from("pool");
     for _ in 0..40 {
-        partition.seen(&service, "one", 900, Timestamp::ZERO);
-        partition.seen(&service, "two", 1_000, Timestamp::ZERO);
+        partition.seen(&service, "one", reading(900), Timestamp::ZERO);
+        partition.seen(&service, "two", reading(1_000), Timestamp::ZERO);
     }
     assert_eq!(partition.side(&service, "one", Timestamp::ZERO), None);
 }
@@ -301,8 +306,8 @@
 fn answers_that_hold_a_slot_for_long_weigh_more_where_slots_are_few() {
     let short = prompt(&[(1, 100)], 600);
     assert_eq!(short.output_tokens, 50);
-    assert_eq!(work_of(&short, 50), 640);
-    assert_eq!(work_of(&short, 10), 800);
+    assert_eq!(work_of(&short, 50).work_tokens, 640);
+    assert_eq!(work_of(&short, 10).work_tokens, 800);
 }
 
 #[test]
@@ -344,3 +349,18 @@
     let other = if with_other.backend == world.ids[0] { address(1) } else { address(0) };
     assert_eq!(with_other.import_from, Some(other));
 }
+
+#[test]
+fn routes_are_told_apart_by_what_is_read_for_them_however_much_their_answers_may_have() {
+    let mut partition = Partition::default();
+    let service = ServiceId::from("pool");
+    for _ in 0..40 {
+        let read = RequestWork { read_tokens: 2_900, work_tokens: 3_100 };
+        partition.seen(&service, "long", read, Timestamp::ZERO);
+        let written = RequestWork { read_tokens: 600, work_tokens: 3_000 };
+        partition.seen(&service, "short", written, Timestamp::ZERO);
+    }
+    let (side, share) = partition.side(&service, "long", Timestamp::ZERO).expect("the routes differ");
+    assert_eq!(side, Side::Long);
+    assert!((0.49..0.53).contains(&share), "{share}: the work decides how many engines each side gets");
+}
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -50,8 +50,10 @@
     pub route: String,
     /// Requests; older ones count less.
     pub requests: f64,
-    /// Tokens for whose reading they occupied engines; older ones count less.
-    pub tokens: f64,
+    /// Tokens of their own that engines read for them; older ones count less.
+    pub read_tokens: f64,
+    /// Tokens for whose reading they occupied engines, answers included; older ones count less.
+    pub work_tokens: f64,
 }
 
 /// How much of a part of a prompt an engine keeps.
