Trial: name the store for a prefix that an engine is believed to keep itself

Cause: what is believed is 0.2 to 0.8 s old and engines drop parts within seconds; another engine named in reserve has often dropped the part as well. Stores drop parts much later. Change: the store is named in reserve where there is one; another engine only where there is none. The test of the earlier order asserted the engine, it now asserts both cases.

--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -28,7 +28,7 @@
     }
 
     /// Whom to name where the back end is believed to keep the whole prefix itself: that may be wrong, and where it is
-    /// right nothing is moved.
+    /// right nothing is moved. The store drops parts much later than engines do.
     pub(super) fn source_in_reserve(
         &self,
         choice: &Choice,
@@ -40,6 +40,9 @@
         if choice.held_tokens < IMPORT_MINIMUM_TOKENS {
             return None;
         }
+        if let Some(store) = placement.store {
+            return Some(store.address);
+        }
         let hash = ScopeHash::from(scope);
         let keeps = |other: &&Candidate<'_>| {
             *other.id != choice.backend
@@ -50,7 +53,7 @@
             .iter()
             .filter(keeps)
             .min_by_key(|other| (other.zone != placement.zone, tie(other.id, placement.draw)));
-        other.map(|other| other.address).or(placement.store.map(|store| store.address))
+        other.map(|other| other.address)
     }
 
     /// Who keeps most of the prefix under the same weights: another back end, else the store.
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -346,8 +346,11 @@
     assert_eq!(alone.import_from, Some(store.address), "what is believed may be wrong");
     chooser.learned(&world.ids[1], &scope, &prompt, Timestamp::from_millis(2));
     let with_other = chooser.choose(placement, &world.candidates()).expect("a choice");
-    let other = if with_other.backend == world.ids[0] { address(1) } else { address(0) };
-    assert_eq!(with_other.import_from, Some(other));
+    assert_eq!(with_other.import_from, Some(store.address), "other engines drop parts as soon as this one");
+    let without_store = Placement { store: None, ..placement };
+    let from_other = chooser.choose(without_store, &world.candidates()).expect("a choice");
+    let other = if from_other.backend == world.ids[0] { address(1) } else { address(0) };
+    assert_eq!(from_other.import_from, Some(other));
 }
 
 #[test]
