--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -136,6 +136,10 @@
             Change::Doubted => "doubted",
             Change::Removed | Change::None => return,
         };
+        // What only adds to a back end is told by the nodes that ask the store for others: hundreds would tell the same.
+        if matches!(change, "appeared" | "updated") && self.is_told_by_others() {
+            return;
+        }
         let Some(backend) = beliefs.backends.get(id) else { return };
         self.journal.tell(&Event::BackendChanged {
             backend: id.as_str(),
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -96,11 +96,15 @@
         if self.is_behind() {
             return false;
         }
-        let now = self.now();
-        let bounds = self.settings().bounds;
-        let (within, lately) = (bounds.relayed_within(), bounds.relayed_lately());
+        let within = self.settings().bounds.relayed_within();
+        self.is_told_by_others() && self.beliefs.borrow().freshness.is_within(within, self.now())
+    }
+
+    /// Whether another node has lately passed on what the store told, however old that was.
+    pub fn is_told_by_others(&self) -> bool {
+        let lately = self.settings().bounds.relayed_lately();
         let Some(peers) = &self.peers else { return false };
-        let lately = peers.borrow().relayed_at.is_some_and(|at| now.saturating_since(at) < lately);
-        lately && self.beliefs.borrow().freshness.is_within(within, now)
+        let told_at = peers.borrow().relayed_at;
+        told_at.is_some_and(|at| self.now().saturating_since(at) < lately)
     }
 }
