--- a/crates/core/src/forwarding/partition.rs
+++ b/crates/core/src/forwarding/partition.rs
@@ -73,11 +73,13 @@
     pub work_tokens: u32,
 }
 
-/// What a request asks of an engine with so many slots.
-pub fn work_of(prompt: &Prompt, slots: u32) -> RequestWork {
+/// What a request asks of an engine with so many slots that is expected to read `expected_tokens`: the shared parts too
+/// where they are not kept, as after new weights.
+pub fn work_of(prompt: &Prompt, slots: u32, expected_tokens: u64) -> RequestWork {
     let read_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
     let written = prompt.output_tokens.saturating_mul(WRITTEN_TOKEN) / slots.max(1);
-    RequestWork { read_tokens, work_tokens: read_tokens.saturating_add(written) }
+    let expected = u32::try_from(expected_tokens).unwrap_or(u32::MAX).min(prompt.prompt_tokens);
+    RequestWork { read_tokens, work_tokens: expected.max(read_tokens).saturating_add(written) }
 }
 
 /// The side of a division.
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -306,8 +306,10 @@
 fn answers_that_hold_a_slot_for_long_weigh_more_where_slots_are_few() {
     let short = prompt(&[(1, 100)], 600);
     assert_eq!(short.output_tokens, 50);
-    assert_eq!(work_of(&short, 50).work_tokens, 640);
-    assert_eq!(work_of(&short, 10).work_tokens, 800);
+    assert_eq!(work_of(&short, 50, 0).work_tokens, 640);
+    assert_eq!(work_of(&short, 10, 0).work_tokens, 800);
+    let cold = work_of(&short, 10, u64::from(short.prompt_tokens));
+    assert_eq!(cold.work_tokens - 200, short.prompt_tokens, "what is not kept is read as well");
 }
 
 #[test]
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -168,7 +168,7 @@
             if let Some(prompt) = &self.head.prompt {
                 let mut beliefs = self.node.beliefs.borrow_mut();
                 let slots = beliefs.backends.get(&choice.backend).map_or(1, |backend| backend.entry.slots);
-                let work = work_of(prompt, slots);
+                let work = work_of(prompt, slots, choice.expected_tokens);
                 beliefs.partition.seen(&self.service, &self.route.name, work, now);
             }
         }
