Trial: stores first and strict sides only where nodes are many

Change: the store comes before engines, sides are strict and patience follows any engine only where more than eight nodes choose; few nodes decide as before.

--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -28,7 +28,8 @@
     }
 
     /// Whom to name where the back end is believed to keep the whole prefix itself: that may be wrong, and where it is
-    /// right nothing is moved. The store drops parts much later than engines do.
+    /// right nothing is moved. Where nodes are many, what a node believes of engines is old, and the store drops parts
+    /// much later than engines do; few nodes know the engines, whose links are more than the store's.
     pub(super) fn source_in_reserve(
         &self,
         choice: &Choice,
@@ -40,7 +41,7 @@
         if choice.held_tokens < IMPORT_MINIMUM_TOKENS {
             return None;
         }
-        if let Some(store) = placement.store {
+        if let Some(store) = placement.store.filter(|_| placement.considered.is_some()) {
             return Some(store.address);
         }
         let hash = ScopeHash::from(scope);
@@ -53,10 +54,11 @@
             .iter()
             .filter(keeps)
             .min_by_key(|other| (other.zone != placement.zone, tie(other.id, placement.draw)));
-        other.map(|other| other.address)
+        other.map(|other| other.address).or(placement.store.map(|store| store.address))
     }
 
-    /// Who keeps most of the prefix under the same weights: another back end, else the store.
+    /// Who keeps most of the prefix under the same weights: another back end or the store. Where nodes are many the store
+    /// comes first, as in [`Self::source_in_reserve`].
     pub(super) fn source(
         &self,
         candidate: &Candidate<'_>,
@@ -76,7 +78,10 @@
             .map(|(other, kept)| (other.address, kept));
         let stored = placement.store.map(|store| (store.address, kept(&store.id)));
         match (best, stored) {
-            (Some(best), Some(stored)) if stored.1 >= best.1 => Some(stored),
+            (Some(best), Some(stored)) if stored.1 > best.1 => Some(stored),
+            (Some(best), Some(stored)) if stored.1 == best.1 && placement.considered.is_some() => {
+                Some(stored)
+            }
             (None, stored) => stored,
             (best, _) => best,
         }
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -27,7 +27,7 @@
 /// Connections to one back end that each node may have, however many nodes there are.
 const LEAST_CONNECTIONS: u32 = 6;
 /// Nodes up to which each knows by itself enough of what is under way to weigh all back ends.
-const KNOWING_NODES: usize = 8;
+pub(crate) const KNOWING_NODES: usize = 8;
 /// Back ends that are weighed for a request at least.
 const LEAST_CONSIDERED: usize = 6;
 /// How long unused parts must be kept for copies of runs to be worth their room.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -203,7 +203,7 @@
         if !self.may_ask_another() {
             return give_up_at;
         }
-        let usual = self.node.slowest() * 3 / 2;
+        let usual = self.node.slowest(&choice.backend) * 3 / 2;
         let patience = (self.route.target_latency * 3 / 2).max(LEAST_PATIENCE).max(usual);
         (now + patience).min(give_up_at)
     }
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -139,6 +139,7 @@
     /// Whether somebody else has begun to lead since the store last told: a look costs less than a lease that is asked
     /// for in vain.
     async fn is_led_meanwhile(&self) -> bool {
+        // A look that fails is counted with the calls; whether the lease is free the store's own condition decides.
         let _ = find_leader(&self.node).await;
         self.node.beliefs.borrow().leader.is_some() && self.own_token().is_none()
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    beliefs::{Ask, Beliefs, Nodes, health_settings},
+    beliefs::{Ask, Beliefs, KNOWING_NODES, Nodes, health_settings},
     calls::Caller,
     clock::SteadyClock,
     journal::Journal,
@@ -198,10 +198,14 @@
         self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
     }
 
-    /// The time in which answers have lately begun, the slow ones included. Of any back end: a node of hundreds meets
-    /// each one too seldom to know its own, and a second try while all are busy makes them busier.
-    pub fn slowest(&self) -> Duration {
-        self.beliefs.borrow().chooser.loads.slowest(self.now())
+    /// The time in which answers of a back end have lately begun, the slow ones included. A node of many meets each back
+    /// end too seldom to know its own time, and takes that of any: a second try while all are busy makes them busier.
+    pub fn slowest(&self, backend: &BackendId) -> Duration {
+        let (now, beliefs) = (self.now(), self.beliefs.borrow());
+        match self.nodes() {
+            Some(nodes) if nodes as usize > KNOWING_NODES => beliefs.chooser.loads.slowest(now),
+            _ => beliefs.chooser.load(backend).slowest(now),
+        }
     }
 
     /// A request for a service was sent for the first time.
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -168,7 +168,7 @@
         let silence = if self.has_event {
             route.target_gap.map_or(SILENCE, |gap| gap * SILENCE_GAPS)
         } else {
-            let usual = self.exchange.node.slowest() * 3 / 2;
+            let usual = self.exchange.node.slowest(&self.choice.backend) * 3 / 2;
             (route.target_latency * FIRST_SILENCE_TARGETS).max(usual)
         };
         Some(self.heard_at + silence)
