Keep engines that answer no order out of the way, let slow answers stand for two seconds, search a restart with an old listing

Left: engines that answered no order had been announced for 6 s and got no requests; and the slowest answer faded twice.

--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -10,8 +10,9 @@
 const AVERAGE_WEIGHT: f64 = 0.2;
 /// What is left of the greatest time with each further answer.
 const SLOWEST_FADES: f64 = 0.93;
-/// The time in which the greatest time fades to a third where no further answer comes: a node of hundreds meets each
-/// back end only now and then.
+/// How long the greatest time stands where no further answer comes.
+const SLOWEST_STANDS: Duration = Duration::from_secs(2);
+/// The time in which it fades to a third after that: a node of hundreds meets each back end only now and then.
 const SLOWEST_FADES_IN: Duration = Duration::from_secs(4);
 /// Measurements below which an average says nothing.
 const FEWEST_MEASUREMENTS: u32 = 5;
@@ -44,7 +45,7 @@
     }
 
     fn faded_slowest_ms(&self, now: Timestamp) -> f64 {
-        let elapsed = now.saturating_since(self.measured_at).as_secs_f64();
+        let elapsed = now.saturating_since(self.measured_at).saturating_sub(SLOWEST_STANDS).as_secs_f64();
         self.slowest_ms * (-elapsed / SLOWEST_FADES_IN.as_secs_f64()).exp()
     }
 }
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -149,7 +149,7 @@
 /// The longest wait at a back end that is reckoned with.
 const LONGEST_WAIT: Duration = Duration::from_millis(3_000);
 /// How long a back end that could not be brought to its version is left alone: the others get theirs meanwhile.
-const SET_ASIDE: Duration = Duration::from_millis(1_000);
+pub const SET_ASIDE: Duration = Duration::from_millis(1_000);
 /// Thousandths in a whole.
 const PER_MILLE: usize = 1_000;
 /// One in so many back ends is worked on at the same time.
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -384,3 +384,14 @@
     assert_eq!(side, Side::Long);
     assert!((0.49..0.53).contains(&share), "{share}: the work decides how many engines each side gets");
 }
+
+#[test]
+fn the_slowest_answer_of_a_back_end_that_is_met_seldom_is_forgotten_in_time() {
+    let at = Timestamp::from_millis;
+    let backend = BackendId::from("engine-0");
+    let mut chooser = Chooser::default();
+    chooser.loads.measured(&backend, 3_000.0, at(0));
+    assert_eq!(chooser.loads.slowest(at(2_000)).as_millis(), 3_000);
+    assert!(chooser.loads.slowest(at(6_000)).as_millis() < 1_200);
+    assert!(chooser.loads.slowest(at(20_000)).as_millis() < 100);
+}
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -3,8 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use paddlemount_core::forwarding::{
-    backends::Standing,
-    rollout::{EngineReport, Manner, Step, Target, after_report},
+    backends::{BackendId, Standing},
+    rollout::{EngineReport, Manner, SET_ASIDE, Step, Target, after_report},
 };
 use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
 
@@ -54,13 +54,23 @@
             tell(&node, &target, None, token, outcome, began);
             release(&node, std::slice::from_ref(&target));
             if !holds(&node, &target) {
-                node.beliefs.borrow_mut().rollout.set_aside(&target.backend, node.now());
+                set_aside(&node, &target.backend);
             }
             node.order_ended.notify_one();
         });
     }
 }
 
+/// An engine that did not answer, or refused: it is tried again after a pause, and gets no requests meanwhile either.
+fn set_aside(node: &Node, id: &BackendId) {
+    let now = node.now();
+    let mut beliefs = node.beliefs.borrow_mut();
+    beliefs.rollout.set_aside(id, now);
+    if let Some(backend) = beliefs.backends.get_mut(id) {
+        backend.loading_until = Some(now + SET_ASIDE);
+    }
+}
+
 fn release(node: &Node, targets: &[Target]) {
     let mut beliefs = node.beliefs.borrow_mut();
     for target in targets {
--- a/specs/src/relay.rs
+++ b/specs/src/relay.rs
@@ -22,6 +22,8 @@
     CountsFromArrival,
     /// A digest is taken in whatever the store has told the node meanwhile.
     TakesAnyDigest,
+    /// A listing that may be old counts as proof.
+    StaleListingProves,
 }
 
 /// Bounds of the search, and what is broken.
@@ -33,6 +35,8 @@
     pub last_second: u64,
     /// Changes in the store.
     pub changes: usize,
+    /// How often the leaf starts anew, with a listing that may be old.
+    pub restarts: usize,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -74,6 +78,7 @@
     root: Node,
     leaf: Node,
     log: RelayLog,
+    restarts: usize,
     reports: BTreeSet<Report>,
     digests: BTreeSet<Digest>,
 }
@@ -95,7 +100,8 @@
     fn is_proved(&self, node: &Node) -> bool {
         let next_change = self.changed_at.get((node.revision.0 - FIRST.0) as usize);
         let Some(changed_at) = next_change else { return true };
-        let age = node.freshness.age(at(self.second)).unwrap_or(Duration::MAX);
+        // A node without proof claims nothing, and serves nobody.
+        let Some(age) = node.freshness.age(at(self.second)) else { return true };
         at(self.second).saturating_since(at(*changed_at)) <= age
     }
 
@@ -154,7 +160,25 @@
 impl RelaySpecification {
     /// Bounds under which the search takes seconds.
     pub const fn with_fault(fault: RelayFault) -> Self {
-        Self { fault, last_second: 2, changes: 2 }
+        Self { fault, last_second: 2, changes: 2, restarts: 0 }
+    }
+
+    /// The same with a leaf that starts anew once; fewer changes keep the search short.
+    pub const fn with_restart(fault: RelayFault) -> Self {
+        Self { fault, last_second: 2, changes: 1, restarts: 1 }
+    }
+
+    /// The leaf starts anew: it lists the store as it was at any earlier moment, and what was under way to it is lost.
+    fn restart(&self, state: &RelayState, listed: Revision) -> Step<RelayState> {
+        let mut next = state.clone();
+        next.restarts += 1;
+        next.leaf = Node { revision: listed, ..Node::default() };
+        if self.fault == RelayFault::StaleListingProves {
+            next.leaf.freshness.prove(at(state.second));
+        }
+        next.reports.clear();
+        next.digests.clear();
+        Step { label: format!("the leaf starts anew and lists revision {listed}"), state: next }
     }
 
     fn take(&self, state: &RelayState, digest: Digest) -> Step<RelayState> {
@@ -164,7 +188,9 @@
         if asked_for || self.fault == RelayFault::TakesAnyDigest {
             let counted_from = match self.fault {
                 RelayFault::CountsFromArrival => state.second,
-                RelayFault::None | RelayFault::TakesAnyDigest => digest.report.sent_at,
+                RelayFault::None | RelayFault::TakesAnyDigest | RelayFault::StaleListingProves => {
+                    digest.report.sent_at
+                }
             };
             let proved = relayed_proof(at(counted_from), Duration::from_secs(digest.age_seconds));
             next.leaf.revision = digest.upto;
@@ -186,6 +212,7 @@
             root: node.clone(),
             leaf: node,
             log: RelayLog::default(),
+            restarts: 0,
             reports: BTreeSet::new(),
             digests: BTreeSet::new(),
         }
@@ -202,6 +229,10 @@
             next.changed_at.push(state.second);
             steps.push(Step { label: "the store changes".to_owned(), state: next });
         }
+        if state.restarts < self.restarts {
+            let listed = (FIRST.0..=state.newest().0).map(Revision);
+            steps.extend(listed.map(|listed| self.restart(state, listed)));
+        }
         if state.second < self.last_second {
             let mut next = state.clone();
             next.second += 1;
--- a/specs/tests/relay.rs
+++ b/specs/tests/relay.rs
@@ -12,6 +12,19 @@
     assert!(report.states > 10_000, "{} states", report.states);
 }
 
+#[test]
+fn a_node_that_starts_with_an_old_listing_claims_nothing_until_it_is_told() {
+    let report = search(&RelaySpecification::with_restart(RelayFault::None));
+    assert!(report.counterexample.is_none(), "{:?}", report.counterexample);
+    assert!(report.states > 10_000, "{} states", report.states);
+}
+
+#[test]
+fn an_old_listing_that_counts_as_proof_is_noticed() {
+    let report = search(&RelaySpecification::with_restart(RelayFault::StaleListingProves));
+    assert!(report.counterexample.is_some());
+}
+
 #[test]
 fn a_proof_that_counts_from_the_digests_arrival_is_noticed() {
     let report = search(&RelaySpecification::with_fault(RelayFault::CountsFromArrival));
