Grant tenants' quotas over all forwarding nodes from one level told down the tree

Change: core::limits::ledger. Each node grants by the level told from above less what it has granted since; reports carry grants up; a head without a root goes on with its part. Beyond the quota: 429 at once with a spread time to come back. Usage that cannot be read is answered 400, none counts as the operator states. What did not run is given back.

--- a/crates/core/src/forwarding/document.rs
+++ b/crates/core/src/forwarding/document.rs
@@ -160,4 +160,52 @@
     pub priority: u8,
     /// Whether it shares no cached prompt state with other tenants.
     pub isolated: bool,
+    /// What it may use, over all nodes; none where it has no limit.
+    pub quota: Option<TenantQuota>,
+}
+
+/// What a tenant may use, over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TenantQuota {
+    /// What is counted.
+    pub unit: QuotaUnit,
+    /// Units a second; more than 0.
+    pub per_second: f64,
+    /// Units at once beside.
+    pub burst: f64,
+    /// Tokens that a request counts for that does not say how many it uses.
+    pub unstated_tokens: u32,
+}
+
+/// What a quota counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaUnit {
+    /// Each request is one unit.
+    Requests,
+    /// Each token of a prompt, and each that its answer may have, is one unit.
+    Tokens,
+}
+
+/// What a request says of the tokens that it uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TokenUsage {
+    /// It says nothing.
+    #[default]
+    Unstated,
+    /// Tokens of its prompt and the most that its answer may have, added up.
+    Stated(u64),
+    /// It says something that is no number of tokens.
+    Malformed,
+}
+
+impl TenantQuota {
+    /// The units that a request counts for; none where it does not say how many in a form that can be counted.
+    pub fn units(&self, usage: TokenUsage) -> Option<f64> {
+        match (self.unit, usage) {
+            (QuotaUnit::Requests, _) => Some(1.0),
+            (QuotaUnit::Tokens, TokenUsage::Unstated) => Some(f64::from(self.unstated_tokens)),
+            (QuotaUnit::Tokens, TokenUsage::Stated(tokens)) => Some(tokens as f64),
+            (QuotaUnit::Tokens, TokenUsage::Malformed) => None,
+        }
+    }
 }
--- /dev/null
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -0,0 +1,342 @@
+//! Tenant quotas over all forwarding nodes: one token bucket for each tenant, whose level is told down the tree of nodes.
+//!
+//! A node grants by the level that it was told, less what it has granted since. Reports carry grants up, once each, and
+//! the node at the head of the tree takes them off the level. What nodes grant before they hear of each other is bounded
+//! by [`plan`]: it leaves room for it. Under overload all nodes grant the same share of what is asked.
+//!
+//! A node that nobody tells anything heads itself and those that report to it. It goes on with its part of the level and
+//! of the rate: the nodes that it hears, of all that were lately counted. The root does the same, so that both sides of
+//! a partition together grant no more than the whole.
+//!
+//! A restart of single processes loses nothing but what they granted in the last fifth of a second; a root that begins
+//! goes on from the level that it was last told. After a restart of all, the level begins half filled.
+
+mod account;
+pub mod plan;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use paddlemount_protocol::{
+    fleet::{QuotaDigest, TenantCredit, TenantSpending},
+    identity::{NodeId, TenantId},
+    time::Timestamp,
+};
+
+use self::{
+    account::{Account, Standing},
+    plan::QuotaBounds,
+};
+use crate::forwarding::document::TenantQuota;
+
+/// How long what another node has told is used.
+const FRESH: Duration = Duration::from_millis(1_500);
+/// How long a count of nodes is remembered: nodes that have been cut off for so long may still grant.
+const REMEMBERED: Duration = Duration::from_secs(60);
+/// How long a root that has just begun waits for reports before it counts whom it hears.
+const SETTLING: Duration = Duration::from_secs(2);
+/// How many times its even part of the capacity a node has that heads itself and is not the root. A request is often
+/// larger than the even part; while a third of the nodes are apart, all of them together grant a part of the capacity
+/// more, for which the plan leaves room.
+const APART: f64 = 3.0;
+/// The part of the capacity with which accounts begin where an earlier fleet may have granted the rest.
+const HALF: f64 = 0.5;
+
+/// A request is over its tenant's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the tenant's quota is used up")]
+pub struct QuotaRefusal {
+    /// When the quota may bear the request.
+    pub retry_after: Duration,
+}
+
+/// What decided on a request of a tenant, for log lines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaView {
+    /// Units a second that the operator allows.
+    pub per_second: f64,
+    /// Units that may still be granted, over all nodes that share the level.
+    pub level: f64,
+    /// Units a second that callers ask for, over the same nodes, as far as known.
+    pub demand: f64,
+    /// The part of the fleet that shares the level.
+    pub part: f64,
+    /// The age of what another node told; none where this node heads itself.
+    pub told_age: Option<Duration>,
+}
+
+/// What was granted, to be given back where the request did not run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuotaGrant {
+    tenant: TenantId,
+    units: f64,
+}
+
+/// What a node below has told.
+#[derive(Clone, Debug)]
+struct Below {
+    at: Timestamp,
+    heard: u32,
+    demands: Vec<(TenantId, f64)>,
+}
+
+/// What this node knows of its place among the nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Whether it is the root of the tree.
+    pub is_root: bool,
+    /// The number of nodes, where it has been counted.
+    pub counted: Option<u32>,
+    /// The number that is assumed otherwise.
+    pub assumed: u32,
+}
+
+/// The quotas of all tenants at one node.
+#[derive(Clone, Debug)]
+pub struct QuotaLedger {
+    bounds: QuotaBounds,
+    accounts: BTreeMap<TenantId, Account>,
+    below: BTreeMap<NodeId, Below>,
+    told_at: Option<Timestamp>,
+    /// The part that was last told.
+    told_part: Option<f64>,
+    root_since: Option<Timestamp>,
+    most_nodes: Option<(u32, Timestamp)>,
+    standing: Standing,
+    /// The part of the capacity with which an account begins.
+    filled: f64,
+}
+
+impl QuotaLedger {
+    /// A ledger without quotas, of one of `assumed_nodes`. `first_start` tells that no fleet was there before.
+    pub fn new(bounds: QuotaBounds, first_start: bool, assumed_nodes: u32) -> Self {
+        // Until another node tells anything, this one is one of many.
+        let part = 1.0 / f64::from(assumed_nodes.max(1));
+        Self {
+            bounds,
+            accounts: BTreeMap::new(),
+            below: BTreeMap::new(),
+            told_at: None,
+            told_part: None,
+            root_since: None,
+            most_nodes: None,
+            standing: Standing { part, capacity_part: part, heads: true, shared: false },
+            filled: if first_start { 1.0 } else { HALF },
+        }
+    }
+
+    /// Takes over the quotas of a configuration. Tenants that are not named have none.
+    pub fn configure<'a>(
+        &mut self,
+        quotas: impl Iterator<Item = (&'a TenantId, &'a TenantQuota)>,
+        now: Timestamp,
+    ) {
+        let mut before = std::mem::take(&mut self.accounts);
+        for (tenant, quota) in quotas {
+            let account = match before.remove(tenant) {
+                Some(mut known) => {
+                    known.refill(self.standing, now);
+                    known.set_quota(*quota, &self.bounds);
+                    known
+                }
+                None => Account::new(*quota, &self.bounds, self.filled * self.standing.part, now),
+            };
+            self.accounts.insert(tenant.clone(), account);
+        }
+    }
+
+    /// Takes new bounds over, as where the settings have changed.
+    pub fn set_bounds(&mut self, bounds: QuotaBounds) {
+        self.bounds = bounds;
+        for account in self.accounts.values_mut() {
+            account.set_quota(account.quota, &bounds);
+        }
+    }
+
+    /// Whether any tenant has a quota.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// The quota of a tenant, if it has one.
+    pub fn quota(&self, tenant: &TenantId) -> Option<&TenantQuota> {
+        Some(&self.accounts.get(tenant)?.quota)
+    }
+
+    /// Grants a request of `units`, or says when to come back. `draw` is drawn evenly for the request, from 0 to 1.
+    pub fn admit(
+        &mut self,
+        tenant: &TenantId,
+        units: f64,
+        draw: f64,
+        now: Timestamp,
+    ) -> Result<Option<QuotaGrant>, QuotaRefusal> {
+        let standing = self.standing;
+        let Some(account) = self.accounts.get_mut(tenant) else { return Ok(None) };
+        account.admit(units, draw, standing, now)?;
+        Ok(Some(QuotaGrant { tenant: tenant.clone(), units }))
+    }
+
+    /// What was granted did not run.
+    pub fn give_back(&mut self, grant: &QuotaGrant) {
+        if let Some(account) = self.accounts.get_mut(&grant.tenant) {
+            account.give_back(grant.units);
+        }
+    }
+
+    /// What would decide on a request of a tenant now.
+    pub fn view(&self, tenant: &TenantId, now: Timestamp) -> Option<QuotaView> {
+        let account = self.accounts.get(tenant)?;
+        let told_age = self.told_at.map(|at| now.saturating_since(at));
+        Some(QuotaView {
+            per_second: account.quota.per_second,
+            level: account.level(),
+            demand: account.demand().max(account.own_demand(now)),
+            part: self.standing.part,
+            told_age: told_age.filter(|_| !self.standing.heads),
+        })
+    }
+
+    /// Looks at who is heard, and adds up what they ask for; to be called several times a second.
+    pub fn tick(&mut self, place: Place, now: Timestamp) {
+        self.accounts.values_mut().for_each(|account| account.refill(self.standing, now));
+        self.below.retain(|_, below| now.saturating_since(below.at) < FRESH);
+        self.remember_count(place.counted, now);
+        let began = self.root_since.is_none() && place.is_root;
+        self.root_since = place.is_root.then(|| self.root_since.unwrap_or(now));
+        let told = self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH) && !place.is_root;
+        let shared = told || !self.below.is_empty();
+        if told {
+            self.standing = Standing { shared, heads: false, ..self.standing };
+            return;
+        }
+        let part = self.part_heard(place, now);
+        if began && self.told_part.is_none() {
+            self.accounts.values_mut().for_each(|account| account.begin_with(self.filled));
+        } else if !self.standing.heads && !place.is_root {
+            // What was told was for all: this node goes on with its part.
+            let factor = part / self.standing.part.max(part);
+            self.accounts.values_mut().for_each(|account| account.scale(factor));
+        }
+        let capacity_part = if place.is_root { part } else { (part * APART).min(1.0) };
+        self.standing = Standing { part, capacity_part, heads: true, shared };
+        self.add_up_demand(now);
+    }
+
+    /// The part of the fleet that this node and those below it are.
+    fn part_heard(&self, place: Place, now: Timestamp) -> f64 {
+        let settling = self.root_since.is_some_and(|since| now.saturating_since(since) < SETTLING);
+        if settling {
+            return self.told_part.unwrap_or(1.0);
+        }
+        let nodes = self.most_nodes.map_or(place.assumed, |(nodes, _)| nodes).max(1);
+        (f64::from(self.heard()) / f64::from(nodes)).min(1.0)
+    }
+
+    fn remember_count(&mut self, counted: Option<u32>, now: Timestamp) {
+        let Some(counted) = counted else { return };
+        let outdated =
+            |(most, at): (u32, Timestamp)| counted >= most || now.saturating_since(at) >= REMEMBERED;
+        if self.most_nodes.is_none_or(outdated) {
+            self.most_nodes = Some((counted, now));
+        }
+    }
+
+    /// This node and those below it that were heard lately.
+    pub fn heard(&self) -> u32 {
+        self.below.values().fold(1, |sum, below| sum.saturating_add(below.heard))
+    }
+
+    fn add_up_demand(&mut self, now: Timestamp) {
+        let mut demands: BTreeMap<&TenantId, f64> = BTreeMap::new();
+        for (tenant, demand) in self.below.values().flat_map(|below| &below.demands) {
+            *demands.entry(tenant).or_default() += demand;
+        }
+        for (tenant, account) in &mut self.accounts {
+            let below = demands.get(tenant).copied().unwrap_or_default();
+            account.set_demand(below + account.own_demand(now));
+        }
+    }
+
+    /// A node below has told what it and those below it have granted and were asked for. Gives the number of entries
+    /// that were passed over: of tenants without quota, or with figures that make no sense.
+    pub fn reported(
+        &mut self,
+        node: NodeId,
+        heard: u32,
+        spending: Vec<TenantSpending>,
+        now: Timestamp,
+    ) -> usize {
+        let mut demands = Vec::with_capacity(spending.len());
+        let mut passed_over = 0;
+        for entry in spending {
+            let sound = entry.spent.is_finite() && entry.demand.is_finite() && entry.demand >= 0.0;
+            match self.accounts.get_mut(&entry.tenant).filter(|_| sound) {
+                Some(account) => {
+                    account.granted_below(entry.spent);
+                    demands.push((entry.tenant, entry.demand));
+                }
+                None => passed_over += 1,
+            }
+        }
+        self.below.insert(node, Below { at: now, heard: heard.max(1), demands });
+        passed_over
+    }
+
+    /// What a node below is told.
+    pub fn digest(&mut self, now: Timestamp) -> QuotaDigest {
+        let standing = self.standing;
+        let mut credits = Vec::new();
+        for (tenant, account) in &mut self.accounts {
+            account.refill(standing, now);
+            if account.is_worth_telling(standing) {
+                let (level, demand) = (thousandths(account.level()), thousandths(account.demand()));
+                credits.push(TenantCredit { tenant: tenant.clone(), level, demand });
+            }
+        }
+        QuotaDigest { part: standing.part, credits }
+    }
+
+    /// What the node above is told now; to be followed by [`answered`](Self::answered) or
+    /// [`unanswered`](Self::unanswered).
+    pub fn report(&mut self, now: Timestamp) -> Vec<TenantSpending> {
+        let mut demands: BTreeMap<&TenantId, f64> = BTreeMap::new();
+        for (tenant, demand) in self.below.values().flat_map(|below| &below.demands) {
+            *demands.entry(tenant).or_default() += demand;
+        }
+        let mut report = Vec::new();
+        for (tenant, account) in &mut self.accounts {
+            let below = demands.get(tenant).copied().unwrap_or_default();
+            let demand = thousandths(below + account.own_demand(now));
+            let spent = thousandths(account.report());
+            if spent != 0.0 || account.is_demand_worth_telling(demand) {
+                report.push(TenantSpending { tenant: tenant.clone(), spent, demand });
+            }
+        }
+        report
+    }
+
+    /// The node above has answered the last report.
+    pub fn answered(&mut self, digest: &QuotaDigest, now: Timestamp) {
+        let part = digest.part.clamp(0.0, 1.0);
+        self.told_at = Some(now);
+        self.told_part = Some(part);
+        self.standing = Standing { part, capacity_part: part, heads: false, shared: true };
+        let credits: BTreeMap<&TenantId, &TenantCredit> =
+            digest.credits.iter().map(|credit| (&credit.tenant, credit)).collect();
+        for (tenant, account) in &mut self.accounts {
+            let credit = credits.get(tenant);
+            let demand = credit.map_or(0.0, |credit| credit.demand.max(0.0));
+            account.told(credit.map(|credit| credit.level), demand, self.standing, now);
+        }
+    }
+
+    /// The node above has not answered the last report: the next one tells the same again.
+    pub fn unanswered(&mut self) {
+        self.accounts.values_mut().for_each(Account::unanswered);
+    }
+}
+
+/// Rounds to what a message tells.
+fn thousandths(units: f64) -> f64 {
+    (units * 1_000.0).round() / 1_000.0
+}
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -7,6 +7,7 @@
 //! Rates are units a second as `f64`; a request is one unit, a token is one unit.
 
 pub mod bucket;
+pub mod ledger;
 pub mod peers;
 pub mod share;
 mod tenant;
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -101,7 +101,13 @@
 }
 
 fn table() -> RouteTable {
-    let tenant = Tenant { name: TenantId::from("a"), keys: vec!["k".into()], priority: 0, isolated: false };
+    let tenant = Tenant {
+        name: TenantId::from("a"),
+        keys: vec!["k".into()],
+        priority: 0,
+        isolated: false,
+        quota: None,
+    };
     let open = Route { anonymous: true, ..route("open", "/x/open/", &[("s", 1)]) };
     RouteTable::new(Document {
         version: 3,
@@ -253,7 +259,13 @@
 
 #[test]
 fn a_tenants_rank_goes_ahead_of_its_routes() {
-    let tenant = |priority| Tenant { name: TenantId::from("a"), keys: Vec::new(), priority, isolated: false };
+    let tenant = |priority| Tenant {
+        name: TenantId::from("a"),
+        keys: Vec::new(),
+        priority,
+        isolated: false,
+        quota: None,
+    };
     let of_route = |priority| Route { priority, ..route("r", "/", &[]) };
     assert!(rank(Some(&tenant(0)), &of_route(2)) < rank(Some(&tenant(1)), &of_route(0)));
     assert!(rank(Some(&tenant(1)), &of_route(0)) < rank(Some(&tenant(1)), &of_route(1)));
--- a/crates/forward/src/account.rs
+++ b/crates/forward/src/account.rs
@@ -2,26 +2,35 @@
 
 use std::{sync::Arc, time::Duration};
 
-use paddlemount_core::forwarding::{
-    attempt::Spent,
-    choice::Choice,
-    document::{Route, Tenant},
+use paddlemount_core::{
+    forwarding::{
+        attempt::Spent,
+        choice::Choice,
+        document::{Route, Tenant},
+    },
+    limits::ledger::QuotaView,
 };
 use paddlemount_protocol::time::Timestamp;
 
 use crate::{
-    answers::Reason,
-    journal::{Event, RequestLine},
+    answers::{Reason, Refusal},
+    journal::{Event, QuotaLine, RequestLine},
     metrics::{Counter, kind_label},
     node::Node,
 };
 
+/// The outcome of a request that has not run and whose caller may come back.
+pub(crate) const REFUSED: &str = "refused";
+/// The outcome of a request beyond its tenant's quota.
+const OVER_QUOTA: &str = "over_quota";
+
 /// What is told of a request when it has ended.
 #[derive(Debug, Default)]
 pub struct Account {
     pub(crate) id: Option<String>,
     pub(crate) route: Option<Arc<Route>>,
     pub(crate) tenant: Option<Arc<Tenant>>,
+    pub(crate) quota: Option<QuotaView>,
     pub(crate) outcome: Option<&'static str>,
     pub(crate) status: Option<u16>,
     pub(crate) reason: Option<Reason>,
@@ -36,10 +45,14 @@
 
 impl Account {
     /// The node itself refuses the request before any back end is chosen.
-    pub(crate) fn refuse(&mut self, node: &Node, arrived: Timestamp, reason: Reason) {
+    pub(crate) fn refuse(&mut self, node: &Node, arrived: Timestamp, Refusal { reason, come_back }: Refusal) {
         self.reason = Some(reason);
         self.status = Some(reason.status().as_u16());
-        self.outcome = Some(if reason.come_back().is_some() { "refused" } else { "rejected" });
+        self.outcome = Some(match (reason, come_back) {
+            (Reason::QuotaExceeded, _) => OVER_QUOTA,
+            (_, Some(_)) => REFUSED,
+            (_, None) => "rejected",
+        });
         self.tell(node, arrived, Spent::default());
     }
 
@@ -55,6 +68,7 @@
             request: self.id.as_deref().unwrap_or_default(),
             route: self.route.as_ref().map(|route| route.name.as_str()),
             tenant: self.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            quota: self.quota.map(QuotaLine::from),
             outcome,
             status: self.status,
             reason: self.reason,
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -3,10 +3,29 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{header, request};
-use paddlemount_core::forwarding::{document::Route, table::Admission};
+use paddlemount_core::{
+    forwarding::{
+        document::{Route, Tenant},
+        table::Admission,
+    },
+    limits::ledger::QuotaGrant,
+};
 use paddlemount_protocol::identity::ServiceId;
 
-use crate::{account::Account, answers::Reason, node::Node, ports::RequestHead};
+use crate::{
+    account::Account,
+    answers::{Reason, Refusal},
+    node::Node,
+    ports::RequestHead,
+};
+
+/// A request that may be served.
+pub(crate) struct Admitted {
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceId,
+    /// What was granted of its tenant's quota, if the tenant has one.
+    pub(crate) grant: Option<QuotaGrant>,
+}
 
 /// Finds a request's route and tenant, and the service whose turn it is.
 pub(crate) fn admit(
@@ -14,7 +33,7 @@
     parts: &request::Parts,
     head: &RequestHead,
     account: &mut Account,
-) -> Result<(Arc<Route>, ServiceId), Reason> {
+) -> Result<Admitted, Refusal> {
     let now = node.now();
     let bounds = node.settings().bounds;
     let (table, age) = {
@@ -31,17 +50,38 @@
     // What is unknown to old knowledge may only be unknown yet.
     let doubtful = !is_within(bounds.doubtful_after());
     match table.admit(host, parts.uri.path(), head.key.as_deref()) {
-        Admission::NoRoute | Admission::UnknownKey if doubtful => Err(Reason::ConfigurationTooOld),
-        Admission::NoRoute => Err(Reason::NoRoute),
-        Admission::UnknownKey => Err(Reason::UnknownKey),
+        Admission::NoRoute | Admission::UnknownKey if doubtful => Err(Reason::ConfigurationTooOld.into()),
+        Admission::NoRoute => Err(Reason::NoRoute.into()),
+        Admission::UnknownKey => Err(Reason::UnknownKey.into()),
         Admission::Admitted { route, tenant } => {
             account.route = Some(Arc::clone(&route));
             account.tenant.clone_from(&tenant);
             if tenant.is_some() && bounds.revocation_fails_closed && !is_within(bounds.stale_after()) {
-                return Err(Reason::ConfigurationTooOld);
+                return Err(Reason::ConfigurationTooOld.into());
             }
             let service = node.share(&route).ok_or(Reason::NoBackend)?;
-            Ok((route, service))
+            let grant = match &tenant {
+                Some(tenant) => charge(node, tenant, head, account)?,
+                None => None,
+            };
+            Ok(Admitted { route, service, grant })
         }
     }
 }
+
+/// Takes a request off its tenant's quota.
+fn charge(
+    node: &Node,
+    tenant: &Tenant,
+    head: &RequestHead,
+    account: &mut Account,
+) -> Result<Option<QuotaGrant>, Refusal> {
+    let Some(quota) = &tenant.quota else { return Ok(None) };
+    let units = quota.units(head.usage).ok_or(Reason::UsageMalformed)?;
+    let now = node.now();
+    let mut beliefs = node.beliefs.borrow_mut();
+    beliefs.quotas.admit(&tenant.name, units, rand::random(), now).map_err(|refusal| {
+        account.quota = beliefs.quotas.view(&tenant.name, now);
+        Refusal { reason: Reason::QuotaExceeded, come_back: Some(refusal.retry_after) }
+    })
+}
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -27,6 +27,10 @@
     NoRoute,
     /// The route needs a key, and none that is known came.
     UnknownKey,
+    /// The tenant's quota is used up.
+    QuotaExceeded,
+    /// The tenant's quota counts tokens, and the request says in no readable form how many it uses.
+    UsageMalformed,
     /// The body is larger than the configuration allows.
     BodyTooLarge,
     /// The caller broke off before its request was whole.
@@ -54,8 +58,9 @@
             | Self::TimeUpBeforeSending => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::RequestBroken => StatusCode::BAD_REQUEST,
+            Self::RequestBroken | Self::UsageMalformed => StatusCode::BAD_REQUEST,
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
         }
@@ -66,7 +71,7 @@
         match self {
             Self::NoConfiguration | Self::NoBackend => Some(Duration::from_millis(400)),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
-            Self::NotTaken => Some(Duration::from_millis(150)),
+            Self::NotTaken | Self::QuotaExceeded => Some(Duration::from_millis(150)),
             Self::TimeUpBeforeSending => Some(Duration::from_millis(50)),
             _ => None,
         }
@@ -80,6 +85,8 @@
             }
             Self::NoRoute => "no route fits the request",
             Self::UnknownKey => "the request carries no known key",
+            Self::QuotaExceeded => "the tenant's quota is used up; the request was not run",
+            Self::UsageMalformed => "the request does not say in a readable form how many tokens it uses",
             Self::BodyTooLarge => "the body is too large",
             Self::RequestBroken => "the request is not whole",
             Self::NoBackend => "no back end may get the request; it was not run",
@@ -97,13 +104,29 @@
     reason: Reason,
 }
 
-/// The node's own answer for `reason`.
-pub fn own_answer(reason: Reason) -> Response<AnswerBody> {
+/// A request that is not served, and when its caller may come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back; none where coming back is of no use.
+    pub come_back: Option<Duration>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self { reason, come_back: reason.come_back() }
+    }
+}
+
+/// The node's own answer to a request that it does not serve.
+pub fn own_answer(refusal: impl Into<Refusal>) -> Response<AnswerBody> {
+    let Refusal { reason, come_back } = refusal.into();
     let body = serde_json::to_vec(&ErrorBody { error: reason.text(), reason }).unwrap_or_default();
     let mut answer = Response::new(whole(Bytes::from(body)));
     *answer.status_mut() = reason.status();
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(after) = reason.come_back() {
+    if let Some(after) = come_back {
         let seconds = format!("{:.2}", after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             answer.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -14,6 +14,7 @@
         table::{RouteTable, ShareWheel},
     },
     health::{Health, HealthEvent, HealthSettings, HealthVerdict},
+    limits::ledger::QuotaLedger,
 };
 use paddlemount_protocol::{
     identity::{
@@ -55,6 +56,8 @@
     pub revision: Option<Revision>,
     /// Which back ends long prompts go to first.
     pub partition: Partition,
+    /// What is left of tenants' quotas.
+    pub quotas: QuotaLedger,
     pub(crate) wheel: ShareWheel,
     pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
@@ -134,6 +137,11 @@
             leader: None,
             revision: None,
             partition: Partition::default(),
+            quotas: QuotaLedger::new(
+                settings.bounds.quotas(),
+                settings.first_start,
+                settings.limits.most_nodes,
+            ),
             wheel: ShareWheel::default(),
             budgets: BTreeMap::new(),
             refused_until: BTreeMap::new(),
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -6,18 +6,21 @@
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use paddlemount_core::forwarding::{
-    attempt::{AttemptEnd, Spent},
-    backends::BackendId,
-    choice::Choice,
-    document::{Route, RouteKind, rank},
-    partition::work_of,
+use paddlemount_core::{
+    forwarding::{
+        attempt::{AttemptEnd, Spent},
+        backends::BackendId,
+        choice::Choice,
+        document::{Route, RouteKind, rank},
+        partition::work_of,
+    },
+    limits::ledger::QuotaGrant,
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
-    account::Account,
-    admission::admit,
+    account::{Account, REFUSED},
+    admission::{Admitted, admit},
     answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
     beliefs::Ask,
@@ -61,6 +64,7 @@
     parts: request::Parts,
     body: Bytes,
     pub(crate) service: ServiceId,
+    grant: Option<QuotaGrant>,
     tried: Vec<BackendId>,
     draw: u64,
 }
@@ -72,11 +76,11 @@
     let head = node.platform.read_request(&parts.headers);
     let mut account = Account { id: head.id.clone(), ..Account::default() };
     let admitted = admit(&node, &parts, &head, &mut account);
-    let (route, service) = match admitted {
+    let Admitted { route, service, grant } = match admitted {
         Ok(admitted) => admitted,
-        Err(reason) => {
-            account.refuse(&node, arrived, reason);
-            return own_answer(reason);
+        Err(refusal) => {
+            account.refuse(&node, arrived, refusal);
+            return own_answer(refusal);
         }
     };
     let waits = head.deadline.unwrap_or(LONGEST).saturating_sub(DEADLINE_MARGIN);
@@ -93,6 +97,7 @@
         parts,
         body: Bytes::new(),
         service,
+        grant,
         tried: Vec::new(),
         draw: rand::random(),
     };
@@ -350,6 +355,12 @@
         self.node.metrics.count(Counter::Resumed);
     }
 
+    /// Whether no back end has run the request: it was refused, or its caller left before it was sent.
+    fn has_not_run(&self) -> bool {
+        let refused = self.account.outcome == Some(REFUSED);
+        refused || (self.spent.sent == 0 && self.account.outcome.is_none())
+    }
+
     /// How the stream ended.
     pub const fn conclude(&mut self, outcome: &'static str) {
         self.account.outcome = Some(outcome);
@@ -364,6 +375,9 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.node.running.set(self.node.running.get().saturating_sub(1));
+        if let Some(grant) = self.grant.take().filter(|_| self.has_not_run()) {
+            self.node.beliefs.borrow_mut().quotas.give_back(&grant);
+        }
         self.account.tell(&self.node, self.arrived, self.spent);
     }
 }
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -14,6 +14,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use paddlemount_core::limits::ledger::QuotaView;
 use serde::Serialize;
 
 use crate::{answers::Reason, clock::SteadyClock};
@@ -123,6 +124,8 @@
     pub route: Option<&'a str>,
     /// The tenant.
     pub tenant: Option<&'a str>,
+    /// What the tenant's quota looked like where it refused the request.
+    pub quota: Option<QuotaLine>,
     /// How it ended.
     pub outcome: &'static str,
     /// The status that the caller got.
@@ -165,6 +168,33 @@
     pub resumed: u32,
 }
 
+/// What decided that a tenant's quota is used up.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct QuotaLine {
+    /// Units a second that the operator allows.
+    pub per_second: f64,
+    /// Units that might still be granted over all nodes that share the level; below 0 where too many were.
+    pub level: i64,
+    /// Units a second that callers ask for at these nodes.
+    pub demand: u64,
+    /// The part of all nodes that share the level.
+    pub part: f64,
+    /// Milliseconds since another node told; none where this node goes by what it and those below it have granted.
+    pub told_age_ms: Option<u64>,
+}
+
+impl From<QuotaView> for QuotaLine {
+    fn from(view: QuotaView) -> Self {
+        Self {
+            per_second: view.per_second,
+            level: view.level as i64,
+            demand: view.demand as u64,
+            part: view.part,
+            told_age_ms: view.told_age.map(|age| age.as_millis() as u64),
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     time_ms: u64,
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -101,6 +101,9 @@
         }
         let version = document.version;
         let routes = document.routes.len();
+        let quotas =
+            document.tenants.iter().filter_map(|tenant| Some((&tenant.name, tenant.quota.as_ref()?)));
+        beliefs.quotas.configure(quotas, self.now());
         beliefs.table = Some(Rc::new(RouteTable::new(document)));
         beliefs.wheel.clear();
         self.journal.tell(&Event::ConfigurationApplied { version, before, routes, revision: revision.0 });
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -38,6 +38,8 @@
     Connections,
     /// Requests whose prefix was to be imported.
     Imports,
+    /// Entries of reports on tenants' quotas that make no sense here: of unknown tenants, or with impossible figures.
+    SpendingPassedOver,
 }
 
 impl Counter {
@@ -52,6 +54,7 @@
             Self::PeerCalls(_) => "paddlemount_forward_peer_calls_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
             Self::Imports => "paddlemount_forward_imports_total",
+            Self::SpendingPassedOver => "paddlemount_forward_spending_passed_over_total",
         }
     }
 
@@ -65,7 +68,9 @@
             Self::Orders(outcome) | Self::PeerCalls(outcome) => {
                 format!("{{outcome=\"{outcome}\"}}")
             }
-            Self::Retries | Self::Resumed | Self::Connections | Self::Imports => String::new(),
+            Self::Retries | Self::Resumed | Self::Connections | Self::Imports | Self::SpendingPassedOver => {
+                String::new()
+            }
         }
     }
 }
@@ -127,7 +132,12 @@
 impl Metrics {
     /// Counts one.
     pub fn count(&self, counter: Counter) {
-        *self.counters.borrow_mut().entry(counter).or_default() += 1;
+        self.add(counter, 1);
+    }
+
+    /// Counts several.
+    pub fn add(&self, counter: Counter, number: u64) {
+        *self.counters.borrow_mut().entry(counter).or_default() += number;
     }
 
     /// Takes a time in.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -10,6 +10,7 @@
 use paddlemount_core::{
     forwarding::{backends::BackendId, choice::Choice, document::Route},
     health::{HealthEvent, HealthVerdict},
+    limits::ledger::Place,
 };
 use paddlemount_protocol::{
     fleet::{KeptNews, Member},
@@ -185,6 +186,14 @@
         }
     }
 
+    /// Looks at who is heard, for the part of the quotas that this node shares; to be called several times a second.
+    pub fn tick_quotas(&self) {
+        let assumed = self.settings().limits.most_nodes;
+        let place = Place { is_root: self.token().is_some(), counted: self.nodes(), assumed };
+        let now = self.now();
+        self.beliefs.borrow_mut().quotas.tick(place, now);
+    }
+
     /// Draws on the retry budget of a service.
     pub fn draw_retry(&self, service: &ServiceId) -> bool {
         let settings = self.settings();
@@ -232,6 +241,9 @@
     pub fn sweep(&self) {
         let now = self.now();
         self.pool.borrow_mut().sweep(now);
+        if self.peers.is_none() {
+            self.tick_quotas();
+        }
         let mut beliefs = self.beliefs.borrow_mut();
         for id in beliefs.backends.expire(now) {
             beliefs.forget(&id);
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -34,6 +34,7 @@
         tokio::time::sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
         let now = node.now();
         peers.borrow_mut().fleet.tick(node.token().is_some(), now);
+        node.tick_quotas();
         let before = std::mem::replace(&mut counted, node.nodes());
         if counted != before {
             node.journal.tell(&Event::NodesCounted { nodes: counted, before });
@@ -105,14 +106,17 @@
     }
 
     fn report_of(&self, node: &Node) -> Option<Report> {
-        let beliefs = node.beliefs.borrow();
+        let now = node.now();
+        let mut beliefs = node.beliefs.borrow_mut();
         let peers = node.peers.as_ref()?.borrow();
         let (log, cursor) = self.cursor.get();
         Some(Report {
             sender: peers.fleet.me().clone(),
             below: peers.fleet.members_below(),
-            work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), node.now()),
-            mix: beliefs.partition.seen_below(node.now()),
+            work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), now),
+            mix: beliefs.partition.seen_below(now),
+            heard: beliefs.quotas.heard(),
+            spending: beliefs.quotas.report(now),
             news: if log == NO_LOG { Vec::new() } else { peers.news.waiting() },
             log,
             cursor,
@@ -132,6 +136,7 @@
 
     fn failed(&self, node: &Node, problem: String) {
         node.metrics.count(Counter::PeerCalls("failed"));
+        node.beliefs.borrow_mut().quotas.unanswered();
         node.journal.tell(&Event::ParentFailed { parent: self.parent.node.as_str(), problem });
         if let Some(peers) = &node.peers {
             peers.borrow_mut().fleet.failed(&self.parent.node, node.now());
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -31,6 +31,10 @@
             }
             beliefs.chooser.loads.told(digest.work.clone());
             beliefs.partition.told(digest.mix, now);
+            match &digest.quotas {
+                Some(quotas) => beliefs.quotas.answered(quotas, now),
+                None => beliefs.quotas.unanswered(),
+            }
             beliefs.backends.set_loading(&digest.loading, now + LOADING);
         }
         {
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -14,7 +14,7 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::node::Node;
+use crate::{metrics::Counter, node::Node};
 
 /// The largest report that is read, in bytes.
 const LARGEST_REPORT: usize = 1 << 20;
@@ -74,6 +74,10 @@
     }
     let child = report.sender.node.clone();
     beliefs.partition.reported(child.clone(), report.mix, now);
+    let passed_over = beliefs.quotas.reported(child.clone(), report.heard, report.spending, now);
+    if passed_over > 0 {
+        node.metrics.add(Counter::SpendingPassedOver, passed_over as u64);
+    }
     peers.fleet.reported(report.sender, report.below, report.work, now);
     let own = beliefs.chooser.loads.own_work();
     let (news, cursor) = peers.news.since(report.log, report.cursor);
@@ -86,6 +90,7 @@
         members: members_changed.then(|| members.to_vec()),
         work: peers.fleet.work_beside(&child, &own, now),
         mix: beliefs.partition.seen_by_all(now),
+        quotas: Some(beliefs.quotas.digest(now)),
         loading: beliefs.backends.loading(now),
         news,
         store: store_relay(&beliefs, &peers.relay, report.revision, now),
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use paddlemount_core::forwarding::{
     backends::{BackendEntry, BackendId},
-    document::{Document, Tenant},
+    document::{Document, Tenant, TokenUsage},
     prefixes::KeptPart,
     prompt::{CacheScope, Prompt},
     rollout::{EngineReport, Manner},
@@ -228,6 +228,8 @@
     pub key: Option<String>,
     /// How long the caller waits.
     pub deadline: Option<Duration>,
+    /// The tokens that it uses, as far as it says.
+    pub usage: TokenUsage,
     /// What it says of its prompt.
     pub prompt: Option<Prompt>,
     /// The last event that it has, of a stream that it resumes.
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -202,6 +202,7 @@
     }
     match parsed {
         Ok(settings) => {
+            node.beliefs.borrow_mut().quotas.set_bounds(settings.bounds.quotas());
             *node.settings.borrow_mut() = Rc::new(settings);
             node.journal.tell(&Event::SettingsReloaded { changed });
         }
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
+use paddlemount_core::limits::ledger::plan::QuotaBounds;
 use paddlemount_protocol::identity::{NodeId, ZoneId};
 use serde::Deserialize;
 
@@ -81,6 +82,13 @@
     /// Retries of a service beyond its share, in a window, over all nodes.
     #[serde(deserialize_with = "figures::whole")]
     pub retry_slack: u32,
+    /// The window over which tenants' quotas are counted; in seconds in the file.
+    #[serde(rename = "quota_window_s", deserialize_with = "figures::seconds")]
+    pub quota_window_ms: u64,
+    /// The share of a tenant's quota that may run beyond it.
+    pub quota_overage: f64,
+    /// Units of a tenant's quota that may run beyond that in a window.
+    pub quota_slack: f64,
     /// The life of the lease on orders.
     #[serde(deserialize_with = "figures::whole")]
     pub lease_ms: u64,
@@ -190,6 +198,15 @@
         if self.bounds.retry_window_ms < 100 {
             return wrong("bounds.retry_window_s", "must be 0.1 or more");
         }
+        if self.bounds.quota_window_ms < 100 {
+            return wrong("bounds.quota_window_s", "must be 0.1 or more");
+        }
+        if !(0.0..=10.0).contains(&self.bounds.quota_overage) {
+            return wrong("bounds.quota_overage", "must lie between 0 and 10");
+        }
+        if !(self.bounds.quota_slack.is_finite() && self.bounds.quota_slack >= 0.0) {
+            return wrong("bounds.quota_slack", "must be 0 or more");
+        }
         if self.bounds.revocation_ms < 500 {
             return wrong("bounds.revocation_ms", "must be 500 or more");
         }
@@ -219,6 +236,9 @@
             retry_share: 0.1,
             retry_window_ms: 10_000,
             retry_slack: 14,
+            quota_window_ms: 10_000,
+            quota_overage: 0.0,
+            quota_slack: 0.0,
             lease_ms: 3_000,
             weights_ms: 8_000,
         }
@@ -226,6 +246,15 @@
 }
 
 impl BoundSettings {
+    /// How much more than a tenant's quota may run.
+    pub fn quotas(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: Duration::from_millis(self.quota_window_ms),
+            overage: self.quota_overage,
+            slack: self.quota_slack,
+        }
+    }
+
     /// The age at which the configuration is too old for a request that carries a key.
     pub fn stale_after(&self) -> Duration {
         Duration::from_millis(self.revocation_ms.saturating_sub(self.revocation_ms / 25))
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    account::REFUSED,
     answers::{AnswerBody, Reason, own_answer, whole},
     attempts::{Ended, strip_connection_headers},
     exchange::{Exchange, LEAST_TIME},
@@ -81,7 +82,7 @@
         self.account.reason = Some(reason);
         let answer = own_answer(reason);
         self.account.status = Some(answer.status().as_u16());
-        self.account.outcome = Some(if reason.come_back().is_some() { "refused" } else { "failed" });
+        self.account.outcome = Some(if reason.come_back().is_some() { REFUSED } else { "failed" });
         answer
     }
 
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::{EngineId, NodeId, Revision, ServiceId, ZoneId};
+use crate::identity::{EngineId, NodeId, Revision, ServiceId, TenantId, ZoneId};
 
 /// The path at which a node takes reports.
 pub const EXCHANGE_PATH: &str = "/fleet/exchange";
@@ -56,6 +56,43 @@
     pub work_tokens: f64,
 }
 
+/// What a node and those below it have granted of a tenant's quota, and were asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TenantSpending {
+    /// The tenant.
+    #[serde(rename = "t")]
+    pub tenant: TenantId,
+    /// Units granted since the last report that was answered; negative where more was given back.
+    #[serde(rename = "s")]
+    pub spent: f64,
+    /// Units a second that callers ask for.
+    #[serde(rename = "d")]
+    pub demand: f64,
+}
+
+/// What is left of a tenant's quota.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TenantCredit {
+    /// The tenant.
+    #[serde(rename = "t")]
+    pub tenant: TenantId,
+    /// Units that all nodes that share it may still grant; negative where they have granted too much.
+    #[serde(rename = "l")]
+    pub level: f64,
+    /// Units a second that callers ask for at these nodes.
+    #[serde(rename = "d")]
+    pub demand: f64,
+}
+
+/// What is left of the quotas.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct QuotaDigest {
+    /// The part of the fleet that shares what is told, from 0 to 1.
+    pub part: f64,
+    /// The tenants of whose quota much is used; of the others nearly all is left.
+    pub credits: Vec<TenantCredit>,
+}
+
 /// How much of a part of a prompt an engine keeps.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeptNews {
@@ -105,6 +142,12 @@
     /// What their requests have asked of engines.
     #[serde(default)]
     pub mix: Vec<RouteWork>,
+    /// It and the nodes below it that were heard lately.
+    #[serde(default)]
+    pub heard: u32,
+    /// What they have granted of tenants' quotas.
+    #[serde(default)]
+    pub spending: Vec<TenantSpending>,
     /// What it and they have learned of engines since the last report that was answered.
     pub news: Vec<KeptNews>,
     /// The log that `cursor` belongs to.
@@ -133,6 +176,9 @@
     /// What the requests of all nodes have asked of engines, as far as the sender knows.
     #[serde(default)]
     pub mix: Vec<RouteWork>,
+    /// What is left of tenants' quotas; nothing where the sender knows of none.
+    #[serde(default)]
+    pub quotas: Option<QuotaDigest>,
     /// Engines that are being given new weights: they get no new requests.
     #[serde(default)]
     pub loading: Vec<EngineId>,
