--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -15,7 +15,7 @@
     time::Timestamp,
 };
 
-use super::registry::Registry;
+use super::{pool::Pool, registry::Registry};
 
 /// One start of a back end: a model engine, or an instance of another service.
 pub type BackendId = EngineId;
@@ -80,6 +80,9 @@
     /// Whether the registry's silence about a back end counts.
     pub registry: Registry,
     by_id: BTreeMap<BackendId, Backend>,
+    pools: BTreeMap<ServiceId, Pool>,
+    /// Those that are being given new weights, or were.
+    loading: BTreeSet<BackendId>,
 }
 
 /// What changed with an entry.
@@ -105,6 +108,7 @@
         let standing = if entry.leaving { Standing::Leaving } else { Standing::Ready };
         let Some(known) = self.by_id.get_mut(&entry.id) else {
             let backend = Backend { entry: entry.clone(), standing, loading_until: None };
+            self.pools.entry(entry.service.clone()).or_default().enter(&backend);
             self.by_id.insert(entry.id, backend);
             return Change::Appeared;
         };
@@ -118,8 +122,12 @@
         if known.entry.weights != entry.weights {
             known.loading_until = None;
         }
-        known.standing = standing;
-        known.entry = entry;
+        if change != Change::None {
+            self.pools.entry(known.entry.service.clone()).or_default().leave(known);
+            known.standing = standing;
+            known.entry = entry;
+            self.pools.entry(known.entry.service.clone()).or_default().enter(known);
+        }
         change
     }
 
@@ -129,16 +137,27 @@
         let doubtful = self.registry.lacks_entries(now);
         match known.standing {
             Standing::Ready if doubtful => {
+                let pool = self.pools.entry(known.entry.service.clone()).or_default();
+                pool.leave(known);
                 known.standing = Standing::Doubted { since: now };
+                pool.enter(known);
                 return Change::Doubted;
             }
             Standing::Doubted { .. } if doubtful => return Change::None,
             Standing::Ready | Standing::Doubted { .. } | Standing::Leaving => {}
         }
-        self.by_id.remove(id);
+        self.drop(id);
         Change::Removed
     }
 
+    fn drop(&mut self, id: &BackendId) {
+        self.loading.remove(id);
+        let Some(backend) = self.by_id.remove(id) else { return };
+        if let Some(pool) = self.pools.get_mut(&backend.entry.service) {
+            pool.leave(&backend);
+        }
+    }
+
     /// Drops back ends that are still missing after the registry's return.
     pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
         let returned = !self.registry.lacks_entries(now);
@@ -149,7 +168,7 @@
         let ids: Vec<BackendId> =
             self.by_id.iter().filter(|(_, backend)| expired(backend)).map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            self.by_id.remove(id);
+            self.drop(id);
         }
         ids
     }
@@ -159,23 +178,69 @@
         self.by_id.get(id)
     }
 
-    /// A back end by identity, to note something of it.
-    pub fn get_mut(&mut self, id: &BackendId) -> Option<&mut Backend> {
-        self.by_id.get_mut(id)
+    /// An answer, a report or a refusal showed the version that a back end runs on. Older news than known is none.
+    pub fn saw_weights(&mut self, id: &BackendId, model: &ModelId, version: WeightsVersion) {
+        let Some(known) = self.by_id.get_mut(id) else { return };
+        if known.entry.weights.get(model).is_some_and(|known| *known >= version) {
+            return;
+        }
+        let pool = self.pools.entry(known.entry.service.clone()).or_default();
+        pool.leave(known);
+        known.entry.weights.insert(model.clone(), version);
+        known.loading_until = None;
+        pool.enter(known);
+    }
+
+    /// A back end is being given new weights, until `until` at most; none where it no longer is.
+    pub fn set_loading_until(&mut self, id: &BackendId, until: Option<Timestamp>) {
+        let Some(known) = self.by_id.get_mut(id) else { return };
+        known.loading_until = until;
+        match until {
+            Some(_) => self.loading.insert(id.clone()),
+            None => self.loading.remove(id),
+        };
     }
 
     /// Exactly `loading` are being given new weights, until `until` at most.
     pub fn set_loading(&mut self, loading: &[BackendId], until: Timestamp) {
-        let loading: BTreeSet<&BackendId> = loading.iter().collect();
-        for backend in self.by_id.values_mut() {
-            backend.loading_until = loading.contains(&backend.entry.id).then_some(until);
+        for id in std::mem::take(&mut self.loading) {
+            self.set_loading_until(&id, None);
+        }
+        for id in loading {
+            self.set_loading_until(id, Some(until));
         }
     }
 
     /// Back ends that are being given new weights.
     pub fn loading(&self, now: Timestamp) -> Vec<BackendId> {
-        let loads = |backend: &&Backend| backend.is_loading(now);
-        self.by_id.values().filter(loads).map(|backend| backend.entry.id.clone()).collect()
+        let loads = |id: &&BackendId| self.get(id).is_some_and(|backend| backend.is_loading(now));
+        self.loading.iter().filter(loads).cloned().collect()
+    }
+
+    /// The back ends of a service that may get work; none where none was ever known.
+    pub fn pool(&self, service: &ServiceId) -> Option<&Pool> {
+        self.pools.get(service)
+    }
+
+    /// How many of a service's ready back ends have which version of a model's weights, the oldest first, without those
+    /// that are being given new ones.
+    pub fn versions_at_work(
+        &self,
+        service: &ServiceId,
+        model: &ModelId,
+        now: Timestamp,
+    ) -> Vec<(WeightsVersion, usize)> {
+        let Some(pool) = self.pools.get(service) else { return Vec::new() };
+        let mut versions: Vec<(WeightsVersion, usize)> = pool.versions(model).collect();
+        for backend in self.loading.iter().filter_map(|id| self.get(id)) {
+            let counted = backend.entry.service == *service && backend.standing == Standing::Ready;
+            let version = backend.entry.weights.get(model).filter(|_| counted && backend.is_loading(now));
+            let count = versions.iter_mut().find(|(known, _)| Some(known) == version);
+            if let Some((_, count)) = count {
+                *count = count.saturating_sub(1);
+            }
+        }
+        versions
     }
 
     /// All back ends.
@@ -185,12 +250,9 @@
 
     /// Back ends of `service` that may get work: the ready ones, and the doubted ones where fewer than half are ready.
     pub fn usable<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Backend> {
-        let of_service = move || self.by_id.values().filter(move |backend| backend.entry.service == *service);
-        let ready = of_service().filter(|backend| backend.standing == Standing::Ready).count();
-        let doubted =
-            of_service().filter(|backend| matches!(backend.standing, Standing::Doubted { .. })).count();
-        let with_doubted = ready < doubted;
-        of_service().filter(move |backend| match backend.standing {
+        let with_doubted = self.pool(service).is_some_and(Pool::uses_doubted);
+        let of_service = self.by_id.values().filter(|backend| backend.entry.service == *service);
+        of_service.filter(move |backend| match backend.standing {
             Standing::Ready => true,
             Standing::Doubted { .. } => with_doubted,
             Standing::Leaving => false,
--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -9,10 +9,12 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | `field` | the back ends among which is chosen, and which of them are weighed |
 //! | `prompts` | weighs the back ends of a prompt |
 //! | `shards` | which of several stores a prompt's parts belong to |
 //! | `sources` | whom to import a prefix from, and who gets a copy of a run |
 
+mod field;
 mod prompts;
 mod shards;
 mod sources;
@@ -26,6 +28,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use field::Field;
 pub use shards::shard_of;
 
 use super::{
@@ -179,11 +182,15 @@
         }
     }
 
-    /// Chooses among `candidates`.
-    pub fn choose(&self, placement: Placement<'_>, candidates: &[Candidate<'_>]) -> Option<Choice> {
+    /// Chooses among the back ends of `field`.
+    pub fn choose(&self, placement: Placement<'_>, field: &dyn Field) -> Option<Choice> {
         match placement.prompt {
-            Some(prompt) => self.choose_for_prompt(placement, prompt, candidates),
-            None => self.choose_by_requests(placement, candidates),
+            Some(prompt) => self.choose_for_prompt(placement, prompt, field),
+            // Services without prompts have few back ends.
+            None => {
+                let all = Placement { considered: None, ..placement };
+                self.choose_by_requests(placement, &field::weighed(field, all))
+            }
         }
     }
 
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -1,11 +1,13 @@
 //! Weighs the back ends of a prompt, by work in tokens.
 
-use std::cmp::Reverse;
-
 use paddlemount_protocol::identity::WeightsVersion;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Candidate, Choice, Chooser, Placement, sources::IMPORT_MINIMUM_TOKENS, tie};
+use super::{
+    Candidate, Choice, Chooser, Placement,
+    field::{self, Field},
+    sources::{Holder, IMPORT_MINIMUM_TOKENS},
+    tie,
+};
 use crate::forwarding::{
     backends::BackendId,
     prefixes::ScopeHash,
@@ -21,8 +23,6 @@
 const IMPORT_FIXED_TOKENS: u64 = 60;
 /// The cost of reading a part elsewhere than at its home, in multiples of reading it there: it may be read twice.
 const READ_TWICE: u64 = 4;
-/// Back ends that are homes of a part, where few others are weighed.
-const HOMES: usize = 1;
 /// The cost of a request that is being answered, in tokens read.
 const RUNNING_TOKENS: u64 = 40;
 /// The cost of each request that would have to wait for a slot, in tokens read.
@@ -42,8 +42,17 @@
     pub(super) weights: WeightsVersion,
     pub(super) scope: CacheScope,
     pub(super) hash: ScopeHash,
-    pub(super) homes: Vec<&'a BackendId>,
+    /// Where the part in question is read first.
+    pub(super) home: Option<Candidate<'a>>,
     pub(super) cold_tokens: u32,
+    /// Who keeps some of the prefix under these weights.
+    pub(super) holders: Vec<Holder<'a>>,
+}
+
+impl Group<'_> {
+    fn is_home(&self, id: &BackendId) -> bool {
+        self.home.as_ref().is_some_and(|home| home.id == id)
+    }
 }
 
 impl Chooser {
@@ -52,51 +61,67 @@
         &self,
         placement: Placement<'_>,
         prompt: &Prompt,
-        candidates: &[Candidate<'_>],
+        field: &dyn Field,
     ) -> Option<Choice> {
+        let mut candidates = field::weighed(field, placement);
+        candidates.retain(|candidate| candidate.eligible && candidate.weights.is_some());
         let usual_ms = self.loads.usual_ms(candidates.iter().map(|candidate| candidate.id));
-        let eligible = candidates.iter().filter(|candidate| candidate.eligible).count();
         let mut groups: Vec<Group<'_>> = Vec::new();
+        for weights in candidates.iter().filter_map(|candidate| candidate.weights) {
+            if groups.iter().all(|group| group.weights != weights) {
+                groups.push(self.group(placement, prompt, weights, field));
+            }
+        }
+        for home in groups.iter().filter_map(|group| group.home.as_ref()) {
+            if candidates.iter().all(|candidate| candidate.id != home.id) {
+                candidates.push(home.clone());
+            }
+        }
         let mut best: Option<(u64, u64, Choice)> = None;
-        let drawn_below = drawn_below(placement, candidates);
-        for candidate in candidates.iter().filter(|candidate| candidate.eligible) {
-            let Some(weights) = candidate.weights else { continue };
-            let known = groups.iter().position(|group| group.weights == weights);
-            let index = known.unwrap_or_else(|| {
-                groups.push(self.group(placement, prompt, weights, candidates));
-                groups.len() - 1
-            });
-            let group = &groups[index];
+        for candidate in &candidates {
+            let group = groups.iter().find(|group| Some(group.weights) == candidate.weights);
+            let Some(group) = group else { continue };
             let tie = tie(candidate.id, placement.draw);
-            if drawn_below.is_some_and(|below| tie > below) && !group.homes.contains(&candidate.id) {
-                continue;
-            }
-            let mut choice = self.weigh(candidate, group, placement, prompt, candidates);
-            let waiting = self.waiting_tokens(candidate.id) + self.queue_tokens(candidate);
-            let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
-            let work = (waiting + choice.cost) as f64 * self.loads.slowness(candidate.id, usual_ms);
-            let avoided = match placement.considered {
-                _ if !candidate.avoided => 0,
-                None => AVOIDED_TOKENS,
-                Some(_) => AVOIDED_OF_MANY_TOKENS,
-            };
-            let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
-            choice.cost = work as u64 + distance + avoided + outdated;
-            choice.eligible = eligible;
+            let mut choice = self.weigh(candidate, group, placement, prompt);
+            choice.cost = self.whole_cost(candidate, choice.cost, placement, usual_ms);
+            choice.eligible = candidates.len();
             if best.as_ref().is_none_or(|(cost, order, _)| (choice.cost, tie) < (*cost, *order)) {
                 best = Some((choice.cost, tie, choice));
             }
         }
         let (_, _, mut choice) = best?;
         if choice.import_from.is_none() {
-            choice.import_from = self.source_in_reserve(&choice, placement, prompt, candidates);
+            let weights = choice.scope.as_ref().map(|scope| scope.weights);
+            let group = groups.iter().find(|group| Some(group.weights) == weights)?;
+            choice.import_from = Self::source_in_reserve(&choice, placement, group);
         }
         if placement.copied {
-            choice.copy_to = self.copy_holder(&choice, placement, candidates);
+            choice.copy_to = self.copy_holder(&choice, placement, &candidates);
         }
         Some(choice)
     }
 
+    /// The cost of a request at a back end where it reads `read` tokens: with what it waits for, the way, and what speaks
+    /// against the back end.
+    fn whole_cost(
+        &self,
+        candidate: &Candidate<'_>,
+        read: u64,
+        placement: Placement<'_>,
+        usual_ms: f64,
+    ) -> u64 {
+        let waiting = self.waiting_tokens(candidate.id) + self.queue_tokens(candidate);
+        let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
+        let work = (waiting + read) as f64 * self.loads.slowness(candidate.id, usual_ms);
+        let avoided = match placement.considered {
+            _ if !candidate.avoided => 0,
+            None => AVOIDED_TOKENS,
+            Some(_) => AVOIDED_OF_MANY_TOKENS,
+        };
+        let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
+        work as u64 + distance + avoided + outdated
+    }
+
     /// The work under way at a back end, in tokens, as far as it is known.
     fn waiting_tokens(&self, id: &BackendId) -> u64 {
         let own = self.load(id);
@@ -119,7 +144,7 @@
         placement: Placement<'_>,
         prompt: &Prompt,
         weights: WeightsVersion,
-        candidates: &[Candidate<'a>],
+        field: &'a dyn Field,
     ) -> Group<'a> {
         let scope = CacheScope { model: prompt.model.clone(), weights, tenant: placement.isolated.cloned() };
         let hash = ScopeHash::from(&scope);
@@ -128,23 +153,15 @@
         let cold_tokens = cold.map_or(0, |cold| {
             shared.iter().skip_while(|part| part.id != cold.id).map(|part| part.tokens).sum()
         });
-        let rank =
-            |candidate: &Candidate<'a>, seed| xxh3_64_with_seed(candidate.id.as_str().as_bytes(), seed);
         // Where all back ends are weighed, a part is read at one place until it is known to be kept. Where few are
-        // drawn, the homes of a request's last shared part are weighed beside them, also when it is kept already.
-        let (subject, homes) = match placement.considered {
-            None => (cold, 1),
-            Some(_) => (shared.last(), HOMES),
+        // drawn, the home of a request's last shared part is weighed beside them, also when it is kept already.
+        let subject = match placement.considered {
+            None => cold,
+            Some(_) => shared.last(),
         };
-        let homes = subject.map_or_else(Vec::new, |part| {
-            let same = candidates
-                .iter()
-                .filter(|candidate| candidate.eligible && candidate.weights == Some(weights));
-            let mut ranked: Vec<&Candidate<'a>> = same.collect();
-            ranked.sort_by_key(|candidate| (candidate.avoided, Reverse(rank(candidate, part.id.0))));
-            ranked.into_iter().take(homes).map(|candidate| candidate.id).collect()
-        });
-        Group { weights, scope, hash, homes, cold_tokens }
+        let home = subject.and_then(|part| field::home(field, part.id.0, weights));
+        let holders = self.holders(hash, weights, shared, field);
+        Group { weights, scope, hash, home, cold_tokens, holders }
     }
 
     /// What the request would cost at `candidate` itself, and where its prefix would come from.
@@ -154,22 +171,21 @@
         group: &Group<'_>,
         placement: Placement<'_>,
         prompt: &Prompt,
-        candidates: &[Candidate<'_>],
     ) -> Choice {
         let shared = prompt.shared();
         let shared_tokens = prompt.shared_tokens();
         let own = u64::from(prompt.prompt_tokens.saturating_sub(shared_tokens));
         let held = self.prefixes.kept(candidate.id, group.hash, shared);
         let source = (held + IMPORT_MINIMUM_TOKENS <= shared_tokens)
-            .then(|| self.source(candidate, group, placement, prompt, candidates))
+            .then(|| self.source(candidate, group, placement, prompt))
             .flatten()
             .filter(|(_, kept)| *kept >= held + IMPORT_MINIMUM_TOKENS);
         let imported = source.map_or(0, |(_, kept)| u64::from(kept - held));
         let read = u64::from(shared_tokens - held) - imported;
-        let is_home = group.homes.is_empty() || group.homes.contains(&candidate.id);
+        let is_home = group.home.is_none() || group.is_home(candidate.id);
         let factor = if is_home { 1 } else { READ_TWICE };
         let per_mille = match placement.considered {
-            Some(_) if !group.homes.contains(&candidate.id) => IMPORT_AWAY_PER_MILLE,
+            Some(_) if !group.is_home(candidate.id) => IMPORT_AWAY_PER_MILLE,
             _ => IMPORT_PER_MILLE,
         };
         let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported * per_mille / 1_000);
@@ -188,21 +204,9 @@
             held_tokens: held,
             cold_tokens: group.cold_tokens,
             subject: shared.last().map(|part| part.id),
-            at_home: group.homes.contains(&candidate.id),
+            at_home: group.is_home(candidate.id),
             cost: own + read * factor + import_cost,
             eligible: 0,
         }
     }
 }
-
-/// The greatest draw of the back ends that are weighed for a request; nothing where all are.
-fn drawn_below(placement: Placement<'_>, candidates: &[Candidate<'_>]) -> Option<u64> {
-    let considered = placement.considered?;
-    let eligible = candidates.iter().filter(|candidate| candidate.eligible);
-    let mut draws: Vec<u64> = eligible.map(|candidate| tie(candidate.id, placement.draw)).collect();
-    if draws.len() <= considered {
-        return None;
-    }
-    let (_, last, _) = draws.select_nth_unstable(considered.saturating_sub(1));
-    Some(*last)
-}
--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -2,12 +2,30 @@
 
 use std::{cmp::Reverse, net::SocketAddr};
 
-use super::{Candidate, Choice, Chooser, CopyHolder, Placement, prompts::Group, tie};
-use crate::forwarding::{backends::BackendId, prefixes::ScopeHash, prompt::Prompt};
+use paddlemount_protocol::identity::WeightsVersion;
+
+use super::{Candidate, Choice, Chooser, CopyHolder, Field, Placement, prompts::Group, tie};
+use crate::forwarding::{
+    prefixes::ScopeHash,
+    prompt::{Part, Prompt},
+};
 
 /// Tokens of a part below which an import doesn't pay: engines keep parts by blocks of this size.
 pub(super) const IMPORT_MINIMUM_TOKENS: u32 = 16;
 
+/// Back ends that are looked at as sources of a prefix: the first parts of many prompts are kept nearly everywhere.
+const MOST_HOLDERS: usize = 64;
+
+/// A back end that keeps some of a prefix.
+pub(super) struct Holder<'a> {
+    /// The back end.
+    pub(super) candidate: Candidate<'a>,
+    /// Tokens of the prefix that it keeps.
+    pub(super) kept: u32,
+    /// Requests of this node under way there.
+    pub(super) requests: u32,
+}
+
 impl Chooser {
     /// Who gets a copy: the back end with the least under way among those with the same weights.
     pub(super) fn copy_holder(
@@ -27,32 +45,50 @@
         others.min_by_key(order).map(|other| CopyHolder { backend: other.id.clone(), address: other.address })
     }
 
+    /// Who keeps some of a prefix under these weights, in the order of their identities.
+    pub(super) fn holders<'a>(
+        &self,
+        hash: ScopeHash,
+        weights: WeightsVersion,
+        shared: &[Part],
+        field: &'a dyn Field,
+    ) -> Vec<Holder<'a>> {
+        let keepers = self.prefixes.keepers(hash, shared, MOST_HOLDERS);
+        let mut holders: Vec<Holder<'a>> = keepers
+            .into_iter()
+            .filter_map(|id| field.find(id))
+            .filter(|candidate| candidate.weights == Some(weights))
+            .map(|candidate| Holder {
+                kept: self.prefixes.kept(candidate.id, hash, shared),
+                requests: self.load(candidate.id).requests,
+                candidate,
+            })
+            .collect();
+        holders.sort_unstable_by(|left, right| left.candidate.id.cmp(right.candidate.id));
+        holders
+    }
+
     /// Whom to name where the back end is believed to keep the whole prefix itself: that may be wrong, and where it is
     /// right nothing is moved. Where nodes are many, what a node believes of engines is old, and the store drops parts
     /// much later than engines do; few nodes know the engines, whose links are more than the store's.
     pub(super) fn source_in_reserve(
-        &self,
         choice: &Choice,
         placement: Placement<'_>,
-        prompt: &Prompt,
-        candidates: &[Candidate<'_>],
+        group: &Group<'_>,
     ) -> Option<SocketAddr> {
-        let scope = choice.scope.as_ref()?;
         if choice.held_tokens < IMPORT_MINIMUM_TOKENS {
             return None;
         }
         if let Some(store) = placement.store.filter(|_| placement.considered.is_some()) {
             return Some(store.address);
         }
-        let hash = ScopeHash::from(scope);
-        let keeps = |other: &&Candidate<'_>| {
-            *other.id != choice.backend
-                && other.weights == Some(scope.weights)
-                && self.prefixes.kept(other.id, hash, prompt.shared()) >= choice.held_tokens
-        };
-        let other = candidates
+        let keeps =
+            |other: &&Holder<'_>| *other.candidate.id != choice.backend && other.kept >= choice.held_tokens;
+        let other = group
+            .holders
             .iter()
             .filter(keeps)
+            .map(|holder| &holder.candidate)
             .min_by_key(|other| (other.zone != placement.zone, tie(other.id, placement.draw)));
         other.map(|other| other.address).or(placement.store.map(|store| store.address))
     }
@@ -65,18 +101,17 @@
         group: &Group<'_>,
         placement: Placement<'_>,
         prompt: &Prompt,
-        candidates: &[Candidate<'_>],
     ) -> Option<(SocketAddr, u32)> {
-        let kept = |id: &BackendId| self.prefixes.kept(id, group.hash, prompt.shared());
-        let others =
-            candidates.iter().filter(|other| other.id != candidate.id && other.weights == candidate.weights);
+        let others = group.holders.iter().filter(|other| other.candidate.id != candidate.id);
         let best = others
-            .map(|other| (other, kept(other.id)))
-            .max_by_key(|(other, kept)| {
-                (*kept, other.eligible, other.zone == candidate.zone, Reverse(self.load(other.id).requests))
+            .max_by_key(|other| {
+                let same_zone = other.candidate.zone == candidate.zone;
+                (other.kept, other.candidate.eligible, same_zone, Reverse(other.requests))
             })
-            .map(|(other, kept)| (other.address, kept));
-        let stored = placement.store.map(|store| (store.address, kept(&store.id)));
+            .map(|other| (other.candidate.address, other.kept));
+        let stored = placement
+            .store
+            .map(|store| (store.address, self.prefixes.kept(&store.id, group.hash, prompt.shared())));
         match (best, stored) {
             (Some(best), Some(stored)) if stored.1 > best.1 => Some(stored),
             (Some(best), Some(stored)) if stored.1 == best.1 && placement.considered.is_some() => {
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 //! | [`backends`] | which back ends exist and may get new work |
 //! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
+//! | [`pool`], [`ranks`] | nothing: the back ends of a service, indexed by an order that all nodes share |
 //! | [`partition`] | which back ends long prompts go to first |
 //! | [`attempt`] | what may follow the end of a try |
 //! | [`budget`] | whether a request may be repeated |
@@ -32,8 +33,10 @@
 pub mod load;
 pub mod news;
 pub mod partition;
+pub mod pool;
 pub mod prefixes;
 pub mod prompt;
+pub mod ranks;
 pub mod readers;
 pub mod registry;
 pub mod relay_log;
--- a/crates/core/src/forwarding/partition.rs
+++ b/crates/core/src/forwarding/partition.rs
@@ -13,9 +13,8 @@
     identity::{NodeId, ServiceId},
     time::Timestamp,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::{backends::BackendId, prompt::Prompt};
+use super::{backends::BackendId, prompt::Prompt, ranks::rank};
 
 /// What the writing of a token occupies of an engine that works on one request at a time, in tokens read: a step takes
 /// some 5 ms, in which some 200 tokens are read, and other requests share the step.
@@ -180,7 +179,7 @@
 
 /// Divides `backends`: true for those that take long prompts first. Each side gets at least one where there are two.
 pub fn takes_long<'a>(backends: impl Iterator<Item = &'a BackendId>, share: f64) -> Vec<bool> {
-    let ranks: Vec<u64> = backends.map(|id| xxh3_64(id.as_str().as_bytes())).collect();
+    let ranks: Vec<u64> = backends.map(rank).collect();
     if ranks.len() < 2 {
         return vec![true; ranks.len()];
     }
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -161,6 +161,23 @@
         sum
     }
 
+    /// Back ends that keep some of `parts`, those of the last ones first: all of them, or about as many as `enough`.
+    pub fn keepers(&self, scope: ScopeHash, parts: &[Part], enough: usize) -> Vec<&BackendId> {
+        let mut found: Vec<&BackendId> = Vec::new();
+        for part in parts.iter().rev() {
+            let keepers = self.keepers.get(&(scope, part.id));
+            for (keeper, _) in keepers.into_iter().flat_map(|keepers| &keepers.by_backend) {
+                if found.len() >= enough {
+                    return found;
+                }
+                if !found.contains(&keeper) {
+                    found.push(keeper);
+                }
+            }
+        }
+        found
+    }
+
     /// The first of `parts` that nobody keeps whole.
     pub fn first_cold<'a>(&self, scope: ScopeHash, parts: &'a [Part]) -> Option<&'a Part> {
         parts.iter().find(|part| {
--- a/crates/core/src/forwarding/readers.rs
+++ b/crates/core/src/forwarding/readers.rs
@@ -10,7 +10,9 @@
     fleet::Member,
     identity::{EngineId, NodeId},
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::ranks::{rank, rank_for};
 
 /// Nodes up to which each follows all feeds; engines serve a dozen readers.
 const MOST_READERS: usize = 10;
@@ -33,20 +35,22 @@
         few if few <= MOST_READERS => (MOST_READERS, MOST_FEEDS),
         _ => (READERS_OF_MANY, MOST_FEEDS),
     };
+    let own = rank_of(me);
+    let ranks: Vec<u64> = members.iter().map(|member| rank_of(&member.node)).collect();
     let mut turns: Vec<(usize, Reverse<u64>, &EngineId)> = engines
-        .map(|engine| (readers_before(me, members, engine), Reverse(rank(me, engine)), engine))
+        .map(|engine| {
+            let subject = rank(engine);
+            let mine = rank_for(own, subject);
+            // How many other nodes come before this one as readers of the engine's feed.
+            let before = ranks.iter().filter(|other| rank_for(**other, subject) > mine).count();
+            (before, Reverse(mine), engine)
+        })
         .filter(|(before, ..)| *before < readers)
         .collect();
     turns.sort_unstable();
     turns.into_iter().take(most).map(|(.., engine)| engine).collect()
 }
 
-/// How many other nodes come before `me` as readers of an engine's feed.
-fn readers_before(me: &NodeId, members: &[Member], engine: &EngineId) -> usize {
-    let mine = rank(me, engine);
-    members.iter().filter(|member| rank(&member.node, engine) > mine).count()
-}
-
-fn rank(node: &NodeId, engine: &EngineId) -> u64 {
-    xxh3_64_with_seed(node.as_str().as_bytes(), xxh3_64_with_seed(engine.as_str().as_bytes(), 0))
+fn rank_of(node: &NodeId) -> u64 {
+    xxh3_64(node.as_str().as_bytes())
 }
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -186,11 +186,12 @@
     /// sent.
     ///
     /// A node that has just started does not know when the versions that it found were named. It asks for the newest
-    /// one that enough back ends have: a newer version than need be is never wrong.
-    pub fn required<'a>(
+    /// one that enough back ends have: a newer version than need be is never wrong. `held` tells how many ready back ends
+    /// have which version, the oldest first.
+    pub fn required(
         &self,
         model: &ModelId,
-        backends: impl Iterator<Item = &'a Backend>,
+        held: impl DoubleEndedIterator<Item = (WeightsVersion, usize)>,
         waits: Duration,
         now: Timestamp,
     ) -> Option<WeightsVersion> {
@@ -201,7 +202,7 @@
         };
         let due = named.iter().rev().find(due).map(|named| named.version);
         let found = named.first().filter(|first| matches!(first.at, NamedAt::Found(_)));
-        due.max(found.and_then(|found| widespread(model, found.version, backends)))
+        due.max(found.and_then(|found| widespread(found.version, held)))
     }
 
     /// Until when a request that was sent to a back end with `held` must have begun; after that it would begin on a
@@ -312,16 +313,18 @@
     }
 }
 
-/// The newest version up to `limit` that enough back ends have.
-fn widespread<'a>(
-    model: &ModelId,
+/// The newest version up to `limit` that enough back ends have, of those that have versions, the oldest first.
+fn widespread(
     limit: WeightsVersion,
-    backends: impl Iterator<Item = &'a Backend>,
+    held: impl DoubleEndedIterator<Item = (WeightsVersion, usize)>,
 ) -> Option<WeightsVersion> {
-    let ready = backends.filter(|backend| backend.standing == Standing::Ready);
-    let mut held: Vec<WeightsVersion> =
-        ready.filter_map(|backend| backend.entry.weights.get(model).copied()).collect();
-    held.sort_unstable_by(|left, right| right.cmp(left));
-    let enough = held.len().div_ceil(FOUND_PART).max(1) - 1;
-    held.get(enough).copied().map(|version| version.min(limit))
+    let held: Vec<(WeightsVersion, usize)> = held.rev().collect();
+    let all: usize = held.iter().map(|(_, count)| count).sum();
+    let enough = all.div_ceil(FOUND_PART).max(1);
+    let mut having = 0;
+    let found = held.into_iter().find(|(_, count)| {
+        having += count;
+        having >= enough
+    });
+    found.map(|(version, _)| version.min(limit))
 }
--- /dev/null
+++ b/crates/core/tests/forwarding_pool.rs
@@ -0,0 +1,163 @@
+//! The index of a service's back ends against a plain walk over all of them.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use paddlemount_core::forwarding::{
+    backends::{BackendEntry, BackendId, Backends, Standing},
+    choice::{Candidate, Choice, Chooser, Placement},
+    partition::takes_long,
+    pool::Pool,
+    prompt::{Part, PartId, Prompt},
+    ranks::{rank, rank_for},
+};
+use paddlemount_protocol::{
+    identity::{ModelId, ServiceId, WeightsVersion, ZoneId},
+    time::Timestamp,
+};
+
+fn service(number: u8) -> ServiceId {
+    ServiceId::from(if number.is_multiple_of(4) { "other" } else { "pool" })
+}
+
+fn model() -> ModelId {
+    ModelId::from("m")
+}
+
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn entry(number: u8, version: u8, leaving: bool) -> BackendEntry {
+    BackendEntry {
+        id: BackendId::from(format!("b{}", number % 24)),
+        service: service(number % 24),
+        address: address(),
+        zone: ZoneId::from("z"),
+        slots: 8,
+        leaving,
+        weights: BTreeMap::from([(model(), WeightsVersion(u64::from(version % 3)))]),
+    }
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn check(backends: &Backends, now: Timestamp) {
+    let service = ServiceId::from("pool");
+    let walked: Vec<_> = backends.usable(&service).map(|backend| backend.entry.id.clone()).collect();
+    let empty = Pool::default();
+    let pool = backends.pool(&service).unwrap_or(&empty);
+    let mut indexed: Vec<_> = pool.usable().map(|ranked| ranked.id.clone()).collect();
+    indexed.sort();
+    assert_eq!(indexed, walked);
+    assert_eq!(pool.len(), walked.len());
+    assert!((0..pool.len()).all(|index| pool.get(index).is_some()));
+    let mut versions: BTreeMap<WeightsVersion, usize> = BTreeMap::new();
+    let ready: Vec<_> = backends
+        .iter()
+        .filter(|backend| backend.standing == Standing::Ready && backend.entry.service == service)
+        .collect();
+    for backend in &ready {
+        *versions.entry(backend.entry.weights[&model()]).or_default() += 1;
+    }
+    assert_eq!(pool.versions(&model()).collect::<BTreeMap<_, _>>(), versions);
+    let at_work = backends.versions_at_work(&service, &model(), now);
+    let working = ready.iter().filter(|backend| !backend.is_loading(now)).count();
+    assert_eq!(at_work.iter().map(|(_, count)| count).sum::<usize>(), working);
+    for share in [0.1, 0.5, 0.9] {
+        let last = pool.rank_at(share);
+        let indexed: Vec<bool> = walked.iter().map(|id| Some(rank(id)) <= last).collect();
+        assert_eq!(indexed, takes_long(walked.iter(), share));
+    }
+}
+
+#[test]
+fn the_index_holds_what_a_walk_finds_after_any_changes() {
+    bolero::check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|steps| {
+        let mut backends = Backends::default();
+        let mut now = 0;
+        for (kind, number, version) in steps {
+            now += 100;
+            let id = entry(*number, *version, false).id;
+            match kind % 8 {
+                0..=2 => drop(backends.put(entry(*number, *version, false))),
+                3 => drop(backends.put(entry(*number, *version, true))),
+                4 => drop(backends.remove(&id, at(now))),
+                5 if version.is_multiple_of(2) => backends.registry.failed(),
+                5 => backends.registry.answered(at(now)),
+                6 => backends.saw_weights(&id, &model(), WeightsVersion(u64::from(version % 5))),
+                _ if version.is_multiple_of(3) => drop(backends.expire(at(now))),
+                _ => backends.set_loading(&[id], at(now + 250)),
+            }
+            check(&backends, at(now));
+        }
+    });
+}
+
+/// Candidates of which some are unfit, have other weights or are left to prompts of the other length.
+fn candidates<'a>(ids: &'a [BackendId], zone: &'a ZoneId) -> Vec<Candidate<'a>> {
+    let candidate = |(number, id): (usize, &'a BackendId)| Candidate {
+        id,
+        address: address(),
+        zone,
+        weights: Some(WeightsVersion(1 + (number % 2) as u64)),
+        slots: 8,
+        eligible: number % 5 != 0,
+        avoided: number % 3 == 0,
+        outdated: false,
+    };
+    ids.iter().enumerate().map(candidate).collect()
+}
+
+#[test]
+fn few_of_many_are_weighed_and_the_home_is_the_one_that_a_walk_over_all_finds() {
+    let ids: Vec<BackendId> = (0..200).map(|number| BackendId::from(format!("engine-{number}"))).collect();
+    let zone = ZoneId::from("z");
+    let all = candidates(&ids, &zone);
+    let chooser = Chooser::default();
+    for subject in 0..200 {
+        let parts =
+            vec![Part { id: PartId(subject), tokens: 4_000 }, Part { id: PartId(9_999), tokens: 300 }];
+        let prompt = Prompt { model: model(), prompt_tokens: 4_300, output_tokens: 10, parts };
+        let placement = Placement {
+            prompt: Some(&prompt),
+            isolated: None,
+            zone: &zone,
+            draw: subject * 7,
+            store: None,
+            considered: Some(6),
+            copied: false,
+        };
+        let choice: Choice = chooser.choose(placement, &all).expect("a choice");
+        let weights = choice.scope.as_ref().expect("a scope").weights;
+        let fit = all.iter().filter(|candidate| candidate.eligible && candidate.weights == Some(weights));
+        let home = fit.max_by_key(|candidate| (!candidate.avoided, rank_for(rank(candidate.id), subject)));
+        assert!(choice.eligible <= 8, "six are drawn, and a home for each version: {choice:?}");
+        assert!(choice.at_home, "nobody keeps the part: it is read at its home");
+        assert_eq!(Some(&choice.backend), home.map(|home| home.id));
+    }
+}
+
+#[test]
+fn a_pool_of_which_hardly_any_is_fit_is_searched_to_its_end() {
+    let ids: Vec<BackendId> = (0..997).map(|number| BackendId::from(format!("engine-{number}"))).collect();
+    let zone = ZoneId::from("z");
+    let mut all = candidates(&ids, &zone);
+    all.iter_mut().for_each(|candidate| candidate.eligible = false);
+    all[500].eligible = true;
+    let prompt = Prompt { model: model(), prompt_tokens: 300, output_tokens: 10, parts: Vec::new() };
+    for draw in 0..50 {
+        let placement = Placement {
+            prompt: Some(&prompt),
+            isolated: None,
+            zone: &zone,
+            draw,
+            store: None,
+            considered: Some(6),
+            copied: false,
+        };
+        let choice = Chooser::default().choose(placement, &all).expect("a choice");
+        assert_eq!(choice.backend, ids[500]);
+    }
+}
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -31,6 +31,12 @@
     backends
 }
 
+/// How many back ends have which version.
+fn held(backends: &Backends) -> impl DoubleEndedIterator<Item = (WeightsVersion, usize)> {
+    let pool = backends.pool(&ServiceId::from("pool")).expect("a pool").clone();
+    pool.versions(&model()).collect::<Vec<_>>().into_iter()
+}
+
 fn rollout() -> Rollout {
     Rollout::new(RolloutSettings {
         least_loads: 2,
@@ -73,7 +79,7 @@
     let mut rollout = rollout();
     rollout.name(model(), WeightsVersion(4), NamedAt::Found(at(0)));
     let backends = backends(&[4, 4, 3, 3, 3, 3, 1]);
-    assert_eq!(rollout.required(&model(), backends.iter(), Duration::ZERO, at(1)), Some(WeightsVersion(4)));
+    assert_eq!(rollout.required(&model(), held(&backends), Duration::ZERO, at(1)), Some(WeightsVersion(4)));
 }
 
 #[test]
@@ -81,7 +87,7 @@
     let mut rollout = rollout();
     rollout.name(model(), WeightsVersion(2), NamedAt::Found(at(0)));
     let backends = backends(&[1, 1, 1, 1]);
-    assert_eq!(rollout.required(&model(), backends.iter(), Duration::ZERO, at(1)), Some(WeightsVersion(1)));
+    assert_eq!(rollout.required(&model(), held(&backends), Duration::ZERO, at(1)), Some(WeightsVersion(1)));
 }
 
 #[test]
@@ -89,9 +95,9 @@
     let mut rollout = rollout();
     rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
     let backends = backends(&[1, 1]);
-    assert_eq!(rollout.required(&model(), backends.iter(), Duration::ZERO, at(6_900)), None);
+    assert_eq!(rollout.required(&model(), held(&backends), Duration::ZERO, at(6_900)), None);
     assert_eq!(
-        rollout.required(&model(), backends.iter(), Duration::ZERO, at(7_000)),
+        rollout.required(&model(), held(&backends), Duration::ZERO, at(7_000)),
         Some(WeightsVersion(2))
     );
 }
@@ -102,8 +108,8 @@
     rollout.name(model(), WeightsVersion(2), NamedAt::Heard(at(0)));
     let backends = backends(&[1, 1]);
     let waits = Duration::from_millis(2_000);
-    assert_eq!(rollout.required(&model(), backends.iter(), waits, at(4_900)), None);
-    assert_eq!(rollout.required(&model(), backends.iter(), waits, at(5_100)), Some(WeightsVersion(2)));
+    assert_eq!(rollout.required(&model(), held(&backends), waits, at(4_900)), None);
+    assert_eq!(rollout.required(&model(), held(&backends), waits, at(5_100)), Some(WeightsVersion(2)));
 }
 
 #[test]
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -4,33 +4,26 @@
 
 use paddlemount_core::{
     forwarding::{
-        backends::{Backend, BackendId, Backends, Standing},
+        backends::{BackendId, Backends, Standing},
         budget::{WindowBudget, WindowBudgetSettings, reserve_of},
-        choice::{Candidate, Choice, Chooser, Placement, Store, shard_of},
+        choice::{Chooser, Store},
         freshness::Freshness,
-        partition::{Partition, Side, takes_long},
-        prompt::Prompt,
-        rollout::{Rollout, RolloutSettings, prefers},
+        partition::Partition,
+        rollout::{Rollout, RolloutSettings},
         table::{RouteTable, ShareWheel},
     },
-    health::{Health, HealthEvent, HealthSettings, HealthVerdict},
+    health::{Health, HealthEvent, HealthSettings},
     limits::ledger::QuotaLedger,
 };
 use paddlemount_protocol::{
-    identity::{
-        EngineId, FencingToken, ModelId, NodeId, Revision, ServiceId, TenantId, WeightsVersion, ZoneId,
-    },
+    identity::{FencingToken, ModelId, NodeId, Revision, ServiceId, WeightsVersion},
     time::Timestamp,
 };
 
 use crate::settings::ForwardSettings;
 
-/// Connections to one back end that each node may have, however many nodes there are.
-const LEAST_CONNECTIONS: u32 = 6;
 /// Nodes up to which each knows by itself enough of what is under way to weigh all back ends.
 pub(crate) const KNOWING_NODES: usize = 8;
-/// Back ends that are weighed for a request at least.
-const LEAST_CONSIDERED: usize = 6;
 /// How long unused parts must be kept for copies of runs to be worth their room.
 const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(14);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
@@ -98,25 +91,6 @@
     }
 }
 
-/// What is asked of [`crate::node::Node::place`].
-#[derive(Clone, Copy)]
-pub struct Ask<'a> {
-    /// The service.
-    pub service: &'a ServiceId,
-    /// The route's name.
-    pub route: &'a str,
-    /// The prompt, if any.
-    pub prompt: Option<&'a Prompt>,
-    /// The isolated tenant, if it is one.
-    pub isolated: Option<&'a TenantId>,
-    /// Whether the run's memory is to be copied as it grows, where the engines can do that.
-    pub copied: bool,
-    /// Back ends that have been tried.
-    pub tried: &'a [BackendId],
-    /// A number drawn for the request.
-    pub draw: u64,
-}
-
 impl Beliefs {
     /// Knows nothing yet.
     pub fn new(settings: &ForwardSettings) -> Self {
@@ -149,7 +123,7 @@
     }
 
     /// Whether engines copy runs, and have so much room that copies displace nothing that will be used again.
-    fn can_copy(&self, service: &ServiceId, now: Timestamp) -> bool {
+    pub(crate) fn can_copy(&self, service: &ServiceId, now: Timestamp) -> bool {
         let traits = self.table.as_ref().and_then(|table| table.service(service));
         let Some(engine) = traits.and_then(|service| service.engine.as_ref()) else { return false };
         let engines = self.backends.usable(service).count() as u64;
@@ -198,102 +172,6 @@
         budget.set_reserve(reserve);
         budget
     }
-
-    /// Chooses the back end for a request.
-    pub(crate) fn place(&self, ask: Ask<'_>, zone: &ZoneId, nodes: Nodes, now: Timestamp) -> Option<Choice> {
-        let store = ask.prompt.and_then(|prompt| shard_of(prompt, self.stores()));
-        let placement = Placement {
-            prompt: ask.prompt,
-            isolated: ask.isolated,
-            zone,
-            draw: ask.draw,
-            store: store.as_ref(),
-            considered: self.considered(ask.service, nodes),
-            copied: ask.copied && self.can_copy(ask.service, now),
-        };
-        let strict = self.candidates(ask, now, |backend| {
-            self.is_free(backend, ask, now) && self.has_room(backend, ask, nodes)
-        });
-        if let Some(choice) = self.chooser.choose(placement, &strict) {
-            return Some(choice);
-        }
-        // Back ends that may be unfit are better than none, but not those that were tried.
-        let lenient = self.candidates(ask, now, |backend| self.has_room(backend, ask, nodes));
-        self.chooser.choose(placement, &lenient)
-    }
-
-    fn candidates<'a>(
-        &'a self,
-        ask: Ask<'a>,
-        now: Timestamp,
-        fit: impl Fn(&Backend) -> bool,
-    ) -> Vec<Candidate<'a>> {
-        let required = ask.prompt.and_then(|prompt| {
-            let waits = self.chooser.loads.slowest(now);
-            self.rollout.required(&prompt.model, self.backends.usable(ask.service), waits, now)
-        });
-        let preferred = ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now));
-        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route, now));
-        let long = side.map(|(side, share)| {
-            (side, takes_long(self.backends.usable(ask.service).map(|backend| &backend.entry.id), share))
-        });
-        self.backends
-            .usable(ask.service)
-            .enumerate()
-            .map(|(index, backend)| {
-                let weights = ask.prompt.and_then(|prompt| backend.entry.weights.get(&prompt.model).copied());
-                let untried = !ask.tried.contains(&backend.entry.id);
-                Candidate {
-                    id: &backend.entry.id,
-                    address: backend.entry.address,
-                    zone: &backend.entry.zone,
-                    weights,
-                    slots: backend.entry.slots,
-                    eligible: untried && weights >= required && fit(backend),
-                    outdated: weights < preferred,
-                    avoided: long.as_ref().is_some_and(|(side, long)| (*side == Side::Long) != long[index]),
-                }
-            })
-            .collect()
-    }
-
-    /// The version that this request rather begins on: as many requests prefer it as engines have it.
-    fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
-        let preferred = self.rollout.preferred(&prompt.model, now)?;
-        let held = self.backends.usable(ask.service).filter(|backend| !backend.is_loading(now));
-        let held: Vec<_> = held.filter_map(|backend| backend.entry.weights.get(&prompt.model)).collect();
-        let having = held.iter().filter(|version| ***version >= preferred).count();
-        prefers(ask.draw, having, held.len()).then_some(preferred)
-    }
-
-    /// Whether nothing speaks against a back end for the moment.
-    fn is_free(&self, backend: &Backend, ask: Ask<'_>, now: Timestamp) -> bool {
-        let id: &EngineId = &backend.entry.id;
-        let loading = ask.prompt.is_some() && backend.is_loading(now);
-        let refused = self.refused_until.get(id).is_some_and(|until| now < *until);
-        let healthy = match self.health.verdict(id, 0.0, now) {
-            HealthVerdict::Usable | HealthVerdict::SlowStart { .. } | HealthVerdict::Probe => true,
-            HealthVerdict::Ejected { .. } => false,
-        };
-        let suspect = self.chooser.loads.is_suspect(id, now);
-        backend.standing == Standing::Ready && !loading && !refused && healthy && !suspect
-    }
-
-    /// Whether this node has connections left of its part of those that a back end takes.
-    fn has_room(&self, backend: &Backend, ask: Ask<'_>, nodes: Nodes) -> bool {
-        let service = self.table.as_ref().and_then(|table| table.service(ask.service));
-        let Some(most) = service.map(|service| service.max_connections).filter(|most| *most > 0) else {
-            return true;
-        };
-        self.chooser.load(&backend.entry.id).requests < (most / nodes.most()).max(LEAST_CONNECTIONS)
-    }
-
-    /// How many back ends a node weighs for a request: fewer, the more nodes choose among them.
-    fn considered(&self, service: &ServiceId, nodes: Nodes) -> Option<usize> {
-        let counted = nodes.counted? as usize;
-        let backends = self.backends.usable(service).count();
-        (counted > KNOWING_NODES).then(|| (backends * KNOWING_NODES / counted).max(LEAST_CONSIDERED))
-    }
 }
 
 /// When a back end is left alone for what it has failed at.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -23,9 +23,9 @@
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
-    beliefs::Ask,
     metrics::{Counter, Distribution, kind_label},
     node::Node,
+    placing::Ask,
     ports::{CopiedRun, Dispatch, RequestHead},
     relay::Relay,
 };
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -9,7 +9,7 @@
 };
 
 use paddlemount_core::forwarding::{backends::BackendId, readers::followed};
-use paddlemount_protocol::fleet::KeptNews;
+use paddlemount_protocol::fleet::{KeptNews, Member};
 
 use crate::{
     calls::Caller,
@@ -35,15 +35,16 @@
 
 /// Follows the feeds of engines and of the stores of kept parts, for as long as the process lives.
 pub async fn follow_all(node: Rc<Node>) {
-    let followed: Rc<RefCell<BTreeSet<Source>>> = Rc::default();
+    let feeds: Rc<RefCell<Feeds>> = Rc::default();
     loop {
-        let known = followed.borrow().clone();
-        for source in sources(&node).difference(&known) {
-            followed.borrow_mut().insert(source.clone());
-            let (node, source, followed) = (Rc::clone(&node), source.clone(), Rc::clone(&followed));
+        feeds.borrow_mut().look(&node);
+        let new: Vec<Source> = feeds.borrow().wanted.difference(&feeds.borrow().followed).cloned().collect();
+        for source in new {
+            feeds.borrow_mut().followed.insert(source.clone());
+            let (node, feeds) = (Rc::clone(&node), Rc::clone(&feeds));
             tokio::task::spawn_local(async move {
-                follow(node, &source).await;
-                followed.borrow_mut().remove(&source);
+                follow(node, &source, &feeds).await;
+                feeds.borrow_mut().followed.remove(&source);
             });
         }
         // After a start every moment without feeds is one in which parts are read again.
@@ -54,24 +55,48 @@
 /// Whose feed is to be followed: its name and address.
 type Source = (BackendId, SocketAddr);
 
-fn sources(node: &Node) -> BTreeSet<Source> {
+/// The feeds of this node. Whose turn it is to follow which costs a comparison of all nodes for all engines, so it is
+/// looked at only where either has changed.
+#[derive(Default)]
+struct Feeds {
+    all: BTreeMap<BackendId, SocketAddr>,
+    members: Vec<Member>,
+    wanted: BTreeSet<Source>,
+    followed: BTreeSet<Source>,
+}
+
+impl Feeds {
+    /// Looks whose feeds are to be followed now.
+    fn look(&mut self, node: &Node) {
+        let all = all_sources(node);
+        let Some(peers) = &node.peers else {
+            self.wanted = all.into_iter().collect();
+            return;
+        };
+        let peers = peers.borrow();
+        if all == self.all && peers.fleet.members() == self.members {
+            return;
+        }
+        let followed = followed(&peers.fleet.me().node, peers.fleet.members(), all.keys());
+        self.wanted = followed.into_iter().filter_map(|id| Some((id.clone(), *all.get(id)?))).collect();
+        self.members = peers.fleet.members().to_vec();
+        self.all = all;
+    }
+}
+
+/// All engines and stores that have a feed.
+fn all_sources(node: &Node) -> BTreeMap<BackendId, SocketAddr> {
     let beliefs = node.beliefs.borrow();
     let engines = beliefs.backends.iter().filter(|backend| !backend.entry.weights.is_empty());
     let engines = engines.map(|backend| (backend.entry.id.clone(), backend.entry.address));
-    let stores = beliefs.stores().map(|store| (store.id, store.address));
-    let all = engines.chain(stores);
-    let Some(peers) = &node.peers else { return all.collect() };
-    let all: BTreeMap<BackendId, SocketAddr> = all.collect();
-    let peers = peers.borrow();
-    let followed = followed(&peers.fleet.me().node, peers.fleet.members(), all.keys());
-    followed.into_iter().filter_map(|id| Some((id.clone(), *all.get(id)?))).collect()
+    engines.chain(beliefs.stores().map(|store| (store.id, store.address))).collect()
 }
 
-/// Follows one feed for as long as its back end is known.
-async fn follow(node: Rc<Node>, source: &Source) {
+/// Follows one feed for as long as it is this node's turn.
+async fn follow(node: Rc<Node>, source: &Source, feeds: &RefCell<Feeds>) {
     let calls = Caller::new(source.1, node.clock);
     let mut feed = Feed { node, backend: source.0.clone(), calls, life: NO_LIFE, next: 0, working: false };
-    while sources(&feed.node).contains(source) {
+    while feeds.borrow().wanted.contains(source) {
         let pause = if feed.life == NO_LIFE { feed.list().await } else { feed.turn().await };
         tokio::time::sleep(pause).await;
     }
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -155,14 +155,8 @@
 
     /// An answer, a report or a refusal showed the version that a back end runs on.
     pub fn saw_weights(&self, id: &BackendId, model: &ModelId, version: WeightsVersion) {
-        let mut beliefs = self.beliefs.borrow_mut();
-        let Some(backend) = beliefs.backends.get_mut(id) else { return };
-        let known = backend.entry.weights.get(model).copied();
-        if known.is_none_or(|known| known < version) {
-            // What is believed of its cache stays: the scope of cached parts names the version, so that nothing of
-            // the older one is asked for, and what other nodes have told of the newer one may have come first.
-            backend.entry.weights.insert(model.clone(), version);
-            backend.loading_until = None;
-        }
+        // What is believed of its cache stays: the scope of cached parts names the version, so that nothing of the older
+        // one is asked for, and what other nodes have told of the newer one may have come first.
+        self.beliefs.borrow_mut().backends.saw_weights(id, model, version);
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`connection`], [`pool`] | connections to back ends |
 //! | [`calls`] | calls to the metadata store and to engines' own interfaces |
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
+//! | [`placing`] | describes back ends to the chooser |
 //! | [`feed`] | follows the metadata store |
 //! | [`kept`] | follows what engines and the store keep |
 //! | [`peers`] | what nodes tell each other |
@@ -41,6 +42,7 @@
 pub mod node;
 pub mod orders;
 pub mod peers;
+pub mod placing;
 pub mod pool;
 pub mod ports;
 pub mod process;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -20,12 +20,13 @@
 use tokio::sync::Notify;
 
 use crate::{
-    beliefs::{Ask, Beliefs, KNOWING_NODES, Nodes, health_settings},
+    beliefs::{Beliefs, KNOWING_NODES, Nodes, health_settings},
     calls::Caller,
     clock::SteadyClock,
     journal::Journal,
     metrics::{Gauge, Metrics},
     peers::Peers,
+    placing::Ask,
     pool::Pool,
     ports::Platform,
     settings::ForwardSettings,
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -42,9 +42,7 @@
     // Other nodes are told with the next answer to their reports; those that do not hear of it learn it from refusals.
     let until = node.now() + LONGEST;
     for target in &targets {
-        if let Some(backend) = node.beliefs.borrow_mut().backends.get_mut(&target.backend) {
-            backend.loading_until = Some(until);
-        }
+        node.beliefs.borrow_mut().backends.set_loading_until(&target.backend, Some(until));
     }
     for mut target in targets {
         let node = Rc::clone(node);
@@ -66,18 +64,14 @@
     let now = node.now();
     let mut beliefs = node.beliefs.borrow_mut();
     beliefs.rollout.set_aside(id, now);
-    if let Some(backend) = beliefs.backends.get_mut(id) {
-        backend.loading_until = Some(now + SET_ASIDE);
-    }
+    beliefs.backends.set_loading_until(id, Some(now + SET_ASIDE));
 }
 
 fn release(node: &Node, targets: &[Target]) {
     let mut beliefs = node.beliefs.borrow_mut();
     for target in targets {
         beliefs.rollout.ended(&target.backend);
-        if let Some(backend) = beliefs.backends.get_mut(&target.backend) {
-            backend.loading_until = None;
-        }
+        beliefs.backends.set_loading_until(&target.backend, None);
     }
 }
 
--- /dev/null
+++ b/crates/forward/src/placing.rs
@@ -0,0 +1,204 @@
+//! Describes the back ends of a service to the chooser, as a request needs them.
+
+use std::time::Duration;
+
+use paddlemount_core::{
+    forwarding::{
+        backends::{Backend, BackendId, Standing},
+        choice::{Candidate, Choice, Field, Placement, shard_of},
+        partition::Side,
+        pool::Pool,
+        prompt::Prompt,
+        ranks::rank,
+        rollout::prefers,
+    },
+    health::HealthVerdict,
+};
+use paddlemount_protocol::{
+    identity::{ServiceId, TenantId, WeightsVersion, ZoneId},
+    time::Timestamp,
+};
+
+use crate::beliefs::{Beliefs, KNOWING_NODES, Nodes};
+
+/// Connections to one back end that each node may have, however many nodes there are.
+const LEAST_CONNECTIONS: u32 = 6;
+/// Back ends that are weighed for a request at least.
+const LEAST_CONSIDERED: usize = 6;
+/// Back ends that are weighed for a request at most, where few of many are: further ones are hardly better than the best
+/// of these, and each costs time.
+const MOST_CONSIDERED: usize = 24;
+
+/// What is asked of [`crate::node::Node::place`].
+#[derive(Clone, Copy)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The route's name.
+    pub route: &'a str,
+    /// The prompt, if any.
+    pub prompt: Option<&'a Prompt>,
+    /// The isolated tenant, if it is one.
+    pub isolated: Option<&'a TenantId>,
+    /// Whether the run's memory is to be copied as it grows, where the engines can do that.
+    pub copied: bool,
+    /// Back ends that have been tried.
+    pub tried: &'a [BackendId],
+    /// A number drawn for the request.
+    pub draw: u64,
+}
+
+/// The back ends of a service, as they look to one request.
+struct View<'a> {
+    beliefs: &'a Beliefs,
+    pool: &'a Pool,
+    ask: Ask<'a>,
+    now: Timestamp,
+    /// Whether only back ends against which nothing speaks are fit.
+    strict: bool,
+    /// The oldest version of the weights that the request may begin on.
+    required: Option<WeightsVersion>,
+    /// The version that it rather begins on.
+    preferred: Option<WeightsVersion>,
+    /// The request's side, and the greatest rank of the back ends that long prompts go to first.
+    side: Option<(Side, u64)>,
+    /// Connections to a back end that this node may have; none where there is no limit.
+    most_requests: Option<u32>,
+}
+
+impl Beliefs {
+    /// Chooses the back end for a request.
+    pub(crate) fn place(&self, ask: Ask<'_>, zone: &ZoneId, nodes: Nodes, now: Timestamp) -> Option<Choice> {
+        let pool = self.backends.pool(ask.service)?;
+        let store = ask.prompt.and_then(|prompt| shard_of(prompt, self.stores()));
+        let placement = Placement {
+            prompt: ask.prompt,
+            isolated: ask.isolated,
+            zone,
+            draw: ask.draw,
+            store: store.as_ref(),
+            considered: considered(pool.len(), nodes),
+            copied: ask.copied && self.can_copy(ask.service, now),
+        };
+        let strict = self.view(pool, ask, nodes, now);
+        if let Some(choice) = self.chooser.choose(placement, &strict) {
+            return Some(choice);
+        }
+        // Back ends that may be unfit are better than none, but not those that were tried.
+        self.chooser.choose(placement, &View { strict: false, ..strict })
+    }
+
+    fn view<'a>(&'a self, pool: &'a Pool, ask: Ask<'a>, nodes: Nodes, now: Timestamp) -> View<'a> {
+        let required = ask.prompt.and_then(|prompt| {
+            let waits: Duration = self.chooser.loads.slowest(now);
+            self.rollout.required(&prompt.model, pool.versions(&prompt.model), waits, now)
+        });
+        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route, now));
+        View {
+            beliefs: self,
+            pool,
+            ask,
+            now,
+            strict: true,
+            required,
+            preferred: ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now)),
+            side: side.and_then(|(side, share)| Some((side, pool.rank_at(share)?))),
+            most_requests: self.most_requests(ask.service, nodes),
+        }
+    }
+
+    /// The version that this request rather begins on: as many requests prefer it as engines have it.
+    fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
+        let preferred = self.rollout.preferred(&prompt.model, now)?;
+        let held = self.backends.versions_at_work(ask.service, &prompt.model, now);
+        let all = held.iter().map(|(_, count)| count).sum();
+        let having = held.iter().filter(|(version, _)| *version >= preferred).map(|(_, count)| count).sum();
+        prefers(ask.draw, having, all).then_some(preferred)
+    }
+
+    /// This node's part of the connections that a back end takes.
+    fn most_requests(&self, service: &ServiceId, nodes: Nodes) -> Option<u32> {
+        let service = self.table.as_ref()?.service(service)?;
+        let most = Some(service.max_connections).filter(|most| *most > 0)?;
+        Some((most / nodes.most()).max(LEAST_CONNECTIONS))
+    }
+}
+
+impl View<'_> {
+    fn describe<'b>(&self, backend: &'b Backend, rank: u64) -> Candidate<'b> {
+        let entry = &backend.entry;
+        let weights = self.ask.prompt.and_then(|prompt| entry.weights.get(&prompt.model).copied());
+        Candidate {
+            id: &entry.id,
+            address: entry.address,
+            zone: &entry.zone,
+            weights,
+            slots: entry.slots,
+            eligible: self.is_fit(backend, weights),
+            outdated: weights < self.preferred,
+            avoided: self.is_avoided(rank),
+        }
+    }
+
+    fn is_fit(&self, backend: &Backend, weights: Option<WeightsVersion>) -> bool {
+        let id = &backend.entry.id;
+        !self.ask.tried.contains(id)
+            && weights >= self.required
+            && (!self.strict || self.is_free(backend))
+            && self.has_room(id)
+    }
+
+    /// Whether nothing speaks against a back end for the moment.
+    fn is_free(&self, backend: &Backend) -> bool {
+        let (beliefs, now, id) = (self.beliefs, self.now, &backend.entry.id);
+        let loading = self.ask.prompt.is_some() && backend.is_loading(now);
+        let refused = beliefs.refused_until.get(id).is_some_and(|until| now < *until);
+        backend.standing == Standing::Ready
+            && !loading
+            && !refused
+            && !matches!(beliefs.health.verdict(id, 0.0, now), HealthVerdict::Ejected { .. })
+            && !beliefs.chooser.loads.is_suspect(id, now)
+    }
+
+    /// Whether this node has connections left of its part of those that a back end takes.
+    fn has_room(&self, id: &BackendId) -> bool {
+        self.most_requests.is_none_or(|most| self.beliefs.chooser.load(id).requests < most)
+    }
+}
+
+impl Field for View<'_> {
+    fn len(&self) -> usize {
+        self.pool.len()
+    }
+
+    fn rank(&self, index: usize) -> u64 {
+        self.pool.get(index).map_or(0, |ranked| ranked.rank)
+    }
+
+    fn is_avoided(&self, rank: u64) -> bool {
+        self.side.is_some_and(|(side, last_long)| (side == Side::Long) != (rank <= last_long))
+    }
+
+    fn candidate(&self, index: usize) -> Option<Candidate<'_>> {
+        let ranked = self.pool.get(index)?;
+        Some(self.describe(self.beliefs.backends.get(&ranked.id)?, ranked.rank))
+    }
+
+    fn find(&self, id: &BackendId) -> Option<Candidate<'_>> {
+        let backend = self.beliefs.backends.get(id)?;
+        let in_use = match backend.standing {
+            Standing::Ready => true,
+            Standing::Doubted { .. } => self.pool.uses_doubted(),
+            Standing::Leaving => false,
+        };
+        let of_service = backend.entry.service == *self.ask.service;
+        (in_use && of_service).then(|| self.describe(backend, rank(id)))
+    }
+}
+
+/// How many back ends a node weighs for a request: fewer, the more nodes choose among them.
+fn considered(backends: usize, nodes: Nodes) -> Option<usize> {
+    let counted = nodes.counted? as usize;
+    let part = backends * KNOWING_NODES / counted.max(1);
+    (counted > KNOWING_NODES).then(|| part.clamp(LEAST_CONSIDERED, MOST_CONSIDERED))
+}
