Divide engines by length of prompt no longer

Change: the division goes, with the mix of requests that nodes told each other for it, its constants and its tests: it was a preference, no promise hung on it.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -56,8 +56,6 @@
     pub slots: u32,
     /// Whether it may be chosen; others only keep parts.
     pub eligible: bool,
-    /// Whether requests of this kind rather go to others.
-    pub avoided: bool,
     /// Whether its weights are older than the version that requests rather begin on.
     pub outdated: bool,
 }
--- a/crates/core/src/forwarding/choice/field.rs
+++ b/crates/core/src/forwarding/choice/field.rs
@@ -28,9 +28,6 @@
     /// The rank of one of them, by its number.
     fn rank(&self, index: usize) -> u64;
 
-    /// Whether requests of this kind rather go to others than the one with this rank.
-    fn is_avoided(&self, rank: u64) -> bool;
-
     /// One of them, described.
     fn candidate(&self, index: usize) -> Option<Candidate<'_>>;
 
@@ -47,10 +44,6 @@
         self.get(index).map_or(0, |candidate| rank(candidate.id))
     }
 
-    fn is_avoided(&self, of: u64) -> bool {
-        self.iter().any(|candidate| candidate.avoided && rank(candidate.id) == of)
-    }
-
     fn candidate(&self, index: usize) -> Option<Candidate<'_>> {
         self.get(index).cloned()
     }
@@ -91,13 +84,12 @@
     left == 1
 }
 
-/// The back end where a part is read first: the highest ranked for it among the fit ones with these weights, those first
-/// that are not avoided. All nodes find the same one from the same list (rendezvous hashing).
+/// The back end where a part is read first: the highest ranked for it among the fit ones with these weights. All nodes
+/// find the same one from the same list (rendezvous hashing).
 pub(super) fn home(field: &dyn Field, subject: u64, weights: WeightsVersion) -> Option<Candidate<'_>> {
-    let mut first: Vec<(bool, u64, usize)> = Vec::with_capacity(LOOKED_AT_FOR_A_HOME + 1);
+    let mut first: Vec<(u64, usize)> = Vec::with_capacity(LOOKED_AT_FOR_A_HOME + 1);
     for index in 0..field.len() {
-        let rank = field.rank(index);
-        let entry = (!field.is_avoided(rank), rank_for(rank, subject), index);
+        let entry = (rank_for(field.rank(index), subject), index);
         if first.len() == LOOKED_AT_FOR_A_HOME && first.last().is_some_and(|last| *last >= entry) {
             continue;
         }
@@ -107,6 +99,6 @@
     }
     first
         .into_iter()
-        .filter_map(|(_, _, index)| field.candidate(index))
+        .filter_map(|(_, index)| field.candidate(index))
         .find(|candidate| candidate.eligible && candidate.weights == Some(weights))
 }
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -27,11 +27,6 @@
 const RUNNING_TOKENS: u64 = 40;
 /// The cost of each request that would have to wait for a slot, in tokens read.
 const QUEUED_TOKENS: u64 = 2_000;
-/// The cost of a back end that is rather left to prompts of the other length, in tokens. Of few back ends a side has one
-/// or two, which cannot carry its bursts alone.
-const AVOIDED_TOKENS: u64 = 2_000;
-/// The same where few of many back ends are weighed: a side has dozens.
-const AVOIDED_OF_MANY_TOKENS: u64 = 16_000;
 /// The cost of a back end whose weights are older than the preferred version, in tokens.
 const OUTDATED_TOKENS: u64 = 6_000;
 /// The cost of a back end in another zone, in tokens read.
@@ -113,13 +108,8 @@
         let waiting = self.waiting_tokens(candidate.id) + self.queue_tokens(candidate);
         let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
         let work = (waiting + read) as f64 * self.loads.slowness(candidate.id, usual_ms);
-        let avoided = match placement.considered {
-            _ if !candidate.avoided => 0,
-            None => AVOIDED_TOKENS,
-            Some(_) => AVOIDED_OF_MANY_TOKENS,
-        };
         let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
-        work as u64 + distance + avoided + outdated
+        work as u64 + distance + outdated
     }
 
     /// The work under way at a back end, in tokens, as far as it is known.
--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -40,7 +40,7 @@
             .filter(|other| other.eligible && *other.id != choice.backend && other.weights == weights);
         let order = |other: &&Candidate<'_>| {
             let requests = self.load(other.id).requests;
-            (other.avoided, other.zone != placement.zone, requests, tie(other.id, placement.draw))
+            (other.zone != placement.zone, requests, tie(other.id, placement.draw))
         };
         others.min_by_key(order).map(|other| CopyHolder { backend: other.id.clone(), address: other.address })
     }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -9,7 +9,6 @@
 //! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
 //! | [`pool`], [`ranks`] | nothing: the back ends of a service, indexed by an order that all nodes share |
-//! | [`partition`] | which back ends long prompts go to first |
 //! | [`attempt`] | what may follow the end of a try |
 //! | [`budget`] | whether a request may be repeated |
 //! | [`events`] | which events of a stream are whole and may be passed on |
@@ -32,7 +31,6 @@
 pub mod freshness;
 pub mod load;
 pub mod news;
-pub mod partition;
 pub mod pool;
 pub mod prefixes;
 pub mod prompt;
--- a/crates/core/src/forwarding/pool.rs
+++ b/crates/core/src/forwarding/pool.rs
@@ -98,21 +98,6 @@
         if self.uses_doubted() { &self.doubted } else { &[] }
     }
 
-    /// The greatest rank of the first `share` of the back ends that may get work; at least one and not all of several.
-    pub fn rank_at(&self, share: f64) -> Option<u64> {
-        let number = self.len();
-        if number < 2 {
-            return self.get(0).map(|only| only.rank);
-        }
-        let first = ((number as f64 * share).round() as usize).clamp(1, number - 1);
-        if !self.uses_doubted() {
-            return self.ready.get(first - 1).map(|last| last.rank);
-        }
-        let mut ranks: Vec<u64> = self.usable().map(|ranked| ranked.rank).collect();
-        ranks.sort_unstable();
-        ranks.get(first - 1).copied()
-    }
-
     /// How many of the ready back ends have which version of a model's weights, the oldest first.
     pub fn versions(&self, model: &ModelId) -> impl DoubleEndedIterator<Item = (WeightsVersion, usize)> {
         self.versions.get(model).into_iter().flatten().map(|(version, count)| (*version, *count))
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -8,7 +8,6 @@
         budget::{WindowBudget, WindowBudgetSettings, reserve_of},
         choice::{Chooser, Store},
         freshness::Freshness,
-        partition::Partition,
         rollout::{Rollout, RolloutSettings},
         table::{RouteTable, ShareWheel},
     },
@@ -47,8 +46,6 @@
     pub leader: Option<Leader>,
     /// The revision up to which the store's changes are known.
     pub revision: Option<Revision>,
-    /// Which back ends long prompts go to first.
-    pub partition: Partition,
     /// What is left of tenants' quotas.
     pub quotas: QuotaLedger,
     pub(crate) wheel: ShareWheel,
@@ -110,7 +107,6 @@
             rollout,
             leader: None,
             revision: None,
-            partition: Partition::default(),
             quotas: QuotaLedger::new(
                 settings.bounds.quotas(),
                 settings.first_start,
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -12,7 +12,6 @@
         backends::BackendId,
         choice::Choice,
         document::{Route, RouteKind, rank},
-        partition::work_of,
     },
     limits::ledger::QuotaGrant,
 };
@@ -152,7 +151,6 @@
             self.account.tenant.as_ref().filter(|tenant| tenant.isolated).map(|tenant| &tenant.name);
         let ask = Ask {
             service: &self.service,
-            route: &self.route.name,
             prompt: self.head.prompt.as_ref(),
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
@@ -170,12 +168,6 @@
         if self.spent.sent == 0 {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
             self.node.earned_retry(&self.service);
-            if let Some(prompt) = &self.head.prompt {
-                let mut beliefs = self.node.beliefs.borrow_mut();
-                let slots = beliefs.backends.get(&choice.backend).map_or(1, |backend| backend.entry.slots);
-                let work = work_of(prompt, slots, choice.expected_tokens);
-                beliefs.partition.seen(&self.service, &self.route.name, work, now);
-            }
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -114,7 +114,6 @@
             sender: peers.fleet.me().clone(),
             below: peers.fleet.members_below(),
             work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), now),
-            mix: beliefs.partition.seen_below(now),
             heard: beliefs.quotas.heard(),
             spending: beliefs.quotas.report(now),
             news: if log == NO_LOG { Vec::new() } else { peers.news.waiting() },
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -30,7 +30,6 @@
                 beliefs.chooser.heard(news, now);
             }
             beliefs.chooser.loads.told(digest.work.clone());
-            beliefs.partition.told(digest.mix, now);
             match &digest.quotas {
                 Some(quotas) => beliefs.quotas.answered(quotas, now),
                 None => beliefs.quotas.unanswered(),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -73,7 +73,6 @@
         peers.news.learned(news.clone());
     }
     let child = report.sender.node.clone();
-    beliefs.partition.reported(child.clone(), report.mix, now);
     let passed_over = beliefs.quotas.reported(child.clone(), report.heard, report.spending, now);
     if passed_over > 0 {
         node.metrics.add(Counter::SpendingPassedOver, passed_over as u64);
@@ -89,7 +88,6 @@
         nodes: peers.fleet.count(now),
         members: members_changed.then(|| members.to_vec()),
         work: peers.fleet.work_beside(&child, &own, now),
-        mix: beliefs.partition.seen_by_all(now),
         quotas: Some(beliefs.quotas.digest(now)),
         loading: beliefs.backends.loading(now),
         news,
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -6,10 +6,8 @@
     forwarding::{
         backends::{Backend, BackendId, Standing},
         choice::{Candidate, Choice, Field, Placement, shard_of},
-        partition::Side,
         pool::Pool,
         prompt::Prompt,
-        ranks::rank,
         rollout::prefers,
     },
     health::HealthVerdict,
@@ -34,8 +32,6 @@
 pub struct Ask<'a> {
     /// The service.
     pub service: &'a ServiceId,
-    /// The route's name.
-    pub route: &'a str,
     /// The prompt, if any.
     pub prompt: Option<&'a Prompt>,
     /// The isolated tenant, if it is one.
@@ -60,8 +56,6 @@
     required: Option<WeightsVersion>,
     /// The version that it rather begins on.
     preferred: Option<WeightsVersion>,
-    /// The request's side, and the greatest rank of the back ends that long prompts go to first.
-    side: Option<(Side, u64)>,
     /// Connections to a back end that this node may have; none where there is no limit.
     most_requests: Option<u32>,
 }
@@ -93,7 +87,6 @@
             let waits: Duration = self.chooser.loads.slowest(now);
             self.rollout.required(&prompt.model, pool.versions(&prompt.model), waits, now)
         });
-        let side = ask.prompt.and_then(|_| self.partition.side(ask.service, ask.route, now));
         View {
             beliefs: self,
             pool,
@@ -102,7 +95,6 @@
             strict: true,
             required,
             preferred: ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now)),
-            side: side.and_then(|(side, share)| Some((side, pool.rank_at(share)?))),
             most_requests: self.most_requests(ask.service, nodes),
         }
     }
@@ -125,7 +117,7 @@
 }
 
 impl View<'_> {
-    fn describe<'b>(&self, backend: &'b Backend, rank: u64) -> Candidate<'b> {
+    fn describe<'b>(&self, backend: &'b Backend) -> Candidate<'b> {
         let entry = &backend.entry;
         let weights = self.ask.prompt.and_then(|prompt| entry.weights.get(&prompt.model).copied());
         Candidate {
@@ -136,7 +128,6 @@
             slots: entry.slots,
             eligible: self.is_fit(backend, weights),
             outdated: weights < self.preferred,
-            avoided: self.is_avoided(rank),
         }
     }
 
@@ -175,13 +166,9 @@
         self.pool.get(index).map_or(0, |ranked| ranked.rank)
     }
 
-    fn is_avoided(&self, rank: u64) -> bool {
-        self.side.is_some_and(|(side, last_long)| (side == Side::Long) != (rank <= last_long))
-    }
-
     fn candidate(&self, index: usize) -> Option<Candidate<'_>> {
         let ranked = self.pool.get(index)?;
-        Some(self.describe(self.beliefs.backends.get(&ranked.id)?, ranked.rank))
+        Some(self.describe(self.beliefs.backends.get(&ranked.id)?))
     }
 
     fn find(&self, id: &BackendId) -> Option<Candidate<'_>> {
@@ -192,7 +179,7 @@
             Standing::Leaving => false,
         };
         let of_service = backend.entry.service == *self.ask.service;
-        (in_use && of_service).then(|| self.describe(backend, rank(id)))
+        (in_use && of_service).then(|| self.describe(backend))
     }
 }
 
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::{EngineId, NodeId, Revision, ServiceId, TenantId, ZoneId};
+use crate::identity::{EngineId, NodeId, Revision, TenantId, ZoneId};
 
 /// The path at which a node takes reports.
 pub const EXCHANGE_PATH: &str = "/fleet/exchange";
@@ -41,21 +41,6 @@
     pub unread_tokens: u64,
 }
 
-/// What the requests of one route have lately asked of engines.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RouteWork {
-    /// The service whose engines answer them.
-    pub service: ServiceId,
-    /// The route's name.
-    pub route: String,
-    /// Requests; older ones count less.
-    pub requests: f64,
-    /// Tokens of their own that engines read for them; older ones count less.
-    pub read_tokens: f64,
-    /// Tokens for whose reading they occupied engines, answers included; older ones count less.
-    pub work_tokens: f64,
-}
-
 /// What a node and those below it have granted of a tenant's quota, and were asked for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantSpending {
@@ -139,9 +124,6 @@
     pub below: Vec<Member>,
     /// What it and they have under way.
     pub work: Vec<EngineWork>,
-    /// What their requests have asked of engines.
-    #[serde(default)]
-    pub mix: Vec<RouteWork>,
     /// It and the nodes below it that were heard lately.
     #[serde(default)]
     pub heard: u32,
@@ -173,9 +155,6 @@
     pub members: Option<Vec<Member>>,
     /// What other nodes have under way.
     pub work: Vec<EngineWork>,
-    /// What the requests of all nodes have asked of engines, as far as the sender knows.
-    #[serde(default)]
-    pub mix: Vec<RouteWork>,
     /// What is left of tenants' quotas; nothing where the sender knows of none.
     #[serde(default)]
     pub quotas: Option<QuotaDigest>,
