--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -136,6 +136,11 @@
         self.below.values().flat_map(|below| below.members.iter().cloned()).collect()
     }
 
+    /// The number of nodes that report to this one.
+    pub fn reporting(&self) -> usize {
+        self.below.len()
+    }
+
     /// Whether other nodes report to this one.
     pub fn is_reported_to(&self) -> bool {
         !self.below.is_empty()
--- a/crates/core/src/forwarding/news.rs
+++ b/crates/core/src/forwarding/news.rs
@@ -1,18 +1,25 @@
-//! News of what engines keep, on its way between nodes.
+//! News of what engines and stores keep, on its way between nodes.
 //!
 //! A node remembers what it has learned until the node above has taken it, and numbers what came from above for the
-//! nodes below. Both are bounded: what falls out is only learned later, by a slower answer.
+//! nodes below. Both are bounded: what falls out is only learned later, by a slower answer. News of stores goes first:
+//! a part that is known to lie there is neither read again nor handed over again by anyone, for as long as the store
+//! keeps it, while what an engine keeps changes within seconds.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
-use paddlemount_protocol::fleet::KeptNews;
+use paddlemount_protocol::{fleet::KeptNews, identity::EngineId};
 
 /// News that is numbered and remembered.
-const MOST_LOGGED: usize = 2_048;
-/// News that waits for the node above.
+const MOST_LOGGED: usize = 4_096;
+/// News of engines that waits for the node above, and of stores as much again.
 const MOST_WAITING: usize = 1_024;
 /// News in one message.
-const MOST_AT_ONCE: usize = 128;
+const MOST_AT_ONCE: usize = 384;
+/// News that a node sends to all that report to it together, in one round of their reports: some 60 bytes each, five
+/// rounds a second, on links that carry 1 MB a second.
+const MOST_TO_ALL: usize = 8_192;
+/// News in one message, however many nodes report.
+const LEAST_AT_ONCE: usize = 64;
 
 /// News at one node.
 #[derive(Debug)]
@@ -22,13 +29,25 @@
     logged: VecDeque<KeptNews>,
     /// The number of the last one logged.
     last: u64,
-    waiting: VecDeque<KeptNews>,
+    stores: BTreeSet<EngineId>,
+    of_stores: VecDeque<KeptNews>,
+    of_engines: VecDeque<KeptNews>,
+    /// Told to the node above, which has not answered yet.
+    on_the_way: Vec<KeptNews>,
 }
 
 impl NewsLog {
     /// An empty log.
     pub const fn new(id: u64) -> Self {
-        Self { id, logged: VecDeque::new(), last: 0, waiting: VecDeque::new() }
+        Self {
+            id,
+            logged: VecDeque::new(),
+            last: 0,
+            stores: BTreeSet::new(),
+            of_stores: VecDeque::new(),
+            of_engines: VecDeque::new(),
+            on_the_way: Vec::new(),
+        }
     }
 
     /// Its identity.
@@ -41,27 +60,40 @@
         self.last
     }
 
+    /// Sets the stores, whose news goes first.
+    pub fn set_stores(&mut self, stores: BTreeSet<EngineId>) {
+        self.stores = stores;
+    }
+
     /// Something was learned at this node or below it, to be told above.
     pub fn learned(&mut self, news: KeptNews) {
-        if self.waiting.len() >= MOST_WAITING {
-            self.waiting.pop_front();
+        let queue =
+            if self.stores.contains(&news.engine) { &mut self.of_stores } else { &mut self.of_engines };
+        if queue.len() >= MOST_WAITING {
+            queue.pop_front();
         }
-        self.waiting.push_back(news);
+        queue.push_back(news);
     }
 
-    /// What the node above is to be told next.
-    pub fn waiting(&self) -> Vec<KeptNews> {
-        self.waiting.iter().take(MOST_AT_ONCE).cloned().collect()
+    /// What the node above is told now; told again until it is [`taken`](Self::taken).
+    pub fn report(&mut self) -> Vec<KeptNews> {
+        while self.on_the_way.len() < MOST_AT_ONCE {
+            let Some(next) = self.of_stores.pop_front().or_else(|| self.of_engines.pop_front()) else {
+                break;
+            };
+            self.on_the_way.push(next);
+        }
+        self.on_the_way.clone()
     }
 
-    /// The node above has taken the oldest `count`.
-    pub fn taken(&mut self, count: usize) {
-        self.waiting.drain(..count.min(self.waiting.len()));
+    /// The node above has taken the last report.
+    pub fn taken(&mut self) {
+        self.on_the_way.clear();
     }
 
     /// Takes all that waits, where this node is the root.
     pub fn drain(&mut self) -> Vec<KeptNews> {
-        self.waiting.drain(..).collect()
+        self.on_the_way.drain(..).chain(self.of_stores.drain(..)).chain(self.of_engines.drain(..)).collect()
     }
 
     /// Numbers news for the nodes below.
@@ -75,13 +107,14 @@
         }
     }
 
-    /// The news behind `cursor` of the log `id`, and the number of the last of them. A reader of another log begins
+    /// The news behind `cursor` of the log `id`, and the number of the last of them, for one of `readers`. A reader of another log begins
     /// with what comes next: it has heard the same news elsewhere, and all readers come at once where a root changes.
-    pub fn since(&self, id: u64, cursor: u64) -> (Vec<KeptNews>, u64) {
+    pub fn since(&self, id: u64, cursor: u64, readers: usize) -> (Vec<KeptNews>, u64) {
         let first = self.last - self.logged.len() as u64;
         let after = if id == self.id { cursor.clamp(first, self.last) } else { self.last };
         let skipped = (after - first) as usize;
-        let news: Vec<KeptNews> = self.logged.iter().skip(skipped).take(MOST_AT_ONCE).cloned().collect();
+        let most = (MOST_TO_ALL / readers.max(1)).clamp(LEAST_AT_ONCE, MOST_AT_ONCE);
+        let news: Vec<KeptNews> = self.logged.iter().skip(skipped).take(most).cloned().collect();
         let upto = after + news.len() as u64;
         (news, upto)
     }
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -191,29 +191,52 @@
 fn news_comes_once_and_in_order_and_a_reader_of_another_log_begins_with_what_comes_next() {
     let mut log = NewsLog::new(7);
     log.log([news(1), news(2)]);
-    let (first, cursor) = log.since(7, 0);
+    let (first, cursor) = log.since(7, 0, 1);
     assert_eq!((first.len(), cursor), (2, 2));
     log.log([news(3)]);
-    assert_eq!(log.since(7, cursor), (vec![news(3)], 3));
-    assert_eq!(log.since(7, 3), (Vec::new(), 3));
-    assert_eq!(log.since(8, 0), (Vec::new(), 3));
-    assert_eq!(log.since(7, 99), (Vec::new(), 3));
+    assert_eq!(log.since(7, cursor, 1), (vec![news(3)], 3));
+    assert_eq!(log.since(7, 3, 1), (Vec::new(), 3));
+    assert_eq!(log.since(8, 0, 1), (Vec::new(), 3));
+    assert_eq!(log.since(7, 99, 1), (Vec::new(), 3));
 }
 
 #[test]
-fn what_the_node_above_has_not_taken_waits() {
+fn what_the_node_above_has_not_taken_is_told_again() {
     let mut log = NewsLog::new(7);
     log.learned(news(1));
-    let sent = log.waiting();
+    assert_eq!(log.report(), vec![news(1)]);
     log.learned(news(2));
-    log.taken(sent.len());
-    assert_eq!(log.waiting(), vec![news(2)]);
+    assert_eq!(log.report(), vec![news(1), news(2)], "the first report was not answered");
+    log.taken();
+    assert_eq!(log.report(), Vec::new());
     for part in 0..5_000 {
         log.learned(news(part));
     }
     assert!(log.drain().len() <= 1_024);
 }
 
+#[test]
+fn news_of_stores_goes_before_news_of_engines_that_came_earlier() {
+    let mut log = NewsLog::new(7);
+    let store = EngineId::from("store");
+    log.set_stores([store.clone()].into());
+    let of_store = KeptNews { engine: store, ..news(9) };
+    for part in 0..1_000 {
+        log.learned(news(part));
+    }
+    log.learned(of_store.clone());
+    assert_eq!(log.report()[0], of_store);
+    assert_eq!(log.report().len(), 384);
+}
+
+#[test]
+fn the_more_nodes_report_the_less_each_is_told_at_once() {
+    let mut log = NewsLog::new(7);
+    log.log((0..2_000).map(news));
+    let told = |readers| log.since(7, 0, readers).0.len();
+    assert_eq!((told(1), told(26), told(100), told(1_000)), (384, 315, 81, 64));
+}
+
 fn answer(after: u64, upto: u64, bytes: usize) -> RelayedAnswer {
     RelayedAnswer { after: Revision(after), upto: Revision(upto), body: "x".repeat(bytes) }
 }
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -106,6 +106,9 @@
         beliefs.quotas.configure(quotas, self.now());
         beliefs.table = Some(Rc::new(RouteTable::new(document)));
         beliefs.wheel.clear();
+        if let Some(peers) = &self.peers {
+            peers.borrow_mut().news.set_stores(beliefs.stores().map(|store| store.id).collect());
+        }
         self.journal.tell(&Event::ConfigurationApplied { version, before, routes, revision: revision.0 });
     }
 
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -90,7 +90,7 @@
     async fn exchange(&self, node: &Node) {
         let sent_at = node.now();
         let Some(report) = self.report_of(node) else { return };
-        let (news, revision) = (report.news.len(), report.revision);
+        let (told_news, revision) = (!report.news.is_empty(), report.revision);
         let answer = self.calls.call(request(&report), PATIENCE).await;
         node.metrics.observe(Distribution::PeerCall, node.now().saturating_since(sent_at));
         let digest = answer.map_err(|error| error.to_string()).and_then(|answer| match answer.status() {
@@ -100,7 +100,12 @@
             status => Err(format!("refused with status {status}")),
         });
         match digest {
-            Ok(digest) => self.take(node, digest, news, revision, sent_at),
+            Ok(digest) => {
+                self.take(node, digest, revision, sent_at);
+                if let Some(peers) = node.peers.as_ref().filter(|_| told_news) {
+                    peers.borrow_mut().news.taken();
+                }
+            }
             Err(problem) => self.failed(node, problem),
         }
     }
@@ -108,7 +113,7 @@
     fn report_of(&self, node: &Node) -> Option<Report> {
         let now = node.now();
         let mut beliefs = node.beliefs.borrow_mut();
-        let peers = node.peers.as_ref()?.borrow();
+        let mut peers = node.peers.as_ref()?.borrow_mut();
         let (log, cursor) = self.cursor.get();
         Some(Report {
             sender: peers.fleet.me().clone(),
@@ -116,7 +121,7 @@
             work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), now),
             heard: beliefs.quotas.heard(),
             spending: beliefs.quotas.report(now),
-            news: if log == NO_LOG { Vec::new() } else { peers.news.waiting() },
+            news: if log == NO_LOG { Vec::new() } else { peers.news.report() },
             log,
             cursor,
             members_digest: Fleet::members_digest(peers.fleet.members()),
@@ -124,12 +129,9 @@
         })
     }
 
-    fn take(&self, node: &Node, digest: Digest, news: usize, revision: Option<Revision>, sent_at: Timestamp) {
+    fn take(&self, node: &Node, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
         node.metrics.count(Counter::PeerCalls("answered"));
         self.cursor.set((digest.log, digest.cursor));
-        if let Some(peers) = &node.peers {
-            peers.borrow_mut().news.taken(news);
-        }
         node.take_digest(digest, revision, sent_at);
     }
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -79,7 +79,7 @@
     }
     peers.fleet.reported(report.sender, report.below, report.work, now);
     let own = beliefs.chooser.loads.own_work();
-    let (news, cursor) = peers.news.since(report.log, report.cursor);
+    let (news, cursor) = peers.news.since(report.log, report.cursor, peers.fleet.reporting());
     let members = peers.fleet.members();
     let members_changed = Fleet::members_digest(members) != report.members_digest;
     Some(Digest {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -88,23 +88,32 @@
     pub credits: Vec<TenantCredit>,
 }
 
-/// How much of a part of a prompt an engine keeps.
+/// How much of a part of a prompt an engine keeps. On the wire it is a row of its four figures: it comes in hundreds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(EngineId, u64, u64, u32)", into = "(EngineId, u64, u64, u32)")]
 pub struct KeptNews {
     /// The engine, or the store of kept parts.
-    #[serde(rename = "e")]
     pub engine: EngineId,
     /// The hash of the part's scope.
-    #[serde(rename = "s")]
     pub scope: u64,
     /// The part.
-    #[serde(rename = "p")]
     pub part: u64,
     /// Tokens of it that are kept; none where it is gone.
-    #[serde(rename = "t")]
     pub tokens: u32,
 }
 
+impl From<(EngineId, u64, u64, u32)> for KeptNews {
+    fn from((engine, scope, part, tokens): (EngineId, u64, u64, u32)) -> Self {
+        Self { engine, scope, part, tokens }
+    }
+}
+
+impl From<KeptNews> for (EngineId, u64, u64, u32) {
+    fn from(news: KeptNews) -> Self {
+        (news.engine, news.scope, news.part, news.tokens)
+    }
+}
+
 /// An answer of the metadata store to a watch, as it came.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RelayedAnswer {
