--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -11,12 +11,14 @@
 //! |---|---|
 //! | `field` | the back ends among which is chosen, and which of them are weighed |
 //! | `prompts` | weighs the back ends of a prompt |
+//! | `source_times` | whether stores or engines are the faster sources at the moment |
 //! | `shards` | which of several stores a prompt's parts belong to |
 //! | `sources` | whom to import a prefix from, and who gets a copy of a run |
 
 mod field;
 mod prompts;
 mod shards;
+mod source_times;
 mod sources;
 
 use std::net::SocketAddr;
@@ -30,6 +32,7 @@
 
 pub use field::Field;
 pub use shards::shard_of;
+pub use source_times::SourceTimes;
 
 use super::{
     backends::BackendId,
@@ -100,6 +103,8 @@
     pub scope: Option<CacheScope>,
     /// Whom to import the prefix from.
     pub import_from: Option<SocketAddr>,
+    /// What that is, where it is believed to keep a part that the back end lacks.
+    pub moves_from: Option<SourceKind>,
     /// Whom to hand the parts to that nobody kept yet.
     pub save_to: Option<Store>,
     /// The back end that gets a copy of the run's memory as it grows.
@@ -120,6 +125,15 @@
     pub eligible: usize,
 }
 
+/// What kind of process a prefix is imported from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceKind {
+    /// A store of kept parts.
+    Store,
+    /// Another engine.
+    Engine,
+}
+
 /// A back end that holds a copy of a run's memory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CopyHolder {
@@ -136,6 +150,8 @@
     pub loads: Loads,
     /// Parts kept.
     pub prefixes: Prefixes,
+    /// How soon answers begin whose prefix comes from elsewhere.
+    pub source_times: SourceTimes,
 }
 
 impl Chooser {
@@ -207,6 +223,7 @@
             address: best.address,
             scope: None,
             import_from: None,
+            moves_from: None,
             save_to: None,
             copy_to: None,
             expected_tokens: 0,
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -169,8 +169,8 @@
         let source = (held + IMPORT_MINIMUM_TOKENS <= shared_tokens)
             .then(|| self.source(candidate, group, placement, prompt))
             .flatten()
-            .filter(|(_, kept)| *kept >= held + IMPORT_MINIMUM_TOKENS);
-        let imported = source.map_or(0, |(_, kept)| u64::from(kept - held));
+            .filter(|source| source.kept >= held + IMPORT_MINIMUM_TOKENS);
+        let imported = source.map_or(0, |source| u64::from(source.kept - held));
         let read = u64::from(shared_tokens - held) - imported;
         let is_home = group.home.is_none() || group.is_home(candidate.id);
         let factor = if is_home { 1 } else { READ_TWICE };
@@ -186,8 +186,9 @@
             scope: Some(group.scope.clone()),
             // Feeds are late: the store may keep what is not known to be kept yet, and a miss costs next to nothing.
             import_from: source
-                .map(|(address, _)| address)
+                .map(|source| source.address)
                 .or(store.filter(|_| held < shared_tokens).map(|store| store.address)),
+            moves_from: source.map(|source| source.kind),
             save_to: store.filter(|_| group.cold_tokens > 0).cloned(),
             copy_to: None,
             expected_tokens: own + read + import_cost,
--- a/crates/core/src/forwarding/choice/sources.rs
+++ b/crates/core/src/forwarding/choice/sources.rs
@@ -4,7 +4,7 @@
 
 use paddlemount_protocol::identity::WeightsVersion;
 
-use super::{Candidate, Choice, Chooser, CopyHolder, Field, Placement, prompts::Group, tie};
+use super::{Candidate, Choice, Chooser, CopyHolder, Field, Placement, SourceKind, prompts::Group, tie};
 use crate::forwarding::{
     prefixes::ScopeHash,
     prompt::{Part, Prompt},
@@ -26,6 +26,17 @@
     pub(super) requests: u32,
 }
 
+/// Whom a prefix may be imported from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Source {
+    /// Where it listens.
+    pub(super) address: SocketAddr,
+    /// Tokens of the prefix that it keeps.
+    pub(super) kept: u32,
+    /// What it is.
+    pub(super) kind: SourceKind,
+}
+
 impl Chooser {
     /// Who gets a copy: the back end with the least under way among those with the same weights.
     pub(super) fn copy_holder(
@@ -94,29 +105,34 @@
     }
 
     /// Who keeps most of the prefix under the same weights: another back end or the store. Where nodes are many the store
-    /// comes first, as in [`Self::source_in_reserve`].
+    /// comes first, as in [`Self::source_in_reserve`], unless answers that wait for stores begin later.
     pub(super) fn source(
         &self,
         candidate: &Candidate<'_>,
         group: &Group<'_>,
         placement: Placement<'_>,
         prompt: &Prompt,
-    ) -> Option<(SocketAddr, u32)> {
+    ) -> Option<Source> {
         let others = group.holders.iter().filter(|other| other.candidate.id != candidate.id);
         let best = others
             .max_by_key(|other| {
                 let same_zone = other.candidate.zone == candidate.zone;
                 (other.kept, other.candidate.eligible, same_zone, Reverse(other.requests))
             })
-            .map(|other| (other.candidate.address, other.kept));
-        let stored = placement
-            .store
-            .map(|store| (store.address, self.prefixes.kept(&store.id, group.hash, prompt.shared())));
+            .map(|other| Source {
+                address: other.candidate.address,
+                kept: other.kept,
+                kind: SourceKind::Engine,
+            });
+        let stored = placement.store.map(|store| Source {
+            address: store.address,
+            kept: self.prefixes.kept(&store.id, group.hash, prompt.shared()),
+            kind: SourceKind::Store,
+        });
+        let store_first = placement.considered.is_some() && self.source_times.prefers_store(placement.draw);
         match (best, stored) {
-            (Some(best), Some(stored)) if stored.1 > best.1 => Some(stored),
-            (Some(best), Some(stored)) if stored.1 == best.1 && placement.considered.is_some() => {
-                Some(stored)
-            }
+            (Some(best), Some(stored)) if stored.kept > best.kept => Some(stored),
+            (Some(best), Some(stored)) if stored.kept == best.kept && store_first => Some(stored),
             (None, stored) => stored,
             (best, _) => best,
         }
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -4,7 +4,7 @@
 
 use paddlemount_core::forwarding::{
     backends::BackendId,
-    choice::{Candidate, Choice, Chooser, Placement, Store},
+    choice::{Candidate, Choice, Chooser, Placement, SourceKind, SourceTimes, Store},
     prefixes::{KeptPart, ScopeHash},
     prompt::{CacheScope, Part, PartId, Prompt},
 };
@@ -153,7 +153,8 @@
     let few = Placement { store: Some(&store), ..world.placement(&prompt, 1) };
     let source = |placement| chooser.choose(placement, &world.candidates()).expect("a choice").import_from;
     assert_eq!(source(few), Some(address(0)));
-    assert_eq!(source(Placement { considered: Some(3), ..few }), Some(store.address));
+    let many = Placement { considered: Some(3), draw: 1, ..few };
+    assert_eq!(source(many), Some(store.address));
 }
 
 #[test]
@@ -306,3 +307,25 @@
     assert!(chooser.loads.slowest(at(6_000)).as_millis() < 1_200);
     assert!(chooser.loads.slowest(at(20_000)).as_millis() < 100);
 }
+
+#[test]
+fn engines_are_asked_instead_of_stores_while_answers_from_stores_begin_much_later() {
+    let ms = std::time::Duration::from_millis;
+    let preferring = |times: &SourceTimes| (0..600).filter(|draw| times.prefers_store(*draw)).count();
+    let mut times = SourceTimes::default();
+    assert_eq!(preferring(&times), 500, "one in six looks how engines do");
+    for _ in 0..10 {
+        times.began(SourceKind::Store, ms(180));
+        times.began(SourceKind::Engine, ms(150));
+    }
+    assert_eq!(preferring(&times), 500, "a small difference does not matter");
+    for _ in 0..10 {
+        times.began(SourceKind::Store, ms(1_500));
+        times.began(SourceKind::Engine, ms(600));
+    }
+    assert_eq!(preferring(&times), 100, "one in six looks whether stores have become faster");
+    for _ in 0..30 {
+        times.began(SourceKind::Store, ms(200));
+    }
+    assert_eq!(preferring(&times), 500);
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -66,6 +66,8 @@
     grant: Option<QuotaGrant>,
     tried: Vec<BackendId>,
     draw: u64,
+    /// When the last try was sent.
+    sent_at: Option<Timestamp>,
 }
 
 /// Serves one request.
@@ -99,6 +101,7 @@
         grant,
         tried: Vec::new(),
         draw: rand::random(),
+        sent_at: None,
     };
     match exchange.read_body(body).await {
         Ok(()) => exchange.run().await,
@@ -172,6 +175,7 @@
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
         }
+        self.sent_at = Some(now);
         let request = self.request(choice, &resume, now);
         let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
@@ -233,6 +237,7 @@
             backend: holder.backend.clone(),
             address: holder.address,
             import_from: None,
+            moves_from: None,
             save_to: None,
             copy_to: None,
             ..choice.clone()
@@ -322,6 +327,7 @@
             let kind = kind_label(self.route.kind);
             self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
         }
+        self.note_source(choice, now);
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut news =
                 self.node.beliefs.borrow_mut().chooser.learned(&choice.backend, scope, prompt, now);
@@ -333,6 +339,13 @@
         }
     }
 
+    /// Compares sources of prefixes by how soon answers begin.
+    fn note_source(&self, choice: &Choice, now: Timestamp) {
+        let (Some(kind), Some(sent_at)) = (choice.moves_from, self.sent_at) else { return };
+        let mut beliefs = self.node.beliefs.borrow_mut();
+        beliefs.chooser.source_times.began(kind, now.saturating_since(sent_at));
+    }
+
     /// A further part of a stream is here.
     pub fn part(&mut self) {
         let now = self.node.now();
