Test quotas over three nodes as processes

A tenant that asks for more than its quota is refused at all nodes with 429 and a time to come back, what is refused does not run, and a quota that is taken away refuses nothing.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -4,5 +4,6 @@
 mod delivery;
 mod ending;
 mod fleet;
+mod quota;
 mod router;
 mod soak;
--- /dev/null
+++ b/crates/cli/tests/forward/quota.rs
@@ -0,0 +1,84 @@
+//! Quotas of tenants over several nodes, as processes over loopback TCP.
+
+use std::time::Instant;
+
+use http::{StatusCode, header::RETRY_AFTER};
+use paddlemount_platform_standin::{Place, Runner, place::KEY};
+
+use crate::router::Router;
+
+/// Tokens that a request without usage counts for, as the stand-in's operator says.
+const TOKENS_OF_A_REQUEST: f64 = 200.0;
+const TOKENS_PER_SECOND: u64 = 2_000;
+/// The window that the settings leave, in seconds.
+const WINDOW_S: f64 = 10.0;
+const REQUESTS: usize = 400;
+
+async fn fleet(place: &Place) -> Vec<Router> {
+    let mut routers = Vec::new();
+    for number in 0..3 {
+        routers.push(Router::start_at(place.store_address, &format!("node-{number}")).await);
+    }
+    for router in &routers {
+        router
+            .until("counted", async || router.ask_metrics().await.contains("paddlemount_forward_nodes 3"))
+            .await;
+    }
+    routers
+}
+
+fn router_tells(router: &Router, told: impl Fn(&String) -> bool) -> bool {
+    router.lines().iter().any(told)
+}
+
+#[tokio::test]
+async fn a_tenant_beyond_its_quota_is_refused_at_all_nodes_and_what_is_refused_does_not_run() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure_quota(1, &[KEY], TOKENS_PER_SECOND);
+    let routers = fleet(&place).await;
+    let runs = |id: &str| place.bookings.iter().map(|runner: &Runner| runner.runs(id)).sum::<usize>();
+    let began = Instant::now();
+    let (mut granted, mut refused) = (0.0, 0);
+    for number in 0..REQUESTS {
+        let id = format!("q{number}");
+        let router = &routers[number % routers.len()];
+        let got = router.send("/hold/1", &id).await.expect("an answer");
+        match got.status {
+            StatusCode::OK => granted += 1.0,
+            StatusCode::TOO_MANY_REQUESTS => {
+                refused += 1;
+                assert_eq!(runs(&id), 0);
+                let after: f64 = got.headers[RETRY_AFTER].to_str().expect("text").parse().expect("seconds");
+                assert!((0.1..=5.0).contains(&after), "{after}");
+            }
+            status => panic!("{status}: {}", got.body),
+        }
+    }
+    // Each window that has begun may hold the rate for as long, and the burst.
+    let windows = 1.0 + began.elapsed().as_secs_f64() / WINDOW_S;
+    let most = windows * (WINDOW_S + 1.0) * TOKENS_PER_SECOND as f64;
+    assert!(refused > 0, "more was asked for than may run");
+    assert!(granted > 0.0 && granted * TOKENS_OF_A_REQUEST <= most, "{granted} granted");
+    let told =
+        |line: &String| line.contains("\"outcome\":\"over_quota\"") && line.contains("\"per_second\":");
+    routers[0].until("told", async || router_tells(&routers[0], told)).await;
+}
+
+#[tokio::test]
+async fn a_quota_that_is_raised_or_taken_away_refuses_nothing_any_more() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure_quota(1, &[KEY], 1);
+    let router = Router::start(&place).await;
+    let refused = async || {
+        let got = router.send("/chat/1", "r1").await;
+        got.is_some_and(|got| got.status == StatusCode::TOO_MANY_REQUESTS)
+    };
+    router.until("refused", refused).await;
+    place.configure(2, &[KEY]);
+    let applied = |line: &String| line.contains("configuration_applied") && line.contains("\"version\":2");
+    router.until("applied", async || router_tells(&router, applied)).await;
+    for number in 0..20 {
+        let got = router.send("/chat/1", &format!("s{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    }
+}
