--- a/crates/core/src/limits/ledger/account.rs
+++ b/crates/core/src/limits/ledger/account.rs
@@ -53,7 +53,7 @@
 
 /// What is true of all accounts of a node at a moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Standing {
+pub(super) struct Sharing {
     /// The part of the fleet that the node's knowledge covers.
     pub part: f64,
     /// Whether grants of this node and those below it are all that the level has to bear: no other node tells it.
@@ -135,11 +135,11 @@
 
     /// Fills up to `now`. Where other nodes draw on the same level, what they take meanwhile is not known before they
     /// tell: the level rises only by what the known demand leaves.
-    pub(super) fn refill(&mut self, standing: Standing, now: Timestamp) {
+    pub(super) fn refill(&mut self, sharing: Sharing, now: Timestamp) {
         let elapsed = now.saturating_since(self.updated).as_secs_f64();
-        let rate = self.plan.rate * standing.part;
-        let rises = if standing.heads { rate } else { (rate - self.demand).max(0.0) };
-        self.level = (self.level + elapsed * rises).min(self.plan.capacity * standing.capacity_part);
+        let rate = self.plan.rate * sharing.part;
+        let rises = if sharing.heads { rate } else { (rate - self.demand).max(0.0) };
+        self.level = (self.level + elapsed * rises).min(self.plan.capacity * sharing.capacity_part);
         self.updated = self.updated.max(now);
     }
 
@@ -148,16 +148,16 @@
         &mut self,
         cost: f64,
         draw: f64,
-        standing: Standing,
+        sharing: Sharing,
         now: Timestamp,
     ) -> Result<(), QuotaRefusal> {
-        self.refill(standing, now);
+        self.refill(sharing, now);
         self.own.add(cost, now);
-        let capacity = self.plan.capacity * standing.capacity_part;
-        let rate = self.plan.rate * standing.part;
+        let capacity = self.plan.capacity * sharing.capacity_part;
+        let rate = self.plan.rate * sharing.part;
         let demand = self.demand.max(self.own.per_second(now));
         let wanted = cost.min(capacity * LARGEST);
-        let overloaded = standing.shared && demand > rate && self.level < capacity * AMPLE;
+        let overloaded = sharing.shared && demand > rate && self.level < capacity * AMPLE;
         let granted = if overloaded {
             // All nodes grant the same share of what is asked, so that the sum is what the quota allows, and the
             // level stays at its aim. Waiting for the level to bear each request would serve the small ones only.
@@ -198,8 +198,8 @@
     }
 
     /// Whether the account matters to others: it is empty enough, or asked for enough.
-    pub(super) fn is_worth_telling(&self, standing: Standing) -> bool {
-        let (capacity, rate) = (self.plan.capacity * standing.capacity_part, self.plan.rate * standing.part);
+    pub(super) fn is_worth_telling(&self, sharing: Sharing) -> bool {
+        let (capacity, rate) = (self.plan.capacity * sharing.capacity_part, self.plan.rate * sharing.part);
         self.level < capacity * WORTH_TELLING || self.demand > rate * WORTH_TELLING
     }
 
@@ -209,9 +209,9 @@
     }
 
     /// The node above has told the level, which bears the last report; or nothing where the account is well filled.
-    pub(super) fn told(&mut self, level: Option<f64>, demand: f64, standing: Standing, now: Timestamp) {
+    pub(super) fn told(&mut self, level: Option<f64>, demand: f64, sharing: Sharing, now: Timestamp) {
         self.on_the_way = 0.0;
-        let capacity = self.plan.capacity * standing.capacity_part;
+        let capacity = self.plan.capacity * sharing.capacity_part;
         self.level = level.unwrap_or(capacity).min(capacity) - self.untold;
         self.demand = demand;
         self.updated = now;
--- a/crates/core/src/limits/ledger/mod.rs
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -23,7 +23,7 @@
 };
 
 use self::{
-    account::{Account, Standing},
+    account::{Account, Sharing},
     plan::QuotaBounds,
 };
 use crate::forwarding::document::TenantQuota;
@@ -101,7 +101,7 @@
     told_part: Option<f64>,
     root_since: Option<Timestamp>,
     most_nodes: Option<(u32, Timestamp)>,
-    standing: Standing,
+    sharing: Sharing,
     /// The part of the capacity with which an account begins.
     filled: f64,
 }
@@ -119,7 +119,7 @@
             told_part: None,
             root_since: None,
             most_nodes: None,
-            standing: Standing { part, capacity_part: part, heads: true, shared: false },
+            sharing: Sharing { part, capacity_part: part, heads: true, shared: false },
             filled: if first_start { 1.0 } else { HALF },
         }
     }
@@ -134,11 +134,11 @@
         for (tenant, quota) in quotas {
             let account = match before.remove(tenant) {
                 Some(mut known) => {
-                    known.refill(self.standing, now);
+                    known.refill(self.sharing, now);
                     known.set_quota(*quota, &self.bounds);
                     known
                 }
-                None => Account::new(*quota, &self.bounds, self.filled * self.standing.part, now),
+                None => Account::new(*quota, &self.bounds, self.filled * self.sharing.part, now),
             };
             self.accounts.insert(tenant.clone(), account);
         }
@@ -170,9 +170,9 @@
         draw: f64,
         now: Timestamp,
     ) -> Result<Option<QuotaGrant>, QuotaRefusal> {
-        let standing = self.standing;
+        let sharing = self.sharing;
         let Some(account) = self.accounts.get_mut(tenant) else { return Ok(None) };
-        account.admit(units, draw, standing, now)?;
+        account.admit(units, draw, sharing, now)?;
         Ok(Some(QuotaGrant { tenant: tenant.clone(), units }))
     }
 
@@ -191,14 +191,14 @@
             per_second: account.quota.per_second,
             level: account.level(),
             demand: account.demand().max(account.own_demand(now)),
-            part: self.standing.part,
-            told_age: told_age.filter(|_| !self.standing.heads),
+            part: self.sharing.part,
+            told_age: told_age.filter(|_| !self.sharing.heads),
         })
     }
 
     /// Looks at who is heard, and adds up what they ask for; to be called several times a second.
     pub fn tick(&mut self, place: Place, now: Timestamp) {
-        self.accounts.values_mut().for_each(|account| account.refill(self.standing, now));
+        self.accounts.values_mut().for_each(|account| account.refill(self.sharing, now));
         self.below.retain(|_, below| now.saturating_since(below.at) < FRESH);
         self.remember_count(place.counted, now);
         let began = self.root_since.is_none() && place.is_root;
@@ -206,19 +206,19 @@
         let told = self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH) && !place.is_root;
         let shared = told || !self.below.is_empty();
         if told {
-            self.standing = Standing { shared, heads: false, ..self.standing };
+            self.sharing = Sharing { shared, heads: false, ..self.sharing };
             return;
         }
         let part = self.part_heard(place, now);
         if began && self.told_part.is_none() {
             self.accounts.values_mut().for_each(|account| account.begin_with(self.filled));
-        } else if !self.standing.heads && !place.is_root {
+        } else if !self.sharing.heads && !place.is_root {
             // What was told was for all: this node goes on with its part.
-            let factor = part / self.standing.part.max(part);
+            let factor = part / self.sharing.part.max(part);
             self.accounts.values_mut().for_each(|account| account.scale(factor));
         }
         let capacity_part = if place.is_root { part } else { (part * APART).min(1.0) };
-        self.standing = Standing { part, capacity_part, heads: true, shared };
+        self.sharing = Sharing { part, capacity_part, heads: true, shared };
         self.add_up_demand(now);
     }
 
@@ -284,16 +284,16 @@
 
     /// What a node below is told.
     pub fn digest(&mut self, now: Timestamp) -> QuotaDigest {
-        let standing = self.standing;
+        let sharing = self.sharing;
         let mut credits = Vec::new();
         for (tenant, account) in &mut self.accounts {
-            account.refill(standing, now);
-            if account.is_worth_telling(standing) {
+            account.refill(sharing, now);
+            if account.is_worth_telling(sharing) {
                 let (level, demand) = (thousandths(account.level()), thousandths(account.demand()));
                 credits.push(TenantCredit { tenant: tenant.clone(), level, demand });
             }
         }
-        QuotaDigest { part: standing.part, credits }
+        QuotaDigest { part: sharing.part, credits }
     }
 
     /// What the node above is told now; to be followed by [`answered`](Self::answered) or
@@ -320,13 +320,13 @@
         let part = digest.part.clamp(0.0, 1.0);
         self.told_at = Some(now);
         self.told_part = Some(part);
-        self.standing = Standing { part, capacity_part: part, heads: false, shared: true };
+        self.sharing = Sharing { part, capacity_part: part, heads: false, shared: true };
         let credits: BTreeMap<&TenantId, &TenantCredit> =
             digest.credits.iter().map(|credit| (&credit.tenant, credit)).collect();
         for (tenant, account) in &mut self.accounts {
             let credit = credits.get(tenant);
             let demand = credit.map_or(0.0, |credit| credit.demand.max(0.0));
-            account.told(credit.map(|credit| credit.level), demand, self.standing, now);
+            account.told(credit.map(|credit| credit.level), demand, self.sharing, now);
         }
     }
 
