--- a/crates/core/src/forwarding/choice/field.rs
+++ b/crates/core/src/forwarding/choice/field.rs
@@ -12,7 +12,8 @@
 
 /// The highest ranked back ends that are looked at for the home of a part: the others may be unfit.
 const LOOKED_AT_FOR_A_HOME: usize = 16;
-/// Numbers of back ends that are looked at for each that is to be weighed, while too few are fit.
+/// Strides by which back ends are drawn where the stride drawn for a request shares a divisor with their number, so that it
+/// would not meet each of them: three primes, and one that always does.
 const STRIDES: [usize; 4] = [7_919, 104_729, 15_485_863, 1];
 
 /// The back ends of a pool.
