Sight: tell callers' connections that close with unread bytes, and requests that the end of a stop cuts

Cause: of seven requests without an answer none had a line at any node: connections were not told of, and what runs when the process ends was dropped after the last line was written. Ruled out: logging at the HTTP library, which tells neither what lay unread nor what a stop did. Change: a wrapper of callers' connections looks at the socket when it closes (closed_unread, a counter); a stop tells callers_closing; requests that the end of the grace period cuts are dropped while lines are still written, with the outcome cut_by_stop.

--- a/crates/forward/src/account.rs
+++ b/crates/forward/src/account.rs
@@ -23,6 +23,10 @@
 pub(crate) const REFUSED: &str = "refused";
 /// The outcome of a request that no back end gets, since back ends ended under it again and again.
 pub(crate) const HELD_BACK: &str = "held_back";
+/// The outcome of a request that still ran when the grace period of a planned stop was over.
+const CUT_BY_STOP: &str = "cut_by_stop";
+/// The outcome of a request whose caller closed its connection before the end.
+const CALLER_LEFT: &str = "caller_left";
 /// The outcome of a request beyond its tenant's quota.
 const OVER_QUOTA: &str = "over_quota";
 
@@ -61,8 +65,9 @@
 
     /// Tells how the request ended.
     pub(crate) fn tell(&self, node: &Node, arrived: Timestamp, spent: Spent) {
-        // Nothing was concluded: the caller has left.
-        let outcome = self.outcome.unwrap_or("caller_left");
+        // Nothing was concluded: the connection has gone, by the caller's will or with the process.
+        let unconcluded = if node.grace_is_over.get() { CUT_BY_STOP } else { CALLER_LEFT };
+        let outcome = self.outcome.unwrap_or(unconcluded);
         let kind = self.route.as_ref().map_or("none", |route| kind_label(route.kind));
         node.metrics.count(Counter::Requests { kind, outcome });
         let since = |at: Timestamp| at.saturating_since(arrived).as_millis() as u64;
--- a/crates/forward/src/ingress.rs
+++ b/crates/forward/src/ingress.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     answers::{AnswerBody, whole},
+    caller_stream::CallerStream,
     exchange,
     node::Node,
 };
@@ -35,6 +36,8 @@
     Leaving,
     /// What runs is served to its end; idle connections are closed.
     Closing,
+    /// The grace period is over: what still runs is cut off.
+    Over,
 }
 
 /// Opens a listener.
@@ -56,7 +59,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|stage| *stage == StopStage::Closing) => return,
+            _ = closing.wait_for(|stage| *stage >= StopStage::Closing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -73,7 +76,7 @@
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream, mut stage: watch::Receiver<StopStage>) {
-    let _ = stream.set_nodelay(true);
+    let stream = CallerStream::new(stream, Rc::clone(&node));
     let limits = node.beliefs.borrow().table.as_ref().map(|table| table.limits()).unwrap_or_default();
     let seen = stage.clone();
     let service = service_fn(move |request: Request<Incoming>| {
@@ -95,12 +98,16 @@
     );
     let ended = tokio::select! {
         _ = connection.as_mut() => true,
-        _ = stage.wait_for(|stage| *stage == StopStage::Closing) => false,
+        _ = stage.wait_for(|stage| *stage >= StopStage::Closing) => false,
     };
-    if !ended {
-        connection.as_mut().graceful_shutdown();
-        // How a connection ends is told by the requests on it.
-        let _ = connection.await;
+    if ended {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    // How a connection ends is told by the requests on it.
+    tokio::select! {
+        _ = connection => {}
+        _ = stage.wait_for(|stage| *stage == StopStage::Over) => {}
     }
 }
 
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -46,6 +46,10 @@
     },
     /// A signal to stop came.
     Stopping { running: usize },
+    /// Callers are no longer taken; idle connections close.
+    CallersClosing { open: usize, running: usize },
+    /// A caller's connection was closed with bytes in it that nobody had read.
+    ClosedUnread { bytes: usize, open_ms: u64, stopping: bool },
     /// The process ends.
     Stopped { running: usize, after_ms: u64 },
     /// The settings file was read again.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod answers;
 pub mod attempts;
 pub mod beliefs;
+pub mod caller_stream;
 pub mod calls;
 pub mod clock;
 pub mod connection;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -46,6 +46,8 @@
     RunsCleared,
     /// Requests of which this node learned that they are held back.
     RequestsHeld,
+    /// Callers' connections that were closed with bytes in them that nobody had read.
+    ClosedUnread,
 }
 
 impl Counter {
@@ -64,6 +66,7 @@
             Self::RunsCrashed => "paddlemount_forward_runs_crashed_total",
             Self::RunsCleared => "paddlemount_forward_runs_cleared_total",
             Self::RequestsHeld => "paddlemount_forward_requests_held_total",
+            Self::ClosedUnread => "paddlemount_forward_connections_closed_unread_total",
         }
     }
 
@@ -84,7 +87,8 @@
             | Self::SpendingPassedOver
             | Self::RunsCrashed
             | Self::RunsCleared
-            | Self::RequestsHeld => String::new(),
+            | Self::RequestsHeld
+            | Self::ClosedUnread => String::new(),
         }
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -58,6 +58,8 @@
     pub store: Caller,
     /// Whether it has been told to stop.
     pub stopping: Cell<bool>,
+    /// Whether the grace period of a planned stop is over.
+    pub grace_is_over: Cell<bool>,
     /// Requests that have not ended.
     pub running: Cell<usize>,
     /// Engines that load weights by this node's orders, while it leads.
@@ -103,6 +105,7 @@
             peers,
             store,
             stopping: Cell::new(false),
+            grace_is_over: Cell::new(false),
             running: Cell::new(0),
             loading: Cell::new(0),
             store_has_news: Notify::new(),
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -155,11 +155,15 @@
     let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
     tokio::time::sleep(LONGEST_LEAVING.min(grace * 2 / 5)).await;
     stage.send_replace(StopStage::Closing);
+    node.journal.tell(&Event::CallersClosing { open: open.get(), running: node.running.get() });
     while open.get() > 0 && node.now().saturating_since(began) < grace {
         tokio::time::sleep(END_PAUSE).await;
     }
     let after_ms = node.now().saturating_since(began).as_millis() as u64;
     node.journal.tell(&Event::Stopped { running: node.running.get(), after_ms });
+    // Requests that are cut tell their own lines while lines are still written.
+    node.grace_is_over.set(true);
+    stage.send_replace(StopStage::Over);
     tokio::time::sleep(LAST_LINES).await;
 }
 
