Failing tests: requests that reached a stopping node in time get no answer

When a planned stop takes callers no longer, it drops the listener with what waits in its queue and closes resting connections without a look at what has arrived on them.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -6,5 +6,7 @@
 mod fleet;
 mod poison;
 mod quota;
+mod raw_caller;
 mod router;
 mod soak;
+mod unanswered;
--- /dev/null
+++ b/crates/cli/tests/forward/raw_caller.rs
@@ -0,0 +1,148 @@
+//! A caller that holds one connection and sees each way in which it may end.
+
+use std::{net::SocketAddr, time::Duration};
+
+use paddlemount_platform_standin::{
+    Place,
+    place::{HOST, KEY},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// How long an answer may take to come or to end.
+const PATIENCE: Duration = Duration::from_secs(10);
+const READ: usize = 16 << 10;
+const MOST_HEADERS: usize = 64;
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// An answer that came whole.
+    Whole {
+        /// Its status.
+        status: u16,
+        /// Its body, without the framing.
+        body: String,
+        /// Whether the node closes the connection after it.
+        closes: bool,
+        /// When to come back, where the answer says so.
+        retry_after: Option<String>,
+    },
+    /// The connection ended, or nothing more came, before the answer was whole; what had come of it.
+    Cut(String),
+}
+
+impl Ending {
+    /// Whether a whole answer came.
+    pub const fn is_whole(&self) -> bool {
+        matches!(self, Self::Whole { .. })
+    }
+}
+
+/// One connection to a node.
+pub struct RawCaller {
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl RawCaller {
+    /// Opens a connection.
+    pub async fn connect(callers: SocketAddr) -> Self {
+        let stream = TcpStream::connect(callers).await.expect("a connection comes up");
+        stream.set_nodelay(true).expect("an option can be set");
+        Self { stream, received: Vec::new() }
+    }
+
+    /// Sends a request whose body is there whole.
+    pub async fn send(&mut self, path: &str, id: &str) {
+        self.write(&head_of(path, id, "the body".len())).await;
+        self.write(b"the body").await;
+    }
+
+    /// Sends bytes. A connection that has ended is seen when its answer is read.
+    async fn write(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes).await;
+    }
+
+    /// Waits for the answer's end, or the connection's.
+    pub async fn ending(&mut self) -> Ending {
+        loop {
+            if let Some(whole) = self.whole_answer() {
+                return whole;
+            }
+            let mut bytes = vec![0; READ];
+            match timeout(PATIENCE, self.stream.read(&mut bytes)).await {
+                Ok(Ok(count)) if count > 0 => self.received.extend_from_slice(&bytes[..count]),
+                _ => return Ending::Cut(String::from_utf8_lossy(&self.received).into_owned()),
+            }
+        }
+    }
+
+    /// Sends a request and waits for its end.
+    pub async fn call(&mut self, path: &str, id: &str) -> Ending {
+        self.send(path, id).await;
+        self.ending().await
+    }
+
+    fn whole_answer(&mut self) -> Option<Ending> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut parsed = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(head) = parsed.parse(&self.received).expect("an answer") else {
+            return None;
+        };
+        let header = |name: &str| {
+            let found = parsed.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+            Some(String::from_utf8_lossy(found.value).into_owned())
+        };
+        let status = parsed.code.expect("a status");
+        let closes = header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+        let retry_after = header("retry-after");
+        let rest = &self.received[head..];
+        let (body, length) = match header("content-length") {
+            Some(length) => {
+                let length = length.parse().expect("a length");
+                (rest.get(..length)?.to_vec(), length)
+            }
+            None => unchunked(rest)?,
+        };
+        self.received.drain(..head + length);
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Some(Ending::Whole { status, body, closes, retry_after })
+    }
+}
+
+fn head_of(path: &str, id: &str, length: usize) -> Vec<u8> {
+    let mut text = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n{}: {id}\r\n{}: 9000\r\n\
+         Content-Length: {length}\r\n",
+        Place::REQUEST_ID,
+        Place::DEADLINE,
+    );
+    if path.starts_with("/chat/") || path.starts_with("/claim/") {
+        for (name, value) in Place::prompt_headers() {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+    }
+    text.push_str("\r\n");
+    text.into_bytes()
+}
+
+/// A body in chunks, and the bytes that it took; nothing before its end is here.
+fn unchunked(mut bytes: &[u8]) -> Option<(Vec<u8>, usize)> {
+    let (mut body, all) = (Vec::new(), bytes.len());
+    loop {
+        let httparse::Status::Complete((digits, size)) = httparse::parse_chunk_size(bytes).ok()? else {
+            return None;
+        };
+        let size = usize::try_from(size).ok()?;
+        let chunk = bytes.get(digits..digits + size)?;
+        body.extend_from_slice(chunk);
+        bytes = bytes.get(digits + size + 2..)?;
+        if size == 0 {
+            return Some((body, all - bytes.len()));
+        }
+    }
+}
