A planned stop answers what has arrived before it closes a connection

Cause: when the time to take callers was over, a stop dropped the listener with the connections in its queue, and asked the HTTP library to end resting connections, which it does without reading. After a pause of the process the stop's timer and the requests are ready together, and the requests were reset. Class: closing by one's own state without looking at the socket. Change: connections are taken from the queue before the listener closes; a connection closes only where nothing has come on it for 200 ms, nothing lies in its socket and no head is half read; the node then closes its side only and reads on for up to 500 ms, so that a request that crosses the close sees an end and no reset, and a refused body does not reset its refusal. Connections have a module of their own; a connection that cannot be taken is told.

--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -2,11 +2,16 @@
 //!
 //! 503 promises that the request has not run and never will, and says when to come back. 502 and 504 promise nothing.
 
-use std::{convert::Infallible, pin::Pin, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
-use http_body::Body;
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use paddlemount_core::quarantine::HOLD;
 use serde::Serialize;
@@ -147,3 +152,33 @@
 pub fn whole(bytes: Bytes) -> AnswerBody {
     Box::pin(Full::new(bytes).map_err(|never: Infallible| match never {}))
 }
+
+/// An answer that keeps `guard` until its body has been handed over to its end, or is dropped.
+pub fn held_while_sent<T: Unpin + 'static>(answer: Response<AnswerBody>, guard: T) -> Response<AnswerBody> {
+    answer.map(|body| Box::pin(HeldBody { body, _guard: guard }) as AnswerBody)
+}
+
+struct HeldBody<T> {
+    body: AnswerBody,
+    _guard: T,
+}
+
+impl<T: Unpin> Body for HeldBody<T> {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -48,6 +48,8 @@
     Stopping { running: usize },
     /// Callers are no longer taken; idle connections close.
     CallersClosing { open: usize, running: usize },
+    /// A caller's connection could not be taken, as when descriptors have run out.
+    CallerNotTaken { problem: String },
     /// A caller's connection was closed with bytes in it that nobody had read.
     ClosedUnread { bytes: usize, open_ms: u64, stopping: bool },
     /// The process ends.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod attempts;
 pub mod beliefs;
 pub mod caller_stream;
+pub mod callers;
 pub mod calls;
 pub mod clock;
 pub mod connection;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -131,6 +131,11 @@
         self.leading.get().filter(|(_, until)| self.now() < *until).map(|(token, _)| token)
     }
 
+    /// Whether it has been told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
     /// Whether callers should be sent here, and why not.
     pub fn readiness(&self) -> Result<(), &'static str> {
         let beliefs = self.beliefs.borrow();
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -1,6 +1,6 @@
 //! The process: start, signals, reload of settings, planned stop.
 
-use std::{cell::Cell, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
 use tokio::{
     net::TcpListener,
@@ -9,8 +9,8 @@
 };
 
 use crate::{
+    callers::{Callers, StopStage},
     clock, feed, ingress,
-    ingress::StopStage,
     journal::{Event, Journal},
     kept, leadership,
     node::Node,
@@ -80,7 +80,7 @@
     let advertised = peers_address.map(|address| listen.peers_advertised.unwrap_or(address));
     let node = Rc::new(Node::new(settings, platform, clock, journal, advertised));
     let (stage, stage_seen) = watch::channel(StopStage::Serving);
-    let open = Rc::new(Cell::new(0));
+    let doors = Callers::new(Rc::clone(&node), stage_seen);
     let addresses =
         Addresses::of(&callers, &readiness, metrics.as_ref(), peers_address).map_err(system("addresses"))?;
     tell_start(&node, addresses);
@@ -93,7 +93,7 @@
     tokio::task::spawn_local(quarantine::keep(Rc::clone(&node)));
     tokio::task::spawn_local(keep_house(Rc::clone(&node), path, hangup));
     let leading = tokio::task::spawn_local(leadership::lead(Rc::clone(&node)));
-    tokio::task::spawn_local(ingress::serve_callers(Rc::clone(&node), callers, stage_seen, Rc::clone(&open)));
+    tokio::task::spawn_local(doors.clone().serve(callers));
     let asked = Rc::clone(&node);
     tokio::task::spawn_local(ingress::serve_simple(readiness, move || ingress::readiness_answer(&asked)));
     if let Some(metrics) = metrics {
@@ -104,7 +104,7 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    stop(&node, &stage, &open).await;
+    stop(&node, &stage, &doors).await;
     // The lease has been given up meanwhile, where the store answers.
     leading.abort();
     Ok(())
@@ -147,7 +147,7 @@
 }
 
 /// Readiness goes first; callers are taken until they have been sent elsewhere; what runs gets the grace period.
-async fn stop(node: &Rc<Node>, stage: &watch::Sender<StopStage>, open: &Cell<usize>) {
+async fn stop(node: &Rc<Node>, stage: &watch::Sender<StopStage>, callers: &Callers) {
     let began = node.now();
     node.stopping.set(true);
     node.journal.tell(&Event::Stopping { running: node.running.get() });
@@ -155,8 +155,8 @@
     let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
     tokio::time::sleep(LONGEST_LEAVING.min(grace * 2 / 5)).await;
     stage.send_replace(StopStage::Closing);
-    node.journal.tell(&Event::CallersClosing { open: open.get(), running: node.running.get() });
-    while open.get() > 0 && node.now().saturating_since(began) < grace {
+    node.journal.tell(&Event::CallersClosing { open: callers.open(), running: node.running.get() });
+    while !callers.are_gone() && node.now().saturating_since(began) < grace {
         tokio::time::sleep(END_PAUSE).await;
     }
     let after_ms = node.now().saturating_since(began).as_millis() as u64;
