A planned stop begins no request that it cannot end

A stop takes callers for 2.6 s and ends 7.6 s after the signal; a stream that began late and lasted longer than the rest was cut though its back end worked on. Ruled out: a shorter time in which callers are taken: it would refuse short requests too while callers still come. Change: nodes remember the longest whole answer of the last minute by route. A stopping node refuses a request at once, as not run and with 50 ms to come back, where such an answer would outlast the rest of its grace period and its caller would wait for it. Measured: the test's stream (begun 1 s after the signal, 3 s long, grace period 4 s) is cut before, refused and not run after.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
 //! | [`pool`], [`ranks`] | nothing: the back ends of a service, indexed by an order that all nodes share |
 //! | [`attempt`] | what may follow the end of a try |
+//! | [`answer_times`] | whether a planned stop leaves time for one more request |
 //! | [`budget`] | whether a request may be repeated |
 //! | [`events`] | which events of a stream are whole and may be passed on |
 //! | [`fleet`] | what a node knows of the others, and whom it reports to |
@@ -21,6 +22,7 @@
 //!
 //! Everything here is pure: the present time is an argument.
 
+pub mod answer_times;
 pub mod attempt;
 pub mod backends;
 pub mod budget;
--- a/crates/forward/src/account.rs
+++ b/crates/forward/src/account.rs
@@ -19,6 +19,10 @@
     node::Node,
 };
 
+/// The outcome of a request whose back end answered whole.
+pub(crate) const ANSWERED: &str = "answered";
+/// The outcome of a request whose stream was passed on to its end.
+pub(crate) const STREAMED: &str = "streamed";
 /// The outcome of a request that has not run and whose caller may come back.
 pub(crate) const REFUSED: &str = "refused";
 /// The outcome of a request that no back end gets, since back ends ended under it again and again.
@@ -63,6 +67,11 @@
         self.tell(node, arrived, Spent::default());
     }
 
+    /// Whether the caller got a whole answer of a back end.
+    pub(crate) fn is_served(&self) -> bool {
+        matches!(self.outcome, Some(ANSWERED | STREAMED))
+    }
+
     /// Tells how the request ended.
     pub(crate) fn tell(&self, node: &Node, arrived: Timestamp, spent: Spent) {
         // Nothing was concluded: the connection has gone, by the caller's will or with the process.
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -45,6 +45,8 @@
     NoBackend,
     /// No back end took the request.
     NotTaken,
+    /// The node is about to end, and answers of this route take longer than it has left.
+    Stopping,
     /// Back ends ended under the same request again and again: none gets it any more.
     HeldBack,
     /// The time was up before a back end got the request.
@@ -63,6 +65,7 @@
             | Self::ConfigurationTooOld
             | Self::NoBackend
             | Self::NotTaken
+            | Self::Stopping
             | Self::HeldBack
             | Self::TimeUpBeforeSending => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -81,7 +84,8 @@
             Self::NoConfiguration | Self::NoBackend => Some(Duration::from_millis(400)),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
             Self::NotTaken | Self::QuotaExceeded => Some(Duration::from_millis(150)),
-            Self::TimeUpBeforeSending => Some(Duration::from_millis(50)),
+            // Another node serves the caller at once.
+            Self::TimeUpBeforeSending | Self::Stopping => Some(Duration::from_millis(50)),
             Self::HeldBack => Some(HOLD),
             _ => None,
         }
@@ -101,6 +105,7 @@
             Self::RequestBroken => "the request is not whole",
             Self::NoBackend => "no back end may get the request; it was not run",
             Self::NotTaken => "no back end took the request; it was not run",
+            Self::Stopping => "this node is stopping; the request was not run, another node serves it",
             Self::HeldBack => {
                 "back ends ended under this request again and again; it was not run, and none gets it until then"
             }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -18,7 +18,7 @@
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
-    account::{Account, HELD_BACK, REFUSED},
+    account::{ANSWERED, Account, HELD_BACK, REFUSED},
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
@@ -86,6 +86,11 @@
     };
     let waits = head.deadline.unwrap_or(LONGEST).saturating_sub(DEADLINE_MARGIN);
     let give_up_at = arrived + waits.min(route.timeout);
+    if !node.has_time_for(&route, give_up_at) {
+        account.refuse(&node, arrived, Reason::Stopping.into());
+        node.give_back(grant);
+        return own_answer(Reason::Stopping);
+    }
     node.running.set(node.running.get() + 1);
     let mut exchange = Exchange {
         node,
@@ -137,7 +142,7 @@
                 Ok(begun) => match self.finish_whole(begun).await {
                     Ok(answer) => {
                         self.run_completed();
-                        return self.pass_on(answer, "answered");
+                        return self.pass_on(answer, ANSWERED);
                     }
                     Err(ended) => {
                         if let Some(answer) = self.after(&choice, ended) {
@@ -384,8 +389,12 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.node.running.set(self.node.running.get().saturating_sub(1));
-        if let Some(grant) = self.grant.take().filter(|_| self.has_not_run()) {
-            self.node.beliefs.borrow_mut().quotas.give_back(&grant);
+        let grant = self.grant.take().filter(|_| self.has_not_run());
+        self.node.give_back(grant);
+        if self.account.is_served() {
+            let (now, route) = (self.node.now(), &self.route.name);
+            let took = now.saturating_since(self.arrived);
+            self.node.answer_times.borrow_mut().ended(route, took, now);
         }
         self.account.tell(&self.node, self.arrived, self.spent);
     }
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -42,7 +42,7 @@
     let lease_settings = LeaseSettings { name: LEASE_NAME.into(), holder: settings.node.clone(), ttl };
     let holder = LeaseHolder::new(lease_settings, node.now());
     let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None, deserted_at: None };
-    while !leadership.node.stopping.get() {
+    while !leadership.node.is_stopping() {
         leadership.turn().await;
         // What can be done next is looked for at once where something has ended.
         let _ = tokio::time::timeout(PAUSE, leadership.node.order_ended.notified()).await;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -8,9 +8,14 @@
 };
 
 use paddlemount_core::{
-    forwarding::{backends::BackendId, choice::Choice, document::Route},
+    forwarding::{
+        answer_times::{self, AnswerTimes},
+        backends::BackendId,
+        choice::Choice,
+        document::Route,
+    },
     health::{HealthEvent, HealthVerdict},
-    limits::ledger::Place,
+    limits::ledger::{Place, QuotaGrant},
 };
 use paddlemount_protocol::{
     fleet::{KeptNews, Member},
@@ -56,8 +61,10 @@
     pub peers: Option<RefCell<Peers>>,
     /// Calls to the metadata store.
     pub store: Caller,
-    /// Whether it has been told to stop.
-    pub stopping: Cell<bool>,
+    /// When it ends at the latest, once it has been told to stop.
+    pub ends_at: Cell<Option<Timestamp>>,
+    /// How long answers have lately taken.
+    pub answer_times: RefCell<AnswerTimes>,
     /// Whether the grace period of a planned stop is over.
     pub grace_is_over: Cell<bool>,
     /// Requests that have not ended.
@@ -104,7 +111,8 @@
             pool: RefCell::default(),
             peers,
             store,
-            stopping: Cell::new(false),
+            ends_at: Cell::new(None),
+            answer_times: RefCell::default(),
             grace_is_over: Cell::new(false),
             running: Cell::new(0),
             loading: Cell::new(0),
@@ -133,13 +141,28 @@
 
     /// Whether it has been told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.ends_at.get().is_some()
+    }
+
+    /// Whether a request of `route`, whose caller waits until `waits_until`, can be answered before a planned stop ends.
+    pub fn has_time_for(&self, route: &Route, waits_until: Timestamp) -> bool {
+        let Some(ends_at) = self.ends_at.get() else { return true };
+        let now = self.now();
+        let longest = self.answer_times.borrow().longest(&route.name, now);
+        answer_times::may_begin(ends_at, longest, waits_until.saturating_since(now), now)
+    }
+
+    /// Gives back what was granted of a quota to a request that has not run.
+    pub fn give_back(&self, grant: Option<QuotaGrant>) {
+        if let Some(grant) = grant {
+            self.beliefs.borrow_mut().quotas.give_back(&grant);
+        }
     }
 
     /// Whether callers should be sent here, and why not.
     pub fn readiness(&self) -> Result<(), &'static str> {
         let beliefs = self.beliefs.borrow();
-        if self.stopping.get() {
+        if self.is_stopping() {
             return Err("stopping");
         }
         if beliefs.table.is_none() || beliefs.freshness.age(self.now()).is_none() {
@@ -254,6 +277,7 @@
     pub fn sweep(&self) {
         let now = self.now();
         self.pool.borrow_mut().sweep(now);
+        self.answer_times.borrow_mut().sweep(now);
         if self.peers.is_none() {
             self.tick_quotas();
             self.conclude_quarantine();
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -149,14 +149,15 @@
 /// Readiness goes first; callers are taken until they have been sent elsewhere; what runs gets the grace period.
 async fn stop(node: &Rc<Node>, stage: &watch::Sender<StopStage>, callers: &Callers) {
     let began = node.now();
-    node.stopping.set(true);
+    let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
+    let ends_at = began + grace;
+    node.ends_at.set(Some(ends_at));
     node.journal.tell(&Event::Stopping { running: node.running.get() });
     stage.send_replace(StopStage::Leaving);
-    let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
     tokio::time::sleep(LONGEST_LEAVING.min(grace * 2 / 5)).await;
     stage.send_replace(StopStage::Closing);
     node.journal.tell(&Event::CallersClosing { open: callers.open(), running: node.running.get() });
-    while !callers.are_gone() && node.now().saturating_since(began) < grace {
+    while !callers.are_gone() && node.now() < ends_at {
         tokio::time::sleep(END_PAUSE).await;
     }
     let after_ms = node.now().saturating_since(began).as_millis() as u64;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -14,6 +14,7 @@
 use paddlemount_protocol::time::Timestamp;
 
 use crate::{
+    account::STREAMED,
     answers::AnswerBody,
     attempts::{Begun, Ended},
     exchange::{Exchange, Resume, is_resumable},
@@ -198,7 +199,7 @@
             return None;
         }
         self.done = true;
-        self.exchange.conclude("streamed");
+        self.exchange.conclude(STREAMED);
         self.exchange.run_completed();
         let node = &self.exchange.node;
         node.pool.borrow_mut().put(&begun.work.backend, begun.connection, node.now());
