A silent run is kept until another back end may have begun; a stream's head waits for its first event

A resumable stream dropped its silent run as soon as another back end was asked; where that one refused, the caller's stream broke though the run was well. Class: letting go of what works before what replaces it is there. The same cause stood in streams that go on from a copy. Beside it, a stream's head was passed on before any event, so that whatever went wrong in between could only be told by cutting the answer. Ruled out: keeping both runs until the other's first event: two runs of one stream would go on side by side. Change: the silent run is kept while the other is asked, for 300 ms at most, and goes on where the other certainly has not begun; the head is passed on with the first event, before which a stream that fails is answered whole (502 or 504). An engine that takes the request, says nothing for 300 ms and refuses then still breaks the stream.

--- a/crates/cli/tests/forward/unanswered.rs
+++ b/crates/cli/tests/forward/unanswered.rs
@@ -168,3 +168,18 @@
     tokio::time::sleep(Duration::from_millis(6_500)).await;
     assert!(caller.call("/quote/1", "rest-2").await.is_whole(), "{:#?}", router.lines());
 }
+
+/// A stream's head was passed on before its first event. What went wrong between the two could then only be told by cutting
+/// the answer.
+#[tokio::test]
+async fn what_breaks_before_its_first_event_is_answered_whole() {
+    let (place, router) = place_and_router().await;
+    for engine in &place.engines {
+        engine.script(&[Behaviour::BreaksAfterHead; 2]);
+    }
+    let mut caller = RawCaller::connect(router.callers).await;
+    let ending = caller.call("/chat/1", "early-1").await;
+    assert!(matches!(ending, Ending::Whole { status: 502, .. }), "{ending:?}");
+    let runs: usize = place.engines.iter().map(|engine| engine.runs("early-1")).sum();
+    assert_eq!(runs, 1);
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -137,7 +137,7 @@
             let Some(choice) = self.place() else { return self.give_up(Reason::NoBackend) };
             match self.attempt(&choice, Resume::default()).await {
                 Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
-                    return self.relay(choice, begun);
+                    return self.relay(choice, begun).await;
                 }
                 Ok(begun) => match self.finish_whole(begun).await {
                     Ok(answer) => {
@@ -315,14 +315,18 @@
         }
     }
 
-    fn relay(mut self, choice: Choice, begun: Begun) -> Response<AnswerBody> {
+    /// Passes a stream on. Its head waits for the first event: until then what goes wrong has a whole answer of its own.
+    async fn relay(mut self, choice: Choice, begun: Begun) -> Response<AnswerBody> {
         self.account.status = Some(begun.head.status.as_u16());
-        let mut headers = begun.head.headers.clone();
+        let last_event = self.head.last_event;
+        let relay = match Relay::open(self, choice, begun, last_event).await {
+            Ok(relay) => relay,
+            Err(mut exchange) => return exchange.give_up(Reason::AnswerLost),
+        };
+        let (status, mut headers) = (relay.head().status, relay.head().headers.clone());
         strip_connection_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
-        let status = begun.head.status;
-        let last_event = self.head.last_event;
-        let mut answer = Response::new(Relay::new(self, choice, begun, last_event).into_body());
+        let mut answer = Response::new(relay.into_body());
         *answer.status_mut() = status;
         *answer.headers_mut() = headers;
         answer
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use http::response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use paddlemount_core::forwarding::{
@@ -26,6 +27,9 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// The silence before a resumable stream's first event, in multiples of its route's target.
 const FIRST_SILENCE_TARGETS: u32 = 2;
+/// How long a silent run is kept while another back end is asked. A refusal comes within some milliseconds; a back end that
+/// has said nothing by then may have begun, and two runs of one stream must not go on side by side.
+const KEPT_BESIDE: Duration = Duration::from_millis(300);
 
 /// Why a stream ends before it is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,8 +47,15 @@
     exchange: Exchange,
     choice: Choice,
     begun: Option<Begun>,
+    /// The head of the answer: that of the run whose events come first.
+    head: response::Parts,
+    /// Events that came before the head was passed on.
+    opening: Option<Bytes>,
     splitter: EventSplitter,
+    /// Whether an event has come of the present run.
     has_event: bool,
+    /// Whether an event has come of any run.
+    has_passed_on: bool,
     waits_on: bool,
     /// When something was last heard of the back end.
     heard_at: Timestamp,
@@ -65,22 +76,54 @@
 }
 
 impl Relay {
-    /// Passes on what has begun; the caller has the events up to `last_event`.
-    pub fn new(exchange: Exchange, choice: Choice, begun: Begun, last_event: Option<u64>) -> Self {
+    /// Passes on what has begun, from its first event on; the caller has the events up to `last_event`.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back where no event came: the caller has no head yet, and can be told by a whole answer.
+    pub async fn open(
+        exchange: Exchange,
+        choice: Choice,
+        begun: Begun,
+        last_event: Option<u64>,
+    ) -> Result<Self, Box<Exchange>> {
+        let mut relay = Self::new(exchange, choice, begun, last_event);
+        match relay.next().await {
+            None => Ok(relay),
+            Some(Ok(events)) => {
+                relay.opening = Some(events);
+                Ok(relay)
+            }
+            Some(Err(_)) => {
+                relay.exchange.spent.may_have_run = true;
+                Err(Box::new(relay.exchange))
+            }
+        }
+    }
+
+    fn new(exchange: Exchange, choice: Choice, begun: Begun, last_event: Option<u64>) -> Self {
         let splitter = EventSplitter::after(last_event);
         let heard_at = exchange.node.now();
         Self {
             exchange,
             choice,
+            head: begun.head.clone(),
             begun: Some(begun),
+            opening: None,
             splitter,
             has_event: false,
+            has_passed_on: false,
             waits_on: false,
             heard_at,
             done: false,
         }
     }
 
+    /// The head of the answer.
+    pub const fn head(&self) -> &response::Parts {
+        &self.head
+    }
+
     /// The stream as the body of an answer.
     pub fn into_body(self) -> AnswerBody {
         let parts = stream::unfold(self, |mut relay| async move {
@@ -91,6 +134,9 @@
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, RelayError>> {
+        if let Some(events) = self.opening.take() {
+            return Some(Ok(events));
+        }
         if self.done {
             return None;
         }
@@ -109,12 +155,13 @@
                     if let Some(result) = self.end() {
                         return result;
                     }
-                    if !self.resume(Ended::broken("ended in the middle of an event".into())).await {
+                    let ended = Ended::broken("ended in the middle of an event".into());
+                    if !self.resume_without_run(ended).await {
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
                 Heard::Broken(detail) => {
-                    if !self.resume(Ended::broken(detail)).await {
+                    if !self.resume_without_run(Ended::broken(detail)).await {
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
@@ -128,7 +175,7 @@
                 }
                 Heard::Outdated => {
                     let late = "not begun before its weights grew too old".into();
-                    if !self.resume(Ended::unclear(late)).await {
+                    if !self.resume_without_run(Ended::unclear(late)).await {
                         return Some(Err(self.give_up("stream_broken", RelayError::Broken)));
                     }
                 }
@@ -186,6 +233,7 @@
             return;
         }
         self.has_event = true;
+        self.has_passed_on = true;
         if let Some(begun) = &mut self.begun {
             begun.work.first_part();
         }
@@ -207,16 +255,35 @@
         Some((!rest.is_empty()).then_some(Ok(rest)))
     }
 
-    /// Lets another back end go on behind the last whole event.
-    async fn resume(&mut self, mut ended: Ended) -> bool {
-        self.begun = None;
-        self.splitter.finish();
+    /// Lets another back end go on; the run before has ended, or must not begin any more.
+    async fn resume_without_run(&mut self, ended: Ended) -> bool {
+        self.let_go();
+        self.resume(ended).await
+    }
+
+    /// Lets another back end go on behind the last whole event. A run that is only silent is kept until the other may have
+    /// begun: where that one refuses, the stream goes on as it was. Whether the stream goes on at all.
+    async fn resume(&mut self, ended: Ended) -> bool {
         self.exchange.spent.may_have_run = true;
-        if !is_resumable(self.exchange.route.kind) {
-            return self.go_on_from_copy(ended).await;
+        let known = self.exchange.account.choice.clone();
+        let resumed = if is_resumable(self.exchange.route.kind) {
+            self.go_on_elsewhere(ended).await
+        } else {
+            self.go_on_from_copy(ended).await
+        };
+        if resumed {
+            return true;
         }
+        // Nobody else takes the stream: the silent run is waited for to its end.
+        self.exchange.account.choice = known;
+        self.waits_on = true;
+        self.begun.is_some()
+    }
+
+    async fn go_on_elsewhere(&mut self, mut ended: Ended) -> bool {
+        let mut asked = self.choice.clone();
         loop {
-            if self.exchange.decide(&self.choice, &ended) != Next::TryAnother {
+            if self.exchange.decide(&asked, &ended) != Next::TryAnother {
                 return false;
             }
             if self.exchange.held_for().is_some() {
@@ -224,22 +291,11 @@
             }
             let Some(choice) = self.exchange.place() else { return false };
             let resume = Resume { after: self.splitter.last_id(), continues: None };
-            let result = self.exchange.attempt(&choice, resume).await;
-            self.choice = choice;
-            match result {
-                Ok(begun) if begun.head.status.is_success() => {
-                    self.exchange.resumed();
-                    self.begun = Some(begun);
-                    self.heard_at = self.exchange.node.now();
-                    self.has_event = false;
-                    return true;
-                }
-                Ok(begun) => {
-                    let detail = format!("status {}", begun.head.status);
-                    ended = Ended::unclear(detail);
-                }
-                Err(error) => ended = error,
-            }
+            asked = choice.clone();
+            ended = match self.ask(choice, resume).await {
+                Ok(()) => return true,
+                Err(ended) => ended,
+            };
         }
     }
 
@@ -255,24 +311,74 @@
             return false;
         }
         let resume = Resume { after: self.splitter.last_id(), continues: Some(run) };
-        let result = self.exchange.attempt(&next, resume).await;
-        self.choice = next;
-        match result {
-            Ok(begun) if begun.head.status.is_success() => {
-                self.exchange.resumed();
-                self.begun = Some(begun);
-                self.heard_at = self.exchange.node.now();
-                true
+        let holder = next.clone();
+        match self.ask(next, resume).await {
+            Ok(()) => true,
+            Err(ended) if self.begun.is_some() => {
+                self.exchange.decide(&holder, &ended);
+                false
             }
-            Ok(_) => false,
             // The run before may have gone further than the caller has seen: nothing else may take it up.
             Err(ended) => {
-                self.exchange.decide(&self.choice, &Ended { end: AttemptEnd::Unclear, ..ended });
+                self.exchange.decide(&holder, &Ended { end: AttemptEnd::Unclear, ..ended });
                 false
             }
         }
     }
 
+    /// Asks another back end to go on, and lets the run before go once that one has begun or may have.
+    async fn ask(&mut self, choice: Choice, resume: Resume) -> Result<(), Ended> {
+        let clock = self.exchange.node.clock;
+        let result = {
+            let mut attempt = std::pin::pin!(self.exchange.attempt(&choice, resume));
+            match clock.within_time(KEPT_BESIDE, attempt.as_mut()).await {
+                Some(result) => result,
+                None => {
+                    self.begun = None;
+                    attempt.await
+                }
+            }
+        };
+        let result = match result {
+            Ok(begun) if !begun.head.status.is_success() => {
+                Err(Ended::unclear(format!("status {}", begun.head.status)))
+            }
+            result => result,
+        };
+        match result {
+            Ok(begun) => {
+                self.let_go();
+                self.take_over(choice, begun);
+                Ok(())
+            }
+            Err(ended) => {
+                // Only what has certainly not begun leaves the run before to itself.
+                if !matches!(ended.end, AttemptEnd::NotSent | AttemptEnd::NotRun) {
+                    self.let_go();
+                }
+                Err(ended)
+            }
+        }
+    }
+
+    /// The run before is left, with what it has sent of an event.
+    fn let_go(&mut self) {
+        self.begun = None;
+        self.splitter.finish();
+    }
+
+    fn take_over(&mut self, choice: Choice, begun: Begun) {
+        self.exchange.resumed();
+        // A copy goes on in the run that the caller has events of; any other run begins anew.
+        self.has_event &= !is_resumable(self.exchange.route.kind);
+        if !self.has_passed_on {
+            self.head = begun.head.clone();
+        }
+        self.choice = choice;
+        self.begun = Some(begun);
+        self.heard_at = self.exchange.node.now();
+    }
+
     fn give_up(&mut self, outcome: &'static str, error: RelayError) -> RelayError {
         self.begun = None;
         self.done = true;
