Signals that come again or tell of settings cut nothing

A node that serves the product's own interface had no handler for SIGHUP, and ended at once on a second SIGTERM. On forwarding nodes the handlers came after settings and log were set up, and a SIGHUP before them ended the process. Ruled out: ignoring a second SIGINT too: whoever insists at a terminal wants the end. Change: all three signals are listened for before anything else on both; SIGHUP tells in a line that settings are read at the start; only SIGINT during a stop ends at once.

--- a/crates/cli/src/commands/serve.rs
+++ b/crates/cli/src/commands/serve.rs
@@ -1,11 +1,8 @@
 //! `paddlemount serve`.
 
 use lexopt::prelude::*;
-use paddlemount_node::{
-    node::{Node, RunningNode},
-    settings::NodeSettings,
-};
-use tokio::signal::unix::{SignalKind, signal};
+use paddlemount_node::{node::Node, settings::NodeSettings};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::{CommandError, address, print_ready, read_settings};
 use crate::logging;
@@ -53,8 +50,7 @@
 async fn serve(settings: NodeSettings) -> Result<(), CommandError> {
     let name = settings.node.clone();
     let failed = |error: std::io::Error| CommandError::Start(format!("cannot wait for signals: {error}"));
-    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut signals = Signals::listen().map_err(failed)?;
     let node = Node::start(settings).map_err(|error| CommandError::Start(error.to_string()))?;
     print_ready(&serde_json::json!({
         "ready": "node",
@@ -63,20 +59,56 @@
         "peers": node.peer_address(),
         "admin": node.admin_address(),
     }));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.told_to_stop().await;
     log::info!(requests = node.state().active.count(); "stopping; open requests may end first");
-    let stopped = stop(node);
     tokio::select! {
-        () = stopped => log::info!("stopped"),
-        _ = terminate.recv() => log::warn!("told a second time; ending at once"),
-        _ = interrupt.recv() => log::warn!("told a second time; ending at once"),
+        () = node.stop() => log::info!("stopped"),
+        () = signals.told_to_end_at_once() => log::warn!("interrupted while stopping; ending at once"),
     }
     Ok(())
 }
 
-async fn stop(node: RunningNode) {
-    node.stop().await;
+/// The signals that a node takes.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Listens for them from now on: one without a listener ends the process at once, with all that runs in it.
+    fn listen() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits until the node is told to stop.
+    async fn told_to_stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => tell_settings_stand(),
+            }
+        }
+    }
+
+    /// Waits until somebody at a terminal insists. What runs is cut off by that only: a platform may send its signal to
+    /// stop more than once.
+    async fn told_to_end_at_once(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.interrupt.recv() => return,
+                _ = self.terminate.recv() => log::info!("told again to stop; open requests may still end"),
+                _ = self.hangup.recv() => tell_settings_stand(),
+            }
+        }
+    }
+}
+
+fn tell_settings_stand() {
+    log::info!("settings are read at the start only; a changed file counts from the next start on");
 }
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -53,23 +53,20 @@
 
 /// Runs a forwarding node until it is told to stop.
 pub fn run(path: PathBuf, platform: Box<dyn Platform>) -> Result<(), StartError> {
-    let settings = ForwardSettings::read(&path)?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(system("runtime"))?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, run_node(path, settings, platform))
+    local.block_on(&runtime, run_node(path, platform))
 }
 
-async fn run_node(
-    path: PathBuf,
-    settings: ForwardSettings,
-    platform: Box<dyn Platform>,
-) -> Result<(), StartError> {
-    let clock = clock::start();
-    let journal = Journal::to_standard_output(settings.node.as_str(), clock);
+async fn run_node(path: PathBuf, platform: Box<dyn Platform>) -> Result<(), StartError> {
+    // First of all: a signal without a listener ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(system("signals"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(system("signals"))?;
     let hangup = signal(SignalKind::hangup()).map_err(system("signals"))?;
+    let settings = ForwardSettings::read(&path)?;
+    let clock = clock::start();
+    let journal = Journal::to_standard_output(settings.node.as_str(), clock);
     let listen = settings.listen;
     let callers = ingress::listen(listen.callers).map_err(system("callers' address"))?;
     let readiness = ingress::listen(listen.readiness).map_err(system("readiness address"))?;
