Failing test: a stop begins a request after it takes callers no longer, and cuts it

Cause: a stream whose head left before the signal keeps its connection without Connection: close. Its caller sends the next request on it up to seconds later, which was begun where its route had no recent answer to tell how long it takes. Ruled out: the end of the soak itself (the stream was cut 2.6 s after it had begun, at the end of the node's grace period).

--- a/crates/cli/tests/forward/unanswered.rs
+++ b/crates/cli/tests/forward/unanswered.rs
@@ -135,6 +135,31 @@
     assert_eq!(runs, 0, "a refusal that says when to come back has not run");
 }
 
+/// A stream whose head had left before the signal keeps its connection without a word of the stop. Its caller sent the next
+/// request on it when callers were no longer taken; that one was begun, and cut by the end of the grace period: its route
+/// had had no answer by which its length could be known.
+#[tokio::test]
+async fn a_planned_stop_begins_nothing_after_it_takes_callers_no_longer() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let router = Router::start_with_grace(&place, 4).await;
+    for engine in &place.engines {
+        engine.script(&[Behaviour::Long; 4]);
+    }
+    let mut caller = RawCaller::connect(router.callers).await;
+    caller.send("/chat/1", "before").await;
+    let runs = |id: &'static str| place.engines.iter().map(|engine| engine.runs(id)).sum::<usize>();
+    router.until("running", async || runs("before") == 1).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    router.terminate();
+    assert!(matches!(caller.ending().await, Ending::Whole { status: 200, closes: false, .. }));
+    let ending = caller.call("/claim/1", "after").await;
+    let Ending::Whole { status: 503, closes: true, retry_after: Some(_), .. } = ending else {
+        panic!("{ending:?}\n{:#?}", router.lines());
+    };
+    assert_eq!(runs("after"), 0);
+}
+
 /// A refusal was sent before the request's body was read, and the connection closed with unread bytes: the reset could
 /// overtake the refusal.
 #[tokio::test]
