A stop begins nothing once it takes callers no longer

Cause: what is told to go elsewhere at once was begun on connections whose callers had heard nothing of the stop, seconds after the signal, by a guess of its length or none. Ruled out: a longer time in which such connections close by themselves: their callers send at once after a stream's end. Resting connections wait by one timer each.

--- a/crates/core/src/forwarding/answer_times.rs
+++ b/crates/core/src/forwarding/answer_times.rs
@@ -1,4 +1,4 @@
-//! How long whole answers have lately taken, and whether a planned stop leaves time for one more.
+//! How long whole answers have lately taken.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -71,9 +71,3 @@
             .collect();
     }
 }
-
-/// Whether a request may begin at a node that ends at `ends_at`: the longest recent answer of its route would still end by
-/// then, or the caller waits no longer. A route without a recent answer may begin.
-pub fn may_begin(ends_at: Timestamp, longest: Option<Duration>, waits: Duration, now: Timestamp) -> bool {
-    longest.is_none_or(|longest| longest.min(waits) <= ends_at.saturating_since(now))
-}
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -8,9 +8,10 @@
 //! | [`backends`] | which back ends exist and may get new work |
 //! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
+//! | [`planned_stop`] | what a node that was told to stop still begins |
 //! | [`pool`], [`ranks`] | nothing: the back ends of a service, indexed by an order that all nodes share |
 //! | [`attempt`] | what may follow the end of a try |
-//! | [`answer_times`] | whether a planned stop leaves time for one more request |
+//! | [`answer_times`] | nothing: how long answers have lately taken |
 //! | [`budget`] | whether a request may be repeated |
 //! | [`events`] | which events of a stream are whole and may be passed on |
 //! | [`fleet`] | what a node knows of the others, and whom it reports to |
@@ -33,6 +34,7 @@
 pub mod freshness;
 pub mod load;
 pub mod news;
+pub mod planned_stop;
 pub mod pool;
 pub mod prefixes;
 pub mod prompt;
--- a/crates/core/tests/forwarding_answer_times.rs
+++ b/crates/core/tests/forwarding_planned_stop.rs
@@ -1,8 +1,8 @@
-//! What a planned stop knows of how long answers take.
+//! How long answers take, and what a planned stop still begins.
 
 use std::time::Duration;
 
-use paddlemount_core::forwarding::answer_times::{AnswerTimes, may_begin};
+use paddlemount_core::forwarding::{answer_times::AnswerTimes, planned_stop::PlannedStop};
 use paddlemount_protocol::time::Timestamp;
 
 const ROUTE: &str = "chat";
@@ -50,10 +50,20 @@
 
 #[test]
 fn a_request_begins_only_where_a_long_answer_would_end_in_time() {
-    let (ends_at, waits) = (at(8), seconds(15));
-    assert!(may_begin(ends_at, Some(seconds(5)), waits, at(3)));
-    assert!(!may_begin(ends_at, Some(seconds(5)), waits, at(4)));
-    assert!(may_begin(ends_at, Some(seconds(5)), seconds(2), at(4)), "its caller leaves before the end");
-    assert!(may_begin(ends_at, None, waits, at(4)), "nothing is known of its route");
-    assert!(!may_begin(ends_at, Some(seconds(5)), waits, at(9)), "the end has passed");
+    let stop = PlannedStop::new(at(0), seconds(6), seconds(8));
+    let waits = seconds(15);
+    assert!(stop.may_begin(Some(seconds(5)), waits, at(3)));
+    assert!(!stop.may_begin(Some(seconds(5)), waits, at(4)));
+    assert!(stop.may_begin(Some(seconds(5)), seconds(2), at(4)), "its caller leaves before the end");
+    assert!(stop.may_begin(None, waits, at(4)), "nothing is known of its route");
+    assert!(!stop.may_begin(None, waits, at(9)), "the end has passed");
+}
+
+#[test]
+fn nothing_begins_once_callers_are_no_longer_taken() {
+    let stop = PlannedStop::new(at(0), seconds(3), seconds(8));
+    assert!(stop.may_begin(Some(seconds(1)), seconds(1), at(2)));
+    assert!(!stop.may_begin(Some(seconds(1)), seconds(1), at(3)));
+    let short = PlannedStop::new(at(0), seconds(3), seconds(2));
+    assert!(!short.may_begin(None, seconds(1), at(2)), "no longer than the grace period");
 }
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -183,7 +183,9 @@
 
     async fn wait_until(&self, at: Option<Timestamp>) {
         match at {
-            Some(at) => self.node.clock.sleep_until(at).await,
+            // One timer a connection, and no look at the clock between: a connection that rests longer since the machine
+            // was suspended harms nobody, and a node has thousands of them.
+            Some(at) => tokio::time::sleep(at.saturating_since(self.node.now())).await,
             None => std::future::pending().await,
         }
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -9,10 +9,8 @@
 
 use paddlemount_core::{
     forwarding::{
-        answer_times::{self, AnswerTimes},
-        backends::BackendId,
-        choice::Choice,
-        document::Route,
+        answer_times::AnswerTimes, backends::BackendId, choice::Choice, document::Route,
+        planned_stop::PlannedStop,
     },
     health::{HealthEvent, HealthVerdict},
     limits::ledger::{Place, QuotaGrant},
@@ -61,8 +59,8 @@
     pub peers: Option<RefCell<Peers>>,
     /// Calls to the metadata store.
     pub store: Caller,
-    /// When it ends at the latest, once it has been told to stop.
-    pub ends_at: Cell<Option<Timestamp>>,
+    /// The planned stop, once it has been told to stop.
+    pub planned_stop: Cell<Option<PlannedStop>>,
     /// How long answers have lately taken.
     pub answer_times: RefCell<AnswerTimes>,
     /// Whether the grace period of a planned stop is over.
@@ -111,7 +109,7 @@
             pool: RefCell::default(),
             peers,
             store,
-            ends_at: Cell::new(None),
+            planned_stop: Cell::new(None),
             answer_times: RefCell::default(),
             grace_is_over: Cell::new(false),
             running: Cell::new(0),
@@ -141,15 +139,15 @@
 
     /// Whether it has been told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.ends_at.get().is_some()
+        self.planned_stop.get().is_some()
     }
 
     /// Whether a request of `route`, whose caller waits until `waits_until`, can be answered before a planned stop ends.
     pub fn has_time_for(&self, route: &Route, waits_until: Timestamp) -> bool {
-        let Some(ends_at) = self.ends_at.get() else { return true };
+        let Some(stop) = self.planned_stop.get() else { return true };
         let now = self.now();
         let longest = self.answer_times.borrow().longest(&route.name, now);
-        answer_times::may_begin(ends_at, longest, waits_until.saturating_since(now), now)
+        stop.may_begin(longest, waits_until.saturating_since(now), now)
     }
 
     /// Gives back what was granted of a quota to a request that has not run.
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
+use paddlemount_core::forwarding::planned_stop::PlannedStop;
 use tokio::{
     net::TcpListener,
     signal::unix::{Signal, SignalKind, signal},
@@ -147,14 +148,14 @@
 async fn stop(node: &Rc<Node>, stage: &watch::Sender<StopStage>, callers: &Callers) {
     let began = node.now();
     let grace = Duration::from_millis(node.settings().bounds.grace_ms).saturating_sub(GRACE_MARGIN);
-    let ends_at = began + grace;
-    node.ends_at.set(Some(ends_at));
+    let planned = PlannedStop::new(began, LONGEST_LEAVING.min(grace * 2 / 5), grace);
+    node.planned_stop.set(Some(planned));
     node.journal.tell(&Event::Stopping { running: node.running.get() });
     stage.send_replace(StopStage::Leaving);
-    tokio::time::sleep(LONGEST_LEAVING.min(grace * 2 / 5)).await;
+    node.clock.sleep_until(planned.takes_until).await;
     stage.send_replace(StopStage::Closing);
     node.journal.tell(&Event::CallersClosing { open: callers.open(), running: node.running.get() });
-    while !callers.are_gone() && node.now() < ends_at {
+    while !callers.are_gone() && node.now() < planned.ends_at {
         tokio::time::sleep(END_PAUSE).await;
     }
     let after_ms = node.now().saturating_since(began).as_millis() as u64;
