Close connections amid a head that never ends; what was acknowledged outlasts a loss of all nodes

Cause: found by reading the mend: the HTTP library waits without end for the rest of a first head when it is asked to close, since the time-out for heads was its own and is now ours. Change: such a connection is dropped.

--- a/crates/cli/tests/forward/ending.rs
+++ b/crates/cli/tests/forward/ending.rs
@@ -1,9 +1,12 @@
-//! Planned stops.
+//! Planned stops, losses of all nodes, and connections that end by themselves.
 
 use http::StatusCode;
 use paddlemount_platform_standin::{Behaviour, Place, place::KEY};
 
-use crate::router::Router;
+use crate::{raw_caller::RawCaller, router::Router};
+
+/// A key that the operator takes away.
+const REMOVED_KEY: &str = "key-that-goes";
 
 #[tokio::test]
 async fn a_planned_stop_takes_the_node_out_first_and_cuts_off_no_stream() {
@@ -36,3 +39,45 @@
     assert!(router.ended().await);
     assert!(!place.has_leader());
 }
+
+#[tokio::test]
+async fn a_configuration_that_was_acknowledged_outlasts_a_loss_of_all_nodes() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY, REMOVED_KEY]);
+    for version in 2..6 {
+        let names = ["node-1", "node-2", "node-3"];
+        let mut routers = Vec::new();
+        for name in names {
+            routers.push(Router::start_at(place.store_address, name).await);
+        }
+        for router in &routers {
+            router.until("ready", async || router.ask_readiness().await == Some(StatusCode::OK)).await;
+        }
+        // The store has it, and perhaps no node has heard of it yet.
+        let keys: &[&str] = if version % 2 == 0 { &[KEY] } else { &[KEY, REMOVED_KEY] };
+        place.configure(version, keys);
+        for router in &routers {
+            router.signal("-KILL");
+        }
+        let router = Router::start_at(place.store_address, names[0]).await;
+        let answered = async || {
+            let got = router.send_with_key("/hold/1", &format!("lost-{version}"), REMOVED_KEY).await;
+            let status = got.expect("an answer").status;
+            let wanted = if version % 2 == 0 { StatusCode::UNAUTHORIZED } else { StatusCode::OK };
+            assert!(status == wanted || status == StatusCode::SERVICE_UNAVAILABLE, "{version}: {status}");
+            status == wanted
+        };
+        router.until("served by what was acknowledged", answered).await;
+    }
+}
+
+#[tokio::test]
+async fn a_head_that_never_ends_keeps_a_connection_no_longer_than_a_rest() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure_idle(1, &[KEY], 300);
+    let router = Router::start(&place).await;
+    let mut caller = RawCaller::connect(router.callers).await;
+    caller.write(b"POST /hold/1 HTTP/1.1\r\nHost: pl").await;
+    let closed = async || !caller.is_open();
+    router.until("closed", closed).await;
+}
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -137,8 +137,13 @@
         tokio::select! {
             biased;
             _ = connection.as_mut() => return,
-            () = self.until_rested(socket) => connection.as_mut().graceful_shutdown(),
+            () = self.until_rested(socket) => {}
         }
+        if socket.is_amid_head() {
+            // The library would wait for the rest of the head.
+            return;
+        }
+        connection.as_mut().graceful_shutdown();
         tokio::select! {
             _ = connection => {}
             _ = self.stage.wait_for(|stage| *stage == StopStage::Over) => {}
