Connections that lapse: what lies in them is answered on both interfaces

Cause: the same class elsewhere, looked for where a connection lapses by its rest. Change: two tests.

--- a/crates/cli/tests/forward/unanswered.rs
+++ b/crates/cli/tests/forward/unanswered.rs
@@ -194,6 +194,32 @@
     assert!(caller.call("/quote/1", "rest-2").await.is_whole(), "{:#?}", router.lines());
 }
 
+/// A connection that has rested for as long as callers may count on is closed. What has come on it by then is answered,
+/// also where the node got no processor time meanwhile.
+#[tokio::test]
+async fn what_lies_in_connections_that_have_rested_for_long_is_answered() {
+    /// After a rest of 300 ms that callers may count on.
+    const CLOSES_AFTER: Duration = Duration::from_millis(5_300);
+    let place = Place::start().await.expect("a place starts");
+    place.configure_idle(1, &[KEY], 300);
+    let router = Router::start(&place).await;
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let mut caller = RawCaller::connect(router.callers).await;
+        assert!(caller.call("/quote/1", &format!("rested-{number}")).await.is_whole());
+        callers.push(caller);
+    }
+    tokio::time::sleep(CLOSES_AFTER - HELD_UP).await;
+    router.freeze();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.send("/quote/1", &format!("at-last-{number}")).await;
+    }
+    tokio::time::sleep(2 * HELD_UP).await;
+    router.thaw();
+    let endings = endings(callers).await;
+    assert!(endings.iter().all(Ending::is_whole), "{endings:?}\n{:#?}", router.lines());
+}
+
 /// A stream's head was passed on before its first event. What went wrong between the two could then only be told by cutting
 /// the answer.
 #[tokio::test]
--- a/crates/cli/tests/planned_work.rs
+++ b/crates/cli/tests/planned_work.rs
@@ -15,7 +15,7 @@
 };
 
 use support::{
-    Answer, Cluster, KEY, chat,
+    Answer, Cluster, KEY, Process, chat,
     expectations::{body, check_stream, conversation},
     read_answer, send, wait_until,
 };
@@ -69,6 +69,12 @@
     assert_eq!(cluster.nodes[0].wait(), Some(0));
 }
 
+fn connect(node: &Process) -> TcpStream {
+    let stream = TcpStream::connect(node.address("callers")).expect("a connection comes up");
+    stream.set_read_timeout(Some(Duration::from_secs(10))).expect("an option can be set");
+    stream
+}
+
 fn ask_for_models(stream: &mut TcpStream) {
     let request = format!("GET /v1/models HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {KEY}\r\n\r\n");
     // Where the connection has ended already, reading the answer shows it.
@@ -86,12 +92,7 @@
 fn what_lies_in_sockets_at_the_end_of_a_planned_stop_is_answered() {
     let mut cluster = Cluster::start(1, 1, "");
     let node = &cluster.nodes[0];
-    let connect = || {
-        let stream = TcpStream::connect(node.address("callers")).expect("a connection comes up");
-        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("an option can be set");
-        stream
-    };
-    let mut streams: Vec<TcpStream> = (0..CALLERS).map(|_| connect()).collect();
+    let mut streams: Vec<TcpStream> = (0..CALLERS).map(|_| connect(node)).collect();
     for stream in &mut streams {
         ask_for_models(stream);
         let answer: Answer = read_answer(stream);
@@ -100,7 +101,7 @@
     node.terminate();
     std::thread::sleep(Duration::from_millis(100));
     node.signal("-STOP");
-    streams.extend((0..CALLERS).map(|_| connect()));
+    streams.extend((0..CALLERS).map(|_| connect(node)));
     streams.iter_mut().for_each(ask_for_models);
     std::thread::sleep(Duration::from_millis(700));
     node.signal("-CONT");
@@ -108,3 +109,23 @@
     assert_eq!(cut, 0, "of {}", 2 * CALLERS);
     assert_eq!(cluster.nodes[0].wait(), Some(0));
 }
+
+#[test]
+fn what_lies_in_connections_that_have_rested_for_long_is_answered() {
+    const REST: Duration = Duration::from_millis(1_500);
+    const HELD_UP: Duration = Duration::from_millis(350);
+    let cluster = Cluster::start(1, 1, "[timeouts]\nkeep_alive_ms = 1500");
+    let node = &cluster.nodes[0];
+    let mut streams: Vec<TcpStream> = (0..CALLERS).map(|_| connect(node)).collect();
+    for stream in &mut streams {
+        ask_for_models(stream);
+        assert_eq!(read_answer(stream).status, 200);
+    }
+    std::thread::sleep(REST - HELD_UP);
+    node.signal("-STOP");
+    streams.iter_mut().for_each(ask_for_models);
+    std::thread::sleep(2 * HELD_UP);
+    node.signal("-CONT");
+    let cut = streams.into_iter().map(is_answered).filter(|answered| !answered).count();
+    assert_eq!(cut, 0, "of {CALLERS}");
+}
