Move the request of a try into a module of its own

Cause: exchange.rs had grown to 410 lines with the decisions on planned stops and first events. Ruled out: splitting off the decisions; they belong to one life of a request.

--- a/crates/cli/tests/forward/unanswered.rs
+++ b/crates/cli/tests/forward/unanswered.rs
@@ -30,6 +30,17 @@
     (place, router)
 }
 
+/// Engines whose next streams take 3 s, before a node that has 4 s for a planned stop.
+async fn long_streams_and_short_grace() -> (Place, Router) {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let router = Router::start_with_grace(&place, 4).await;
+    for engine in &place.engines {
+        engine.script(&[Behaviour::Long; 4]);
+    }
+    (place, router)
+}
+
 /// Stops the node, which gets no processor time around the moment at which it takes callers no longer; `act` does what
 /// callers do meanwhile.
 async fn stop_and_hold_up<T>(router: &Router, act: impl Future<Output = T>) -> T {
@@ -117,12 +128,7 @@
 /// lasted longer than the rest of the second was cut: `stopped` with `running: 1` after the whole grace period.
 #[tokio::test]
 async fn a_planned_stop_begins_no_stream_that_it_cannot_end() {
-    let place = Place::start().await.expect("a place starts");
-    place.configure(1, &[KEY]);
-    let router = Router::start_with_grace(&place, 4).await;
-    for engine in &place.engines {
-        engine.script(&[Behaviour::Long; 4]);
-    }
+    let (place, router) = long_streams_and_short_grace().await;
     let mut caller = RawCaller::connect(router.callers).await;
     assert!(caller.call("/chat/1", "long-1").await.is_whole());
     router.terminate();
@@ -140,12 +146,7 @@
 /// had had no answer by which its length could be known.
 #[tokio::test]
 async fn a_planned_stop_begins_nothing_after_it_takes_callers_no_longer() {
-    let place = Place::start().await.expect("a place starts");
-    place.configure(1, &[KEY]);
-    let router = Router::start_with_grace(&place, 4).await;
-    for engine in &place.engines {
-        engine.script(&[Behaviour::Long; 4]);
-    }
+    let (place, router) = long_streams_and_short_grace().await;
     let mut caller = RawCaller::connect(router.callers).await;
     caller.send("/chat/1", "before").await;
     let runs = |id: &'static str| place.engines.iter().map(|engine| engine.runs(id)).sum::<usize>();
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use paddlemount_core::{
     forwarding::{
         attempt::{AttemptEnd, Spent},
         backends::BackendId,
         choice::Choice,
-        document::{Route, RouteKind, rank},
+        document::{Route, RouteKind},
     },
     limits::ledger::QuotaGrant,
 };
@@ -22,10 +22,11 @@
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
+    dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
     node::Node,
     placing::Ask,
-    ports::{CopiedRun, Dispatch, RequestHead},
+    ports::{CopiedRun, RequestHead},
     relay::Relay,
 };
 
@@ -38,15 +39,6 @@
 /// The least time that a try at a silent back end gets before another one is asked.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
 
-/// From where a try goes on.
-#[derive(Debug, Default)]
-pub struct Resume {
-    /// The last event that the caller has.
-    pub after: Option<u64>,
-    /// The run whose copied memory it goes on from.
-    pub continues: Option<CopiedRun>,
-}
-
 /// A request that is being served.
 pub struct Exchange {
     /// The node.
@@ -59,7 +51,7 @@
     pub spent: Spent,
     pub(crate) account: Account,
     pub(crate) arrived: Timestamp,
-    head: RequestHead,
+    pub(crate) head: RequestHead,
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
     pub(crate) service: ServiceId,
@@ -270,37 +262,6 @@
         found
     }
 
-    fn request(&self, choice: &Choice, resume: &Resume, now: Timestamp) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.parts.method.clone();
-        let path = self.parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        if let Ok(uri) = path.parse() {
-            *request.uri_mut() = uri;
-        }
-        let mut headers = self.parts.headers.clone();
-        strip_connection_headers(&mut headers);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
-        if !self.body.is_empty() || self.parts.headers.contains_key(header::CONTENT_LENGTH) {
-            headers.insert(header::CONTENT_LENGTH, self.body.len().into());
-        }
-        let dispatch = Dispatch {
-            backend: &choice.backend,
-            deadline: self.give_up_at.saturating_since(now),
-            tenant: self.account.tenant.as_deref(),
-            rank: rank(self.account.tenant.as_deref(), &self.route),
-            scope: choice.scope.as_ref(),
-            import_from: choice.import_from,
-            save_to: choice.save_to.as_ref().map(|store| store.address),
-            copy_to: choice.copy_to.as_ref().map(|holder| holder.address),
-            continues: resume.continues.as_ref(),
-            resume_after: resume.after,
-        };
-        self.node.platform.write_request(&mut headers, &dispatch);
-        *request.headers_mut() = headers;
-        request
-    }
-
     async fn finish_whole(&mut self, begun: Begun) -> Result<Response<Bytes>, Ended> {
         match self.node.clock.within(self.give_up_at, take_whole(&self.node, begun)).await {
             Some(Ok(answer)) => Ok(answer),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod calls;
 pub mod clock;
 pub mod connection;
+pub mod dispatch;
 pub mod exchange;
 pub mod feed;
 pub mod ingress;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -18,7 +18,8 @@
     account::STREAMED,
     answers::AnswerBody,
     attempts::{Begun, Ended},
-    exchange::{Exchange, Resume, is_resumable},
+    dispatch::Resume,
+    exchange::{Exchange, is_resumable},
 };
 
 /// How long a resumable stream may be silent, in multiples of the pause that its route calls good.
