--- a/crates/cli/tests/forward/planned_soak.rs
+++ b/crates/cli/tests/forward/planned_soak.rs
@@ -26,6 +26,8 @@
 /// Callers for each node.
 const CALLERS_A_NODE: usize = 8;
 const SERIES: u64 = 3;
+/// How long a caller waits that was refused.
+const COME_BACK: Duration = Duration::from_millis(50);
 const SECONDS_IN_CI: u64 = 8;
 /// Seeds that are played each time; those that once failed stay here with their cause. 2: requests on new connections were
 /// reset as a stop closed its listener. 143: a stream was begun after callers were no longer taken, and cut.
@@ -130,6 +132,9 @@
                 match caller.call(path, &id).await {
                     Ending::Whole { status, closes, .. } => {
                         *statuses.entry(status).or_default() += 1;
+                        if status == 503 {
+                            tokio::time::sleep(COME_BACK).await;
+                        }
                         if closes {
                             break;
                         }
