A serving node lingers until it has run and nothing has come for 250 ms

Cause: as the test before has it: the time to linger was one sleep, over at once when the process ran again. Ruled out: a longer sleep, which a longer pause outlasts as well. Change: the time is looked at every 10 ms and begins anew where a request has come or a look came over 100 ms late, for 2 s at most.

--- a/crates/cli/tests/planned_work.rs
+++ b/crates/cli/tests/planned_work.rs
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn what_lies_in_connections_that_have_rested_for_long_is_answered() {
+fn a_serving_node_answers_what_lies_in_connections_that_have_rested_for_long() {
     const REST: Duration = Duration::from_millis(1_500);
     const HELD_UP: Duration = Duration::from_millis(350);
     let cluster = Cluster::start(1, 1, "[timeouts]\nkeep_alive_ms = 1500");
--- a/crates/node/src/active.rs
+++ b/crates/node/src/active.rs
@@ -12,6 +12,8 @@
 pub struct ActiveRequests {
     limit: usize,
     count: AtomicUsize,
+    /// Requests that have come so far, refused ones too.
+    come: AtomicUsize,
     draining: AtomicBool,
     changed: Notify,
 }
@@ -34,7 +36,13 @@
 impl ActiveRequests {
     /// Room for `limit` requests at the same time.
     pub fn new(limit: usize) -> Self {
-        Self { limit, count: AtomicUsize::new(0), draining: AtomicBool::new(false), changed: Notify::new() }
+        Self {
+            limit,
+            count: AtomicUsize::new(0),
+            come: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            changed: Notify::new(),
+        }
     }
 
     /// Counts a new request.
@@ -46,6 +54,7 @@
         // The request is counted before the flag is read: a drain that sees a count of zero
         // therefore knows that no later request gets past the flag.
         let before = self.count.fetch_add(1, Ordering::SeqCst);
+        self.come.fetch_add(1, Ordering::SeqCst);
         let guard = ActiveGuard { requests: Arc::clone(self) };
         if self.draining.load(Ordering::SeqCst) {
             return Err(EntryRefusal::Draining);
@@ -61,6 +70,11 @@
         self.count.load(Ordering::SeqCst)
     }
 
+    /// Requests that have come so far, refused ones too.
+    pub fn come(&self) -> usize {
+        self.come.load(Ordering::SeqCst)
+    }
+
     /// Whether the node takes no new requests.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::task::JoinSet;
+use tokio::{task::JoinSet, time::Instant};
 
 use crate::{
     admin, caller, drivers, peers,
@@ -13,9 +13,15 @@
 
 /// Threads that serve nodes, and threads that serve operators.
 const INTERNAL_WORKERS: usize = 1;
-/// Time between the end of the last request and the end of the servers, in which late requests are
-/// still told that the node stops. Answers have left the servers' buffers before.
+/// Time without a request between the end of the last one and the end of the servers. Late requests are told until then
+/// that the node stops, and answers leave the servers' buffers.
 const LINGER: Duration = Duration::from_millis(250);
+/// How often that time is looked at.
+const LINGER_LOOK: Duration = Duration::from_millis(10);
+/// A look that comes later than this after the one before shows that the process got no processor time.
+const HELD_UP: Duration = Duration::from_millis(100);
+/// The longest time to linger, where callers go on coming.
+const LONGEST_LINGER: Duration = Duration::from_secs(2);
 
 /// Starts nodes.
 pub struct Node;
@@ -97,10 +103,26 @@
         self.state.active.start_draining();
         peers::announce_leaving(&self.state).await;
         self.state.active.wait_until_idle().await;
-        tokio::time::sleep(LINGER).await;
+        self.linger().await;
         self.end().await;
     }
 
+    /// Waits until no request has come for [`LINGER`]. Time in which the process did not run does not count: what came
+    /// meanwhile lies in sockets, and the end of the servers would reset it.
+    async fn linger(&self) {
+        let began = Instant::now();
+        let (mut quiet_since, mut looked_at) = (began, began);
+        let mut come = self.state.active.come();
+        while quiet_since.elapsed() < LINGER && began.elapsed() < LONGEST_LINGER {
+            tokio::time::sleep(LINGER_LOOK).await;
+            let now_come = self.state.active.come();
+            if now_come != come || looked_at.elapsed() > HELD_UP {
+                quiet_since = Instant::now();
+            }
+            (come, looked_at) = (now_come, Instant::now());
+        }
+    }
+
     /// Ends at once, as a crash would.
     pub async fn kill(self) {
         self.end().await;
