Nodes with nothing to tell report less often

Cause: five reports a second from each of a thousand nodes with less than one request a second each; half of them said nothing. Ruled out: a longer period for all: loads would be told later where they count. Change: a node without requests, news and nodes below it reports each eighth of the bound of configuration, 200 to 600 ms.

--- a/crates/core/src/forwarding/news.rs
+++ b/crates/core/src/forwarding/news.rs
@@ -86,6 +86,11 @@
         self.on_the_way.clone()
     }
 
+    /// Whether something waits to be told above.
+    pub fn has_news(&self) -> bool {
+        !(self.on_the_way.is_empty() && self.of_stores.is_empty() && self.of_engines.is_empty())
+    }
+
     /// The node above has taken the last report.
     pub fn taken(&mut self) {
         self.on_the_way.clear();
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -77,7 +77,7 @@
                     node.journal.tell(&Event::ParentChanged { parent: parent.node.as_str(), level });
                     link = Some(Link::to(parent, &node));
                 }
-                if let Some(link) = &link {
+                if let Some(link) = link.as_ref().filter(|link| link.is_due(&node, now)) {
                     link.exchange(&node).await;
                 }
             }
@@ -149,16 +149,33 @@
     cursor: Cell<(u64, u64)>,
     /// The last news of runs that the node above has taken; another node above is told all that is remembered.
     runs_told: Cell<u64>,
+    /// When the last report was sent, and whether requests were under way then.
+    sent: Cell<Option<(Timestamp, bool)>>,
 }
 
 impl Link {
     fn to(parent: Contact, node: &Node) -> Self {
         let calls = Caller::new(parent.address, node.clock);
-        Self { parent, calls, cursor: Cell::new((NO_LOG, 0)), runs_told: Cell::new(0) }
+        Self { parent, calls, cursor: Cell::new((NO_LOG, 0)), runs_told: Cell::new(0), sent: Cell::new(None) }
+    }
+
+    /// Whether it is time to report. A node without requests and without others below it has nothing to tell: where each
+    /// of a thousand has less than one request a second, half of the reports would say nothing.
+    fn is_due(&self, node: &Node, now: Timestamp) -> bool {
+        let Some((sent_at, was_busy)) = self.sent.get() else { return true };
+        let tells = node.peers.as_ref().is_some_and(|peers| {
+            let peers = peers.borrow();
+            peers.news.has_news() || !peers.fleet.children.is_empty()
+        });
+        let lacks = node.beliefs.borrow().revision.is_none() || node.history_lost.get();
+        let busy = was_busy || node.running.get() > 0;
+        let idle = now.saturating_since(sent_at) < node.settings().bounds.idle_report();
+        tells || lacks || busy || !idle
     }
 
     async fn exchange(&self, node: &Node) {
         let sent_at = node.now();
+        self.sent.set(Some((sent_at, node.running.get() > 0)));
         let Some((report, runs_upto)) = self.report_of(node) else { return };
         let (told_news, revision) = (!report.news.is_empty(), report.revision);
         let answer: Result<Digest, String> = ask(&self.calls, EXCHANGE_PATH, &report, PATIENCE).await;
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -303,6 +303,12 @@
         if first_start { Duration::from_millis(bound) } else { Duration::from_millis(bound * 3 / 10) }
     }
 
+    /// How long a node that has nothing to tell may leave the node above without a report. What is told to it grows older by
+    /// as much: an eighth of the bound leaves time for it on each of four levels.
+    pub fn idle_report(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms / 8).clamp(200, 600))
+    }
+
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
     pub fn watch_wait(&self) -> Duration {
         Duration::from_millis((self.revocation_ms * 2 / 5).clamp(200, 5_000))
