A node with nothing to tell reports often enough that one late report is no loss

Ruled out: a longer time until it asks the store: changes would come later where the others are really lost.

--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -304,9 +304,10 @@
     }
 
     /// How long a node that has nothing to tell may leave the node above without a report. What is told to it grows older by
-    /// as much: an eighth of the bound leaves time for it on each of four levels.
+    /// as much: a tenth of the bound leaves time for it on each of four levels, and is less than half of the time after which
+    /// a node that is told nothing asks the store itself.
     pub fn idle_report(&self) -> Duration {
-        Duration::from_millis((self.configuration_ms / 8).clamp(200, 600))
+        Duration::from_millis((self.configuration_ms / 10).clamp(200, 500))
     }
 
     /// How long one watch of the store waits: its answer is the proof that what is known is recent.
