--- a/crates/cli/tests/forward/fleet.rs
+++ b/crates/cli/tests/forward/fleet.rs
@@ -217,6 +217,24 @@
     assert!(calls_for(&routers[leader], "list").await > listed[leader], "the root had to list it");
 }
 
+#[tokio::test]
+async fn where_the_root_is_cut_off_from_a_store_that_forgets_the_others_go_on_by_themselves() {
+    // They used to take the snapshot of the root, which is older than what they know, again and again.
+    let (place, links, routers) = fleet().await;
+    let cut_off = leader(&routers).await;
+    links[cut_off].set(Harm::Silent);
+    place.configure_and_forget(2, &["another-key"]);
+    for (number, router) in routers.iter().enumerate().filter(|(number, _)| *number != cut_off) {
+        until_served_by(router, "another-key").await;
+        let refused = router.send("/hold/1", &format!("o{number}")).await;
+        assert!(refused.is_some_and(|got| got.status == StatusCode::UNAUTHORIZED));
+    }
+    place.configure_and_forget(3, &["a-third-key"]);
+    for (_, router) in routers.iter().enumerate().filter(|(number, _)| *number != cut_off) {
+        until_served_by(router, "a-third-key").await;
+    }
+}
+
 #[tokio::test]
 async fn a_node_that_starts_serves_by_the_first_pages_and_takes_the_rest_from_the_node_above() {
     let (place, _links, routers) = fleet().await;
--- a/crates/core/src/forwarding/change_log.rs
+++ b/crates/core/src/forwarding/change_log.rs
@@ -52,6 +52,12 @@
     reported.is_some() && reported == known
 }
 
+/// Whether a snapshot of revision `offered` is taken in where `known` is known. An older one takes back what is known, also
+/// where the store has forgotten what followed that: a node that was cut off from the store once gave such a one.
+pub fn is_newer(offered: Revision, known: Option<Revision>) -> bool {
+    known.is_none_or(|known| known < offered)
+}
+
 /// The subjects that have changed, in the order of their revisions.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ChangeLog {
--- a/crates/core/tests/forwarding_change_log.rs
+++ b/crates/core/tests/forwarding_change_log.rs
@@ -2,7 +2,7 @@
 
 use paddlemount_core::forwarding::{
     backends::BackendId,
-    change_log::{ChangeLog, Subject},
+    change_log::{ChangeLog, Subject, is_newer},
 };
 use paddlemount_protocol::identity::Revision;
 
@@ -58,3 +58,14 @@
     assert_eq!(count(&log, 0, 2), None);
     assert_eq!(count(&log, 1, 2), Some(1));
 }
+
+/// A node whose history was lost took the snapshot of a node that was cut off from the store, twelve revisions older than
+/// what it knew. It asked for what followed, which the store had forgotten, took the same snapshot again, and served by an old
+/// configuration for four seconds.
+#[test]
+fn a_snapshot_never_takes_back_what_is_known() {
+    assert!(is_newer(Revision(16), None));
+    assert!(is_newer(Revision(29), Some(Revision(28))));
+    assert!(!is_newer(Revision(28), Some(Revision(28))));
+    assert!(!is_newer(Revision(16), Some(Revision(28))));
+}
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -41,9 +41,6 @@
 /// Pages that a node lists before it waits for a snapshot from another one. All of a store of a hundred back ends lies on
 /// one or two; of ten thousand on fifty.
 const PAGES_ALONE: u32 = 2;
-/// How long a snapshot is waited for while callers wait: a few round trips, and some tenths of a second for a megabyte on a
-/// link of 20 Mbit/s. Doubled at random, so that those that wait in vain do not list at the same moment.
-const SNAPSHOT_AWAITED: Duration = Duration::from_millis(1_500);
 /// How long the pages listed so far are added to. The changes since the first one are asked for once all are there, and the
 /// store keeps a history of 20 s.
 const LISTING_HOLDS: Duration = Duration::from_secs(8);
@@ -177,7 +174,7 @@
 
     /// Learns all anew where the store has forgotten what has changed: a snapshot of the node above costs it nothing.
     async fn learn_anew(&mut self) -> Result<(), StoreError> {
-        let until = self.snapshot_awaited_until.get_or_insert_with(|| snapshot_deadline(self.node.now()));
+        let until = self.snapshot_awaited_until.get_or_insert_with(|| snapshot_deadline(&self.node));
         if self.node.has_parent() && self.node.now() < *until {
             let _ = tokio::time::timeout(RELAYED_LOOK, self.node.store_known.notified()).await;
             return Ok(());
@@ -280,7 +277,7 @@
                     listing.revision.unwrap_or_default(),
                     listing.sent_at,
                 );
-                self.snapshot_awaited_until = Some(snapshot_deadline(self.node.now()));
+                self.snapshot_awaited_until = Some(snapshot_deadline(&self.node));
                 return Ok(());
             }
         }
@@ -356,7 +353,8 @@
     }
 }
 
-/// Until when a snapshot is waited for from now on.
-fn snapshot_deadline(now: Timestamp) -> Timestamp {
-    now + SNAPSHOT_AWAITED.mul_f64(1.0 + rand::random::<f64>())
+/// Until when a snapshot is waited for from now on. Those that wait in vain spread out, not to list at the same moment.
+fn snapshot_deadline(node: &Node) -> Timestamp {
+    let awaited = node.settings().bounds.snapshot_awaited();
+    node.now() + awaited.mul_f64(1.0 + rand::random::<f64>())
 }
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -45,7 +45,10 @@
     /// Takes in what the store has told another node. It counts from when the report was sent, less the age that the
     /// proof then had at the other node: so an answer that was long under way proves nothing recent.
     fn take_relay(&self, relay: StoreRelay, revision: Option<Revision>, sent_at: Timestamp) {
-        if !is_still_asked_for(revision, self.beliefs.borrow().revision) {
+        let age = Duration::from_millis(relay.age_ms);
+        // A node that is cut off from the store itself tells nothing that this one may act on.
+        let is_old = age >= self.settings().bounds.relayed_within();
+        if is_old || !is_still_asked_for(revision, self.beliefs.borrow().revision) {
             return;
         }
         let facts: Vec<Fact> = match relay.changes.as_str() {
@@ -59,7 +62,7 @@
             },
         };
         self.follow_registry(relay.registry);
-        self.learn(facts, relay.upto, relayed_proof(sent_at, Duration::from_millis(relay.age_ms)));
+        self.learn(facts, relay.upto, relayed_proof(sent_at, age));
         self.history_lost.set(false);
         if let Some(peers) = &self.peers {
             peers.borrow_mut().relayed_at = Some(sent_at);
--- a/crates/forward/src/peers/snapshot.rs
+++ b/crates/forward/src/peers/snapshot.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use paddlemount_core::forwarding::change_log::relayed_proof;
+use paddlemount_core::forwarding::change_log::{is_newer, relayed_proof};
 use paddlemount_protocol::{
     fleet::{RegistryState, SNAPSHOT_PATH},
     identity::Revision,
@@ -59,7 +59,8 @@
     }
 }
 
-/// Answers with a snapshot; refuses where this node does not know all itself, or gives enough of them already.
+/// Answers with a snapshot; refuses where this node does not know all itself, what it knows is old, or it gives enough of
+/// them already.
 pub(super) fn give(node: &Rc<Node>) -> Response<AnswerBody> {
     let now = node.now();
     let most = (node.settings().limits.fan_in() / GIVEN_PART).max(1);
@@ -92,7 +93,8 @@
 fn make(node: &Node, now: Timestamp) -> Option<Snapshot> {
     let beliefs = node.beliefs.borrow();
     let revision = beliefs.revision.filter(|_| !node.history_lost.get())?;
-    let age = beliefs.freshness.age(now)?;
+    let within = node.settings().bounds.relayed_within();
+    let age = beliefs.freshness.age(now).filter(|age| *age < within)?;
     let registry = beliefs.backends.registry.told(now);
     let content = Content { revision, registry, facts: beliefs.all_facts() };
     let body = serde_json::to_vec(&content).ok()?;
@@ -115,7 +117,7 @@
         return;
     };
     let known = node.beliefs.borrow().revision;
-    if known.is_some_and(|known| known >= content.revision) && !node.history_lost.get() {
+    if !is_newer(content.revision, known) {
         return;
     }
     let (items, revision) = (content.facts.len(), content.revision);
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -303,6 +303,13 @@
         if first_start { Duration::from_millis(bound) } else { Duration::from_millis(bound * 3 / 10) }
     }
 
+    /// How long a snapshot of another node is waited for, and at most as long again: some reports, and with the longer bounds
+    /// of large fleets some tenths of a second for a megabyte on a link of 20 Mbit/s. A change must come in time where
+    /// nobody gives one.
+    pub fn snapshot_awaited(&self) -> Duration {
+        Duration::from_millis((self.configuration_ms / 5).clamp(200, 1_500))
+    }
+
     /// How long a node that has nothing to tell may leave the node above without a report. What is told to it grows older by
     /// as much: a tenth of the bound leaves time for it on each of four levels, and is less than half of the time after which
     /// a node that is told nothing asks the store itself.
