Lines tell whose budget a repeat draws on, who answered, and that an address was taken over

Cause: an attempt_ended line named the back end that was asked, not the one that answered, nor the service whose retry budget is drawn on, so that repeats which arrive at another service could not be told from others. Ruled out: a line for each misdirected answer; attempt_ended is that already. Change: attempt_ended has service and answered_by; backend_replaced tells where an answer shows another process at a back end's address; paddlemount_forward_misdirected_total counts refusals as misdirected.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     connection::{Connection, ConnectionError},
+    journal::Event,
     metrics::Counter,
     node::Node,
     ports::AnswerHead,
@@ -51,12 +52,21 @@
     pub reused: bool,
     /// Whether the connection ended under the run, which is how a back end's crash shows.
     pub broke: bool,
+    /// The back end that answered, where the answer names it.
+    pub answered_by: Option<BackendId>,
 }
 
 impl Ended {
     /// The back end may have run the request, and will not be heard of it any more.
     pub fn unclear(detail: String) -> Self {
-        Self { end: AttemptEnd::Unclear, detail, answer: None, reused: false, broke: false }
+        Self {
+            end: AttemptEnd::Unclear,
+            detail,
+            answer: None,
+            reused: false,
+            broke: false,
+            answered_by: None,
+        }
     }
 
     /// The same, where the connection ended under the run.
@@ -183,7 +193,7 @@
         node.health(&choice.backend, HealthEvent::Failed, !reused && end == AttemptEnd::NotSent);
     }
     let broke = matches!(error, ConnectionError::Broken(_));
-    Ended { end, detail: error.to_string(), answer: None, reused, broke }
+    Ended { end, reused, broke, ..Ended::unclear(error.to_string()) }
 }
 
 /// Sorts out answers that are not passed on as they come.
@@ -199,8 +209,9 @@
     if begun.says.not_run || begun.says.misdirected {
         note_refusal(node, choice, &begun.says);
         let detail = format!("status {status}, not run");
+        let answered_by = begun.says.backend.clone();
         let _ = tokio::time::timeout(REFUSAL_BODY, take_whole(node, begun)).await;
-        return Err(Ended { end: AttemptEnd::NotRun, reused, ..Ended::unclear(detail) });
+        return Err(Ended { end: AttemptEnd::NotRun, reused, answered_by, ..Ended::unclear(detail) });
     }
     if begun.says.encoded || (status.is_success() && !begun.says.signed) {
         node.pool.borrow_mut().distrust(backend, node.now());
@@ -230,9 +241,17 @@
     if let (Some(scope), Some(version)) = (&choice.scope, says.weights) {
         node.saw_weights(&choice.backend, &scope.model, version);
     }
-    let other = says.backend.as_ref().is_some_and(|backend| *backend != choice.backend);
-    if says.misdirected && other {
+    if says.misdirected {
+        node.metrics.count(Counter::Misdirected);
+    }
+    let other = says.backend.as_ref().filter(|backend| **backend != choice.backend);
+    if let Some(other) = other.filter(|_| says.misdirected) {
         // Another process has the address: the one that was meant is gone.
+        node.journal.tell(&Event::BackendReplaced {
+            backend: choice.backend.as_str(),
+            by: other.as_str(),
+            shown_by: "answer",
+        });
         node.health(&choice.backend, HealthEvent::Failed, true);
         node.pool.borrow_mut().close(&choice.backend);
     } else if !says.misdirected {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -78,6 +78,8 @@
         weights: Option<u64>,
         revision: u64,
     },
+    /// Another process has a back end's address.
+    BackendReplaced { backend: &'a str, by: &'a str, shown_by: &'static str },
     /// What a back end keeps is followed by its feed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
     /// A version of weights was named.
@@ -123,6 +125,8 @@
         after_ms: u64,
         reused: bool,
         fingerprint: Option<String>,
+        service: &'a str,
+        answered_by: Option<&'a str>,
         budget_left: u64,
     },
     /// A back end ended while it ran a request.
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -21,6 +21,8 @@
     Attempts(&'static str),
     /// Requests that were given to a second back end.
     Retries,
+    /// Answers that another back end, or one with other weights, got the request.
+    Misdirected,
     /// Streams that went on at another back end.
     Resumed,
     /// Calls to the store by what they are for and how they ended.
@@ -60,6 +62,7 @@
             Self::Requests { .. } => "paddlemount_forward_requests_total",
             Self::Attempts(_) => "paddlemount_forward_attempts_failed_total",
             Self::Retries => "paddlemount_forward_retries_total",
+            Self::Misdirected => "paddlemount_forward_misdirected_total",
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
             Self::StoreCalls { .. } => "paddlemount_forward_store_calls_total",
             Self::Orders(_) => "paddlemount_forward_orders_total",
@@ -89,6 +92,7 @@
             Self::Retries
             | Self::SnapshotsGiven
             | Self::SnapshotsTaken
+            | Self::Misdirected
             | Self::Resumed
             | Self::Connections
             | Self::Imports
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use paddlemount_core::forwarding::{
     attempt::{self, AttemptEnd, Next},
+    backends::BackendId,
     choice::Choice,
 };
 
@@ -62,6 +63,8 @@
             after_ms: now.saturating_since(self.arrived).as_millis() as u64,
             reused: ended.reused,
             fingerprint: ended.broke.then(|| self.fingerprint().to_string()),
+            service: self.service.as_str(),
+            answered_by: ended.answered_by.as_ref().map(BackendId::as_str),
             budget_left: self.node.retries_left(&self.service),
         });
         next
