A test that fails: connections that do not come up earn repeats

Cause: the share of a request is earned while nothing of it has been sent, so also after each refused connection. Ruled out: the window's arithmetic; its own property test holds. Conclusion: the earning is to hang on the request, not on its tries.

--- /dev/null
+++ b/crates/cli/tests/forward/budget.rs
@@ -0,0 +1,54 @@
+//! What back ends get beside the first try of each request: repeats, and requests meant for processes that are gone.
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Place, place::KEY};
+use serde_json::Value;
+use tokio::net::TcpSocket;
+
+use crate::router::{Router, gauge};
+
+/// Requests that a test sends one after the other.
+const REQUESTS: usize = 30;
+/// Repeats that a node alone may make beside its requests' share: half of the slack in the router's settings.
+const RESERVE: u64 = 28;
+
+/// Addresses that are held, and on which nobody listens.
+fn closed_addresses(count: usize) -> Vec<TcpSocket> {
+    let closed = || {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("an address on loopback");
+        socket
+    };
+    (0..count).map(|_| closed()).collect()
+}
+
+/// Lines of one event.
+fn lines_of(router: &Router, event: &str) -> Vec<Value> {
+    let parsed = router.lines().into_iter().filter_map(|line| serde_json::from_str::<Value>(&line).ok());
+    parsed.filter(|line| line["event"] == event).collect()
+}
+
+/// When 90 of 100 engines crashed at once, requests were placed up to five times on engines that refused connections, and
+/// each placement counted as a new request: 4,102 connections were refused, and 856 requests met four of them. The budget
+/// grew by five shares a request, and 535 repeats reached the engines where 430 were allowed.
+#[tokio::test]
+async fn a_request_earns_its_share_of_repeats_once_however_many_connections_are_refused() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let closed = closed_addresses(place.engines.len());
+    for (engine, socket) in place.engines.iter().zip(&closed) {
+        place.register_at(engine, "ready", socket.local_addr().expect("an address"));
+    }
+    let router = Router::start(&place).await;
+    router.until("counted", async || gauge(&router, "paddlemount_forward_nodes").await == Some(1.0)).await;
+    for number in 0..REQUESTS {
+        let got = router.send("/claim/1", &format!("refused-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    router.until("told", async || lines_of(&router, "request").len() >= REQUESTS).await;
+    let ended = lines_of(&router, "attempt_ended");
+    assert!(ended.len() > REQUESTS, "requests were placed more than once: {}", ended.len());
+    let most = RESERVE + REQUESTS as u64 / 5;
+    let left: Vec<u64> = ended.iter().filter_map(|line| line["budget_left"].as_u64()).collect();
+    assert!(left.iter().all(|left| *left <= most), "{left:?} for {REQUESTS} requests, {most} were earned");
+}
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Forwarded routes through a real process, against stand-ins of the platform.
 
 mod belief;
+mod budget;
 mod delivery;
 mod ending;
 mod fleet;
