A request earns its share of repeats once, when it first reaches a back end

Cause: Exchange::attempt earned while nothing was sent, so each connection that did not come up earned once more. Ruled out: earning at the first placement; a request that reaches nobody is none for its service, and the sum allowed counts what arrives. Change: earned when the first try that was sent has ended or begun to be answered; the time added is observed once a request as well.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -176,9 +176,8 @@
     /// One try at the chosen back end.
     pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
-        if self.spent.sent == 0 {
+        if self.sent_at.is_none() {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
-            self.node.earned_retry(&self.service);
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
@@ -196,6 +195,11 @@
                 }
             }
             Ok(_) | Err(_) => {
+                // Once a request: earned with each connection that was refused as well, the shares of one request allowed
+                // up to five times the repeats.
+                if self.spent.sent == 0 {
+                    self.node.earned_retry(&self.service);
+                }
                 self.spent.sent += 1;
                 self.tried.push(choice.backend.clone());
             }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -291,7 +291,7 @@
         }
     }
 
-    /// A request for a service was sent for the first time.
+    /// A request for a service has reached a back end for the first time.
     pub fn earned_retry(&self, service: &ServiceId) {
         let settings = self.settings();
         let nodes = self.nodes();
