An address belongs to one process: back ends whose address another has get no work

Cause: an entry outlives its process by seconds, and another process at its address refuses what is sent there. Such a back end was ejected for a while only, came back in the pass that is not strict, and one request went on to four wrong addresses. Ruled out: taking the identity that an answer names as a back end to send to; only its own entry makes it known. Telling nodes below that the entry is gone; a mistake here would become theirs. Change: an entry that comes to an address replaces the earlier one there (by the time of their start where both tell it, else by the order in which they are heard of; a first listing has none), and so does an answer that names another back end. A replaced one is in no pool, gets no orders, and its feed is not followed; its entry put again unchanged changes nothing. An answer of one that was taken to be replaced brings it back. A request that met a wrong address goes on once, to a back end against which nothing speaks. The weights of whoever answered are no longer believed of the one that was asked. The list of ends that the exhaustive test walks has the new one.

--- a/crates/cli/tests/forward/budget.rs
+++ b/crates/cli/tests/forward/budget.rs
@@ -69,6 +69,12 @@
     gone.crash();
     router.until("whole again", async || place.is_whole()).await;
     place.store.put(&format!("servers/{id}"), &entry);
+    let heard_again = async || {
+        let changes = lines_of(&router, "backend_changed");
+        let appeared = |line: &&Value| line["backend"] == id.as_str() && line["change"] == "appeared";
+        changes.iter().filter(appeared).count() == 2
+    };
+    router.until("told of the old entry", heard_again).await;
     for number in 0..REQUESTS * 2 {
         let got = router.send("/quote/1", &format!("quote-{number}")).await.expect("an answer");
         assert_eq!(got.status, StatusCode::OK);
--- a/crates/core/src/forwarding/attempt.rs
+++ b/crates/core/src/forwarding/attempt.rs
@@ -13,6 +13,8 @@
     NotSent,
     /// The back end said that it did not run the request.
     NotRun,
+    /// Another process has the address, and did not run the request.
+    Misdirected,
     /// The request was sent, and the back end may have run it.
     Unclear,
     /// The back end answered whole, with a failure of its own.
@@ -39,6 +41,8 @@
 pub struct Spent {
     /// Back ends that were sent the request.
     pub sent: u32,
+    /// Processes that said that they are not the back end which the request was meant for.
+    pub misdirected: u32,
     /// Connections that did not come up.
     pub not_sent: u32,
     /// Whether an earlier try may have run.
@@ -50,6 +54,9 @@
 /// Back ends that may say "not run" in one request, beyond which it is given up. A refused send isn't a run, so the
 /// route's own bound does not count it; the retry budget does.
 const MOST_REFUSED: u32 = 4;
+/// Wrong addresses that one request may meet, beyond which it is given up: each is an arrival at a service that may be
+/// allowed few, and where one address has been taken over many may be.
+const MOST_MISDIRECTED: u32 = 2;
 
 /// Decides what follows `end`. `time_left` tells whether another try could still be answered in time; `budget`
 /// is asked only where everything else allows another try that counts as a repeat.
@@ -70,6 +77,8 @@
         AttemptEnd::NotSent => give_up,
         AttemptEnd::NotRun if spent.sent < MOST_REFUSED.max(attempts) && budget() => Next::TryAnother,
         AttemptEnd::NotRun => give_up,
+        AttemptEnd::Misdirected if spent.misdirected < MOST_MISDIRECTED && budget() => Next::TryAnother,
+        AttemptEnd::Misdirected => give_up,
         AttemptEnd::Unclear if kind.is_idempotent() && spent.sent < attempts && budget() => Next::TryAnother,
         AttemptEnd::Unclear => Next::Fail,
         AttemptEnd::FailedAnswer if kind == RouteKind::Repeatable && spent.sent < attempts && budget() => {
--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{pool::Pool, registry::Registry};
+use super::{pool::Pool, registry::Registry, replacement::Addresses};
 
 /// One start of a back end: a model engine, or an instance of another service.
 pub type BackendId = EngineId;
@@ -78,6 +78,8 @@
         /// When the entry vanished.
         since: Timestamp,
     },
+    /// It must not: another process has its address, though its entry stands.
+    Replaced,
 }
 
 /// A back end as believed.
@@ -106,6 +108,7 @@
     /// Whether the registry's silence about a back end counts.
     pub registry: Registry,
     by_id: BTreeMap<BackendId, Backend>,
+    pub(super) addresses: Addresses,
     pools: BTreeMap<ServiceId, Pool>,
     /// Those that are being given new weights, or were.
     loading: BTreeSet<BackendId>,
@@ -137,9 +140,14 @@
         let Some(known) = self.by_id.get_mut(&entry.id) else {
             let backend = Backend { entry: entry.clone(), standing, loading_until: None, seen_beside: false };
             self.pools.entry(entry.service.clone()).or_default().enter(&backend);
+            self.addresses.enter(&entry);
             self.by_id.insert(entry.id, backend);
             return Change::Appeared;
         };
+        // Listings, snapshots and relays repeat the entry of a process that is gone.
+        if known.standing == Standing::Replaced && known.entry.is_repeated_by(&entry) {
+            return Change::None;
+        }
         known.seen_beside = false;
         let started_again =
             matches!((known.entry.born, entry.born), (Some(before), Some(now)) if before != now);
@@ -157,6 +165,8 @@
         }
         if change != Change::None {
             self.pools.entry(known.entry.service.clone()).or_default().leave(known);
+            self.addresses.leave(&known.entry);
+            self.addresses.enter(&entry);
             known.standing = standing;
             known.entry = entry;
             self.pools.entry(known.entry.service.clone()).or_default().enter(known);
@@ -166,26 +176,33 @@
 
     /// An entry is gone.
     pub fn remove(&mut self, id: &BackendId, now: Timestamp) -> Change {
-        let Some(known) = self.by_id.get_mut(id) else { return Change::None };
+        let Some(known) = self.by_id.get(id) else { return Change::None };
         let doubtful = self.registry.lacks_entries(now);
         match known.standing {
             Standing::Ready if doubtful => {
-                let pool = self.pools.entry(known.entry.service.clone()).or_default();
-                pool.leave(known);
-                known.standing = Standing::Doubted { since: now };
-                pool.enter(known);
+                self.stand(id, Standing::Doubted { since: now });
                 return Change::Doubted;
             }
             Standing::Doubted { .. } if doubtful => return Change::None,
-            Standing::Ready | Standing::Doubted { .. } | Standing::Leaving => {}
+            Standing::Ready | Standing::Doubted { .. } | Standing::Leaving | Standing::Replaced => {}
         }
         self.drop(id);
         Change::Removed
     }
 
-    fn drop(&mut self, id: &BackendId) {
+    /// A back end stands otherwise from now on.
+    pub(super) fn stand(&mut self, id: &BackendId, standing: Standing) {
+        let Some(known) = self.by_id.get_mut(id) else { return };
+        let pool = self.pools.entry(known.entry.service.clone()).or_default();
+        pool.leave(known);
+        known.standing = standing;
+        pool.enter(known);
+    }
+
+    pub(super) fn drop(&mut self, id: &BackendId) {
         self.loading.remove(id);
         let Some(backend) = self.by_id.remove(id) else { return };
+        self.addresses.leave(&backend.entry);
         if let Some(pool) = self.pools.get_mut(&backend.entry.service) {
             pool.leave(&backend);
         }
@@ -196,7 +213,7 @@
         let returned = !self.registry.lacks_entries(now);
         let expired = |backend: &Backend| match backend.standing {
             Standing::Doubted { since } => returned || now.saturating_since(since) >= LONGEST_DOUBT,
-            Standing::Ready | Standing::Leaving => false,
+            Standing::Ready | Standing::Leaving | Standing::Replaced => false,
         };
         let ids: Vec<BackendId> =
             self.by_id.iter().filter(|(_, backend)| expired(backend)).map(|(id, _)| id.clone()).collect();
@@ -289,7 +306,7 @@
         of_service.filter(move |backend| match backend.standing {
             Standing::Ready => true,
             Standing::Doubted { .. } => with_doubted,
-            Standing::Leaving => false,
+            Standing::Leaving | Standing::Replaced => false,
         })
     }
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -20,6 +20,7 @@
 //! | [`news`] | news of what engines keep, on its way between nodes |
 //! | [`readers`] | which feeds of kept parts a node follows |
 //! | [`registry`] | whether an entry that has vanished says that its back end is gone |
+//! | [`replacement`] | which of several back ends has an address |
 //! | [`change_log`] | what another node must be told of the store |
 //! | [`rollout`] | which back end gets new weights next |
 //!
@@ -46,6 +47,7 @@
 pub mod ranks;
 pub mod readers;
 pub mod registry;
+pub mod replacement;
 pub mod rollout;
 pub mod table;
 pub mod uplink;
--- a/crates/core/src/forwarding/pool.rs
+++ b/crates/core/src/forwarding/pool.rs
@@ -34,7 +34,7 @@
         let list = match backend.standing {
             Standing::Ready => &mut self.ready,
             Standing::Doubted { .. } => &mut self.doubted,
-            Standing::Leaving => return,
+            Standing::Leaving | Standing::Replaced => return,
         };
         if let Err(place) = list.binary_search(&ranked) {
             list.insert(place, ranked);
--- /dev/null
+++ b/crates/core/src/forwarding/replacement.rs
@@ -0,0 +1,148 @@
+//! Which of several back ends has an address.
+//!
+//! An address belongs to one process at a time. Entries outlive their processes by seconds, so that two may name one address:
+//! the later one holds. Where their order is not known, as in a first listing, both stand until an answer tells who is there.
+//!
+//! A back end that was replaced gets no work until its own entry changes or goes. Its entry is kept as long as the registry
+//! holds it, so that hearing of it once more brings nothing back. What an answer says is believed of the one that was asked;
+//! who answered is known by an entry of its own only, and where that one had been taken to be replaced, it is back.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use super::backends::{BackendEntry, BackendId, Backends, Change, Standing};
+
+/// How an entry was heard of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// As a change: it is later than all that is known.
+    AsChange,
+    /// In a first listing, which is in no order of time.
+    InListing,
+}
+
+/// What followed an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenIn {
+    /// What changed with the entry.
+    pub change: Change,
+    /// Who was replaced.
+    pub replaced: Vec<Replacement>,
+}
+
+/// One back end has the address of another that is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replacement {
+    /// The one that is gone.
+    pub backend: BackendId,
+    /// The one that has its address.
+    pub by: BackendId,
+}
+
+/// The back ends whose entries name each address.
+#[derive(Debug, Default)]
+pub(super) struct Addresses(BTreeMap<SocketAddr, BTreeSet<BackendId>>);
+
+impl Addresses {
+    pub(super) fn enter(&mut self, entry: &BackendEntry) {
+        self.0.entry(entry.address).or_default().insert(entry.id.clone());
+    }
+
+    pub(super) fn leave(&mut self, entry: &BackendEntry) {
+        let Some(named) = self.0.get_mut(&entry.address) else { return };
+        named.remove(&entry.id);
+        if named.is_empty() {
+            self.0.remove(&entry.address);
+        }
+    }
+
+    fn others(&self, entry: &BackendEntry) -> Vec<BackendId> {
+        let named = self.0.get(&entry.address).into_iter().flatten();
+        named.filter(|id| **id != entry.id).cloned().collect()
+    }
+}
+
+impl BackendEntry {
+    /// Whether `entry` tells nothing that this one does not. Its weights may be older: an answer may have shown newer ones.
+    pub(super) fn is_repeated_by(&self, entry: &Self) -> bool {
+        let mut weights = entry.weights.iter();
+        weights.all(|(model, version)| self.weights.get(model).is_some_and(|known| known >= version))
+            && *self == Self { weights: self.weights.clone(), ..entry.clone() }
+    }
+}
+
+impl Backends {
+    /// Takes an entry in, and settles who has its address.
+    pub fn take_in(&mut self, entry: BackendEntry, heard: Heard) -> TakenIn {
+        let id = entry.id.clone();
+        let before = self.get(&id).map(|known| (known.entry.address, known.standing));
+        let change = self.put(entry);
+        let comes = match (change, before, self.get(&id)) {
+            (Change::Appeared | Change::StartedAgain, _, _) => true,
+            (Change::Updated, Some((address, standing)), Some(known)) => {
+                address != known.entry.address || standing != known.standing
+            }
+            _ => false,
+        };
+        let replaced = if comes { self.settle(&id, heard) } else { Vec::new() };
+        TakenIn { change, replaced }
+    }
+
+    /// An answer from `address` named `by` in place of `id`, which was asked there. Whether that is news.
+    pub fn misdirected(&mut self, id: &BackendId, address: SocketAddr, by: &BackendId) -> bool {
+        let is_there =
+            |known: &BackendId| self.get(known).is_some_and(|known| known.entry.address == address);
+        if id == by || !is_there(id) {
+            return false;
+        }
+        let by_is_there = is_there(by);
+        let is_news = self.replace(id);
+        // Of an answer that is no news a later process may have come there since.
+        if is_news && by_is_there {
+            self.come_back(by);
+        }
+        is_news
+    }
+
+    /// A back end has come to the address in its entry: the earlier ones there are gone, or it is itself.
+    fn settle(&mut self, id: &BackendId, heard: Heard) -> Vec<Replacement> {
+        let Some(newcomer) = self.get(id).map(|known| known.entry.clone()) else { return Vec::new() };
+        let mut replaced = Vec::new();
+        for other in self.addresses.others(&newcomer) {
+            let Some(known) = self.get(&other) else { continue };
+            let other_is_earlier = match (known.entry.born, newcomer.born) {
+                (Some(known), Some(born)) if known != born => Some(known < born),
+                _ if heard == Heard::AsChange => Some(true),
+                _ => None,
+            };
+            let is_gone = known.standing == Standing::Replaced;
+            let (backend, by) = match other_is_earlier {
+                Some(true) => (other, id.clone()),
+                Some(false) if !is_gone => (id.clone(), other),
+                Some(false) | None => continue,
+            };
+            if self.replace(&backend) {
+                replaced.push(Replacement { backend, by });
+            }
+        }
+        replaced
+    }
+
+    /// A back end is gone though its entry stands. One whose entry has vanished as well is dropped.
+    fn replace(&mut self, id: &BackendId) -> bool {
+        match self.get(id).map(|known| known.standing) {
+            Some(Standing::Ready) => self.stand(id, Standing::Replaced),
+            Some(Standing::Doubted { .. }) => self.drop(id),
+            Some(Standing::Leaving | Standing::Replaced) | None => return false,
+        }
+        true
+    }
+
+    fn come_back(&mut self, id: &BackendId) {
+        if self.get(id).is_some_and(|known| known.standing == Standing::Replaced) {
+            self.stand(id, Standing::Ready);
+        }
+    }
+}
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -21,8 +21,13 @@
     RouteKind::Stream { resumable: false },
     RouteKind::Stream { resumable: true },
 ];
-const ENDS: [AttemptEnd; 4] =
-    [AttemptEnd::NotSent, AttemptEnd::NotRun, AttemptEnd::Unclear, AttemptEnd::FailedAnswer];
+const ENDS: [AttemptEnd; 5] = [
+    AttemptEnd::NotSent,
+    AttemptEnd::NotRun,
+    AttemptEnd::Misdirected,
+    AttemptEnd::Unclear,
+    AttemptEnd::FailedAnswer,
+];
 
 /// All combinations of what a request may have behind it.
 fn all_cases(mut check: impl FnMut(RouteKind, AttemptEnd, Spent, u32, Next)) {
@@ -37,7 +42,7 @@
                     let unclear = matches!(end, AttemptEnd::Unclear | AttemptEnd::FailedAnswer);
                     // Nothing is sent again after an unclear end unless the kind allows it.
                     let may_have_run = unclear || (earlier && kind.is_idempotent());
-                    let spent = Spent { sent, not_sent, may_have_run };
+                    let spent = Spent { sent, not_sent, misdirected: sent.min(not_sent), may_have_run };
                     check(kind, end, spent, attempts, next(kind, attempts, end, spent, time_left, || budget));
                 }
             }
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -14,7 +14,6 @@
 
 use crate::{
     connection::{Connection, ConnectionError},
-    journal::Event,
     metrics::Counter,
     node::Node,
     ports::AnswerHead,
@@ -207,11 +206,11 @@
     let backend = &choice.backend;
     let status = begun.head.status;
     if begun.says.not_run || begun.says.misdirected {
-        note_refusal(node, choice, &begun.says);
+        let end = note_refusal(node, choice, &begun.says);
         let detail = format!("status {status}, not run");
         let answered_by = begun.says.backend.clone();
         let _ = tokio::time::timeout(REFUSAL_BODY, take_whole(node, begun)).await;
-        return Err(Ended { end: AttemptEnd::NotRun, reused, answered_by, ..Ended::unclear(detail) });
+        return Err(Ended { end, reused, answered_by, ..Ended::unclear(detail) });
     }
     if begun.says.encoded || (status.is_success() && !begun.says.signed) {
         node.pool.borrow_mut().distrust(backend, node.now());
@@ -236,27 +235,23 @@
     Ok(begun)
 }
 
-fn note_refusal(node: &Rc<Node>, choice: &Choice, says: &AnswerHead) {
+fn note_refusal(node: &Rc<Node>, choice: &Choice, says: &AnswerHead) -> AttemptEnd {
     node.health(&choice.backend, HealthEvent::Inconclusive, false);
-    if let (Some(scope), Some(version)) = (&choice.scope, says.weights) {
-        node.saw_weights(&choice.backend, &scope.model, version);
-    }
     if says.misdirected {
         node.metrics.count(Counter::Misdirected);
     }
     let other = says.backend.as_ref().filter(|backend| **backend != choice.backend);
     if let Some(other) = other.filter(|_| says.misdirected) {
-        // Another process has the address: the one that was meant is gone.
-        node.journal.tell(&Event::BackendReplaced {
-            backend: choice.backend.as_str(),
-            by: other.as_str(),
-            shown_by: "answer",
-        });
-        node.health(&choice.backend, HealthEvent::Failed, true);
-        node.pool.borrow_mut().close(&choice.backend);
-    } else if !says.misdirected {
+        node.misdirected(choice, other);
+        return AttemptEnd::Misdirected;
+    }
+    if let (Some(scope), Some(version)) = (&choice.scope, says.weights) {
+        node.saw_weights(&choice.backend, &scope.model, version);
+    }
+    if !says.misdirected {
         node.refused(&choice.backend);
     }
+    AttemptEnd::NotRun
 }
 
 /// Takes an answer whole and gives its connection back.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -165,6 +165,7 @@
             prompt: self.head.prompt.as_ref(),
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
+            only_sound: self.spent.misdirected > 0,
             tried: &self.tried,
             draw: self.draw,
         };
@@ -204,6 +205,9 @@
                 self.tried.push(choice.backend.clone());
             }
         }
+        if let Err(Ended { end: AttemptEnd::Misdirected, .. }) = &result {
+            self.spent.misdirected += 1;
+        }
         if let Err(Ended { end: AttemptEnd::Unclear | AttemptEnd::FailedAnswer, .. }) = &result {
             self.spent.may_have_run = true;
         }
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -78,7 +78,7 @@
         weights: Option<u64>,
         revision: u64,
     },
-    /// Another process has a back end's address.
+    /// Another process has a back end's address: it gets no work until its own entry changes.
     BackendReplaced { backend: &'a str, by: &'a str, shown_by: &'static str },
     /// What a back end keeps is followed by its feed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -9,7 +9,7 @@
 };
 
 use paddlemount_core::forwarding::{
-    backends::BackendId,
+    backends::{BackendId, Standing},
     readers::{are_worth_following, followed},
 };
 use paddlemount_protocol::fleet::KeptNews;
@@ -110,7 +110,10 @@
     if !of_engines {
         return stores.collect();
     }
-    let engines = beliefs.backends.iter().filter(|backend| !backend.entry.weights.is_empty());
+    let engines = beliefs
+        .backends
+        .iter()
+        .filter(|backend| backend.standing != Standing::Replaced && !backend.entry.weights.is_empty());
     stores.chain(engines.map(|backend| (backend.entry.id.clone(), backend.entry.address))).collect()
 }
 
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -4,9 +4,11 @@
 
 use paddlemount_core::{
     forwarding::{
-        backends::{BackendEntry, BackendId, Change},
+        backends::{BackendEntry, BackendId, Change, Standing},
         change_log::Subject,
+        choice::Choice,
         document::Document,
+        replacement::{Heard, Replacement, TakenIn},
         rollout::NamedAt,
         table::RouteTable,
     },
@@ -170,20 +172,53 @@
 
     fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
         let mut beliefs = self.beliefs.borrow_mut();
-        let pool = PoolId::from(entry.service.as_str());
-        let seen = HealthEvent::Seen { pool: &pool, incarnation: Incarnation(1) };
-        beliefs.health.apply(&entry.id, seen, self.now());
         let id = entry.id.clone();
-        let change = beliefs.backends.put(entry);
+        let heard = if beliefs.revision.is_some() { Heard::AsChange } else { Heard::InListing };
+        let TakenIn { change, replaced } = beliefs.backends.take_in(entry, heard);
         if change == Change::StartedAgain {
             // The process that was known has ended, with its connections and all that it kept.
             beliefs.forget(&id);
-            beliefs.health.apply(&id, seen, self.now());
             self.pool.borrow_mut().close(&id);
         }
+        self.note_seen(&mut beliefs, &id);
+        for replacement in &replaced {
+            self.leave_replaced(&mut beliefs, replacement, "entry");
+        }
         self.tell_backend(&beliefs, &id, change, revision);
     }
 
+    /// The answer to a try named another back end in place of the one that was chosen.
+    pub fn misdirected(&self, choice: &Choice, by: &BackendId) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        if beliefs.backends.misdirected(&choice.backend, choice.address, by) {
+            let replacement = Replacement { backend: choice.backend.clone(), by: by.clone() };
+            self.leave_replaced(&mut beliefs, &replacement, "answer");
+        }
+        // It may have been taken to be replaced itself.
+        self.note_seen(&mut beliefs, by);
+    }
+
+    /// Follows the health of a back end from now on. Those that were replaced count for no share of their pool.
+    fn note_seen(&self, beliefs: &mut Beliefs, id: &BackendId) {
+        let Some(known) = beliefs.backends.get(id) else { return };
+        if known.standing != Standing::Replaced {
+            let pool = PoolId::from(known.entry.service.as_str());
+            let seen = HealthEvent::Seen { pool: &pool, incarnation: Incarnation(1) };
+            beliefs.health.apply(id, seen, self.now());
+        }
+    }
+
+    /// Lets go of a back end whose address another process has.
+    fn leave_replaced(&self, beliefs: &mut Beliefs, replacement: &Replacement, shown_by: &'static str) {
+        beliefs.forget(&replacement.backend);
+        self.pool.borrow_mut().close(&replacement.backend);
+        self.journal.tell(&Event::BackendReplaced {
+            backend: replacement.backend.as_str(),
+            by: replacement.by.as_str(),
+            shown_by,
+        });
+    }
+
     fn learn_document(&self, document: Document, revision: Revision) {
         let mut beliefs = self.beliefs.borrow_mut();
         let before = beliefs.table.as_ref().map(|table| table.version());
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -1,6 +1,6 @@
 //! Gives engines orders for new weights, while this node leads.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use paddlemount_core::forwarding::{
     backends::{BackendId, Standing},
@@ -77,7 +77,7 @@
 
 /// Brings one engine to its version. What happened to an order whose answer is lost is read from the engine's report.
 async fn bring(node: &Node, target: &mut Target, token: FencingToken, began: Timestamp) -> &'static str {
-    let address = node.beliefs.borrow().backends.get(&target.backend).map(|backend| backend.entry.address);
+    let address = address_of(node, &target.backend);
     let Some(address) = address else { return "gone" };
     let engine = Caller::new(address, node.clock);
     while node.now().saturating_since(began) < LONGEST {
@@ -116,6 +116,13 @@
     "given up for now"
 }
 
+/// Where an engine is reached; nowhere once it is gone.
+fn address_of(node: &Node, id: &BackendId) -> Option<SocketAddr> {
+    let beliefs = node.beliefs.borrow();
+    let backend = beliefs.backends.get(id).filter(|backend| backend.standing != Standing::Replaced)?;
+    Some(backend.entry.address)
+}
+
 /// Waits until the registry tells of the version, or it is time to ask the engine itself.
 async fn wait_for_version(node: &Node, target: &Target) {
     let began = node.now();
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -38,6 +38,8 @@
     pub isolated: Option<&'a TenantId>,
     /// Whether the run's memory is to be copied as it grows, where the engines can do that.
     pub copied: bool,
+    /// Whether only back ends against which nothing speaks may be chosen.
+    pub only_sound: bool,
     /// Back ends that have been tried.
     pub tried: &'a [BackendId],
     /// A number drawn for the request.
@@ -78,6 +80,9 @@
         if let Some(choice) = self.chooser.choose(placement, &strict) {
             return Some(choice);
         }
+        if ask.only_sound {
+            return None;
+        }
         // Back ends that may be unfit are better than none, but not those that were tried.
         self.chooser.choose(placement, &View { strict: false, ..strict })
     }
@@ -176,7 +181,7 @@
         let in_use = match backend.standing {
             Standing::Ready => true,
             Standing::Doubted { .. } => self.pool.uses_doubted(),
-            Standing::Leaving => false,
+            Standing::Leaving | Standing::Replaced => false,
         };
         let of_service = backend.entry.service == *self.ask.service;
         (in_use && of_service).then(|| self.describe(backend))
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -354,7 +354,7 @@
             }
             Err(ended) => {
                 // Only what has certainly not begun leaves the run before to itself.
-                if !matches!(ended.end, AttemptEnd::NotSent | AttemptEnd::NotRun) {
+                if !matches!(ended.end, AttemptEnd::NotSent | AttemptEnd::NotRun | AttemptEnd::Misdirected) {
                     self.let_go();
                 }
                 Err(ended)
--- a/crates/forward/src/replica.rs
+++ b/crates/forward/src/replica.rs
@@ -63,10 +63,11 @@
     }
 }
 
-/// A back end's entry; nothing where the registry holds none any more.
+/// A back end's entry; nothing where the registry holds none any more. One that was replaced is told as the registry has
+/// it: the nodes below conclude by themselves who has its address, and none of them takes over another's mistake.
 fn entry_fact(backend: &Backend) -> Option<Fact> {
     let leaving = match backend.standing {
-        Standing::Ready => false,
+        Standing::Ready | Standing::Replaced => false,
         Standing::Leaving => true,
         Standing::Doubted { .. } => return None,
     };
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -133,6 +133,7 @@
     match end {
         AttemptEnd::NotSent => "not_sent",
         AttemptEnd::NotRun => "not_run",
+        AttemptEnd::Misdirected => "misdirected",
         AttemptEnd::Unclear => "unclear",
         AttemptEnd::FailedAnswer => "failed_answer",
         AttemptEnd::Copied => "broken_with_copy",
