A refused connection ejects however many back ends are ejected

Cause: the share of a pool that may be ejected bounds guesses, and bounded refused connections as well. Where 90 of 100 engines were down, requests met four of the rest that were down too, and were refused. Ruled out: a higher share; guesses need the bound, as when a network or a load makes all look bad. Change: HealthEvent::Unreachable ejects at once and counts for the share that bounds guesses. A connection that does not come up in time stays a guess.

--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -7,6 +7,9 @@
 //! At most a share of a pool is ejected at the same time. When more engines than that fail, the cause is likely not the engines, and
 //! ejecting them would put the whole load on the few that are left.
 //!
+//! A refused connection is no guess: nobody listens there. It ejects at once and however many are ejected, as requests that
+//! go there cannot be served.
+//!
 //! Failures are broken connections, broken streams and answers that did not begin in time. A refusal is no failure:
 //! the engine is alive and has said what is wrong.
 
@@ -75,6 +78,8 @@
     Succeeded,
     /// A connection or stream broke, or nothing came in time.
     Failed,
+    /// Nobody listens at its address: a connection was refused.
+    Unreachable,
     /// The request ended without saying anything about the engine: cancelled, or refused.
     Inconclusive,
     /// The engine no longer exists.
@@ -191,6 +196,7 @@
             HealthEvent::Dispatched => self.dispatched(engine, now),
             HealthEvent::Succeeded => self.succeeded(engine, now),
             HealthEvent::Failed => self.failed(engine, now),
+            HealthEvent::Unreachable => self.unreachable(engine, now),
             HealthEvent::Inconclusive => self.inconclusive(engine, now),
             HealthEvent::Removed => {
                 self.engines.remove(engine);
@@ -312,6 +318,14 @@
         }
     }
 
+    fn unreachable(&mut self, engine: &EngineId, now: Timestamp) {
+        let settings = self.settings;
+        let Some(health) = self.engines.get_mut(engine) else { return };
+        if !matches!(health.circuit, Circuit::Open { .. }) {
+            health.eject(&settings, now);
+        }
+    }
+
     fn inconclusive(&mut self, engine: &EngineId, now: Timestamp) {
         let Some(health) = self.engines.get_mut(engine) else { return };
         if matches!(health.circuit, Circuit::HalfOpen { .. }) {
--- a/crates/core/tests/health_circuit.rs
+++ b/crates/core/tests/health_circuit.rs
@@ -123,6 +123,22 @@
     assert_eq!(health.weight(&engine(9), at(60_000)), 0.1);
 }
 
+/// When 90 of 100 engines refused connections, the share of a pool that may be ejected was used up: requests met four engines
+/// that refused, 914 of them in five such crashes, and were given up though a tenth of the engines was well.
+#[test]
+fn a_refused_connection_ejects_however_many_are_ejected_and_leaves_no_room_for_guesses() {
+    let mut health = pool_of(10);
+    for number in 0..9 {
+        health.apply(&engine(number), HealthEvent::Dispatched, START);
+        health.apply(&engine(number), HealthEvent::Unreachable, START);
+    }
+    assert!((0..9).all(|number| !health.verdict(&engine(number), 0.0, START).admits()));
+    fail(&mut health, 9, 50, START);
+    assert!(health.verdict(&engine(9), 0.0, START).admits(), "a guess ejects no more than its share");
+    let later = at(60_000);
+    assert!((0..10).all(|number| health.verdict(&engine(number), 0.0, later).admits()));
+}
+
 #[test]
 fn never_more_than_the_bounded_share_is_ejected_and_every_circuit_closes_again() {
     bolero::check!().with_type::<(u8, Vec<(u8, u8, u16)>)>().for_each(|(size, steps)| {
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -188,7 +188,9 @@
 fn broken(node: &Rc<Node>, choice: &Choice, error: &ConnectionError, reused: bool) -> Ended {
     let end = if error.is_before_sending() { AttemptEnd::NotSent } else { AttemptEnd::Unclear };
     // A kept connection that its peer closed says nothing of the back end.
-    if !matches!(error, ConnectionError::NotSent) {
+    if error.is_refusal() {
+        node.health(&choice.backend, HealthEvent::Unreachable, false);
+    } else if !matches!(error, ConnectionError::NotSent) {
         node.health(&choice.backend, HealthEvent::Failed, !reused && end == AttemptEnd::NotSent);
     }
     let broke = matches!(error, ConnectionError::Broken(_));
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -44,6 +44,11 @@
     pub const fn is_before_sending(&self) -> bool {
         !matches!(self, Self::Broken(_))
     }
+
+    /// Whether the other machine says that nobody listens there.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Connect(error) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
 }
 
 /// An open connection.
