A repeat after a wrong address draws on a budget of the whole node as well

Cause: a repeat that follows a wrong address is paid for by the service that was asked for and may arrive at another, which is allowed its slack alone. Where half of the addresses were taken over five times, 41 to 68 repeats arrived at such a service in 13 s, where 54 are allowed in 10 s: no rule broken, and no margin. Ruled out: counting them after the fact only; many go at once. No first tries at back ends in doubt; first tries of a request are not beyond the first. Telling other nodes; the sum holds without. Change: such a repeat draws on a window that earns nothing and has the node's part of the slack, and gives it back unless it met a wrong address again. Other repeats that meet one count there too. Repeats after other ends that meet a wrong address are counted and not stopped; each pair of node and back end meets one once.

--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -83,6 +83,19 @@
         true
     }
 
+    /// A repeat that was not asked for has been made: it counts, whatever is left.
+    pub fn spend(&mut self, now: Timestamp) {
+        self.step(now).repeats += 1;
+    }
+
+    /// A repeat that was granted at `at` does not count after all.
+    pub fn give_back(&mut self, at: Timestamp) {
+        let number = self.number(at);
+        if let Some(step) = self.steps.iter_mut().find(|step| step.number == number) {
+            step.repeats = step.repeats.saturating_sub(1);
+        }
+    }
+
     /// Repeats that would be granted now.
     pub fn left(&self, now: Timestamp) -> u64 {
         let number = self.number(now);
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -64,6 +64,8 @@
     pub(crate) held: BTreeMap<RequestFingerprint, HeldRequest>,
     pub(crate) wheel: ShareWheel,
     pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
+    /// Repeats that may reach wrong addresses.
+    strays: Option<WindowBudget>,
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
     /// Drawn evenly from 0 to 1: which nodes have one more repeat than the others.
     repeat_draw: f64,
@@ -147,6 +149,7 @@
             held: BTreeMap::new(),
             wheel: ShareWheel::default(),
             budgets: BTreeMap::new(),
+            strays: None,
             refused_until: BTreeMap::new(),
             repeat_draw: rand::random(),
         }
@@ -212,6 +215,20 @@
         budget.set_reserve(reserve);
         budget
     }
+
+    /// The repeats that may reach wrong addresses, whatever service was asked for.
+    pub(crate) fn strays(&mut self, settings: &ForwardSettings, nodes: Nodes) -> &mut WindowBudget {
+        let reserve = reserve_of(settings.bounds.retry_slack, nodes.known(), nodes.assumed, self.repeat_draw);
+        let strays = self.strays.get_or_insert_with(|| {
+            WindowBudget::new(WindowBudgetSettings {
+                share_per_mille: 0,
+                reserve,
+                window: Duration::from_millis(settings.bounds.retry_window_ms),
+            })
+        });
+        strays.set_reserve(reserve);
+        strays
+    }
 }
 
 /// When a back end is left alone for what it has failed at.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -59,6 +59,8 @@
     grant: Option<QuotaGrant>,
     tried: Vec<BackendId>,
     draw: u64,
+    /// When a stray was drawn for the next try, which follows one that met a wrong address.
+    pub(crate) stray: Option<Timestamp>,
     /// When the last try was sent.
     pub(crate) sent_at: Option<Timestamp>,
 }
@@ -103,6 +105,7 @@
         grant,
         tried: Vec::new(),
         draw: rand::random(),
+        stray: None,
         sent_at: None,
     };
     match exchange.read_body(body).await {
@@ -188,6 +191,10 @@
         let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
         let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
+        let end = result.as_ref().err().map(|ended| ended.end);
+        if self.spent.sent > 0 && end != Some(AttemptEnd::NotSent) {
+            self.node.settle_stray(self.stray.take(), end);
+        }
         match &result {
             Err(Ended { end: AttemptEnd::NotSent, reused, .. }) => {
                 self.spent.not_sent += 1;
@@ -369,6 +376,7 @@
         self.node.running.set(self.node.running.get().saturating_sub(1));
         let grant = self.grant.take().filter(|_| self.has_not_run());
         self.node.give_back(grant);
+        self.node.settle_stray(self.stray.take(), None);
         if self.account.is_served() {
             let now = self.node.now();
             let whole = now.saturating_since(self.arrived);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod process;
 pub mod quarantine;
 pub mod relay;
+mod repeats;
 mod replica;
 mod runs;
 pub mod settings;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -268,19 +268,6 @@
         self.beliefs.borrow_mut().quotas.tick(place, now);
     }
 
-    /// Draws on the retry budget of a service.
-    pub fn draw_retry(&self, service: &ServiceId) -> bool {
-        let settings = self.settings();
-        let nodes = self.nodes();
-        let mut beliefs = self.beliefs.borrow_mut();
-        beliefs.budget(service, &settings, nodes).repeat(self.now())
-    }
-
-    /// Retries that the budget of a service would still grant.
-    pub fn retries_left(&self, service: &ServiceId) -> u64 {
-        self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
-    }
-
     /// The time in which answers of a back end have lately begun, the slow ones included. A node of many meets each back
     /// end too seldom to know its own time, and takes that of any: a second try while all are busy makes them busier.
     pub fn slowest(&self, backend: &BackendId) -> Duration {
@@ -291,13 +278,6 @@
         }
     }
 
-    /// A request for a service has reached a back end for the first time.
-    pub fn earned_retry(&self, service: &ServiceId) {
-        let settings = self.settings();
-        let nodes = self.nodes();
-        self.beliefs.borrow_mut().budget(service, &settings, nodes).request(self.now());
-    }
-
     /// The share of a route whose turn it is.
     pub fn share(&self, route: &Route) -> Option<ServiceId> {
         let turn = self.beliefs.borrow_mut().wheel.turn(route)?;
--- /dev/null
+++ b/crates/forward/src/repeats.rs
@@ -0,0 +1,55 @@
+//! What a node sends beside the first try of each request.
+//!
+//! A repeat draws on the budget of the service that was asked for. Where the address belongs to another process by now, it
+//! arrives at another service, whose own allowance may be the slack alone: such repeats draw on a budget of the whole node as
+//! well, which earns nothing and has the node's part of the slack.
+
+use paddlemount_core::forwarding::attempt::AttemptEnd;
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
+
+use crate::node::Node;
+
+impl Node {
+    /// Draws on the retry budget of a service.
+    pub fn draw_retry(&self, service: &ServiceId) -> bool {
+        let settings = self.settings();
+        let nodes = self.nodes();
+        let mut beliefs = self.beliefs.borrow_mut();
+        beliefs.budget(service, &settings, nodes).repeat(self.now())
+    }
+
+    /// Retries that the budget of a service would still grant.
+    pub fn retries_left(&self, service: &ServiceId) -> u64 {
+        self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
+    }
+
+    /// A request for a service has reached a back end for the first time.
+    pub fn earned_retry(&self, service: &ServiceId) {
+        let settings = self.settings();
+        let nodes = self.nodes();
+        self.beliefs.borrow_mut().budget(service, &settings, nodes).request(self.now());
+    }
+
+    /// Draws on the repeats that may reach a wrong address; when that was, for giving it back.
+    pub fn draw_stray(&self) -> Option<Timestamp> {
+        let settings = self.settings();
+        let nodes = self.nodes();
+        let now = self.now();
+        let granted = self.beliefs.borrow_mut().strays(&settings, nodes).repeat(now);
+        granted.then_some(now)
+    }
+
+    /// A repeat has ended, for which a stray had been drawn or not.
+    pub fn settle_stray(&self, drawn_at: Option<Timestamp>, end: Option<AttemptEnd>) {
+        let settings = self.settings();
+        let nodes = self.nodes();
+        let now = self.now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        let strays = beliefs.strays(&settings, nodes);
+        match (drawn_at, end == Some(AttemptEnd::Misdirected)) {
+            (None, true) => strays.spend(now),
+            (Some(at), false) => strays.give_back(at),
+            (Some(_), true) | (None, false) => {}
+        }
+    }
+}
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -39,10 +39,19 @@
         let now = self.node.now();
         let time_left = self.give_up_at.saturating_since(now) >= LEAST_TIME;
         let (node, service) = (Rc::clone(&self.node), self.service.clone());
+        let mut stray = None;
         let budget = || {
+            if ended.end == AttemptEnd::Misdirected {
+                stray = node.draw_stray();
+                if stray.is_none() {
+                    return false;
+                }
+            }
             let granted = node.draw_retry(&service);
             if granted {
                 node.metrics.count(Counter::Retries);
+            } else if stray.is_some() {
+                node.settle_stray(stray.take(), None);
             }
             granted
         };
@@ -51,6 +60,8 @@
         }
         let next =
             attempt::next(self.route.kind, self.route.attempts, ended.end, self.spent, time_left, budget);
+        // One that was drawn is kept until a try has arrived somewhere.
+        self.stray = stray.or(self.stray);
         let end = end_label(ended.end);
         self.node.metrics.count(Counter::Attempts(end));
         self.node.journal.tell(&Event::AttemptEnded {
