--- a/crates/cli/tests/forward/budget.rs
+++ b/crates/cli/tests/forward/budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use paddlemount_platform_standin::{Place, place::KEY};
+use paddlemount_platform_standin::{Place, Runner, place::KEY};
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
@@ -85,3 +85,31 @@
     let ran = gone.seen().into_iter().filter(|seen| seen.ran && seen.meant_for == gone.id()).count();
     assert!(ran > 0, "the process that has the address gets work of its own");
 }
+
+/// One request went on from one wrong address to the next, to four of them: where half of the addresses had been taken over,
+/// the next one was wrong as often as the first.
+#[tokio::test]
+async fn a_request_goes_on_from_a_wrong_address_once_and_is_refused_then() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    for (number, engine) in place.engines.iter().enumerate() {
+        place.unregister(engine);
+        place.store.put(&format!("servers/gone-{number}"), &engine.entry("ready", engine.address));
+    }
+    let router = Router::start(&place).await;
+    for number in 0..REQUESTS {
+        let got = router.send("/claim/1", &format!("wrong-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(got.headers.contains_key(http::header::RETRY_AFTER), "the caller is told when to come back");
+    }
+    let seen: Vec<_> = place.engines.iter().flat_map(Runner::seen).collect();
+    assert_eq!(seen.len(), place.engines.len(), "each back end that is gone is asked once");
+    for number in 0..REQUESTS {
+        let id = format!("wrong-{number}");
+        assert!(seen.iter().filter(|seen| seen.id == id).count() <= 2, "{id} went on more than once");
+    }
+    place.engines.iter().for_each(|engine| place.register(engine, "ready"));
+    let served =
+        async || router.send("/claim/1", "served").await.is_some_and(|got| got.status == StatusCode::OK);
+    router.until("serving", served).await;
+}
