A request earns its share of repeats when it is first sent

Cause: earned when the head of an answer came, the shares of requests that an engine kept waiting fell into one window, and a node whose engines were silent from its start had no budget at all, so that it asked no other engine. Ruled out: earning with each try, which the test of refused connections forbids. Change: earned before the first send, once a request. Conclusion: the window of a node holds the shares of the requests that came in it.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -182,6 +182,9 @@
         let now = self.node.now();
         if self.sent_at.is_none() {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
+            // Once a request, however many connections do not come up, and when it comes: earned with their answers, the
+            // shares of requests that an engine kept waiting would all fall into one window.
+            self.node.earned_retry(&self.service);
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
@@ -203,11 +206,6 @@
                 }
             }
             Ok(_) | Err(_) => {
-                // Once a request: earned with each connection that was refused as well, the shares of one request allowed
-                // up to five times the repeats.
-                if self.spent.sent == 0 {
-                    self.node.earned_retry(&self.service);
-                }
                 self.spent.sent += 1;
                 self.tried.push(choice.backend.clone());
             }
--- a/crates/forward/src/repeats.rs
+++ b/crates/forward/src/repeats.rs
@@ -23,7 +23,7 @@
         self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
     }
 
-    /// A request for a service has reached a back end for the first time.
+    /// A request for a service is being sent for the first time.
     pub fn earned_retry(&self, service: &ServiceId) {
         let settings = self.settings();
         let nodes = self.nodes();
