Split the machine of a model request: frames, endings of tries, and the rest

Ruled out: free functions over the machine's fields; they would need the fields opened. Change: `machine::frames` and `machine::attempt_endings` hold the transitions of these events. The test of arbitrary sequences is a file of its own beside the tests of single situations; both share their events. Conclusion: each file has one job.

--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -1,10 +1,13 @@
 //! The transitions of a request.
 
+mod attempt_endings;
+mod frames;
+
 use std::time::Duration;
 
 use paddlemount_protocol::{
-    engine::{EngineRefusal, FinishReason, Frame, FrameContent, LoadReport, Precondition},
-    identity::{AttemptId, EngineId, Incarnation},
+    engine::{FinishReason, LoadReport, Precondition},
+    identity::{AttemptId, EngineId},
     refusal::{Refusal, RefusalCode},
     time::Timestamp,
 };
@@ -195,199 +198,10 @@
         self.refuse(self.last_code, "no engine can serve this request now", actions);
     }
 
-    fn refused(&mut self, refusal: &EngineRefusal, actions: &mut Vec<RequestAction>) {
-        if !self.is_only_sent() {
-            // The engine knew the try before, so this cannot mean that it did not run.
-            return self.abandon(actions);
-        }
-        let Some(attempt) = self.end_attempt(AttemptEnding::Refused, actions) else { return };
-        let engine = attempt.engine();
-        if refusal.code == RefusalCode::PreconditionFailed {
-            // The belief was out of date. The engine may be chosen again once it was asked.
-            self.last_code = RefusalCode::Unavailable;
-            actions.push(RequestAction::Relearn { engine });
-        } else {
-            self.last_code = match refusal.code {
-                code @ (RefusalCode::Overloaded | RefusalCode::Draining) => code,
-                _ => RefusalCode::Unavailable,
-            };
-            self.excluded.push(engine);
-        }
-        if let Some(milliseconds) = refusal.retry_after_ms {
-            let after = Duration::from_millis(milliseconds);
-            self.retry_after = Some(self.retry_after.map_or(after, |known| known.min(after)));
-        }
-        self.choose(actions);
-    }
-
-    fn not_sent(&mut self, actions: &mut Vec<RequestAction>) {
-        if !self.is_only_sent() {
-            // The try itself was sent earlier; only its resumption was not.
-            return self.abandon(actions);
-        }
-        let Some(attempt) = self.end_attempt(AttemptEnding::Failed, actions) else { return };
-        self.excluded.push(attempt.engine());
-        self.choose(actions);
-    }
-
-    /// Whether nothing was heard of the present try since it was sent.
-    fn is_only_sent(&self) -> bool {
-        matches!(&self.phase, Phase::Trying(attempt) if attempt.stage == Stage::Sent)
-    }
-
-    fn lost(&mut self, resumable: bool, now: Timestamp, actions: &mut Vec<RequestAction>) {
-        let next_index = self.next_index();
-        let max_resumes = self.settings.max_resumes;
-        let Phase::Trying(attempt) = &mut self.phase else { return };
-        if !resumable || attempt.resumes >= max_resumes {
-            return self.abandon(actions);
-        }
-        attempt.resumes += 1;
-        attempt.stage = Stage::Resuming { started: attempt.has_started() };
-        attempt.heard_at = now;
-        actions.push(RequestAction::Resume {
-            attempt: attempt.id.clone(),
-            engine: attempt.engine(),
-            incarnation: attempt.precondition.incarnation,
-            next_index,
-        });
-    }
-
-    /// Gives up a try that may have run, and goes on elsewhere where that is allowed.
-    fn abandon(&mut self, actions: &mut Vec<RequestAction>) {
-        self.last_code = RefusalCode::BackendFailed;
-        if let Phase::Trying(attempt) = &self.phase {
-            self.excluded.push(attempt.engine());
-        }
-        self.give_up_attempt(AttemptEnding::Failed, actions);
-        if self.next_index() >= self.terms.max_tokens {
-            return self.finish(FinishReason::Length, None, actions);
-        }
-        if self.terms.repeatable {
-            self.choose(actions);
-        } else {
-            self.refuse(RefusalCode::BackendFailed, "the engine failed; the request may have run", actions);
-        }
-    }
-
-    /// Ends the present try with a cancellation; the engine may have begun it.
-    fn give_up_attempt(&mut self, ending: AttemptEnding, actions: &mut Vec<RequestAction>) {
-        if let Phase::Trying(attempt) = &self.phase {
-            self.may_have_run = true;
-            let (attempt, engine) = (attempt.id.clone(), attempt.engine());
-            actions.push(RequestAction::Cancel { attempt, engine });
-            self.end_attempt(ending, actions);
-        }
-    }
-
-    fn end_attempt(&mut self, ending: AttemptEnding, actions: &mut Vec<RequestAction>) -> Option<Attempt> {
-        match std::mem::replace(&mut self.phase, Phase::Choosing) {
-            Phase::Trying(attempt) => {
-                actions.push(RequestAction::Ended { attempt: attempt.id.clone(), ending });
-                Some(attempt)
-            }
-            other => {
-                self.phase = other;
-                None
-            }
-        }
-    }
-
-    fn tick(&mut self, now: Timestamp, actions: &mut Vec<RequestAction>) {
-        let Phase::Trying(attempt) = &self.phase else { return };
-        if now < self.patience_ends(attempt) {
-            return;
-        }
-        match attempt.stage {
-            Stage::Answering => self.lost(true, now, actions),
-            Stage::Sent | Stage::Resuming { .. } => self.abandon(actions),
-        }
-    }
-
-    fn frame(&mut self, frame: Frame, now: Timestamp, actions: &mut Vec<RequestAction>) {
-        self.heard(now);
-        match frame.content {
-            FrameContent::Start { incarnation, prompt_tokens, cached_tokens, load } => {
-                self.start(incarnation, prompt_tokens, cached_tokens, load, actions);
-            }
-            FrameContent::Token { index, text } => self.token(index, text, now, actions),
-            FrameContent::End { tokens, reason, load } => self.end(tokens, reason, load, now, actions),
-            FrameContent::Failed { .. } => self.abandon(actions),
-        }
-    }
-
-    fn start(
-        &mut self,
-        incarnation: Incarnation,
-        prompt_tokens: u32,
-        cached_tokens: u32,
-        load: LoadReport,
-        actions: &mut Vec<RequestAction>,
-    ) {
-        let Phase::Trying(attempt) = &mut self.phase else { return };
-        if incarnation != attempt.precondition.incarnation {
-            return self.abandon(actions);
-        }
-        if attempt.has_started() {
-            attempt.stage = Stage::Answering;
-            return;
-        }
-        attempt.stage = Stage::Answering;
-        let (attempt, engine) = (attempt.id.clone(), attempt.engine());
-        self.may_have_run = true;
-        actions.push(RequestAction::Started {
-            attempt,
-            engine,
-            incarnation,
-            prompt_tokens,
-            cached_tokens,
-            load,
-        });
-    }
-
     fn next_index(&self) -> u32 {
         u32::try_from(self.sent.len()).unwrap_or(u32::MAX)
     }
 
-    fn token(&mut self, index: u32, text: String, now: Timestamp, actions: &mut Vec<RequestAction>) {
-        let next = self.next_index();
-        if index < next {
-            self.anomalies.duplicate += 1;
-            return;
-        }
-        if index > next {
-            self.anomalies.gap += 1;
-            return self.lost(true, now, actions);
-        }
-        if let Phase::Trying(attempt) = &mut self.phase {
-            attempt.stage = Stage::Answering;
-            attempt.has_generated = true;
-            attempt.resumes = 0;
-        }
-        self.may_have_run = true;
-        self.sent.push(text.clone());
-        actions.push(RequestAction::Emit { index, text });
-    }
-
-    fn end(
-        &mut self,
-        tokens: u32,
-        reason: FinishReason,
-        load: LoadReport,
-        now: Timestamp,
-        actions: &mut Vec<RequestAction>,
-    ) {
-        if tokens > self.next_index() {
-            self.anomalies.gap += 1;
-            return self.lost(true, now, actions);
-        }
-        if tokens < self.next_index() {
-            return self.abandon(actions);
-        }
-        let Some(attempt) = self.end_attempt(AttemptEnding::Completed, actions) else { return };
-        self.finish(reason, Some((attempt.engine(), load)), actions);
-    }
-
     fn finish(
         &mut self,
         reason: FinishReason,
--- /dev/null
+++ b/crates/core/tests/model_request_support/mod.rs
@@ -0,0 +1,65 @@
+//! Events of one model request, for its tests.
+
+use paddlemount_core::request::{RequestEvent as Event, RequestTerms};
+use paddlemount_protocol::{
+    engine::{EngineRefusal, FinishReason, Frame, FrameContent, LoadReport, Precondition},
+    identity::{AttemptId, EngineId, Incarnation, RequestId, WeightsVersion},
+    refusal::RefusalCode,
+    time::Timestamp,
+};
+
+pub const LIFE: Incarnation = Incarnation(7);
+
+pub fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+pub fn terms(repeatable: bool) -> RequestTerms {
+    RequestTerms { request: RequestId::from("r"), repeatable, max_tokens: 4, deadline: at(60_000) }
+}
+
+pub fn attempt(number: u32) -> AttemptId {
+    terms(true).attempt(number)
+}
+
+pub fn precondition(engine: &str) -> Precondition {
+    Precondition {
+        engine: EngineId::from(engine),
+        incarnation: LIFE,
+        model: "m".into(),
+        weights: WeightsVersion(1),
+        adapter: None,
+    }
+}
+
+pub fn frame(number: u32, content: FrameContent) -> Event {
+    Event::Frame(Frame { attempt: attempt(number), content })
+}
+
+pub fn start(number: u32, incarnation: Incarnation) -> Event {
+    let load = LoadReport::default();
+    frame(number, FrameContent::Start { incarnation, prompt_tokens: 9, cached_tokens: 3, load })
+}
+
+pub fn token(number: u32, index: u32) -> Event {
+    frame(number, FrameContent::Token { index, text: text(index) })
+}
+
+pub fn end(number: u32, tokens: u32) -> Event {
+    frame(number, FrameContent::End { tokens, reason: FinishReason::Stop, load: LoadReport::default() })
+}
+
+pub fn text(index: u32) -> String {
+    format!("t{index}")
+}
+
+pub fn refused(number: u32, code: RefusalCode) -> Event {
+    let refusal = EngineRefusal {
+        code,
+        incarnation: LIFE,
+        loaded: None,
+        message: "no".into(),
+        retry_after_ms: Some(250),
+    };
+    Event::Refused { attempt: attempt(number), refusal }
+}
