Add up the demand of nodes below in one place

Cause: the ledger added it up twice, for its own level and for its report, over bare pairs. Ruled out: passing the sums from one to the other; they are taken at different moments. Change: `limits::ledger::below` keeps the reports of nodes below and sums them. A node that heads itself does so in a function of its own. Conclusion: one sum, with one meaning.

--- a/crates/core/src/limits/ledger/mod.rs
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -12,6 +12,7 @@
 //! goes on from the level that it was last told. After a restart of all, the level begins half filled.
 
 mod account;
+mod below;
 pub mod plan;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -24,6 +25,7 @@
 
 use self::{
     account::{Account, Sharing},
+    below::{NodesBelow, TenantDemand},
     plan::QuotaBounds,
 };
 use crate::forwarding::document::TenantQuota;
@@ -71,14 +73,6 @@
     units: f64,
 }
 
-/// What a node below has told.
-#[derive(Clone, Debug)]
-struct Below {
-    at: Timestamp,
-    heard: u32,
-    demands: Vec<(TenantId, f64)>,
-}
-
 /// What this node knows of its place among the nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -95,7 +89,7 @@
 pub struct QuotaLedger {
     bounds: QuotaBounds,
     accounts: BTreeMap<TenantId, Account>,
-    below: BTreeMap<NodeId, Below>,
+    below: NodesBelow,
     told_at: Option<Timestamp>,
     /// The part that was last told.
     told_part: Option<f64>,
@@ -114,7 +108,7 @@
         Self {
             bounds,
             accounts: BTreeMap::new(),
-            below: BTreeMap::new(),
+            below: NodesBelow::default(),
             told_at: None,
             told_part: None,
             root_since: None,
@@ -199,16 +193,21 @@
     /// Looks at who is heard, and adds up what they ask for; to be called several times a second.
     pub fn tick(&mut self, place: Place, now: Timestamp) {
         self.accounts.values_mut().for_each(|account| account.refill(self.sharing, now));
-        self.below.retain(|_, below| now.saturating_since(below.at) < FRESH);
+        self.below.forget_silent(now);
         self.remember_count(place.counted, now);
         let began = self.root_since.is_none() && place.is_root;
         self.root_since = place.is_root.then(|| self.root_since.unwrap_or(now));
         let told = self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH) && !place.is_root;
-        let shared = told || !self.below.is_empty();
         if told {
-            self.sharing = Sharing { shared, heads: false, ..self.sharing };
+            self.sharing = Sharing { shared: true, heads: false, ..self.sharing };
             return;
         }
+        self.head_itself(place, began, now);
+        self.add_up_demand(now);
+    }
+
+    /// Goes on with this node's part of the level and of the rate, as no other node tells it anything.
+    fn head_itself(&mut self, place: Place, began: bool, now: Timestamp) {
         let part = self.part_heard(place, now);
         if began && self.told_part.is_none() {
             self.accounts.values_mut().for_each(|account| account.begin_with(self.filled));
@@ -218,8 +217,7 @@
             self.accounts.values_mut().for_each(|account| account.scale(factor));
         }
         let capacity_part = if place.is_root { part } else { (part * APART).min(1.0) };
-        self.sharing = Sharing { part, capacity_part, heads: true, shared };
-        self.add_up_demand(now);
+        self.sharing = Sharing { part, capacity_part, heads: true, shared: !self.below.is_empty() };
     }
 
     /// The part of the fleet that this node and those below it are.
@@ -243,14 +241,11 @@
 
     /// This node and those below it that were heard lately.
     pub fn heard(&self) -> u32 {
-        self.below.values().fold(1, |sum, below| sum.saturating_add(below.heard))
+        self.below.heard().saturating_add(1)
     }
 
     fn add_up_demand(&mut self, now: Timestamp) {
-        let mut demands: BTreeMap<&TenantId, f64> = BTreeMap::new();
-        for (tenant, demand) in self.below.values().flat_map(|below| &below.demands) {
-            *demands.entry(tenant).or_default() += demand;
-        }
+        let demands = self.below.demands();
         for (tenant, account) in &mut self.accounts {
             let below = demands.get(tenant).copied().unwrap_or_default();
             account.set_demand(below + account.own_demand(now));
@@ -273,12 +268,12 @@
             match self.accounts.get_mut(&entry.tenant).filter(|_| sound) {
                 Some(account) => {
                     account.granted_below(entry.spent);
-                    demands.push((entry.tenant, entry.demand));
+                    demands.push(TenantDemand { tenant: entry.tenant, per_second: entry.demand });
                 }
                 None => passed_over += 1,
             }
         }
-        self.below.insert(node, Below { at: now, heard: heard.max(1), demands });
+        self.below.told(node, heard, demands, now);
         passed_over
     }
 
@@ -299,10 +294,7 @@
     /// What the node above is told now; to be followed by [`answered`](Self::answered) or
     /// [`unanswered`](Self::unanswered).
     pub fn report(&mut self, now: Timestamp) -> Vec<TenantSpending> {
-        let mut demands: BTreeMap<&TenantId, f64> = BTreeMap::new();
-        for (tenant, demand) in self.below.values().flat_map(|below| &below.demands) {
-            *demands.entry(tenant).or_default() += demand;
-        }
+        let demands = self.below.demands();
         let mut report = Vec::new();
         for (tenant, account) in &mut self.accounts {
             let below = demands.get(tenant).copied().unwrap_or_default();
