Drills: nodes, and the way of events to them, apart from the world around them

Ruled out: splitting the one match over all events; its arms are one line each. Change: `drill::node` has nodes and their memory, whose membership and claim replica are built by functions of their own; `drill::delivery` gives events to their parts. A booking instance is a type in place of a pair.

--- a/crates/bench/src/drill.rs
+++ b/crates/bench/src/drill.rs
@@ -8,12 +8,14 @@
 mod bookings;
 mod callers;
 pub mod command;
+mod delivery;
 mod engines;
 mod event;
 mod faults;
 mod history;
 mod judge;
 mod models;
+mod node;
 mod peers;
 mod placing;
 mod settings;
--- a/crates/bench/src/drill/bookings.rs
+++ b/crates/bench/src/drill/bookings.rs
@@ -17,8 +17,9 @@
 
 use super::{
     event::{Event, NodeLife},
+    node::ActiveClaim,
     settings::Breakage,
-    world::{ActiveClaim, World},
+    world::World,
 };
 
 const DEADLINE: Duration = Duration::from_secs(5);
@@ -147,7 +148,7 @@
         let timeout = Event::BookingTimeout { to: at, owner: owner.clone(), number };
         self.queue.schedule_after(DISPATCH_TIMEOUT, timeout);
         let event = Event::Booking { instance, from: at, owner: owner.clone(), number };
-        if !self.send(self.nodes[at.node].endpoint, self.bookings[instance].0, event) {
+        if !self.send(self.nodes[at.node].endpoint, self.bookings[instance].endpoint, event) {
             self.not_run(at, owner, RefusalCode::Unavailable, now);
         }
     }
@@ -183,13 +184,13 @@
             };
             self.history.note(now, key.as_str(), format!("booking-{instance} runs {owner}"));
             self.history.bookings.entry(key).or_default().runs.push((instance, now));
-            let result = self.bookings[instance].1.run(request, now);
+            let result = self.bookings[instance].model.run(request, now);
             result.map(|response| response.body.to_string()).map_err(|refusal| refusal.message)
         };
         if self.loses_replies && self.random.random_bool(LOST_SHARE) {
             return;
         }
-        let (back_end, node) = (self.bookings[instance].0, self.nodes[from.node].endpoint);
+        let (back_end, node) = (self.bookings[instance].endpoint, self.nodes[from.node].endpoint);
         self.send(back_end, node, Event::Booked { to: from, owner, answer });
     }
 
--- a/crates/bench/src/drill/callers.rs
+++ b/crates/bench/src/drill/callers.rs
@@ -18,7 +18,8 @@
 use super::{
     event::Event,
     history::Answer,
-    world::{HOME_NODES, World, model_name, pool_name},
+    node::HOME_NODES,
+    world::{World, model_name, pool_name},
 };
 
 const FIRST_REQUEST_MS: u64 = 6_000;
--- a/crates/bench/src/drill/faults.rs
+++ b/crates/bench/src/drill/faults.rs
@@ -9,8 +9,9 @@
 use super::{
     event::Event,
     history::{AnswerEnding, FAULT},
+    node::HOME_NODES,
     settings::{Breakage, Fault},
-    world::{HOME_NODES, World},
+    world::World,
 };
 use crate::simulation::{Region, Scope, Zone};
 
--- a/crates/bench/src/drill/models.rs
+++ b/crates/bench/src/drill/models.rs
@@ -18,8 +18,9 @@
 use super::{
     event::{Dispatch, Event, NodeLife},
     history::AnswerEnding,
+    node::{ActiveRequest, NodeMemory},
     settings::Breakage,
-    world::{ActiveRequest, NodeMemory, World, model_name, pool_name},
+    world::{World, model_name, pool_name},
 };
 
 const DEADLINE: Duration = Duration::from_secs(25);
--- /dev/null
+++ b/crates/bench/src/drill/node.rs
@@ -0,0 +1,214 @@
+//! The simulated nodes: where each stands, and what it holds in memory while it runs.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use paddlemount_core::{
+    claims::{ClaimCoordinator, ClaimReplica, ClaimSettings},
+    lease::{LeaseHolder, LeaseSettings},
+    membership::{CallId, MembershipSettings, MembershipTiming},
+    peers::Peers,
+    placement::{LEASE_NAME, PlacementSettings, Placer},
+    request::ModelRequest,
+    routing::{Router, RouterSettings},
+};
+use paddlemount_protocol::{
+    engine::EngineStatus,
+    identity::{
+        AttemptId, ChangeId, EngineId, Incarnation, NodeId, RegionId, RequestId, Revision, TenantId,
+        WeightsVersion, ZoneId,
+    },
+    peer::claims::PlacementEpoch,
+    prefix::{BlockHash, CacheScope},
+    time::Timestamp,
+};
+
+use super::{
+    event::NodeLife,
+    settings::{Breakage, RunSettings},
+};
+use crate::simulation::{Endpoint, Links, Region, Zone, derived_seed};
+
+/// Nodes in the region of the engines.
+pub const HOME_NODES: usize = 5;
+/// Zones of that region.
+pub const HOME_ZONES: usize = 3;
+
+/// A model request that a node serves.
+pub struct ActiveRequest {
+    /// Its state machine.
+    pub machine: ModelRequest,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// The weights that it uses.
+    pub weights: WeightsVersion,
+    /// The boundary of its cached state.
+    pub scope: CacheScope,
+    /// Its prompt's blocks.
+    pub blocks: Vec<BlockHash>,
+    /// Tokens to generate.
+    pub tokens: u32,
+    /// Whether a timer is under way.
+    pub timer: Option<Timestamp>,
+}
+
+/// A booking that a node serves.
+pub struct ActiveClaim {
+    /// Its state machine.
+    pub coordinator: ClaimCoordinator,
+    /// The caller's key.
+    pub key: String,
+    /// The caller's try.
+    pub attempt: usize,
+    /// Dispatches so far.
+    pub dispatches: u32,
+}
+
+/// What a node holds in memory.
+pub struct NodeMemory {
+    /// Membership and configuration.
+    pub peers: Peers,
+    /// Peers' calls that are still to be answered.
+    pub served: BTreeMap<CallId, (NodeLife, CallId)>,
+    /// Operators' changes under way.
+    pub changes: BTreeMap<CallId, ChangeId>,
+    /// Numbers the two above.
+    pub next_call: u64,
+    /// When the next wake-up is due.
+    pub wakeup: Option<Timestamp>,
+    /// Routing.
+    pub router: Router,
+    /// The last status of each engine.
+    pub statuses: BTreeMap<EngineId, EngineStatus>,
+    /// Claims that this node remembers.
+    pub replica: ClaimReplica,
+    /// The placement lease.
+    pub lease: LeaseHolder,
+    /// Placement.
+    pub placer: Placer,
+    /// Model requests under way.
+    pub requests: BTreeMap<RequestId, ActiveRequest>,
+    /// Bookings under way.
+    pub claims: BTreeMap<AttemptId, ActiveClaim>,
+}
+
+/// A node, running or not.
+pub struct SimNode {
+    /// Its name.
+    pub name: NodeId,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+    /// Its place in the network.
+    pub endpoint: Endpoint,
+    /// Its zone.
+    pub zone: usize,
+    /// Its region.
+    pub region: usize,
+    /// Lives so far.
+    pub life: u32,
+    /// Whether it takes no new work.
+    pub stopping: bool,
+    /// Until when it is paused.
+    pub paused_until: Timestamp,
+    /// When it started last.
+    pub started_at: Timestamp,
+    /// The revision that it held last in this life.
+    pub revision: Revision,
+    /// Its memory while it runs.
+    pub memory: Option<NodeMemory>,
+}
+
+impl SimNode {
+    /// A node that has never run. The first [`HOME_NODES`] stand in the region of the engines.
+    pub fn new(number: usize, links: &mut Links) -> Self {
+        let home = number < HOME_NODES;
+        let zone = if home { number % HOME_ZONES } else { HOME_ZONES };
+        let region = usize::from(!home);
+        let last = u8::try_from(number).unwrap_or(u8::MAX);
+        Self {
+            name: NodeId::from(format!("node-{number}")),
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, last)), 8081),
+            endpoint: links.add(Zone(zone), Region(region)),
+            zone,
+            region,
+            life: 0,
+            stopping: false,
+            paused_until: Timestamp::ZERO,
+            started_at: Timestamp::ZERO,
+            revision: Revision(0),
+            memory: None,
+        }
+    }
+
+    /// Its present life.
+    pub const fn life_of(&self, node: usize) -> NodeLife {
+        NodeLife { node, life: self.life }
+    }
+
+    const fn is_in_first_life(&self) -> bool {
+        self.life == 1
+    }
+}
+
+impl NodeMemory {
+    /// What a node holds that has just started its present life.
+    pub fn new(node: &SimNode, seeds: Vec<SocketAddr>, settings: &RunSettings, now: Timestamp) -> Self {
+        let zone = ZoneId::from(format!("zone-{}", node.zone));
+        let seed = derived_seed(settings.seed + u64::from(node.life), node.name.as_str());
+        let lease = LeaseSettings {
+            name: LEASE_NAME.to_owned(),
+            holder: node.name.clone(),
+            ttl: Duration::from_secs(6),
+        };
+        let placement = PlacementSettings {
+            trial: Duration::from_secs(3),
+            retry: Duration::from_secs(2),
+            ..PlacementSettings::default()
+        };
+        Self {
+            peers: Peers::new(membership(node, zone.clone(), seeds, seed, now), now),
+            served: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            next_call: 0,
+            wakeup: None,
+            router: Router::new(RouterSettings::new(zone, seed)),
+            statuses: BTreeMap::new(),
+            replica: claim_replica(node, settings.breakage, now),
+            lease: LeaseHolder::new(lease, now),
+            placer: Placer::new(placement),
+            requests: BTreeMap::new(),
+            claims: BTreeMap::new(),
+        }
+    }
+}
+
+fn membership(
+    node: &SimNode,
+    zone: ZoneId,
+    seeds: Vec<SocketAddr>,
+    seed: u64,
+    now: Timestamp,
+) -> MembershipSettings {
+    MembershipSettings {
+        node: node.name.clone(),
+        address: node.address,
+        zone,
+        region: RegionId::from(format!("region-{}", node.region)),
+        incarnation: Incarnation(now.0 + u64::from(node.life)),
+        seeds,
+        seed,
+        timing: MembershipTiming::default(),
+    }
+}
+
+fn claim_replica(node: &SimNode, breakage: Breakage, now: Timestamp) -> ClaimReplica {
+    let forgetful = breakage == Breakage::FreshReplicaGrantsOldKeys && !node.is_in_first_life();
+    if forgetful {
+        ClaimReplica::with_floor(ClaimSettings::default(), PlacementEpoch(1), Timestamp::ZERO)
+    } else {
+        ClaimReplica::new(ClaimSettings::default(), PlacementEpoch(0), now)
+    }
+}
--- a/crates/bench/src/drill/placing.rs
+++ b/crates/bench/src/drill/placing.rs
@@ -17,8 +17,9 @@
 
 use super::{
     event::{Event, NodeLife, StoreAnswer, StoreCall},
+    node::HOME_NODES,
     settings::Breakage,
-    world::{HOME_NODES, World},
+    world::World,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
