Demo: settings of its processes apart from the processes themselves

Ruled out: nothing else. Change: `demo::cluster::settings` has names, keys, addresses and settings; the start calls one function for each kind of process. Measured: the three tests of the demo pass, the one with a crash and a restart included. Conclusion: no change of behaviour.

--- a/crates/bench/src/demo/cluster.rs
+++ b/crates/bench/src/demo/cluster.rs
@@ -1,9 +1,10 @@
 //! The demo's processes: platform, engines, booking runners and nodes, each with its own sockets.
 
+mod settings;
+
 use std::{
-    collections::BTreeMap,
     io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -13,46 +14,25 @@
     settings::NodeSettings,
 };
 use paddlemount_protocol::{
-    configuration::{Configuration, DOCUMENT_KEY, Pool, Service, Tenant},
-    engine::LoadedModel,
-    identity::{
-        EngineId, ModelId, NodeId, PoolId, RegionId, ServiceId, ServiceInstanceId, TenantId, WeightsVersion,
-        ZoneId,
-    },
-    peer::claims::{ClaimMember, ClaimPlacement, PlacementEpoch},
-    platform::{Machine, MachineRole, MachineState},
+    identity::{EngineId, NodeId},
+    platform::Machine,
 };
 use paddlemount_standins::{
     booking::model::LedgerEntry,
     server::{self, RunningStandin},
     settings::{
-        BookingSettings, ConfigurationStoreSettings, EngineSettings, KeptCacheStoreSettings,
-        MachineListSettings, StandinSettings, WeightStoreSettings,
+        BookingSettings, EngineSettings, KeptCacheStoreSettings, MachineListSettings, StandinSettings,
+        WeightStoreSettings,
     },
 };
-use sha2::{Digest, Sha256};
 
+use self::settings::{
+    BOOKING_RUNNERS, ENGINES, NodeAddresses, PlatformAddresses, ZONES, booking_machine, booking_name,
+    configuration_store, engine_machine, engine_settings, node_machine, node_name, node_settings,
+};
+pub use self::settings::{MODEL, OPERATOR, OPERATOR_KEY, TENANTS, WEIGHTS, caller_key};
 use super::caller::Caller;
 
-/// The operator that may do everything in the demo.
-pub const OPERATOR: &str = "operator";
-/// The operator's key, good for this demo only.
-pub const OPERATOR_KEY: &str = "demo-operator-key";
-/// The one model.
-pub const MODEL: &str = "prairie-8b";
-/// The weights that are loaded.
-pub const WEIGHTS: WeightsVersion = WeightsVersion(1);
-/// Kestrel's tenants.
-pub const TENANTS: [&str; 8] =
-    ["regina", "saskatoon", "brandon", "estevan", "weyburn", "yorkton", "moose-jaw", "swift-current"];
-/// Kestrel's zones.
-const ZONES: [&str; 3] = ["regina", "saskatoon", "brandon"];
-const REGION: &str = "prairie";
-const POOL: &str = "contracts";
-const BOOKING: &str = "booking";
-const ENGINES: usize = 12;
-const BOOKING_RUNNERS: usize = 3;
-const CLUSTER_KEY: &str = "demo-cluster-key-0123456789";
 /// How long the nodes may take to become ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const READY_POLL: Duration = Duration::from_millis(25);
@@ -103,71 +83,46 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The key of a tenant's callers.
-pub fn caller_key(tenant: &str) -> String {
-    format!("demo-key-{tenant}")
-}
-
-fn sha256_hex(text: &str) -> String {
-    hex::encode(Sha256::digest(text.as_bytes()))
-}
-
 impl Cluster {
     /// Starts everything and waits until the nodes are ready.
     pub async fn start() -> Result<Self, ClusterError> {
-        let mut standins = Vec::new();
-        let mut machines = Vec::new();
         let weight_store =
             start_standin(StandinSettings::WeightStore(WeightStoreSettings::default())).await?;
         let kept_cache =
             start_standin(StandinSettings::KeptCacheStore(KeptCacheStoreSettings::default())).await?;
-        let mut engines = Vec::new();
-        for number in 0..ENGINES {
-            let engine = start_engine(number, weight_store.address()).await?;
-            machines.push(engine_machine(&engine));
-            engines.push(engine);
-        }
-        let mut bookings = Vec::new();
-        for number in 0..BOOKING_RUNNERS {
-            let instance = ServiceInstanceId::from(format!("booking-{number}"));
-            let running =
-                start_standin(StandinSettings::Booking(BookingSettings::new(instance.clone()))).await?;
-            let role = MachineRole::Service { instance, service: ServiceId::from(BOOKING) };
-            machines.push(machine(role, running.address(), number));
-            bookings.push(running.address());
-            standins.push(running);
-        }
+        let engines = start_engines(weight_store.address()).await?;
+        let bookings = start_bookings().await?;
         let addresses = (0..ZONES.len()).map(|_| NodeAddresses::reserve()).collect::<Result<Vec<_>, _>>()?;
-        for (number, addresses) in addresses.iter().enumerate() {
-            let role = MachineRole::Node { node: node_name(number) };
-            machines.push(machine(role, addresses.peers, number));
-        }
         let store = start_standin(configuration_store()?).await?;
+        let machines = machines(&engines, &bookings, &addresses);
         let list = MachineListSettings { machines, ..MachineListSettings::default() };
         let list = start_standin(StandinSettings::MachineList(list)).await?;
-        let platform = Platform {
+        let platform = PlatformAddresses {
             configuration_store: store.address(),
             machine_list: list.address(),
             kept_cache_store: kept_cache.address(),
         };
-        let mut nodes = Vec::new();
-        for (number, own) in addresses.iter().enumerate() {
-            let settings = node_settings(number, own, &platform)?;
-            let running = Some(Node::start(settings.clone())?);
-            nodes.push(NodeProcess { settings, running });
-        }
+        let nodes = start_nodes(&addresses, &platform)?;
+        let booking_addresses = bookings.iter().map(RunningStandin::address).collect();
+        let mut standins = bookings;
         standins.extend([weight_store, kept_cache, store, list]);
         let cluster = Self {
             engines: Mutex::new(engines),
             nodes: Mutex::new(nodes),
-            bookings,
+            bookings: booking_addresses,
             standins: Mutex::new(standins),
         };
+        cluster.wait_until_open().await?;
+        Ok(cluster)
+    }
+
+    /// Waits until all nodes serve, claims included.
+    async fn wait_until_open(&self) -> Result<(), ClusterError> {
         for number in 0..ZONES.len() {
-            cluster.wait_until_ready(number).await?;
+            self.wait_until_ready(number).await?;
         }
-        cluster.wait_until_keys_are_granted().await;
-        Ok(cluster)
+        self.wait_until_keys_are_granted().await;
+        Ok(())
     }
 
     /// Where all nodes are new, none of them grants keys that were made before its start, or shortly after it.
@@ -310,116 +265,44 @@
     Ok(started.map_err(|error| ClusterError::Port(io::Error::other(error)))??)
 }
 
-async fn start_engine(number: usize, weight_store: SocketAddr) -> Result<EngineProcess, ClusterError> {
-    let loaded = LoadedModel { model: ModelId::from(MODEL), weights: WEIGHTS, adapters: Vec::new() };
-    let engine = EngineId::from(format!("runner-{number:02}"));
-    let mut settings = EngineSettings::new(engine, PoolId::from(POOL), zone(number), Some(loaded));
-    settings.weight_store = Some(weight_store);
-    settings.seed = number as u64;
-    let running = start_standin(StandinSettings::Engine(settings.clone())).await?;
-    settings.listen = running.address();
-    Ok(EngineProcess { settings, running: Some(running) })
-}
-
-fn zone(number: usize) -> ZoneId {
-    ZoneId::from(ZONES[number % ZONES.len()])
-}
-
-fn node_name(number: usize) -> NodeId {
-    NodeId::from(format!("node-{number}"))
-}
-
-fn claim_member(number: usize) -> ClaimMember {
-    ClaimMember { node: node_name(number), zone: zone(number), region: RegionId::from(REGION) }
-}
-
-fn machine(role: MachineRole, address: SocketAddr, number: usize) -> Machine {
-    let (zone, region) = (zone(number), RegionId::from(REGION));
-    Machine { role, address, zone, region, state: MachineState::Live }
-}
-
-fn engine_machine(engine: &EngineProcess) -> Machine {
-    let settings = &engine.settings;
-    let role = MachineRole::Engine { engine: settings.engine.clone(), pool: settings.pool.clone() };
-    let region = RegionId::from(REGION);
-    Machine { role, address: settings.listen, zone: settings.zone.clone(), region, state: MachineState::Live }
-}
-
-fn configuration_store() -> Result<StandinSettings, ClusterError> {
-    let tenant = |name: &str| {
-        let key_hashes = vec![sha256_hex(&caller_key(name))];
-        (TenantId::from(name), Tenant { key_hashes, ..Tenant::default() })
-    };
-    let pool = Pool {
-        model: ModelId::from(MODEL),
-        weights: WEIGHTS,
-        rollout: None,
-        adapters: Vec::new(),
-        reuse_weight: 0.3,
-    };
-    let configuration = Configuration {
-        tenants: TENANTS.into_iter().map(tenant).collect(),
-        pools: BTreeMap::from([(PoolId::from(POOL), pool)]),
-        services: BTreeMap::from([(ServiceId::from(BOOKING), Service::default())]),
-        claims: ClaimPlacement {
-            epoch: PlacementEpoch(1),
-            members: (0..ZONES.len()).map(claim_member).collect(),
-            next: None,
-        },
-        ..Configuration::default()
-    };
-    let values = BTreeMap::from([(DOCUMENT_KEY.to_owned(), serde_json::to_value(configuration)?)]);
-    Ok(StandinSettings::ConfigurationStore(ConfigurationStoreSettings {
-        values,
-        ..ConfigurationStoreSettings::default()
-    }))
-}
-
-/// Addresses that a node keeps over a restart.
-struct NodeAddresses {
-    callers: SocketAddr,
-    peers: SocketAddr,
-    admin: SocketAddr,
-}
-
-impl NodeAddresses {
-    fn reserve() -> Result<Self, io::Error> {
-        let listeners = [free_port()?, free_port()?, free_port()?];
-        let [callers, peers, admin] = listeners.each_ref().map(TcpListener::local_addr);
-        Ok(Self { callers: callers?, peers: peers?, admin: admin? })
+async fn start_engines(weight_store: SocketAddr) -> Result<Vec<EngineProcess>, ClusterError> {
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let mut settings = engine_settings(number, weight_store);
+        let running = start_standin(StandinSettings::Engine(settings.clone())).await?;
+        settings.listen = running.address();
+        engines.push(EngineProcess { settings, running: Some(running) });
     }
+    Ok(engines)
 }
 
-fn free_port() -> Result<TcpListener, io::Error> {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+async fn start_bookings() -> Result<Vec<RunningStandin>, ClusterError> {
+    let mut bookings = Vec::new();
+    for number in 0..BOOKING_RUNNERS {
+        let settings = BookingSettings::new(booking_name(number));
+        bookings.push(start_standin(StandinSettings::Booking(settings)).await?);
+    }
+    Ok(bookings)
 }
 
-struct Platform {
-    configuration_store: SocketAddr,
-    machine_list: SocketAddr,
-    kept_cache_store: SocketAddr,
+fn start_nodes(
+    addresses: &[NodeAddresses],
+    platform: &PlatformAddresses,
+) -> Result<Vec<NodeProcess>, ClusterError> {
+    let mut nodes = Vec::new();
+    for (number, own) in addresses.iter().enumerate() {
+        let settings = node_settings(number, own, platform)?;
+        let running = Some(Node::start(settings.clone())?);
+        nodes.push(NodeProcess { settings, running });
+    }
+    Ok(nodes)
 }
 
-fn node_settings(
-    number: usize,
-    own: &NodeAddresses,
-    platform: &Platform,
-) -> Result<NodeSettings, ClusterError> {
-    let text = format!(
-        "node = \"{node}\"\nregion = \"{REGION}\"\nzone = \"{zone}\"\nworkers = 2\n\
-         [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\nadmin = \"{admin}\"\n\
-         [platform]\nconfiguration_store = \"{store}\"\nmachine_list = \"{list}\"\nkept_cache_store = \"{kept}\"\n\
-         [cluster]\nkey = \"{CLUSTER_KEY}\"\n\
-         [[operators]]\nname = \"{OPERATOR}\"\nkey_hash = \"{hash}\"\nrole = \"administer\"\n",
-        node = node_name(number),
-        zone = zone(number),
-        callers = own.callers,
-        peers = own.peers,
-        admin = own.admin,
-        store = platform.configuration_store,
-        list = platform.machine_list,
-        kept = platform.kept_cache_store,
-        hash = sha256_hex(OPERATOR_KEY),
-    );
-    NodeSettings::parse(&text).map_err(|mistakes| ClusterError::Settings(format!("{mistakes:?}")))
+/// What the machine list tells of: all engines, booking instances and nodes.
+fn machines(engines: &[EngineProcess], bookings: &[RunningStandin], nodes: &[NodeAddresses]) -> Vec<Machine> {
+    let engines = engines.iter().enumerate().map(|(number, engine)| engine_machine(number, &engine.settings));
+    let bookings =
+        bookings.iter().enumerate().map(|(number, booking)| booking_machine(number, booking.address()));
+    let nodes = nodes.iter().enumerate().map(|(number, addresses)| node_machine(number, addresses));
+    engines.chain(bookings).chain(nodes).collect()
 }
