One list of columns for both tables of summaries; sends of drills to engines in one place

Cause: the tables in Markdown and HTML named the same columns and formats twice; the drills' function for a request's actions had 70 lines with the same send three times. Ruled out: one table format; readers of both exist. Change: `summary::COLUMNS` tells titles and cells. `send_to_engine` and `request_ends` stand for the repeated lines; what a caller asks for is a type in place of a triple.

--- a/crates/bench/src/drill/engines.rs
+++ b/crates/bench/src/drill/engines.rs
@@ -19,6 +19,7 @@
     event::{Dispatch, Event, NodeLife},
     history::Promise,
     judge,
+    models::ModelAsk,
     settings::Breakage,
     world::{World, model_name, pool_name},
 };
@@ -82,7 +83,7 @@
 impl World {
     /// A try arrives at an engine.
     pub fn submit(&mut self, number: usize, dispatch: Dispatch, now: Timestamp) {
-        let Some((tenant, prompt, tokens)) = self.ask_of(&dispatch.request) else { return };
+        let Some(ModelAsk { tenant, prompt, tokens }) = self.ask_of(&dispatch.request) else { return };
         let engine = &mut self.engines[number];
         if !engine.model.is_up() {
             let event = RequestEvent::NotSent { attempt: dispatch.attempt };
--- a/crates/bench/src/drill/models.rs
+++ b/crates/bench/src/drill/models.rs
@@ -25,6 +25,16 @@
 
 const DEADLINE: Duration = Duration::from_secs(25);
 
+/// What a caller asks a model for.
+pub struct ModelAsk {
+    /// In whose name.
+    pub tenant: TenantId,
+    /// The whole prompt.
+    pub prompt: String,
+    /// Tokens to generate.
+    pub tokens: u32,
+}
+
 fn engine_number(engine: &EngineId) -> usize {
     engine.as_str().rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or_default()
 }
@@ -32,7 +42,7 @@
 impl World {
     /// A node takes a model request, or refuses it.
     pub fn serve_model(&mut self, at: NodeLife, request: &RequestId, now: Timestamp) {
-        let Some((tenant, prompt, tokens)) = self.ask_of(request) else { return };
+        let Some(ModelAsk { tenant, prompt, tokens }) = self.ask_of(request) else { return };
         let unguarded = self.is_broken(Breakage::ServesUnconfirmed);
         let stopping = self.nodes[at.node].stopping;
         let Some(memory) = self.memory(at) else {
@@ -103,8 +113,7 @@
                 let begun =
                     self.history.answers.get(request).is_some_and(|answer| !answer.received.is_empty());
                 if begun {
-                    self.memory(at)?.requests.remove(request);
-                    self.answer_ends(request, AnswerEnding::Finished, now);
+                    self.request_ends(at, request, AnswerEnding::Finished, now)?;
                     return None;
                 }
                 Some(RequestEvent::Lost { attempt, resumable })
@@ -127,36 +136,22 @@
             RequestAction::Dispatch { attempt, precondition, already } => {
                 let engine = engine_number(&precondition.engine);
                 let already = u32::try_from(already.len()).unwrap_or(u32::MAX);
-                let dispatch = Dispatch {
-                    from: at,
-                    request: request.clone(),
-                    attempt: attempt.clone(),
-                    precondition,
-                    already,
-                };
+                let (request, sent) = (request.clone(), attempt.clone());
+                let dispatch = Dispatch { from: at, request, attempt: sent, precondition, already };
                 let event = Event::Submit { engine, dispatch: Box::new(dispatch) };
-                if !self.send(self.nodes[at.node].endpoint, self.engines[engine].endpoint, event) {
-                    return Some(RequestEvent::NotSent { attempt });
-                }
+                let is_sent = self.send_to_engine(at, engine, event);
+                return (!is_sent).then_some(RequestEvent::NotSent { attempt });
             }
-            RequestAction::Resume { attempt, engine, incarnation, next_index } => {
+            RequestAction::Resume { attempt, engine, incarnation, next_index: next } => {
                 let engine = engine_number(&engine);
-                let event = Event::Resume {
-                    engine,
-                    from: at,
-                    request: request.clone(),
-                    attempt: attempt.clone(),
-                    incarnation,
-                    next: next_index,
-                };
-                if !self.send(self.nodes[at.node].endpoint, self.engines[engine].endpoint, event) {
-                    return Some(RequestEvent::NotSent { attempt });
-                }
+                let (request, resumed) = (request.clone(), attempt.clone());
+                let event = Event::Resume { engine, from: at, request, attempt: resumed, incarnation, next };
+                let is_sent = self.send_to_engine(at, engine, event);
+                return (!is_sent).then_some(RequestEvent::NotSent { attempt });
             }
             RequestAction::Cancel { attempt, engine } => {
                 let engine = engine_number(&engine);
-                let event = Event::Cancel { engine, attempt };
-                self.send(self.nodes[at.node].endpoint, self.engines[engine].endpoint, event);
+                self.send_to_engine(at, engine, Event::Cancel { engine, attempt });
             }
             RequestAction::Relearn { engine } => self.ask_status(at, engine_number(&engine), now),
             RequestAction::Ended { attempt, ending } => {
@@ -172,18 +167,32 @@
                     answer.received.push(text);
                 }
             }
-            RequestAction::Finish { .. } => {
-                self.memory(at)?.requests.remove(request);
-                self.answer_ends(request, AnswerEnding::Finished, now);
-            }
+            RequestAction::Finish { .. } => self.request_ends(at, request, AnswerEnding::Finished, now)?,
             RequestAction::Refuse { refusal } => {
-                self.memory(at)?.requests.remove(request);
-                self.answer_ends(request, AnswerEnding::Refused(refusal), now);
+                self.request_ends(at, request, AnswerEnding::Refused(refusal), now)?;
             }
         }
         None
     }
 
+    /// Tells whether the event was sent at all.
+    fn send_to_engine(&mut self, at: NodeLife, engine: usize, event: Event) -> bool {
+        self.send(self.nodes[at.node].endpoint, self.engines[engine].endpoint, event)
+    }
+
+    /// A node has given a request its ending; nothing where the node's life has ended.
+    fn request_ends(
+        &mut self,
+        at: NodeLife,
+        request: &RequestId,
+        ending: AnswerEnding,
+        now: Timestamp,
+    ) -> Option<()> {
+        self.memory(at)?.requests.remove(request);
+        self.answer_ends(request, ending, now);
+        Some(())
+    }
+
     /// Chooses an engine; during a rollout also one with the other version, as long as nothing was sent.
     fn choose(
         &mut self,
@@ -220,7 +229,7 @@
         weights: WeightsVersion,
         now: Timestamp,
     ) -> Option<Option<RequestEvent>> {
-        let (_, prompt, _) = self.ask_of(request)?;
+        let prompt = self.ask_of(request)?.prompt;
         let memory = self.memory(at)?;
         let NodeMemory { router, requests, .. } = memory;
         let active = requests.get_mut(request)?;
@@ -288,12 +297,12 @@
         }
     }
 
-    /// Tenant, prompt and number of tokens of a request.
-    pub fn ask_of(&self, request: &RequestId) -> Option<(TenantId, String, u32)> {
+    /// What the caller of a request asks for.
+    pub fn ask_of(&self, request: &RequestId) -> Option<ModelAsk> {
         let number: usize = request.as_str().rsplit('-').next()?.parse().ok()?;
         let tenant = TenantId::from(["kestrel", "benoni"][number % 2]);
-        let opening = ["contract ", "hire terms ", "permit "][number % 3].repeat(130);
+        let prompt = ["contract ", "hire terms ", "permit "][number % 3].repeat(130);
         let tokens = self.history.answers.get(request)?.tokens;
-        Some((tenant, opening, tokens))
+        Some(ModelAsk { tenant, prompt, tokens })
     }
 }
--- a/crates/bench/src/experiment/summary.rs
+++ b/crates/bench/src/experiment/summary.rs
@@ -1,7 +1,5 @@
 //! Medians over seeds, and a table of them.
 
-use std::fmt::Write;
-
 use serde::Serialize;
 
 use super::metrics::PolicyResult;
@@ -91,39 +89,57 @@
 
     /// A table of the medians of each policy, in Markdown.
     pub fn table(results: &[PolicyResult]) -> String {
-        let mut table = String::from(
-            "| policy | seeds | requests | complete | not run | hit rate | p50 ms | p95 ms | p99 ms | \
-             wasted tokens | prefilled tokens | tokens/s | prefill use | imbalance | retries | back s |\n\
-             |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
-        );
-        for row in Self::by_policy(results) {
-            let written = writeln!(
-                table,
-                "| {} | {} | {:.0} | {:.4} | {:.4} | {:.4} | {:.1} | {:.1} | {:.1} | {:.0} | {:.0} | {:.0} | \
-                 {:.3} | {:.2} | {:.4} | {} |",
-                row.policy,
-                row.seeds,
-                row.requests,
-                row.complete,
-                row.not_run,
-                row.hit_rate,
-                row.ttft_p50_ms,
-                row.ttft_p95_ms,
-                row.ttft_p99_ms,
-                row.wasted_tokens,
-                row.prefilled_tokens,
-                row.tokens_per_second,
-                row.prefill_utilisation,
-                row.imbalance,
-                row.retries,
-                row.recovery_s.map_or_else(String::new, |(hits, tail)| format!("{hits}, {tail}"))
-            );
-            written.expect("writing to a string does not fail");
+        let columns: Vec<&Column> = COLUMNS.iter().chain(&FURTHER_COLUMNS).collect();
+        let titles: Vec<&str> = columns.iter().map(|column| column.title).collect();
+        let mut table = format!("| {} |\n|{}\n", titles.join(" | "), "---|".repeat(columns.len()));
+        for summary in Self::by_policy(results) {
+            let cells: Vec<String> = columns.iter().map(|column| (column.cell)(&summary)).collect();
+            table.push_str(&format!("| {} |\n", cells.join(" | ")));
         }
         table
     }
 }
 
+/// A column of a table of summaries.
+pub struct Column {
+    /// What stands above it.
+    pub title: &'static str,
+    /// What stands in a summary's row.
+    pub cell: fn(&Summary) -> String,
+}
+
+impl Column {
+    const fn new(title: &'static str, cell: fn(&Summary) -> String) -> Self {
+        Self { title, cell }
+    }
+}
+
+/// Columns of every table of summaries.
+pub const COLUMNS: [Column; 12] = [
+    Column::new("policy", |summary| summary.policy.to_string()),
+    Column::new("seeds", |summary| summary.seeds.to_string()),
+    Column::new("requests", |summary| format!("{:.0}", summary.requests)),
+    Column::new("complete", |summary| format!("{:.4}", summary.complete)),
+    Column::new("not run", |summary| format!("{:.4}", summary.not_run)),
+    Column::new("hit rate", |summary| format!("{:.4}", summary.hit_rate)),
+    Column::new("p50 ms", |summary| format!("{:.1}", summary.ttft_p50_ms)),
+    Column::new("p95 ms", |summary| format!("{:.1}", summary.ttft_p95_ms)),
+    Column::new("p99 ms", |summary| format!("{:.1}", summary.ttft_p99_ms)),
+    Column::new("wasted tokens", |summary| format!("{:.0}", summary.wasted_tokens)),
+    Column::new("prefilled tokens", |summary| format!("{:.0}", summary.prefilled_tokens)),
+    Column::new("tokens/s", |summary| format!("{:.0}", summary.tokens_per_second)),
+];
+
+/// What the table in Markdown shows beside these.
+const FURTHER_COLUMNS: [Column; 4] = [
+    Column::new("prefill use", |summary| format!("{:.3}", summary.prefill_utilisation)),
+    Column::new("imbalance", |summary| format!("{:.2}", summary.imbalance)),
+    Column::new("retries", |summary| format!("{:.4}", summary.retries)),
+    Column::new("back s", |summary| {
+        summary.recovery_s.map_or_else(String::new, |(hits, tail)| format!("{hits}, {tail}"))
+    }),
+];
+
 /// The median; of an even number of values, the mean of the middle two. Zero where there are none.
 pub fn median(values: impl Iterator<Item = f64>) -> f64 {
     let mut values: Vec<f64> = values.collect();
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -1,11 +1,9 @@
 //! Reports with plots: policies side by side, and over time.
 
-use std::fmt::Write;
-
 use self::plot::{Bars, Lines};
 use crate::experiment::{
     metrics::{PolicyResult, SecondResult},
-    summary::Summary,
+    summary::{COLUMNS, Summary},
 };
 
 mod plot;
@@ -61,30 +59,12 @@
 }
 
 fn table(summaries: &[Summary]) -> String {
-    let mut table = String::from(
-        "<table><tr><th>policy</th><th>seeds</th><th>requests</th><th>complete</th><th>not run</th>\
-         <th>hit rate</th><th>p50 ms</th><th>p95 ms</th><th>p99 ms</th><th>wasted tokens</th>\
-         <th>prefilled tokens</th><th>tokens/s</th></tr>\n",
-    );
-    for row in summaries {
-        let written = writeln!(
-            table,
-            "<tr><td>{}</td><td>{}</td><td>{:.0}</td><td>{:.4}</td><td>{:.4}</td><td>{:.4}</td><td>{:.1}</td>\
-             <td>{:.1}</td><td>{:.1}</td><td>{:.0}</td><td>{:.0}</td><td>{:.0}</td></tr>",
-            row.policy,
-            row.seeds,
-            row.requests,
-            row.complete,
-            row.not_run,
-            row.hit_rate,
-            row.ttft_p50_ms,
-            row.ttft_p95_ms,
-            row.ttft_p99_ms,
-            row.wasted_tokens,
-            row.prefilled_tokens,
-            row.tokens_per_second
-        );
-        written.expect("writing to a string does not fail");
+    let titles: String = COLUMNS.iter().map(|column| format!("<th>{}</th>", column.title)).collect();
+    let mut table = format!("<table><tr>{titles}</tr>\n");
+    for summary in summaries {
+        let cells: String =
+            COLUMNS.iter().map(|column| format!("<td>{}</td>", (column.cell)(summary))).collect();
+        table.push_str(&format!("<tr>{cells}</tr>\n"));
     }
     table.push_str("</table>\n");
     table
