Stand-ins: one lock around their models, and one handler that shows them

Cause: five servers each locked their model and answered `GET /control/state` in the same words. Ruled out: one function that builds all servers; their routes differ and the web library's types cannot be named there. The engine keeps its own lock: its state is more than a model. Change: `model_state` has the lock and the handler; three servers are nothing but their model.

--- a/crates/standins/src/booking/server.rs
+++ b/crates/standins/src/booking/server.rs
@@ -4,7 +4,7 @@
 //! `POST /control/faults` takes [`ServiceFaults`](crate::faults::ServiceFaults) and
 //! `GET /control/state` shows everything.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use paddlemount_protocol::booking::ServiceRequest;
 use xitca_web::{
@@ -17,25 +17,18 @@
 
 use super::model::BookingModel;
 use crate::{
-    http::{self, BodyBytes, ControlState, Shared},
+    http::{self, BodyBytes, Shared},
+    model_state::{HasModel, ModelState, show_state},
     server::{self, RunningStandin, StartError},
     settings::BookingSettings,
 };
 
-struct BookingServer {
-    model: Mutex<BookingModel>,
-}
-
-impl BookingServer {
-    fn model(&self) -> MutexGuard<'_, BookingModel> {
-        self.model.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
+type BookingServer = ModelState<BookingModel>;
 
 /// Starts a booking instance.
 pub fn start(settings: BookingSettings) -> Result<RunningStandin, StartError> {
     let listener = server::listen(settings.listen)?;
-    let standin = Arc::new(BookingServer { model: Mutex::new(BookingModel::new(settings.instance)) });
+    let standin = Arc::new(BookingServer::new(BookingModel::new(settings.instance)));
     let shared = Shared::new(standin, settings.faults);
     let activity = shared.activity.clone();
     let app = App::new()
@@ -43,7 +36,7 @@
         .at("/run", post(handler_service(run)))
         .at("/control/ledger", get(handler_service(ledger)))
         .at("/control/faults", post(handler_service(http::set_faults::<BookingServer>)))
-        .at("/control/state", get(handler_service(state)))
+        .at("/control/state", get(handler_service(show_state::<BookingServer>)))
         .enclosed_fn(http::guard)
         .finish()
         .enclosed_fn(http::drop_lost_replies);
@@ -64,8 +57,3 @@
 async fn ledger(StateRef(shared): State<'_>) -> WebResponse {
     http::ok(&shared.standin.model().ledger())
 }
-
-async fn state(StateRef(shared): State<'_>) -> WebResponse {
-    let model = shared.standin.model();
-    http::ok(&ControlState { faults: shared.gate.faults(), model: &*model })
-}
--- a/crates/standins/src/configuration_store/server.rs
+++ b/crates/standins/src/configuration_store/server.rs
@@ -4,7 +4,7 @@
 //! [`ServiceFaults`](crate::faults::ServiceFaults) and `GET /control/state` shows everything.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -23,7 +23,8 @@
 
 use super::model::ConfigurationStoreModel;
 use crate::{
-    http::{self, Activity, BodyBytes, ControlState, Shared},
+    http::{self, Activity, BodyBytes, Shared},
+    model_state::{HasModel, ModelState, show_state},
     server::{self, RunningStandin, StartError},
     settings::ConfigurationStoreSettings,
 };
@@ -32,15 +33,19 @@
 const LONGEST_WATCH: Duration = Duration::from_secs(60);
 
 struct StoreServer {
-    model: Mutex<ConfigurationStoreModel>,
+    model: ModelState<ConfigurationStoreModel>,
     changed: watch::Sender<Revision>,
 }
 
-impl StoreServer {
+impl HasModel for StoreServer {
+    type Model = ConfigurationStoreModel;
+
     fn model(&self) -> MutexGuard<'_, ConfigurationStoreModel> {
-        self.model.lock().unwrap_or_else(PoisonError::into_inner)
+        self.model.lock()
     }
+}
 
+impl StoreServer {
     async fn watch(&self, ask: &StoreWatch, activity: &Activity) -> StoreValue {
         let mut changed = self.changed.subscribe();
         let limit = tokio::time::sleep(Duration::from_millis(ask.wait_ms).min(LONGEST_WATCH));
@@ -69,7 +74,7 @@
     let listener = server::listen(settings.listen)?;
     let model = ConfigurationStoreModel::new(settings.values);
     let changed = watch::Sender::new(model.revision());
-    let standin = Arc::new(StoreServer { model: Mutex::new(model), changed });
+    let standin = Arc::new(StoreServer { model: ModelState::new(model), changed });
     let shared = Shared::new(standin, settings.faults);
     let activity = shared.activity.clone();
     let app = App::new()
@@ -81,7 +86,7 @@
         .at("/lease/renew", post(handler_service(renew)))
         .at("/lease/release", post(handler_service(release)))
         .at("/control/faults", post(handler_service(http::set_faults::<StoreServer>)))
-        .at("/control/state", get(handler_service(state)))
+        .at("/control/state", get(handler_service(show_state::<StoreServer>)))
         .enclosed_fn(http::guard)
         .finish()
         .enclosed_fn(http::drop_lost_replies);
@@ -121,8 +126,3 @@
 async fn release(StateRef(shared): State<'_>, body: BodyBytes) -> WebResponse {
     http::answer(&body, |ask: LeaseRenew| shared.standin.model().release(&ask, http::now()))
 }
-
-async fn state(StateRef(shared): State<'_>) -> WebResponse {
-    let model = shared.standin.model();
-    http::ok(&ControlState { faults: shared.gate.faults(), model: &*model })
-}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -256,13 +256,6 @@
     })
 }
 
-/// The body of `GET /control/state`.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct ControlState<'a, M> {
-    pub(crate) faults: ServiceFaults,
-    pub(crate) model: &'a M,
-}
-
 /// The present time by the machine's clock.
 pub(crate) fn now() -> Timestamp {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/standins/src/kept_cache_store/server.rs
+++ b/crates/standins/src/kept_cache_store/server.rs
@@ -3,7 +3,7 @@
 //! Besides the store's own paths, `POST /control/faults` takes
 //! [`ServiceFaults`](crate::faults::ServiceFaults) and `GET /control/state` shows everything.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use paddlemount_protocol::{
     engine::{EndedLife, KvTransfer},
@@ -19,25 +19,18 @@
 
 use super::model::KeptCacheModel;
 use crate::{
-    http::{self, BodyBytes, ControlState, Empty, Shared},
+    http::{self, BodyBytes, Empty, Shared},
+    model_state::{HasModel, ModelState, show_state},
     server::{self, RunningStandin, StartError},
     settings::KeptCacheStoreSettings,
 };
 
-struct KeptCacheServer {
-    model: Mutex<KeptCacheModel>,
-}
-
-impl KeptCacheServer {
-    fn model(&self) -> MutexGuard<'_, KeptCacheModel> {
-        self.model.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
+type KeptCacheServer = ModelState<KeptCacheModel>;
 
 /// Starts a kept-cache store.
 pub fn start(settings: KeptCacheStoreSettings) -> Result<RunningStandin, StartError> {
     let listener = server::listen(settings.listen)?;
-    let standin = Arc::new(KeptCacheServer { model: Mutex::new(KeptCacheModel::new(settings.limits)) });
+    let standin = Arc::new(KeptCacheServer::new(KeptCacheModel::new(settings.limits)));
     let shared = Shared::new(standin, settings.faults);
     let activity = shared.activity.clone();
     let app = App::new()
@@ -46,7 +39,7 @@
         .at("/find", post(handler_service(find)))
         .at("/ended", post(handler_service(ended)))
         .at("/control/faults", post(handler_service(http::set_faults::<KeptCacheServer>)))
-        .at("/control/state", get(handler_service(state)))
+        .at("/control/state", get(handler_service(show_state::<KeptCacheServer>)))
         .enclosed_fn(http::guard)
         .finish()
         .enclosed_fn(http::drop_lost_replies);
@@ -74,8 +67,3 @@
         Empty {}
     })
 }
-
-async fn state(StateRef(shared): State<'_>) -> WebResponse {
-    let model = shared.standin.model();
-    http::ok(&ControlState { faults: shared.gate.faults(), model: &*model })
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -21,6 +21,7 @@
 mod http;
 pub mod kept_cache_store;
 pub mod machine_list;
+mod model_state;
 pub mod origins;
 pub mod server;
 pub mod settings;
--- a/crates/standins/src/machine_list/server.rs
+++ b/crates/standins/src/machine_list/server.rs
@@ -4,10 +4,7 @@
 //! `POST /control/lag` a [`ListLag`], `POST /control/faults`
 //! [`ServiceFaults`](crate::faults::ServiceFaults), and `GET /control/state` shows everything.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use xitca_web::{
     App, HttpServer,
@@ -19,20 +16,13 @@
 
 use super::model::{ListLag, MachineChange, MachineListModel};
 use crate::{
-    http::{self, BodyBytes, ControlState, Empty, Shared},
+    http::{self, BodyBytes, Empty, Shared},
+    model_state::{HasModel, ModelState, show_state},
     server::{self, RunningStandin, StartError},
     settings::MachineListSettings,
 };
 
-struct MachineListServer {
-    model: Mutex<MachineListModel>,
-}
-
-impl MachineListServer {
-    fn model(&self) -> MutexGuard<'_, MachineListModel> {
-        self.model.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
+type MachineListServer = ModelState<MachineListModel>;
 
 type State<'a> = StateRef<'a, Shared<MachineListServer>>;
 
@@ -40,7 +30,7 @@
 pub fn start(settings: MachineListSettings) -> Result<RunningStandin, StartError> {
     let listener = server::listen(settings.listen)?;
     let model = MachineListModel::new(settings.machines, Duration::from_millis(settings.lag_ms));
-    let standin = Arc::new(MachineListServer { model: Mutex::new(model) });
+    let standin = Arc::new(MachineListServer::new(model));
     let shared = Shared::new(standin, settings.faults);
     let activity = shared.activity.clone();
     let app = App::new()
@@ -49,7 +39,7 @@
         .at("/control/machines", post(handler_service(change)))
         .at("/control/lag", post(handler_service(set_lag)))
         .at("/control/faults", post(handler_service(http::set_faults::<MachineListServer>)))
-        .at("/control/state", get(handler_service(state)))
+        .at("/control/state", get(handler_service(show_state::<MachineListServer>)))
         .enclosed_fn(http::guard)
         .finish()
         .enclosed_fn(http::drop_lost_replies);
@@ -73,8 +63,3 @@
         lag
     })
 }
-
-async fn state(StateRef(shared): State<'_>) -> WebResponse {
-    let model = shared.standin.model();
-    http::ok(&ControlState { faults: shared.gate.faults(), model: &*model })
-}
--- a/crates/standins/src/weight_store/server.rs
+++ b/crates/standins/src/weight_store/server.rs
@@ -4,7 +4,7 @@
 //! and `GET /control/state` shows everything.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, MutexGuard},
     time::Duration,
 };
 
@@ -20,21 +20,26 @@
 
 use super::model::{LoadNumber, WeightStoreModel};
 use crate::{
-    http::{self, BodyBytes, ControlState, Shared},
+    http::{self, BodyBytes, Shared},
+    model_state::{HasModel, ModelState, show_state},
     server::{self, RunningStandin, StartError},
     settings::WeightStoreSettings,
 };
 
 struct WeightStoreServer {
-    model: Mutex<WeightStoreModel>,
+    model: ModelState<WeightStoreModel>,
     begun: Notify,
 }
 
-impl WeightStoreServer {
+impl HasModel for WeightStoreServer {
+    type Model = WeightStoreModel;
+
     fn model(&self) -> MutexGuard<'_, WeightStoreModel> {
-        self.model.lock().unwrap_or_else(PoisonError::into_inner)
+        self.model.lock()
     }
+}
 
+impl WeightStoreServer {
     async fn load(&self, load: &WeightLoad) -> WeightLoaded {
         let started = http::now();
         let running = RunningLoad { server: self, number: self.model().begin(load, started) };
@@ -72,7 +77,7 @@
 /// Starts a weight store.
 pub fn start(settings: WeightStoreSettings) -> Result<RunningStandin, StartError> {
     let listener = server::listen(settings.listen)?;
-    let model = Mutex::new(WeightStoreModel::new(settings.speed));
+    let model = ModelState::new(WeightStoreModel::new(settings.speed));
     let standin = Arc::new(WeightStoreServer { model, begun: Notify::new() });
     let shared = Shared::new(standin, settings.faults);
     let activity = shared.activity.clone();
@@ -80,7 +85,7 @@
         .with_state(shared)
         .at("/load", post(handler_service(load)))
         .at("/control/faults", post(handler_service(http::set_faults::<WeightStoreServer>)))
-        .at("/control/state", get(handler_service(state)))
+        .at("/control/state", get(handler_service(show_state::<WeightStoreServer>)))
         .enclosed_fn(http::guard)
         .finish()
         .enclosed_fn(http::drop_lost_replies);
@@ -95,8 +100,3 @@
         Err(refusal) => http::refuse(&refusal),
     }
 }
-
-async fn state(StateRef(shared): State<'_>) -> WebResponse {
-    let model = shared.standin.model();
-    http::ok(&ControlState { faults: shared.gate.faults(), model: &*model })
-}
