Types in place of pairs and triples in hollow nodes, the demo and the drills

Cause: observations, replies of the store, notes and causes were bare tuples, and a choice in the drills was an option in an option; a count of all of the store's replies was called `dropped_replies`. Ruled out: changing what is serialised or printed. Change: `NodeObservation`, `AddressedReply`, `Watcher`, `Note`, `FailureCause`; a choice without an engine is `NoneServes` at once; the count is `store_replies`. Conclusion: no change of behaviour; the tests of hollow nodes read fields where they read positions, their assertions are the same.

--- a/crates/bench/src/demo/record.rs
+++ b/crates/bench/src/demo/record.rs
@@ -36,6 +36,15 @@
     pub ending: Ending<BookingAnswer>,
 }
 
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub struct Note {
+    /// When, from the start of the traffic.
+    pub at: Duration,
+    /// What, for people.
+    pub what: String,
+}
+
 /// Everything that is known at the end.
 #[derive(Debug, Default)]
 pub struct Content {
@@ -44,7 +53,7 @@
     /// Bookings.
     pub bookings: Vec<BookingEnd>,
     /// What happened, and when.
-    pub notes: Vec<(Duration, String)>,
+    pub notes: Vec<Note>,
     /// Whether all faults could be brought about and mended.
     pub fault_failed: bool,
 }
@@ -95,7 +104,7 @@
 
     /// Something happened.
     pub fn note(&self, what: &str) {
-        let note = (self.since_start(), what.to_owned());
+        let note = Note { at: self.since_start(), what: what.to_owned() };
         self.content().notes.push(note);
     }
 
--- a/crates/bench/src/demo/report.rs
+++ b/crates/bench/src/demo/report.rs
@@ -153,10 +153,9 @@
     for number in 0..ROWS {
         let (from, until) = (row * number, row * (number + 1));
         line(time_row(content, from, until));
-        for (at, note) in
-            content.notes.iter().filter(|(at, _)| *at >= from && (*at < until || number + 1 == ROWS))
-        {
-            line(format!("{:>8.1}s   {note}", at.as_secs_f64()));
+        let is_last = number + 1 == ROWS;
+        for note in content.notes.iter().filter(|note| note.at >= from && (note.at < until || is_last)) {
+            line(format!("{:>8.1}s   {}", note.at.as_secs_f64(), note.what));
         }
     }
     line(String::new());
@@ -169,7 +168,7 @@
         summary.wrong,
         summary.ran_twice
     ));
-    for (cause, count) in causes(content).into_iter().take(SHOWN_CAUSES) {
+    for FailureCause { cause, count } in causes(content).into_iter().take(SHOWN_CAUSES) {
         line(format!("  {count} x {cause}"));
     }
     line(format!(
@@ -201,15 +200,22 @@
     )
 }
 
+/// Why some requests got no whole answer.
+struct FailureCause {
+    cause: String,
+    count: usize,
+}
+
 /// Why requests got no whole answer, the most frequent cause first.
-fn causes(content: &Content) -> Vec<(String, usize)> {
+fn causes(content: &Content) -> Vec<FailureCause> {
     let chats = content.chats.iter().filter_map(|end| end.ending.result.as_ref().err());
     let bookings = content.bookings.iter().filter_map(|end| end.ending.result.as_ref().err());
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
     for cause in chats.chain(bookings) {
         *counts.entry(cause.clone()).or_default() += 1;
     }
-    let mut causes: Vec<(String, usize)> = counts.into_iter().collect();
-    causes.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let cause = |(cause, count)| FailureCause { cause, count };
+    let mut causes: Vec<FailureCause> = counts.into_iter().map(cause).collect();
+    causes.sort_by_key(|cause| std::cmp::Reverse(cause.count));
     causes
 }
--- a/crates/bench/src/drill/models.rs
+++ b/crates/bench/src/drill/models.rs
@@ -203,24 +203,23 @@
         now: Timestamp,
     ) -> Option<RequestEvent> {
         if let Some(continuation) = continuation {
-            let decided = self.choose_version_of(at, request, excluded, continuation.weights, now)?;
-            return Some(decided.unwrap_or(RequestEvent::NoneServes { retry_after: None }));
+            return self.choose_version_of(at, request, excluded, continuation.weights, now);
         }
         let weights = self.memory(at)?.requests.get(request)?.weights;
-        if let Some(decided) = self.choose_version_of(at, request, excluded, weights, now)? {
+        let decided = self.choose_version_of(at, request, excluded, weights, now)?;
+        if !matches!(decided, RequestEvent::NoneServes { .. }) {
             return Some(decided);
         }
         let document = self.configuration(at)?;
         let pool = document.configuration.pools.get(&pool_name())?;
         let newest = if pool.weights > weights { Some(pool.weights) } else { other_version(pool, weights) };
-        let decided = match newest {
-            Some(other) => self.choose_version_of(at, request, excluded, other, now)?,
-            None => None,
-        };
-        Some(decided.unwrap_or(RequestEvent::NoneServes { retry_after: None }))
+        match newest {
+            Some(other) => self.choose_version_of(at, request, excluded, other, now),
+            None => Some(decided),
+        }
     }
 
-    /// Chooses an engine that serves a version; none inside where no engine does.
+    /// Chooses an engine that serves a version; nothing where the node or the request has ended.
     fn choose_version_of(
         &mut self,
         at: NodeLife,
@@ -228,7 +227,7 @@
         excluded: &[EngineId],
         weights: WeightsVersion,
         now: Timestamp,
-    ) -> Option<Option<RequestEvent>> {
+    ) -> Option<RequestEvent> {
         let prompt = self.ask_of(request)?.prompt;
         let memory = self.memory(at)?;
         let NodeMemory { router, requests, .. } = memory;
@@ -256,13 +255,13 @@
         };
         let decision = router.choose(&route, now);
         let Some(precondition) = decision.chosen else {
-            return Some(None);
+            return Some(RequestEvent::NoneServes { retry_after: None });
         };
         let attempt = AttemptId::from(format!("{request}.{}", active.machine.attempts() + 1));
         let event =
             RouterEvent::Dispatched { attempt: &attempt, engine: &precondition.engine, request: &route };
         router.apply(event, now);
-        Some(Some(RequestEvent::Decided(precondition)))
+        Some(RequestEvent::Decided(precondition))
     }
 
     fn plan_timer(&mut self, at: NodeLife, request: &RequestId, now: Timestamp) {
--- a/crates/bench/src/hollow/cluster.rs
+++ b/crates/bench/src/hollow/cluster.rs
@@ -45,6 +45,17 @@
     pub seed: u64,
 }
 
+/// What was seen, where and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeObservation {
+    /// When.
+    pub at: Timestamp,
+    /// The number of the node at which it was seen.
+    pub node: usize,
+    /// What.
+    pub observation: Observation,
+}
+
 /// Something that was seen at a node.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Observation {
@@ -143,8 +154,8 @@
     nodes: Vec<HollowNode>,
     by_address: BTreeMap<SocketAddr, usize>,
     authenticator: Authenticator,
-    observations: Vec<(Timestamp, usize, Observation)>,
-    dropped_replies: u64,
+    observations: Vec<NodeObservation>,
+    store_replies: u64,
 }
 
 impl HollowCluster {
@@ -173,7 +184,7 @@
             by_address: BTreeMap::new(),
             authenticator: Authenticator::new([CLUSTER_KEY]),
             observations: Vec::new(),
-            dropped_replies: 0,
+            store_replies: 0,
         };
         (0..settings.nodes).for_each(|index| cluster.add_node(index));
         cluster
@@ -283,7 +294,7 @@
     }
 
     /// Takes what was seen since the last call.
-    pub fn take_observations(&mut self) -> Vec<(Timestamp, usize, Observation)> {
+    pub fn take_observations(&mut self) -> Vec<NodeObservation> {
         std::mem::take(&mut self.observations)
     }
 
--- a/crates/bench/src/hollow/cluster/delivery.rs
+++ b/crates/bench/src/hollow/cluster/delivery.rs
@@ -13,8 +13,11 @@
 use paddlemount_node::peers::authentication::SignedRequest;
 use paddlemount_protocol::{configuration::StoredDocument, peer::encoded_bytes, time::Timestamp};
 
-use super::{Asked, Event, HollowCluster, Message, Observation, Served};
-use crate::hollow::{store::StoreCaller, wire};
+use super::{Asked, Event, HollowCluster, Message, NodeObservation, Observation, Served};
+use crate::hollow::{
+    store::{AddressedReply, StoreCaller},
+    wire,
+};
 
 /// Round trip and service time of the store.
 const STORE_DELAY: Duration = Duration::from_millis(3);
@@ -183,7 +186,8 @@
             }
             PeerAction::Item { .. } | PeerAction::Superseded => return,
         };
-        self.observations.push((self.now(), index, observation));
+        let at = self.now();
+        self.observations.push(NodeObservation { at, node: index, observation });
     }
 
     fn send_request(
@@ -246,12 +250,12 @@
         }
     }
 
-    fn send_replies(&mut self, replies: Vec<(StoreCaller, StoreReply)>) {
-        for (caller, reply) in replies {
+    fn send_replies(&mut self, replies: Vec<AddressedReply>) {
+        for AddressedReply { caller, reply } in replies {
             let to = self.nodes[caller.node].endpoint;
-            self.dropped_replies += 1;
+            self.store_replies += 1;
             let is_lost = self.store_reply_loss > 0.0
-                && (self.dropped_replies as f64 * self.store_reply_loss).fract() < self.store_reply_loss;
+                && (self.store_replies as f64 * self.store_reply_loss).fract() < self.store_reply_loss;
             if let Some(delay) = self.links.transmit(self.store_endpoint, to).filter(|_| !is_lost) {
                 self.queue.schedule_after(delay, Event::StoreReply { caller, reply });
             }
--- a/crates/bench/src/hollow/measure.rs
+++ b/crates/bench/src/hollow/measure.rs
@@ -13,7 +13,7 @@
 };
 use serde::Serialize;
 
-use super::cluster::{ClusterSettings, HollowCluster, Observation, Spent};
+use super::cluster::{ClusterSettings, HollowCluster, NodeObservation, Observation, Spent};
 
 /// Time that a starting cluster gets to settle.
 pub const SETTLE: Duration = Duration::from_secs(40);
@@ -202,10 +202,10 @@
         cluster.run_for(Duration::from_millis(step));
         followed.made |= cluster.store.document.revision > before;
         cluster.store.is_down |= followed.made && then_outage;
-        for (at, index, observation) in cluster.take_observations() {
+        for NodeObservation { at, node, observation } in cluster.take_observations() {
             match observation {
                 Observation::Installed(revision) if revision > before => {
-                    installed[index] = true;
+                    installed[node] = true;
                     let holds = |index: usize| installed[index] || cluster.peers(index).is_none();
                     if followed.everywhere_at.is_none() && (0..installed.len()).all(holds) {
                         followed.everywhere_at = Some(at);
@@ -274,9 +274,9 @@
     let name = cluster.name(victim).clone();
     let mut seen: BTreeMap<usize, Timestamp> = BTreeMap::new();
     cluster.run_for(FOLLOW);
-    for (at, index, observation) in cluster.take_observations() {
+    for NodeObservation { at, node, observation } in cluster.take_observations() {
         if observation == (Observation::Member { node: name.clone(), state: MemberState::Dead }) {
-            seen.entry(index).or_insert(at);
+            seen.entry(node).or_insert(at);
         }
     }
     let mut times: Vec<Timestamp> = seen.into_values().collect();
@@ -310,7 +310,7 @@
         let now = cluster.now();
         let confirmed = |index: &usize| cluster.peers(*index).is_none_or(|peers| peers.may_serve(now));
         alarms.unconfirmed_seconds += (0..cluster.len()).filter(|index| !confirmed(index)).count() as u64;
-        for (at, _, observation) in cluster.take_observations() {
+        for NodeObservation { at, observation, .. } in cluster.take_observations() {
             let Observation::Member { node, state } = observation else { continue };
             let is_dead = state == MemberState::Dead;
             if !is_dead && state != MemberState::Suspect {
--- a/crates/bench/src/hollow/store.rs
+++ b/crates/bench/src/hollow/store.rs
@@ -24,6 +24,29 @@
     pub call: CallId,
 }
 
+/// What the store answers a call.
+#[derive(Clone, Debug)]
+pub struct AddressedReply {
+    /// Who gets it.
+    pub caller: StoreCaller,
+    /// What it says.
+    pub reply: StoreReply,
+}
+
+impl AddressedReply {
+    const fn new(caller: StoreCaller, reply: StoreReply) -> Self {
+        Self { caller, reply }
+    }
+}
+
+/// A watch that no change has ended yet.
+#[derive(Clone, Copy, Debug)]
+struct Watcher {
+    caller: StoreCaller,
+    after: Revision,
+    until: Timestamp,
+}
+
 /// The store.
 #[derive(Debug, Default)]
 pub struct HollowStore {
@@ -33,7 +56,7 @@
     pub is_down: bool,
     /// Requests served so far.
     pub requests: u64,
-    waiting: Vec<(StoreCaller, Revision, Timestamp)>,
+    watchers: Vec<Watcher>,
 }
 
 impl HollowStore {
@@ -48,46 +71,51 @@
         caller: StoreCaller,
         request: StoreRequest,
         now: Timestamp,
-    ) -> Vec<(StoreCaller, StoreReply)> {
+    ) -> Vec<AddressedReply> {
         if self.is_down {
             return Vec::new();
         }
         self.requests += 1;
         match request {
-            StoreRequest::Read => vec![(caller, self.present())],
+            StoreRequest::Read => vec![AddressedReply::new(caller, self.present())],
             StoreRequest::Watch(watch) if watch.after != self.document.revision => {
-                vec![(caller, self.present())]
+                vec![AddressedReply::new(caller, self.present())]
             }
             StoreRequest::Watch(watch) => {
                 let until = now + Duration::from_millis(watch.wait_ms);
-                self.waiting.push((caller, watch.after, until));
+                self.watchers.push(Watcher { caller, after: watch.after, until });
                 Vec::new()
             }
             StoreRequest::Put { expected, configuration } => {
                 if expected != self.document.revision {
                     let conflict = StorePutResult::Conflict { revision: self.document.revision };
-                    return vec![(caller, StoreReply::Put(conflict))];
+                    return vec![AddressedReply::new(caller, StoreReply::Put(conflict))];
                 }
                 let revision = expected.next();
                 self.document = RevisedConfiguration { revision, configuration: *configuration };
-                let mut replies = vec![(caller, StoreReply::Put(StorePutResult::Stored { revision }))];
+                let stored = StoreReply::Put(StorePutResult::Stored { revision });
+                let mut replies = vec![AddressedReply::new(caller, stored)];
                 let present = self.present();
-                replies.extend(self.waiting.drain(..).map(|(waiting, ..)| (waiting, present.clone())));
+                let told = |watcher: Watcher| AddressedReply::new(watcher.caller, present.clone());
+                replies.extend(self.watchers.drain(..).map(told));
                 replies
             }
         }
     }
 
     /// Replies to watches whose wait is over.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<(StoreCaller, StoreReply)> {
-        let (over, waiting) = self.waiting.drain(..).partition(|(_, _, until)| *until <= now);
-        self.waiting = waiting;
+    pub fn expire(&mut self, now: Timestamp) -> Vec<AddressedReply> {
+        let (expired, waiting): (Vec<Watcher>, Vec<Watcher>) =
+            self.watchers.drain(..).partition(|watcher| watcher.until <= now);
+        self.watchers = waiting;
         if self.is_down {
             return Vec::new();
         }
-        let expired: Vec<(StoreCaller, Revision, Timestamp)> = over;
-        let unchanged = |revision| StoreReply::Document(StoredDocument::Unchanged(revision));
-        expired.into_iter().map(|(caller, revision, _)| (caller, unchanged(revision))).collect()
+        let unchanged = |watcher: Watcher| {
+            let reply = StoreReply::Document(StoredDocument::Unchanged(watcher.after));
+            AddressedReply::new(watcher.caller, reply)
+        };
+        expired.into_iter().map(unchanged).collect()
     }
 
     fn present(&self) -> StoreReply {
--- a/crates/bench/tests/hollow_cluster.rs
+++ b/crates/bench/tests/hollow_cluster.rs
@@ -29,7 +29,7 @@
 }
 
 fn outcome(cluster: &mut HollowCluster) -> Option<ChangeOutcome> {
-    cluster.take_observations().into_iter().find_map(|(_, _, seen)| match seen {
+    cluster.take_observations().into_iter().find_map(|seen| match seen.observation {
         Observation::ChangeEnded(outcome) => Some(outcome),
         _ => None,
     })
@@ -65,8 +65,11 @@
     cluster.stop(3);
     cluster.run_for(Duration::from_secs(6));
     assert!((0..12).all(|index| state(&cluster, index, 3) == Some(MemberState::Left)));
-    let suspected = cluster.take_observations().into_iter().any(|(_, _, seen)| {
-        matches!(seen, Observation::Member { state: MemberState::Suspect | MemberState::Dead, .. })
+    let suspected = cluster.take_observations().into_iter().any(|seen| {
+        matches!(
+            seen.observation,
+            Observation::Member { state: MemberState::Suspect | MemberState::Dead, .. }
+        )
     });
     assert!(!suspected);
 }
@@ -83,7 +86,7 @@
     let died = cluster
         .take_observations()
         .into_iter()
-        .any(|(_, _, seen)| matches!(seen, Observation::Member { state: MemberState::Dead, .. }));
+        .any(|seen| matches!(seen.observation, Observation::Member { state: MemberState::Dead, .. }));
     assert!(!died);
 }
 
