A named version's line tells how it was learned and how long ago it was named at most

Cause: requests begin on older weights than the bound allows where a node learned late of a version, and no line tells whether it watched, was told or found the version at its start, nor how old the name could be by then. Change: weights_named carries learned (watched, told, found) and at_most_ms, the age of the proof that the node had before the news. Nothing is decided by it yet. Conclusion: a trace shows what a node could know of a name's age.

--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -48,6 +48,28 @@
     Found(Timestamp),
 }
 
+/// How a node learned that a version was named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Learned {
+    /// It watched the store, and knew all that had been named before.
+    Watched,
+    /// Another node told it.
+    Told,
+    /// It was there when this node first looked.
+    Found,
+}
+
+impl Learned {
+    /// Its name in log lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Watched => "watched",
+            Self::Told => "told",
+            Self::Found => "found",
+        }
+    }
+}
+
 /// A version that the operator has named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Named {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -80,8 +80,14 @@
     },
     /// What a back end keeps is followed by its feed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
-    /// A version of weights was named.
-    WeightsNamed { model: &'a str, version: u64, revision: u64 },
+    /// A version of weights was named, `at_most_ms` ago at most where that is known.
+    WeightsNamed {
+        model: &'a str,
+        version: u64,
+        revision: u64,
+        learned: &'static str,
+        at_most_ms: Option<u64>,
+    },
     /// Whether callers are taken has changed.
     ReadinessChanged { ready: bool, why: &'static str, age_ms: Option<u64> },
     /// Another node is reported to from now on; `level` nodes stand above.
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -7,7 +7,7 @@
         backends::{BackendEntry, BackendId, Change},
         change_log::Subject,
         document::Document,
-        rollout::NamedAt,
+        rollout::{Learned, NamedAt},
         table::RouteTable,
     },
     health::HealthEvent,
@@ -27,21 +27,31 @@
 impl Node {
     /// Takes in what has changed up to `revision`, as the store told it in answer to a call sent at `sent_at`.
     pub fn learn(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        self.learn_changes(facts, revision, sent_at, Learned::Watched);
+    }
+
+    /// Takes in what has changed up to `revision`, as another node passed it on with a proof that counts from
+    /// `proved_at`.
+    pub fn learn_relayed(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp) {
+        self.learn_changes(facts, revision, proved_at, Learned::Told);
+    }
+
+    fn learn_changes(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, learned: Learned) {
         for fact in facts {
             let subject = fact.subject();
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, learned);
             self.note_change(subject, revision);
         }
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.revision = Some(revision);
-        beliefs.freshness.prove(sent_at);
+        beliefs.freshness.prove(proved_at);
     }
 
     /// Takes in a part of what the store holds, which it told in answer to a call sent at `sent_at`: enough to serve by,
     /// until the rest is known.
     pub fn learn_part(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
         for fact in facts {
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, Learned::Found);
         }
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.leader_looked_for = true;
@@ -50,17 +60,28 @@
         self.leader_known.notify_one();
     }
 
-    /// Takes in all that the store held at `revision`: what is not among `facts` is gone. The nodes below are told what
-    /// that has changed.
-    pub fn learn_all(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp) {
+    /// Takes in all that the store held at `revision`, as a listing told that began at `sent_at`: what is not among
+    /// `facts` is gone. The nodes below are told what that has changed.
+    pub fn learn_all(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        let first = self.beliefs.borrow().revision.is_none();
+        let learned = if first { Learned::Found } else { Learned::Watched };
+        self.learn_whole(facts, revision, sent_at, learned);
+    }
+
+    /// The same, as another node gave it with a proof that counts from `proved_at`.
+    pub fn learn_snapshot(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp) {
+        self.learn_whole(facts, revision, proved_at, Learned::Told);
+    }
+
+    fn learn_whole(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, learned: Learned) {
         let first = self.beliefs.borrow().revision.is_none();
         for subject in self.missing_among(&facts) {
-            self.lose(&subject, revision);
+            self.lose(&subject, revision, learned);
             self.note_change(Some(subject), revision);
         }
         for fact in facts {
             let subject = fact.subject().filter(|_| self.is_news(&fact));
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, learned);
             self.note_change(subject, revision);
         }
         {
@@ -95,11 +116,11 @@
     }
 
     /// The store holds nothing of this any more.
-    fn lose(&self, subject: &Subject, revision: Revision) {
+    fn lose(&self, subject: &Subject, revision: Revision, learned: Learned) {
         match subject {
             Subject::Backend(id) => self.lose_backend(id, revision),
-            Subject::Held(fingerprint) => self.learn_one(Fact::Released(*fingerprint), revision),
-            Subject::Leader => self.learn_one(Fact::NoLeader, revision),
+            Subject::Held(fingerprint) => self.learn_one(Fact::Released(*fingerprint), revision, learned),
+            Subject::Leader => self.learn_one(Fact::NoLeader, revision, learned),
             // These stay once they are there.
             Subject::Document | Subject::FleetSize | Subject::Weights(_) => {}
         }
@@ -126,24 +147,13 @@
         }
     }
 
-    fn learn_one(&self, fact: Fact, revision: Revision) {
-        let now = self.now();
+    fn learn_one(&self, fact: Fact, revision: Revision, learned: Learned) {
         match fact {
             Fact::Document(document) => self.learn_document(*document, revision),
             Fact::Backend(entry) => self.learn_backend(entry, revision),
             Fact::BackendGone(id) => self.lose_backend(&id, revision),
             Fact::WeightsNamed { model, version } => {
-                let first_look = self.beliefs.borrow().revision.is_none();
-                let at = if first_look { NamedAt::Found(now) } else { NamedAt::Heard(now) };
-                let news = self.beliefs.borrow_mut().rollout.name(model.clone(), version, at);
-                if news {
-                    let event = Event::WeightsNamed {
-                        model: model.as_str(),
-                        version: version.0,
-                        revision: revision.0,
-                    };
-                    self.journal.tell(&event);
-                }
+                self.learn_weights(&model, version, revision, learned);
             }
             Fact::Leader { holder, token, peers } => {
                 self.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
@@ -168,6 +178,25 @@
         }
     }
 
+    fn learn_weights(&self, model: &ModelId, version: WeightsVersion, revision: Revision, learned: Learned) {
+        let now = self.now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        let first_look = beliefs.revision.is_none();
+        let at = if first_look { NamedAt::Found(now) } else { NamedAt::Heard(now) };
+        if !beliefs.rollout.name(model.clone(), version, at) {
+            return;
+        }
+        let age = beliefs.freshness.age(now).filter(|_| !first_look);
+        let event = Event::WeightsNamed {
+            model: model.as_str(),
+            version: version.0,
+            revision: revision.0,
+            learned: learned.name(),
+            at_most_ms: age.map(|age| age.as_millis() as u64),
+        };
+        self.journal.tell(&event);
+    }
+
     fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
         let mut beliefs = self.beliefs.borrow_mut();
         let pool = PoolId::from(entry.service.as_str());
--- a/crates/forward/src/peers/snapshot.rs
+++ b/crates/forward/src/peers/snapshot.rs
@@ -122,7 +122,7 @@
     }
     let (items, revision) = (content.facts.len(), content.revision);
     node.follow_registry(content.registry);
-    node.learn_all(content.facts, revision, relayed_proof(sent_at, Duration::from_millis(age)));
+    node.learn_snapshot(content.facts, revision, relayed_proof(sent_at, Duration::from_millis(age)));
     node.metrics.count(Counter::SnapshotsTaken);
     node.journal.tell(&Event::SnapshotTaken { items, revision: revision.0, age_ms: age });
     if let Some(peers) = &node.peers {
