A request that only older weights could serve is refused with a reason and a time of its own

Cause: where all back ends have older weights than a request may begin on, it was refused as if there were no back end (no_backend, 400 ms), which tells neither callers nor operators what is awaited. Change: older_weights, with a Retry-After of the time that a load of weights usually takes (750 ms). All 71 tests of forwarded routes with real processes pass.

--- a/crates/cli/tests/forward/weights_named.rs
+++ b/crates/cli/tests/forward/weights_named.rs
@@ -69,6 +69,7 @@
         let got = ask(router, path).await;
         assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
         assert!(got.headers.contains_key(header::RETRY_AFTER), "{path}");
+        assert!(got.body.contains("older_weights"), "{path}: {}", got.body);
     }
     assert_eq!(runs(place), before, "nothing runs on older weights");
 }
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -143,7 +143,7 @@
 }
 
 /// The time that loading usually takes, with the order and the look at what came of it.
-const LOAD_TIME: Duration = Duration::from_millis(750);
+pub const LOAD_TIME: Duration = Duration::from_millis(750);
 /// The time that is left to orders that are lost and to a change of leader.
 const RESERVE: Duration = Duration::from_millis(600);
 /// The longest time for which a back end is drained: a pool at its limit suffers more from the engines that it lacks than
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -13,7 +13,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
-use paddlemount_core::quarantine::HOLD;
+use paddlemount_core::{forwarding::rollout::LOAD_TIME, quarantine::HOLD};
 use serde::Serialize;
 
 use crate::relay::RelayError;
@@ -43,6 +43,8 @@
     RequestBroken,
     /// No back end may get the request.
     NoBackend,
+    /// All back ends have older weights than a request may begin on.
+    OlderWeights,
     /// No back end took the request.
     NotTaken,
     /// The node is about to end, and answers of this route take longer than it has left.
@@ -64,6 +66,7 @@
             Self::NoConfiguration
             | Self::ConfigurationTooOld
             | Self::NoBackend
+            | Self::OlderWeights
             | Self::NotTaken
             | Self::Stopping
             | Self::HeldBack
@@ -82,6 +85,8 @@
     pub const fn come_back(self) -> Option<Duration> {
         match self {
             Self::NoConfiguration | Self::NoBackend => Some(Duration::from_millis(400)),
+            // One of them may have been given the named weights by then.
+            Self::OlderWeights => Some(LOAD_TIME),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
             Self::NotTaken | Self::QuotaExceeded => Some(Duration::from_millis(150)),
             // Another node serves the caller at once.
@@ -104,6 +109,7 @@
             Self::BodyTooLarge => "the body is too large",
             Self::RequestBroken => "the request is not whole",
             Self::NoBackend => "no back end may get the request; it was not run",
+            Self::OlderWeights => "no back end has the named weights yet; the request was not run",
             Self::NotTaken => "no back end took the request; it was not run",
             Self::Stopping => "this node is stopping; the request was not run, another node serves it",
             Self::HeldBack => {
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -131,7 +131,7 @@
             if let Some(held_for) = self.held_for() {
                 return self.hold_back(held_for);
             }
-            let Some(choice) = self.place() else { return self.give_up(Reason::NoBackend) };
+            let Some(choice) = self.place() else { return self.give_up(self.why_none()) };
             match self.attempt(&choice, Resume::default()).await {
                 Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
                     return self.relay(choice, begun).await;
@@ -173,6 +173,18 @@
         Some(choice)
     }
 
+    /// Why no back end was chosen.
+    fn why_none(&self) -> Reason {
+        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        let beliefs = self.node.beliefs.borrow();
+        match model {
+            Some(model) if beliefs.has_only_older_weights(&self.service, model, self.node.now()) => {
+                Reason::OlderWeights
+            }
+            _ => Reason::NoBackend,
+        }
+    }
+
     /// One try at the chosen back end.
     pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -1,7 +1,5 @@
 //! Describes the back ends of a service to the chooser, as a request needs them.
 
-use std::time::Duration;
-
 use paddlemount_core::{
     forwarding::{
         backends::{Backend, BackendId, Standing},
@@ -13,7 +11,7 @@
     health::HealthVerdict,
 };
 use paddlemount_protocol::{
-    identity::{ServiceId, TenantId, WeightsVersion, ZoneId},
+    identity::{ModelId, ServiceId, TenantId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
 
@@ -83,10 +81,7 @@
     }
 
     fn view<'a>(&'a self, pool: &'a Pool, ask: Ask<'a>, nodes: Nodes, now: Timestamp) -> View<'a> {
-        let required = ask.prompt.and_then(|prompt| {
-            let waits: Duration = self.chooser.loads.slowest(now);
-            self.rollout.required(&prompt.model, waits, now)
-        });
+        let required = ask.prompt.and_then(|prompt| self.required(&prompt.model, now));
         View {
             beliefs: self,
             pool,
@@ -99,6 +94,22 @@
         }
     }
 
+    /// The oldest version of a model that a request may begin on.
+    fn required(&self, model: &ModelId, now: Timestamp) -> Option<WeightsVersion> {
+        self.rollout.required(model, self.chooser.loads.slowest(now), now)
+    }
+
+    /// Whether a service has back ends, and all of them have older weights of a model than a request may begin on.
+    pub(crate) fn has_only_older_weights(
+        &self,
+        service: &ServiceId,
+        model: &ModelId,
+        now: Timestamp,
+    ) -> bool {
+        let newest = self.backends.pool(service).and_then(|pool| pool.versions(model).next_back());
+        newest.is_some_and(|(newest, _)| Some(newest) < self.required(model, now))
+    }
+
     /// The version that this request rather begins on: as many requests prefer it as engines have it.
     fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
         let preferred = self.rollout.preferred(&prompt.model, now)?;
