--- a/crates/core/tests/forwarding_namings.rs
+++ b/crates/core/tests/forwarding_namings.rs
@@ -109,6 +109,7 @@
     List { node: u8, sent_ago: u8 },
     Restart { node: u8 },
     Tell { from: u8, to: u8 },
+    Record { node: u8, lasts: u8 },
 }
 
 const NODES: usize = 3;
@@ -135,6 +136,16 @@
     /// Versions with the moments at which they were named.
     named: Vec<(WeightsVersion, Timestamp)>,
     nodes: [Knowing; NODES],
+    /// A record of a naming in the store, and when its lease is over.
+    record: Option<(Record, Timestamp)>,
+}
+
+/// What a leader writes into the store.
+#[derive(Clone, Debug)]
+struct Record {
+    proof: NamingProof,
+    /// How old the name is at most when the lease is over.
+    before: Duration,
 }
 
 impl World {
@@ -148,6 +159,7 @@
             Step::Watch { node, sent_ago } => self.watch(usize::from(node) % NODES, sent_ago),
             Step::List { node, sent_ago } => self.list(usize::from(node) % NODES, sent_ago),
             Step::Restart { node } => self.nodes[usize::from(node) % NODES] = Knowing::default(),
+            Step::Record { node, lasts } => self.write_record(usize::from(node) % NODES, lasts),
             Step::Tell { from, to } => self.tell(usize::from(from) % NODES, usize::from(to) % NODES),
         }
     }
@@ -163,13 +175,25 @@
         knowing.complete(self.named.len(), sent_at);
     }
 
-    /// A listing tells the newest version alone.
+    /// A listing tells the newest version alone, and the record, if its lease was not over when the listing was asked for.
     fn list(&mut self, node: usize, sent_ago: u8) {
+        let sent_at = at(self.now.saturating_sub(u64::from(sent_ago)));
         let knowing = &mut self.nodes[node];
         if let Some((version, _)) = self.named.last() {
             knowing.namings.name(model(), *version);
         }
-        knowing.complete(self.named.len(), at(self.now.saturating_sub(u64::from(sent_ago))));
+        if let Some((record, _)) = self.record.as_ref().filter(|(_, over_at)| sent_at < *over_at) {
+            knowing.namings.take_proof(&NamingProof { at: sent_at - record.before, ..record.proof.clone() });
+        }
+        knowing.complete(self.named.len(), sent_at);
+    }
+
+    /// A node records the newest version that it has proof of, bound to a lease that is granted now.
+    fn write_record(&mut self, node: usize, lasts: u8) {
+        let Some(proof) = self.nodes[node].namings.proofs(ALWAYS, at(self.now)).pop() else { return };
+        let lasts = Duration::from_millis(u64::from(lasts));
+        let before = lasts + at(self.now).saturating_since(proof.at);
+        self.record = Some((Record { proof, before }, at(self.now) + lasts));
     }
 
     /// A node tells another the newest version that it knows, and what it has proof of.
@@ -201,7 +225,7 @@
 }
 
 #[test]
-fn no_order_of_starts_watches_and_reports_lets_older_weights_count_from_too_late() {
+fn no_order_of_starts_watches_reports_and_records_lets_older_weights_count_from_too_late() {
     bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
         let mut world = World::default();
         for step in steps {
