--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -22,6 +22,7 @@
 //! | [`registry`] | whether an entry that has vanished says that its back end is gone |
 //! | [`replacement`] | which of several back ends has an address |
 //! | [`change_log`] | what another node must be told of the store |
+//! | [`namings`] | from when on a named version of weights counts |
 //! | [`rollout`] | which back end gets new weights next |
 //!
 //! Everything here is pure: the present time is an argument.
@@ -39,6 +40,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod load;
+pub mod namings;
 pub mod news;
 pub mod planned_stop;
 pub mod pool;
