A back end that was replaced by an entry that goes again has its address back; listings are in no order of time

Ruled out: telling the order of two entries that tell no start; an answer or the registry does that. Where the last other entry leaves an address, the latest of those that were replaced there gets work again. One that is first heard of as it leaves replaces nobody. Measured: two tests that failed before; the property of any changes holds. Conclusion: nobody stays replaced by an entry that is not there.

--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -109,6 +109,8 @@
     pub registry: Registry,
     by_id: BTreeMap<BackendId, Backend>,
     pub(super) addresses: Addresses,
+    /// Those that were replaced and get work again, as nobody else is known to have their address.
+    pub(super) reopened: Vec<BackendId>,
     pools: BTreeMap<ServiceId, Pool>,
     /// Those that are being given new weights, or were.
     loading: BTreeSet<BackendId>,
@@ -164,12 +166,14 @@
             known.loading_until = None;
         }
         if change != Change::None {
+            let left = known.entry.address;
             self.pools.entry(known.entry.service.clone()).or_default().leave(known);
             self.addresses.leave(&known.entry);
             self.addresses.enter(&entry);
             known.standing = standing;
             known.entry = entry;
             self.pools.entry(known.entry.service.clone()).or_default().enter(known);
+            self.reopen(left);
         }
         change
     }
@@ -206,6 +210,7 @@
         if let Some(pool) = self.pools.get_mut(&backend.entry.service) {
             pool.leave(&backend);
         }
+        self.reopen(backend.entry.address);
     }
 
     /// Drops back ends that are still missing after the registry's return.
--- a/crates/core/src/forwarding/replacement.rs
+++ b/crates/core/src/forwarding/replacement.rs
@@ -1,9 +1,9 @@
 //! Which of several back ends has an address.
 //!
 //! An address belongs to one process at a time. Entries outlive their processes by seconds, so that two may name one address:
-//! the later one holds. Where their order is not known, as in a first listing, both stand until an answer tells who is there.
+//! the later one holds. Where their order is not known, as in a listing, both stand until an answer tells who is there.
 //!
-//! A back end that was replaced gets no work until its own entry changes or goes. Its entry is kept as long as the registry
+//! A back end that was replaced gets no work until its own entry changes, or nobody else is known at its address. Its entry is kept as long as the registry
 //! holds it, so that hearing of it once more brings nothing back. What an answer says is believed of the one that was asked;
 //! who answered is known by an entry of its own only, and where that one had been taken to be replaced, it is back.
 
@@ -12,14 +12,14 @@
     net::SocketAddr,
 };
 
-use super::backends::{BackendEntry, BackendId, Backends, Change, Standing};
+use super::backends::{Backend, BackendEntry, BackendId, Backends, Change, Standing};
 
 /// How an entry was heard of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
     /// As a change: it is later than all that is known.
     AsChange,
-    /// In a first listing, which is in no order of time.
+    /// In a listing or a snapshot of all, which is in no order of time.
     InListing,
 }
 
@@ -58,6 +58,10 @@
         }
     }
 
+    fn at(&self, address: SocketAddr) -> Vec<BackendId> {
+        self.0.get(&address).into_iter().flatten().cloned().collect()
+    }
+
     fn others(&self, entry: &BackendEntry) -> Vec<BackendId> {
         let named = self.0.get(&entry.address).into_iter().flatten();
         named.filter(|id| **id != entry.id).cloned().collect()
@@ -98,17 +102,42 @@
             return false;
         }
         let by_is_there = is_there(by);
-        let is_news = self.replace(id);
+        let standing = self.get(id).map(|known| known.standing);
         // Of an answer that is no news a later process may have come there since.
-        if is_news && by_is_there {
+        if !matches!(standing, Some(Standing::Ready | Standing::Doubted { .. })) {
+            return false;
+        }
+        if by_is_there {
             self.come_back(by);
         }
-        is_news
+        self.replace(id)
+    }
+
+    /// Those that were replaced and have since been given their address back.
+    pub fn take_reopened(&mut self) -> Vec<BackendId> {
+        std::mem::take(&mut self.reopened)
+    }
+
+    /// An entry has left `address`. Where all others that name it were replaced, nobody is known to have it, and the latest
+    /// of them may be alive: an entry that outlived its process may have been heard of after that of the present one.
+    pub(super) fn reopen(&mut self, address: SocketAddr) {
+        let named: Vec<&Backend> = self.addresses.at(address).iter().filter_map(|id| self.get(id)).collect();
+        if named.iter().any(|backend| backend.standing != Standing::Replaced) {
+            return;
+        }
+        let latest = named.into_iter().max_by_key(|backend| backend.entry.born);
+        let Some(id) = latest.map(|backend| backend.entry.id.clone()) else { return };
+        self.come_back(&id);
+        self.reopened.push(id);
     }
 
     /// A back end has come to the address in its entry: the earlier ones there are gone, or it is itself.
     fn settle(&mut self, id: &BackendId, heard: Heard) -> Vec<Replacement> {
         let Some(newcomer) = self.get(id).map(|known| known.entry.clone()) else { return Vec::new() };
+        // One that is heard of for the first time as it leaves may have left long ago.
+        if newcomer.leaving {
+            return Vec::new();
+        }
         let mut replaced = Vec::new();
         for other in self.addresses.others(&newcomer) {
             let Some(known) = self.get(&other) else { continue };
--- a/crates/core/tests/forwarding_replacement.rs
+++ b/crates/core/tests/forwarding_replacement.rs
@@ -118,6 +118,35 @@
     assert!(backends.get(&id("c")).is_none(), "nothing would ever tell that it is gone");
 }
 
+#[test]
+fn one_that_was_replaced_by_an_entry_that_goes_or_moves_gets_work_again() {
+    let moves = |backends: &mut Backends| {
+        changed(backends, entry("stale", 2, None));
+    };
+    let goes = |backends: &mut Backends| {
+        backends.remove(&id("stale"), Timestamp::ZERO);
+    };
+    let leave: [(&dyn Fn(&mut Backends), &[&str]); 2] = [(&moves, &["alive", "stale"]), (&goes, &["alive"])];
+    for (leave, left) in leave {
+        let mut backends = Backends::default();
+        changed(&mut backends, entry("alive", 1, None));
+        // Told late, after the entry of the process that has the address now.
+        changed(&mut backends, entry("stale", 1, None));
+        assert_eq!(usable(&backends), ["stale"]);
+        leave(&mut backends);
+        assert_eq!(usable(&backends), left);
+        assert_eq!(backends.take_reopened(), [id("alive")]);
+    }
+}
+
+#[test]
+fn an_entry_that_is_first_heard_of_as_it_leaves_replaces_nobody() {
+    let mut backends = Backends::default();
+    changed(&mut backends, entry("a", 1, None));
+    assert_eq!(changed(&mut backends, BackendEntry { leaving: true, ..entry("b", 1, None) }), []);
+    assert_eq!(usable(&backends), ["a"]);
+}
+
 /// Whatever is told in whatever order, an address that two back ends name has one that gets work where their order is known,
 /// and nothing is kept of back ends without an entry.
 #[test]
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -32,6 +32,8 @@
 /// What is known of how facts came here.
 struct Telling {
     learned: Learned,
+    /// Whether they come in the order of time.
+    heard: Heard,
     /// When the listing was asked for that shows what the store holds.
     listed_at: Option<Timestamp>,
     /// What another node has proof of.
@@ -40,11 +42,12 @@
 
 impl Telling {
     const fn by_the_store(learned: Learned, listed_at: Option<Timestamp>) -> Self {
-        Self { learned, listed_at, named: Vec::new() }
+        let heard = if listed_at.is_some() { Heard::InListing } else { Heard::AsChange };
+        Self { learned, heard, listed_at, named: Vec::new() }
     }
 
-    const fn by_another(named: Vec<NamingProof>) -> Self {
-        Self { learned: Learned::Told, listed_at: None, named }
+    const fn by_another(heard: Heard, named: Vec<NamingProof>) -> Self {
+        Self { learned: Learned::Told, heard, listed_at: None, named }
     }
 }
 
@@ -63,7 +66,8 @@
         proved_at: Timestamp,
         named: &[NamedLately],
     ) {
-        self.learn_changes(facts, revision, proved_at, &Telling::by_another(proofs(named, proved_at)));
+        let telling = Telling::by_another(Heard::AsChange, proofs(named, proved_at));
+        self.learn_changes(facts, revision, proved_at, &telling);
     }
 
     fn learn_changes(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, telling: &Telling) {
@@ -108,7 +112,8 @@
         proved_at: Timestamp,
         named: &[NamedLately],
     ) {
-        self.learn_whole(facts, revision, proved_at, &Telling::by_another(proofs(named, proved_at)));
+        let telling = Telling::by_another(Heard::InListing, proofs(named, proved_at));
+        self.learn_whole(facts, revision, proved_at, &telling);
     }
 
     fn learn_whole(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, telling: &Telling) {
@@ -189,7 +194,7 @@
     fn learn_one(&self, fact: Fact, revision: Revision, telling: &Telling) {
         match fact {
             Fact::Document(document) => self.learn_document(*document, revision),
-            Fact::Backend(entry) => self.learn_backend(entry, revision),
+            Fact::Backend(entry) => self.learn_backend(entry, revision, telling.heard),
             Fact::BackendGone(id) => self.lose_backend(&id, revision),
             Fact::WeightsNamed { model, version } => {
                 self.learn_weights(&model, version, revision, telling);
@@ -246,10 +251,9 @@
         proofs(&[named], listed_at).iter().for_each(|proof| beliefs.rollout.namings.take_proof(proof));
     }
 
-    fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
+    fn learn_backend(&self, entry: BackendEntry, revision: Revision, heard: Heard) {
         let mut beliefs = self.beliefs.borrow_mut();
         let id = entry.id.clone();
-        let heard = if beliefs.revision.is_some() { Heard::AsChange } else { Heard::InListing };
         let TakenIn { change, replaced } = beliefs.backends.take_in(entry, heard);
         if change == Change::StartedAgain {
             // The process that was known has ended, with its connections and all that it kept.
@@ -257,6 +261,7 @@
             self.pool.borrow_mut().close(&id);
         }
         self.note_seen(&mut beliefs, &id);
+        self.note_reopened(&mut beliefs);
         for replacement in &replaced {
             self.leave_replaced(&mut beliefs, replacement, "entry");
         }
@@ -272,6 +277,14 @@
         }
         // It may have been taken to be replaced itself.
         self.note_seen(&mut beliefs, by);
+        self.note_reopened(&mut beliefs);
+    }
+
+    /// Follows the health of back ends again that have their address back.
+    pub(crate) fn note_reopened(&self, beliefs: &mut Beliefs) {
+        for id in beliefs.backends.take_reopened() {
+            self.note_seen(beliefs, &id);
+        }
     }
 
     /// Follows the health of a back end from now on. Those that were replaced count for no share of their pool.
@@ -324,6 +337,7 @@
         let mut beliefs = self.beliefs.borrow_mut();
         let service = beliefs.backends.get(id).map(|backend| backend.entry.service.clone());
         let change = beliefs.backends.remove(id, now);
+        self.note_reopened(&mut beliefs);
         if let (Change::Removed, Some(service)) = (change, service) {
             beliefs.forget(id);
             self.pool.borrow_mut().close(id);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -307,6 +307,7 @@
         for id in beliefs.backends.expire(now) {
             beliefs.forget(&id);
         }
+        self.note_reopened(&mut beliefs);
         beliefs.refused_until.retain(|_, until| now < *until);
         drop(beliefs);
         self.sweep_quarantine();
