The budget of a service is there before its first request has arrived

Cause: since a request earns when it has arrived, the budget of a service began with the first answer. A node's first request found nothing left, and waited for a silent back end until its time was up. Ruled out: the load of the machine; the test of fresh nodes failed on the code before, run alone. Change: asking what is left sets the budget up; a test asks six fresh nodes. A stray is looked at on a request's end only where one was drawn. Result: the new test fails without the change and passes with it; both pass with the three others of the budget.

--- a/crates/cli/tests/forward/budget.rs
+++ b/crates/cli/tests/forward/budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use paddlemount_platform_standin::{Place, Runner, place::KEY};
+use paddlemount_platform_standin::{Place, Runner, place::KEY, runner::Behaviour};
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
@@ -113,3 +113,17 @@
         async || router.send("/claim/1", "served").await.is_some_and(|got| got.status == StatusCode::OK);
     router.until("serving", served).await;
 }
+
+/// Where the budget of a service began with the first answer, a node's first request waited for a silent back end to its end.
+/// Which of two instances that request goes to is drawn: several nodes are asked.
+#[tokio::test]
+async fn the_first_request_of_a_node_may_leave_a_silent_back_end() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    for number in 0..6 {
+        let router = Router::start(&place).await;
+        place.bookings[0].script(&[Behaviour::Hangs]);
+        let got = router.send("/quote/1", &format!("first-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::OK, "{}", got.body);
+    }
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -376,7 +376,9 @@
         self.node.running.set(self.node.running.get().saturating_sub(1));
         let grant = self.grant.take().filter(|_| self.has_not_run());
         self.node.give_back(grant);
-        self.node.settle_stray(self.stray.take(), None);
+        if let Some(drawn_at) = self.stray.take() {
+            self.node.settle_stray(Some(drawn_at), None);
+        }
         if self.account.is_served() {
             let now = self.node.now();
             let whole = now.saturating_since(self.arrived);
--- a/crates/forward/src/repeats.rs
+++ b/crates/forward/src/repeats.rs
@@ -20,7 +20,10 @@
 
     /// Retries that the budget of a service would still grant.
     pub fn retries_left(&self, service: &ServiceId) -> u64 {
-        self.beliefs.borrow().budgets.get(service).map_or(0, |budget| budget.left(self.now()))
+        let settings = self.settings();
+        let nodes = self.nodes();
+        // Also before any request of the service has arrived: the first one that meets a silent back end may leave it.
+        self.beliefs.borrow_mut().budget(service, &settings, nodes).left(self.now())
     }
 
     /// A request for a service has reached a back end for the first time.
