Serve's connections close by the decision of all callers' connections, with a look at what lies in them

Cause: the server library ended a connection of `serve` once it had rested for `timeouts.keep_alive_ms`, by its timer alone, and closed both sides at once, so that a request on its way or unread in the socket was reset. Its callers were not told how long a connection may rest, and the library closed at just that time.

Ruled out: a longer bound of the library alone. It would move the moment of the blind close and keep its reset. Handing the connection to the other HTTP library: handlers are typed by this one.

Change: the library takes each connection through its service for TLS; there the socket becomes `forward::caller_stream`'s, which no longer knows the forwarding node but a `Host`. While the library waits for bytes the connection is judged by `core::forwarding::caller_connection` (`forward::caller_close`, one copy for both interfaces): closed 5 s later than callers are told, never with bytes unread, the node's side first, reading on. Answers tell `Keep-Alive`. What crosses a close is counted (`paddlemount_connections_closed_unread_total`). How far a planned stop has come replaces the flag for draining.

A head that has come in part still ends by the library's timer.

--- a/crates/cli/tests/planned_work.rs
+++ b/crates/cli/tests/planned_work.rs
@@ -9,9 +9,9 @@
 mod support;
 
 use std::{
-    io::Write,
+    io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use support::{
@@ -131,3 +131,47 @@
     let cut = streams.into_iter().map(is_answered).filter(|answered| !answered).count();
     assert_eq!(cut, 0, "of {CALLERS}");
 }
+
+/// How much longer than callers are told a connection that rests stays open.
+const REST_SLACK: Duration = Duration::from_secs(5);
+/// The setting of the tests below, for how long callers are told that they may count on a connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+fn cluster_of_short_rests() -> Cluster {
+    Cluster::start(1, 1, &format!("[timeouts]\nkeep_alive_ms = {}", KEEP_ALIVE.as_millis()))
+}
+
+#[test]
+fn what_came_while_a_serving_node_was_held_up_across_the_end_of_a_rest_is_answered() {
+    const HELD_UP: Duration = Duration::from_millis(350);
+    let cluster = cluster_of_short_rests();
+    let node = &cluster.nodes[0];
+    let mut streams: Vec<TcpStream> = (0..CALLERS).map(|_| connect(node)).collect();
+    let first_asked = Instant::now();
+    for stream in &mut streams {
+        ask_for_models(stream);
+        assert_eq!(read_answer(stream).status, 200);
+    }
+    let last_answered = Instant::now();
+    let rest = KEEP_ALIVE + REST_SLACK;
+    std::thread::sleep((rest - HELD_UP).saturating_sub(first_asked.elapsed()));
+    node.signal("-STOP");
+    streams.iter_mut().for_each(ask_for_models);
+    std::thread::sleep((rest + HELD_UP).saturating_sub(last_answered.elapsed()));
+    node.signal("-CONT");
+    let cut = streams.into_iter().map(is_answered).filter(|answered| !answered).count();
+    assert_eq!(cut, 0, "of {CALLERS}");
+}
+
+#[test]
+fn a_serving_node_tells_how_long_a_connection_may_rest_and_closes_it_later_without_a_reset() {
+    let cluster = cluster_of_short_rests();
+    let mut stream = connect(&cluster.nodes[0]);
+    ask_for_models(&mut stream);
+    let answer = read_answer(&mut stream);
+    assert_eq!(answer.header("keep-alive"), Some("timeout=1"));
+    std::thread::sleep(KEEP_ALIVE * 2);
+    ask_for_models(&mut stream);
+    assert_eq!(read_answer(&mut stream).status, 200, "it rests for longer than is told");
+    assert_eq!(stream.read(&mut [0]).expect("an end, not a reset"), 0);
+}
--- /dev/null
+++ b/crates/forward/src/caller_close.rs
@@ -0,0 +1,55 @@
+//! When a caller's connection closes: the decision of `core`, made again whenever its input may have changed.
+
+use paddlemount_core::forwarding::caller_connection::{Seen, StopStage, Verdict, judge};
+use paddlemount_protocol::time::Timestamp;
+use tokio::sync::watch;
+
+use crate::caller_stream::{CallerSocket, Host};
+
+/// How a connection closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closes {
+    /// The HTTP library ends it, after what it may have begun meanwhile.
+    Gently,
+    /// The library is left: it would wait for the rest of a head, or for what runs at the end of the process.
+    AtOnce,
+}
+
+impl<H: Host> CallerSocket<H> {
+    /// Waits until the connection is to close, in a planned stop that `stage` tells of.
+    pub async fn until_judged(&self, mut stage: watch::Receiver<StopStage>) -> Closes {
+        loop {
+            let present = *stage.borrow_and_update();
+            let look_again = match self.judge(present) {
+                Verdict::Close => return Closes::Gently,
+                Verdict::Drop => return Closes::AtOnce,
+                Verdict::Keep(look_again) => look_again,
+            };
+            tokio::select! {
+                Ok(()) = stage.changed() => {}
+                () = self.freed.notified() => {}
+                () = self.wait_until(look_again) => {}
+            }
+        }
+    }
+
+    /// Decides on the connection. The system is asked for unread bytes only where nothing else keeps it open.
+    fn judge(&self, stage: StopStage) -> Verdict {
+        let (seen, idle_timeout, now) = (self.seen(), self.host().idle_timeout(), self.now());
+        match judge(seen, stage, idle_timeout, now) {
+            Verdict::Keep(look_again) => Verdict::Keep(look_again),
+            Verdict::Close | Verdict::Drop => {
+                judge(Seen { is_readable: self.is_readable(), ..seen }, stage, idle_timeout, now)
+            }
+        }
+    }
+
+    async fn wait_until(&self, at: Option<Timestamp>) {
+        match at {
+            // One timer a connection, and no look at the clock between: a connection that rests longer since the machine
+            // was suspended harms nobody, and a node has thousands of them.
+            Some(at) => tokio::time::sleep(at.saturating_since(self.now())).await,
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use bytes::BufMut;
+use paddlemount_clock::SteadyClock;
 use paddlemount_core::forwarding::caller_connection::Seen;
 use paddlemount_protocol::time::Timestamp;
 use tokio::{
@@ -19,8 +21,6 @@
     sync::Notify,
 };
 
-use crate::{journal::Event, metrics::Counter, node::Node};
-
 /// How long the node reads on after it has closed its side of a connection, unless the caller closes before.
 const LINGER: Duration = Duration::from_millis(500);
 /// The same in a planned stop, which it prolongs: long enough for what crosses the close on its way.
@@ -28,10 +28,36 @@
 /// Bytes that are read at once while lingering.
 const LINGER_READ: usize = 4 << 10;
 
+/// What a caller's connection asks of the process that serves it.
+pub trait Host {
+    /// The clock by which connections count their rest.
+    fn clock(&self) -> SteadyClock;
+
+    /// How long callers may count on a connection that rests, by what is in force now.
+    fn idle_timeout(&self) -> Duration;
+
+    /// Whether the process was told to stop.
+    fn is_stopping(&self) -> bool;
+
+    /// Bytes came after a connection had closed, and were not read.
+    fn tell_closed_unread(&self, closed: &ClosedUnread);
+}
+
+/// A connection on which bytes came after it had closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClosedUnread {
+    /// Bytes that came.
+    pub bytes: usize,
+    /// How long the connection had been open, in milliseconds.
+    pub open_ms: u64,
+    /// Whether the process was stopping.
+    pub stopping: bool,
+}
+
 /// A caller's connection, shared by what serves it and what decides when it closes.
-pub struct CallerSocket {
+pub struct CallerSocket<H> {
     stream: TcpStream,
-    node: Rc<Node>,
+    host: Rc<H>,
     opened_at: Timestamp,
     /// Requests that are being served: from a whole head to the end of the answer's body.
     served: Cell<usize>,
@@ -45,15 +71,15 @@
     pub freed: Notify,
 }
 
-impl CallerSocket {
+impl<H: Host> CallerSocket<H> {
     /// Takes an accepted connection over.
-    pub fn new(stream: TcpStream, node: Rc<Node>) -> Rc<Self> {
+    pub fn new(stream: TcpStream, host: Rc<H>) -> Rc<Self> {
         // Without it small events wait for acknowledgements: slower, not wrong.
         let _ = stream.set_nodelay(true);
-        let now = node.now();
+        let now = host.clock().now();
         Rc::new(Self {
             stream,
-            node,
+            host,
             opened_at: now,
             served: Cell::new(0),
             unparsed: Cell::new(0),
@@ -64,12 +90,12 @@
     }
 
     /// The connection as a stream of bytes for the HTTP library.
-    pub fn stream(self: &Rc<Self>) -> CallerStream {
+    pub fn stream(self: &Rc<Self>) -> CallerStream<H> {
         CallerStream(Rc::clone(self))
     }
 
     /// A whole head is here. What is given holds the connection for served until it is dropped.
-    pub fn begin(self: &Rc<Self>) -> Served {
+    pub fn begin(self: &Rc<Self>) -> Served<H> {
         self.unparsed.set(0);
         self.served.set(self.served.get() + 1);
         Served(Rc::clone(self))
@@ -98,18 +124,66 @@
     pub async fn close_gently(&self) {
         // The caller may have closed already.
         let _ = self.shut_down();
-        let linger = if self.node.is_stopping() { LINGER_AT_STOP } else { LINGER };
+        let linger = if self.host.is_stopping() { LINGER_AT_STOP } else { LINGER };
         let crossed = Cell::new(0);
-        self.node.clock.within_time(linger, self.read_to_end(&crossed)).await;
+        self.host.clock().within_time(linger, self.read_to_end(&crossed)).await;
         let bytes = crossed.get();
         if bytes > 0 {
-            self.node.metrics.count(Counter::ClosedUnread);
-            let open_ms = self.node.now().saturating_since(self.opened_at).as_millis() as u64;
-            let stopping = self.node.is_stopping();
-            self.node.journal.tell(&Event::ClosedUnread { bytes, open_ms, stopping });
+            let open_ms = self.now().saturating_since(self.opened_at).as_millis() as u64;
+            let stopping = self.host.is_stopping();
+            self.host.tell_closed_unread(&ClosedUnread { bytes, open_ms, stopping });
         }
     }
 
+    /// What serves the connection.
+    pub fn host(&self) -> &H {
+        &self.host
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Timestamp {
+        self.host.clock().now()
+    }
+
+    /// Waits until bytes can be read.
+    ///
+    /// # Errors
+    ///
+    /// Where the runtime ends.
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
+    /// Waits until bytes can be written.
+    ///
+    /// # Errors
+    ///
+    /// Where the runtime ends.
+    pub async fn writable(&self) -> io::Result<()> {
+        self.stream.writable().await
+    }
+
+    /// Reads what has come, as bytes of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::WouldBlock`] where nothing has; others where the connection has broken.
+    pub fn try_read(&self, buffer: &mut impl BufMut) -> io::Result<usize> {
+        let count = self.stream.try_read_buf(buffer)?;
+        self.unparsed.set(self.unparsed.get() + count);
+        self.used_at.set(self.now());
+        Ok(count)
+    }
+
+    /// Writes as much as the socket takes.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::WouldBlock`] where it takes nothing; others where the connection has broken.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.try_write(bytes)
+    }
+
     fn shut_down(&self) -> io::Result<()> {
         socket2::SockRef::from(&self.stream).shutdown(Shutdown::Write)
     }
@@ -130,12 +204,12 @@
 }
 
 /// A request that is being served on a connection.
-pub struct Served(Rc<CallerSocket>);
+pub struct Served<H: Host>(Rc<CallerSocket<H>>);
 
-impl Drop for Served {
+impl<H: Host> Drop for Served<H> {
     fn drop(&mut self) {
         let socket = &self.0;
-        let now = socket.node.now();
+        let now = socket.now();
         socket.served.set(socket.served.get().saturating_sub(1));
         // The rest of the body belongs to the request that has been served.
         socket.unparsed.set(0);
@@ -146,9 +220,9 @@
 }
 
 /// A caller's connection as a stream of bytes.
-pub struct CallerStream(Rc<CallerSocket>);
+pub struct CallerStream<H>(Rc<CallerSocket<H>>);
 
-impl AsyncRead for CallerStream {
+impl<H: Host> AsyncRead for CallerStream<H> {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -157,12 +231,8 @@
         let socket = &self.0;
         loop {
             ready!(socket.stream.poll_read_ready(context))?;
-            match socket.stream.try_read_buf(buffer) {
-                Ok(count) => {
-                    socket.unparsed.set(socket.unparsed.get() + count);
-                    socket.used_at.set(socket.node.now());
-                    return Poll::Ready(Ok(()));
-                }
+            match socket.try_read(buffer) {
+                Ok(_) => return Poll::Ready(Ok(())),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
@@ -170,7 +240,7 @@
     }
 }
 
-impl CallerStream {
+impl<H: Host> CallerStream<H> {
     /// Writes once the socket takes bytes.
     fn poll_once_writable(
         &self,
@@ -187,7 +257,7 @@
     }
 }
 
-impl AsyncWrite for CallerStream {
+impl<H: Host> AsyncWrite for CallerStream<H> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_once_writable(context, |stream| stream.try_write(bytes))
     }
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -5,11 +5,8 @@
 use http::{HeaderName, HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use paddlemount_core::forwarding::{
-    caller_connection::{Seen, StopStage, Verdict, judge},
-    planned_stop::PlannedStop,
-};
-use paddlemount_protocol::time::Timestamp;
+use paddlemount_clock::SteadyClock;
+use paddlemount_core::forwarding::{caller_connection::StopStage, planned_stop::PlannedStop};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -17,9 +14,11 @@
 
 use crate::{
     answers::{AnswerBody, held_while_sent},
-    caller_stream::CallerSocket,
+    caller_close::Closes,
+    caller_stream::{CallerSocket, ClosedUnread, Host},
     exchange,
     journal::Event,
+    metrics::Counter,
     node::Node,
 };
 
@@ -110,7 +109,7 @@
     }
 
     /// Serves requests until the caller has left, or the connection has rested for long enough to be closed.
-    async fn serve_requests(&mut self, socket: &Rc<CallerSocket>) {
+    async fn serve_requests(&mut self, socket: &Rc<CallerSocket<Node>>) {
         let (node, used, stage) = (Rc::clone(&self.node), Rc::clone(socket), self.stage.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             serve_request(Rc::clone(&node), Rc::clone(&used), stage.clone(), request)
@@ -125,7 +124,7 @@
         let closes = tokio::select! {
             biased;
             _ = connection.as_mut() => return,
-            closes = self.until_judged(socket) => closes,
+            closes = socket.until_judged(self.stage.clone()) => closes,
         };
         if closes == Closes::AtOnce {
             return;
@@ -137,69 +136,38 @@
         }
     }
 
-    /// Waits until a connection is to close.
-    async fn until_judged(&self, socket: &CallerSocket) -> Closes {
-        let mut stage = self.stage.clone();
-        loop {
-            let present = *stage.borrow_and_update();
-            let look_again = match self.judge(socket, present) {
-                Verdict::Close => return Closes::Gently,
-                Verdict::Drop => return Closes::AtOnce,
-                Verdict::Keep(look_again) => look_again,
-            };
-            tokio::select! {
-                _ = stage.changed() => {}
-                () = socket.freed.notified() => {}
-                () = self.wait_until(look_again) => {}
-            }
-        }
-    }
-
-    /// Decides on a connection. The system is asked for unread bytes only where nothing else keeps it open.
-    fn judge(&self, socket: &CallerSocket, stage: StopStage) -> Verdict {
-        let (seen, idle_timeout, now) = (socket.seen(), self.idle_timeout(), self.node.now());
-        match judge(seen, stage, idle_timeout, now) {
-            Verdict::Keep(look_again) => Verdict::Keep(look_again),
-            Verdict::Close | Verdict::Drop => {
-                judge(Seen { is_readable: socket.is_readable(), ..seen }, stage, idle_timeout, now)
-            }
-        }
+    fn header_bytes(&self) -> usize {
+        let beliefs = self.node.beliefs.borrow();
+        beliefs.table.as_ref().map(|table| table.limits()).unwrap_or_default().header_bytes
     }
+}
 
-    async fn wait_until(&self, at: Option<Timestamp>) {
-        match at {
-            // One timer a connection, and no look at the clock between: a connection that rests longer since the machine
-            // was suspended harms nobody, and a node has thousands of them.
-            Some(at) => tokio::time::sleep(at.saturating_since(self.node.now())).await,
-            None => std::future::pending().await,
-        }
+impl Host for Node {
+    fn clock(&self) -> SteadyClock {
+        self.clock
     }
 
-    /// How long callers may count on a connection that rests, by the configuration now in force: a caller goes by the
-    /// newest one, not by the one under which its connection opened.
+    /// By the configuration now in force: a caller goes by the newest one, not by the one under which its connection
+    /// opened.
     fn idle_timeout(&self) -> Duration {
-        let beliefs = self.node.beliefs.borrow();
+        let beliefs = self.beliefs.borrow();
         beliefs.table.as_ref().map(|table| table.limits()).unwrap_or_default().idle_timeout
     }
 
-    fn header_bytes(&self) -> usize {
-        let beliefs = self.node.beliefs.borrow();
-        beliefs.table.as_ref().map(|table| table.limits()).unwrap_or_default().header_bytes
+    fn is_stopping(&self) -> bool {
+        self.is_stopping()
     }
-}
 
-/// How a connection closes.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Closes {
-    /// The HTTP library ends it, after what it may have begun meanwhile.
-    Gently,
-    /// The library is left: it would wait for the rest of a head, or for what runs at the end of the process.
-    AtOnce,
+    fn tell_closed_unread(&self, closed: &ClosedUnread) {
+        let ClosedUnread { bytes, open_ms, stopping } = *closed;
+        self.metrics.count(Counter::ClosedUnread);
+        self.journal.tell(&Event::ClosedUnread { bytes, open_ms, stopping });
+    }
 }
 
 async fn serve_request(
     node: Rc<Node>,
-    socket: Rc<CallerSocket>,
+    socket: Rc<CallerSocket<Node>>,
     stage: watch::Receiver<StopStage>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`peers`] | what nodes tell each other |
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
 //! | [`admission`] | route, tenant, and whether what is known may be trusted |
+//! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: taken, served, closed |
 //! | [`ingress`], [`exchange`], [`attempts`], [`verdicts`], [`relay`] | takes requests, forwards them, decides what follows, passes streams on |
 //! | [`quarantine`], `runs` | which broken runs were crashes, and what is held back for them |
 //! | [`account`] | what is told of a request at its end |
@@ -30,6 +31,7 @@
 pub mod answers;
 pub mod attempts;
 pub mod beliefs;
+pub mod caller_close;
 pub mod caller_stream;
 pub mod callers;
 pub mod calls;
--- a/crates/node/src/active.rs
+++ b/crates/node/src/active.rs
@@ -2,10 +2,11 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+    atomic::{AtomicUsize, Ordering},
 };
 
-use tokio::sync::Notify;
+use paddlemount_core::forwarding::caller_connection::StopStage;
+use tokio::sync::{Notify, watch};
 
 /// Counts running requests; refuses new ones above a bound or while the node drains.
 #[derive(Debug)]
@@ -14,7 +15,8 @@
     count: AtomicUsize,
     /// Requests that have come so far, refused ones too.
     come: AtomicUsize,
-    draining: AtomicBool,
+    /// How far a planned stop has come.
+    stage: watch::Sender<StopStage>,
     changed: Notify,
 }
 
@@ -40,7 +42,7 @@
             limit,
             count: AtomicUsize::new(0),
             come: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
+            stage: watch::Sender::new(StopStage::Serving),
             changed: Notify::new(),
         }
     }
@@ -51,12 +53,12 @@
     ///
     /// The request must be refused as not run.
     pub fn enter(self: &Arc<Self>) -> Result<ActiveGuard, EntryRefusal> {
-        // The request is counted before the flag is read: a drain that sees a count of zero
-        // therefore knows that no later request gets past the flag.
+        // The request is counted before the stage is read: a drain that sees a count of zero
+        // therefore knows that no later request gets past it.
         let before = self.count.fetch_add(1, Ordering::SeqCst);
         self.come.fetch_add(1, Ordering::SeqCst);
         let guard = ActiveGuard { requests: Arc::clone(self) };
-        if self.draining.load(Ordering::SeqCst) {
+        if self.is_draining() {
             return Err(EntryRefusal::Draining);
         }
         if before >= self.limit {
@@ -77,12 +79,17 @@
 
     /// Whether the node takes no new requests.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        *self.stage.borrow() != StopStage::Serving
     }
 
     /// Refuses new requests from now on.
     pub fn start_draining(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+        self.stage.send_replace(StopStage::Leaving);
+    }
+
+    /// Tells how far a planned stop has come.
+    pub fn stage(&self) -> watch::Receiver<StopStage> {
+        self.stage.subscribe()
     }
 
     /// Waits until no request runs.
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -47,7 +47,7 @@
         .at("/readyz", get(handler_service(ready)))
         .at("/admin/query", post(handler_service(http::query)))
         .at("/metrics", get(handler_service(metrics)));
-    server::start(settings, listener, app.serve())
+    server::start(state, settings, listener, app.finish())
 }
 
 async fn health() -> WebResponse {
--- a/crates/node/src/caller.rs
+++ b/crates/node/src/caller.rs
@@ -45,7 +45,7 @@
         .at("/v1/models", get(handler_service(models::list)))
         .at("/v1/services/{service}/{operation}", post(handler_service(services::run)))
         .enclosed_fn(finish_answer);
-    server::start(settings, listener, app.serve())
+    server::start(state, settings, listener, app.finish())
 }
 
 /// Gives every answer a request id and a typed body, and closes connections while the node drains.
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -16,6 +16,11 @@
         Self(SteadyClock::starting_at_time_of_day())
     }
 
+    /// The steady clock that it reads.
+    pub const fn steady(self) -> SteadyClock {
+        self.0
+    }
+
     /// The present time.
     pub fn now(self) -> Timestamp {
         self.0.now()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! | [`node`] | start, planned stop and sudden end of a node |
 //! | [`state`] | what all threads of a node share |
 //! | [`drivers`] | background tasks |
+//! | [`server`], `connections` | HTTP servers, and when their connections close |
 //! | [`caller`] | the caller API |
 //! | [`claims`] | requests that must not be repeated |
 //! | [`peers`] | the interface between nodes |
@@ -22,6 +23,7 @@
 pub mod client;
 pub mod clock;
 pub mod configuration;
+mod connections;
 pub mod drivers;
 pub mod engines;
 pub mod exchange;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -54,7 +54,7 @@
         .at("/peer/query", post(handler_service(member_question)))
         .at(claims::PATH, post(handler_service(claims::serve)))
         .enclosed_fn(server::authenticate);
-    crate::server::start(settings, listener, app.serve())
+    crate::server::start(state, settings, listener, app.finish())
 }
 
 async fn health() -> WebResponse {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -3,16 +3,24 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
+    sync::Arc,
     thread::JoinHandle,
     time::Duration,
 };
 
 use bytes::Bytes;
+use xitca_http::{HttpServiceBuilder, config::HttpServiceConfig};
+use xitca_io::net::TcpStream;
+use xitca_server::Builder;
 use xitca_web::{
-    HttpServer,
-    body::{Body, RequestBody},
-    http::{Request, RequestExt, Response},
-    service::{Service, ready::ReadyService},
+    body::Body,
+    http::{WebRequest, WebResponse},
+    service::{Service, ServiceExt, ready::ReadyService},
+};
+
+use crate::{
+    connections::{ServingHost, TakeConnection, TellKeepAlive, WithinConnection},
+    state::NodeState,
 };
 
 /// Bytes of a request's head at most.
@@ -22,6 +30,9 @@
 /// Bytes of an answer that wait for a slow receiver, for each connection.
 pub const WRITE_BUFFER_BYTES: usize = 16 << 10;
 
+/// A time that no process outlives.
+const NEVER: Duration = Duration::from_secs(100 * 365 * 24 * 60 * 60);
+
 /// What a server is told.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
@@ -31,7 +42,7 @@
     pub workers: usize,
     /// Until a request's headers have arrived.
     pub head: Duration,
-    /// Until an idle connection is closed.
+    /// How long callers may count on a connection that rests.
     pub keep_alive: Duration,
 }
 
@@ -65,35 +76,41 @@
     }
 }
 
-/// Starts `server` on `listener`.
+/// Starts a server for `app` on `listener`.
 ///
 /// # Errors
 ///
 /// Where its threads cannot be started.
 pub fn start<S, B>(
+    state: &Arc<NodeState>,
     settings: ServerSettings,
     listener: TcpListener,
-    server: HttpServer<S>,
+    app: S,
 ) -> io::Result<RunningServer>
 where
     S: Service + Send + Sync + 'static,
-    S::Response: ReadyService + Service<Request<RequestExt<RequestBody>>, Response = Response<B>> + 'static,
+    S::Response: ReadyService + Service<WebRequest, Response = WebResponse<B>> + 'static,
     S::Error: std::fmt::Debug,
-    <S::Response as Service<Request<RequestExt<RequestBody>>>>::Error: std::fmt::Debug,
+    <S::Response as Service<WebRequest>>::Error: std::fmt::Debug,
     B: Body<Data = Bytes> + 'static,
     B::Error: std::fmt::Debug + 'static,
 {
     let address = listener.local_addr()?;
-    let mut running = server
-        .worker_threads(settings.workers)
-        .disable_signal()
+    let host = ServingHost::new(state, settings.keep_alive);
+    let config = HttpServiceConfig::new()
         .request_head_timeout(settings.head)
-        .keep_alive_timeout(settings.keep_alive)
+        // When a connection that rests closes is decided with a look at what lies in it; the library would not look.
+        .keep_alive_timeout(NEVER)
         .max_read_buf_size::<HEAD_BYTES>()
         .max_write_buf_size::<WRITE_BUFFER_BYTES>()
-        .max_request_headers::<HEAD_FIELDS>()
-        .listen(listener)?
-        .run();
+        .max_request_headers::<HEAD_FIELDS>();
+    let http = HttpServiceBuilder::h1().config(config).with_tls(TakeConnection::new(host));
+    let service = app.enclosed(TellKeepAlive).enclosed(http).enclosed(WithinConnection);
+    let mut running = Builder::new()
+        .worker_threads(settings.workers)
+        .disable_signal()
+        .listen::<_, _, _, (TcpStream, SocketAddr)>(settings.name, listener, service)
+        .build();
     let handle = running.handle()?;
     let thread = std::thread::Builder::new().name(format!("{}-server", settings.name)).spawn(move || {
         if let Err(error) = running.wait() {
