A node that starts in an outage of the store asks for a majority's word before the store's word lapses

Its start rounds, four inquiries every 200 ms, ran only while it might not serve, so they stopped at once. The one usual probe in that time reached a peer that had restarted too and had heard of nobody. At 1.44 s the word lapsed; the next start round came 59 ms later and confirmed the node within 3 ms, but a request between them was refused.

Ruled out: that sources are too few (one answer of a node that had run on gave a majority at once); a shorter pause between start rounds (a shorter gap, not none).

Change: `Peers::awaits_confirmation` asks whether the node may still serve 2 s later. What confirms a revision is unchanged, so no transition that specs search is another one; a node asks more, in its first 6 s alone.

--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -54,6 +54,10 @@
 /// Peers asked in such a round: what a restarted node needs, and one that may be down.
 const START_INQUIRIES: usize = SOURCES + 1;
 
+/// A node that started of late goes on with such rounds until what lets it take work lasts for so long: two of the usual
+/// probes, of which one may reach a peer that has just started too.
+const CONFIRMATION_AHEAD: Duration = Duration::from_secs(2);
+
 /// What a call of this node is for.
 #[derive(Clone, Debug)]
 enum Purpose {
@@ -168,9 +172,10 @@
     }
 
     /// Whether this node started of late and lacks only the word of its peers, or knows none of them, to take
-    /// work. One probe a second would keep it waiting for seconds where the store is down.
+    /// work and go on taking it. One probe a second would keep it waiting for seconds where the store is down. A peer's
+    /// word of an earlier read of the store lets it begin, but may lapse before usual probes have brought a majority's.
     fn awaits_confirmation(&self, now: Timestamp) -> bool {
-        now.saturating_since(self.started_at) < START_TIME && !self.may_serve(now)
+        now.saturating_since(self.started_at) < START_TIME && !self.may_serve(now + CONFIRMATION_AHEAD)
     }
 
     fn membership_event(&mut self, event: MembershipEvent<'_>, now: Timestamp) {
