--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`leadership`], [`orders`] | holds the lease and gives orders for new weights |
 //! | `naming_record` | records in the store that weights were named lately |
 //! | [`admission`] | route, tenant, and whether what is known may be trusted |
+//! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: taken, served, closed |
 //! | [`ingress`], [`exchange`], [`attempts`], [`verdicts`], [`relay`] | takes requests, forwards them, decides what follows, passes streams on |
 //! | `waiting` | ends waits at back ends whose weights have grown too old |
 //! | [`quarantine`], `runs` | which broken runs were crashes, and what is held back for them |
@@ -32,6 +33,7 @@
 pub mod answers;
 pub mod attempts;
 pub mod beliefs;
+pub mod caller_close;
 pub mod caller_stream;
 pub mod callers;
 pub mod calls;
