Outdated weights: a copied run goes on, a silent run kept beside is watched, an unused connection stays

Three faults of the wait for weights that may grow too old: - A stream that goes on from a copy of its run's memory was treated as a run that begins at the holder. Past the bound it was not sent, and its caller's stream broke. The time of keeping now goes through the same wait as all others: it ends when the run may not begin any more, also where newer weights are named meanwhile. - Weights were looked at after a connection had been taken from the pool, which then was closed unused. They are looked at before, and again only after a new connection came up, which is kept in the pool.

Ruled out for answers that are no streams: to take a request for begun that has waited for longer than usual. Nothing shows it, and the guess fails where queues are longer than usual, where runs would begin too late. The doc comment of `wait` says so.

That the relay passes the kept run and its choice is read, not tested.

--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -39,6 +39,15 @@
 const KEEP_ALIVE: &str = "keep-alive";
 const PROXY_CONNECTION: &str = "proxy-connection";
 
+/// Which run a try asks its back end for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    /// One that begins there.
+    New,
+    /// One that another back end began, and that goes on there from a copy of its memory.
+    Continued,
+}
+
 /// Why a try has no answer to pass on.
 #[derive(Debug)]
 pub struct Ended {
@@ -139,9 +148,16 @@
     choice: &Choice,
     id: Option<&str>,
     request: Request<Full<Bytes>>,
+    run: Run,
     give_up_at: Timestamp,
 ) -> Result<Begun, Ended> {
     let work = Work::begin(node, choice);
+    // A run that goes on begins nothing: its weights were in time when it began.
+    let begins_at = (run == Run::New).then_some(choice);
+    // Looked at before a connection is taken from the pool: one that is not used is closed.
+    if node.is_outdated(begins_at) {
+        return Err(not_sent(node, choice));
+    }
     let pooled = node.pool.borrow_mut().take(&choice.backend, node.now());
     let reused = pooled.is_some();
     let mut connection = match pooled {
@@ -149,12 +165,12 @@
         None => connect(node, choice, give_up_at).await?,
     };
     // Newer weights may have been named while the connection came up.
-    if node.has_outdated_weights(choice) {
-        node.health(&choice.backend, HealthEvent::Inconclusive, false);
-        return Err(Ended { end: AttemptEnd::NotSent, reused, ..Ended::unclear(OUTDATED.into()) });
+    if !reused && node.is_outdated(begins_at) {
+        node.pool.borrow_mut().put(&choice.backend, connection, node.now());
+        return Err(not_sent(node, choice));
     }
     let waiting = connection.send(request);
-    let answer = match node.wait(Some(choice), give_up_at, waiting).await {
+    let answer = match node.wait(begins_at, give_up_at, waiting).await {
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(error)) => return Err(broken(node, choice, &error, reused)),
         Waited::Outdated => {
@@ -180,6 +196,12 @@
     judge(node, choice, begun, reused, give_up_at).await
 }
 
+/// The back end's weights are too old. This says nothing against it, and it was not asked.
+fn not_sent(node: &Rc<Node>, choice: &Choice) -> Ended {
+    node.health(&choice.backend, HealthEvent::Inconclusive, false);
+    Ended { end: AttemptEnd::NotSent, ..Ended::unclear(OUTDATED.into()) }
+}
+
 async fn connect(node: &Rc<Node>, choice: &Choice, give_up_at: Timestamp) -> Result<Connection, Ended> {
     node.metrics.count(Counter::Connections);
     let now = node.now();
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -22,7 +22,7 @@
     account::{ANSWERED, Account, HELD_BACK, REFUSED},
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, own_answer},
-    attempts::{self, Begun, Ended, strip_connection_headers, take_whole},
+    attempts::{self, Begun, Ended, Run, strip_connection_headers, take_whole},
     dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
     node::Node,
@@ -199,7 +199,8 @@
         let request = self.request(choice, &resume, now);
         let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
-        let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
+        let run = if resume.continues.is_some() { Run::Continued } else { Run::New };
+        let result = attempts::send(&node, choice, self.head.id.as_deref(), request, run, patience).await;
         match &result {
             Err(Ended { end: AttemptEnd::NotSent, reused, .. }) => {
                 self.spent.not_sent += 1;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -61,4 +61,4 @@
 mod runs;
 pub mod settings;
 pub mod verdicts;
-mod waiting;
+pub mod waiting;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -1,6 +1,6 @@
 //! Passes a stream of events on, event by event, and resumes it at another back end where the route allows it.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -29,9 +29,6 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// The silence before a resumable stream's first event, in multiples of its route's target.
 const FIRST_SILENCE_TARGETS: u32 = 2;
-/// How long a silent run is kept while another back end is asked. A refusal comes within some milliseconds; a back end that
-/// has said nothing by then may have begun, and two runs of one stream must not go on side by side.
-const KEPT_BESIDE: Duration = Duration::from_millis(300);
 
 /// Why a stream ends before it is whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -328,17 +325,10 @@
 
     /// Asks another back end to go on, and lets the run before go once that one has begun or may have.
     async fn ask(&mut self, choice: Choice, resume: Resume) -> Result<(), Ended> {
-        let clock = self.exchange.node.clock;
-        let result = {
-            let mut attempt = std::pin::pin!(self.exchange.attempt(&choice, resume));
-            match clock.within_time(KEPT_BESIDE, attempt.as_mut()).await {
-                Some(result) => result,
-                None => {
-                    self.begun = None;
-                    attempt.await
-                }
-            }
-        };
+        let node = Rc::clone(&self.exchange.node);
+        let begins_at = (!self.has_event).then_some(&self.choice);
+        let attempt = self.exchange.attempt(&choice, resume);
+        let result = node.keep_beside(&mut self.begun, begins_at, attempt).await;
         let result = match result {
             Ok(begun) if !begun.head.status.is_success() => {
                 Err(Ended::unclear(format!("status {}", begun.head.status)))
--- a/crates/forward/src/waiting.rs
+++ b/crates/forward/src/waiting.rs
@@ -1,5 +1,7 @@
 //! Waits for a back end, for as long as a request may still begin on its weights.
 
+use std::time::Duration;
+
 use paddlemount_core::forwarding::choice::Choice;
 use paddlemount_protocol::time::Timestamp;
 
@@ -8,6 +10,10 @@
 /// What a request is told that waited for too long, for log lines.
 pub(crate) const OUTDATED: &str = "not begun before its weights grew too old";
 
+/// How long a silent run is kept while another back end is asked. A refusal comes within some milliseconds; a back end that
+/// has said nothing by then may have begun, and two runs of one stream must not go on side by side.
+const KEPT_BESIDE: Duration = Duration::from_millis(300);
+
 /// What came of a wait.
 pub(crate) enum Waited<T> {
     /// The awaited.
@@ -25,13 +31,18 @@
         self.beliefs.borrow().rollout.begin_by(&scope.model, scope.weights)
     }
 
-    /// Whether a request must not begin at its back end any more.
-    pub(crate) fn has_outdated_weights(&self, choice: &Choice) -> bool {
-        self.begin_by(choice).is_some_and(|begin_by| begin_by <= self.now())
+    /// Whether a request must not begin any more at the back end `begins_at`; never where it begins at none.
+    pub(crate) fn is_outdated(&self, begins_at: Option<&Choice>) -> bool {
+        let begin_by = begins_at.and_then(|choice| self.begin_by(choice));
+        begin_by.is_some_and(|begin_by| begin_by <= self.now())
     }
 
     /// What comes of `awaited` by `until`. Where it tells that a request has begun at the back end `begins_at`, the wait
     /// ends as soon as that one's weights are too old, also where newer ones are named meanwhile.
+    ///
+    /// Nothing shows when a whole answer's run has begun. One that began in time is broken off too where it lasts past that
+    /// moment: the other guess, that whoever has waited for long has begun, fails just where a queue is longer than usual,
+    /// and lets runs begin on weights that are too old.
     pub(crate) async fn wait<T>(
         &self,
         begins_at: Option<&Choice>,
@@ -49,7 +60,7 @@
                 () = self.clock.sleep_until(look_at) => {}
                 () = named => continue,
             }
-            if begins_at.is_some_and(|choice| self.has_outdated_weights(choice)) {
+            if self.is_outdated(begins_at) {
                 return Waited::Outdated;
             }
             if self.now() >= until {
@@ -57,4 +68,23 @@
             }
         }
     }
+
+    /// What comes of `attempt` at another back end. A silent run is kept meanwhile, for a short time and only while it may
+    /// still begin at `begins_at`.
+    pub async fn keep_beside<K, T>(
+        &self,
+        kept: &mut Option<K>,
+        begins_at: Option<&Choice>,
+        attempt: impl Future<Output = T>,
+    ) -> T {
+        let mut attempt = std::pin::pin!(attempt);
+        if !self.is_outdated(begins_at) {
+            let until = self.now() + KEPT_BESIDE;
+            if let Waited::Done(result) = self.wait(begins_at, until, attempt.as_mut()).await {
+                return result;
+            }
+        }
+        *kept = None;
+        attempt.await
+    }
 }
