What a digest tells counts from when the report that it answers was sent

Cause: the answer to a report was taken in as of the moment at which it was read. A process that stood still for 5 s between report and answer took a level of 5 s before for new, and granted by it until its next report; each node that stood still could grant the whole. The tries of load, the number of nodes and which engines load were treated alike.

Change: the age of what a ledger is told counts from `sent_at`. An answer that is older than what may be used takes the report off (it has arrived) and tells no level: the node heads itself, with its part of level and rate. It does so as well when it grants or tells a level while what it was told has grown too old, and so before its first look after a stand-still. The level still rises only from the moment of the answer, as the node above has let it rise until it answered. Work of others, the count of nodes, loading engines and the age of the root count from `sent_at` too.

Left as it is: what back ends keep (`Chooser::heard`). News of before `sent_at` and after it come in one answer, and a part told with too early a moment could lose against what this node forgot in between.

A call lasts 600 ms at most, what is told is used for 1.5 s.

Tests that failed first: told age 0 in place of 900 ms; 38 hundredths of the capacity granted after a late answer, 100 without one, where 11 are allowed (10 nodes: an even part and a request); loading engines of a digest of 5 s before. The age of the root has no test of its own.

--- a/crates/core/src/limits/ledger/account.rs
+++ b/crates/core/src/limits/ledger/account.rs
@@ -208,9 +208,13 @@
         demand > self.plan.rate / 1_000.0
     }
 
+    /// The node above has answered the last report: it need not be told again.
+    pub(super) const fn answered(&mut self) {
+        self.on_the_way = 0.0;
+    }
+
     /// The node above has told the level, which bears the last report; or nothing where the account is well filled.
     pub(super) fn told(&mut self, level: Option<f64>, demand: f64, sharing: Sharing, now: Timestamp) {
-        self.on_the_way = 0.0;
         let capacity = self.plan.capacity * sharing.capacity_part;
         self.level = level.unwrap_or(capacity).min(capacity) - self.untold;
         self.demand = demand;
--- a/crates/core/src/limits/ledger/mod.rs
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -93,6 +93,8 @@
     told_at: Option<Timestamp>,
     /// The part that was last told.
     told_part: Option<f64>,
+    /// What was last known of this node's place.
+    place: Option<Place>,
     root_since: Option<Timestamp>,
     most_nodes: Option<(u32, Timestamp)>,
     sharing: Sharing,
@@ -111,6 +113,7 @@
             below: NodesBelow::default(),
             told_at: None,
             told_part: None,
+            place: None,
             root_since: None,
             most_nodes: None,
             sharing: Sharing { part, capacity_part: part, heads: true, shared: false },
@@ -164,6 +167,7 @@
         draw: f64,
         now: Timestamp,
     ) -> Result<Option<QuotaGrant>, QuotaRefusal> {
+        self.leave_outdated(now);
         let sharing = self.sharing;
         let Some(account) = self.accounts.get_mut(tenant) else { return Ok(None) };
         account.admit(units, draw, sharing, now)?;
@@ -197,8 +201,8 @@
         self.remember_count(place.counted, now);
         let began = self.root_since.is_none() && place.is_root;
         self.root_since = place.is_root.then(|| self.root_since.unwrap_or(now));
-        let told = self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH) && !place.is_root;
-        if told {
+        self.place = Some(place);
+        if self.is_told(now) && !place.is_root {
             self.sharing = Sharing { shared: true, heads: false, ..self.sharing };
             return;
         }
@@ -206,6 +210,20 @@
         self.add_up_demand(now);
     }
 
+    /// Whether another node has told the level lately.
+    fn is_told(&self, now: Timestamp) -> bool {
+        self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH)
+    }
+
+    /// Heads itself where what it was told has grown too old. A process that stood still would else grant by a level of
+    /// long before until it next looks at who is heard.
+    fn leave_outdated(&mut self, now: Timestamp) {
+        let Some(place) = self.place.filter(|_| !self.sharing.heads && !self.is_told(now)) else { return };
+        self.accounts.values_mut().for_each(|account| account.refill(self.sharing, now));
+        self.below.forget_silent(now);
+        self.head_itself(place, false, now);
+    }
+
     /// Goes on with this node's part of the level and of the rate, as no other node tells it anything.
     fn head_itself(&mut self, place: Place, began: bool, now: Timestamp) {
         let part = self.part_heard(place, now);
@@ -279,6 +297,7 @@
 
     /// What a node below is told.
     pub fn digest(&mut self, now: Timestamp) -> QuotaDigest {
+        self.leave_outdated(now);
         let sharing = self.sharing;
         let mut credits = Vec::new();
         for (tenant, account) in &mut self.accounts {
@@ -307,10 +326,16 @@
         report
     }
 
-    /// The node above has answered the last report.
-    pub fn answered(&mut self, digest: &QuotaDigest, now: Timestamp) {
+    /// The node above has answered the last report, which was sent at `sent_at`. What it tells was true no earlier: an
+    /// answer that was long under way, as where this process stood still, is no reason to draw on the level of all.
+    pub fn answered(&mut self, digest: &QuotaDigest, sent_at: Timestamp, now: Timestamp) {
+        self.accounts.values_mut().for_each(Account::answered);
+        self.told_at = self.told_at.max(Some(sent_at));
+        if !self.is_told(now) {
+            self.leave_outdated(now);
+            return;
+        }
         let part = digest.part.clamp(0.0, 1.0);
-        self.told_at = Some(now);
         self.told_part = Some(part);
         self.sharing = Sharing { part, capacity_part: part, heads: false, shared: true };
         let credits: BTreeMap<&TenantId, &TenantCredit> =
--- a/crates/core/tests/quota_ledger.rs
+++ b/crates/core/tests/quota_ledger.rs
@@ -3,6 +3,8 @@
 
 mod quota_support;
 
+use std::time::Duration;
+
 use paddlemount_core::{
     forwarding::document::{QuotaUnit, TenantQuota, TokenUsage},
     limits::ledger::{Place, QuotaLedger, plan::Plan},
@@ -156,11 +158,59 @@
     ledger.admit(&tenant(), 1_000.0, 0.5, at(100)).expect("granted");
     assert_eq!(ledger.report(at(200))[0].spent, 1_000.0);
     ledger.admit(&tenant(), 300.0, 0.5, at(210)).expect("granted");
-    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(220));
+    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(200), at(220));
     assert_eq!(level(&ledger, 220), 49_700.0);
     assert_eq!(ledger.report(at(400))[0].spent, 300.0, "what was told once is not told again");
 }
 
+/// The ledger of one of ten nodes, told the level of all, that stood still from its next report at `sent_at` to the answer
+/// at `now`.
+fn frozen(sent_at: u64, now: u64) -> QuotaLedger {
+    let mut ledger = ledger(100_000.0);
+    ledger.tick(ALONE, at(0));
+    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(10), at(20));
+    assert_eq!(ledger.report(at(sent_at)).len(), 0);
+    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(sent_at), at(now));
+    ledger
+}
+
+#[test]
+fn what_a_node_is_told_is_as_old_as_the_report_that_it_answers() {
+    let ledger = frozen(200, 1_100);
+    let age = ledger.view(&tenant(), at(1_100)).expect("a quota").told_age;
+    assert_eq!(age, Some(Duration::from_millis(900)));
+}
+
+#[test]
+fn an_answer_that_was_long_under_way_does_not_let_a_node_draw_on_the_level_of_all() {
+    // A node that stands still for 5 s between its report and the answer granted by a level of 5 s before, until the
+    // next report: each of ten such nodes the whole.
+    let mut ledger = frozen(200, 5_200);
+    let hundredth = Plan::of(&quota(100_000.0), &bounds()).capacity / 100.0;
+    let granted = (0..200).filter(|_| ledger.admit(&tenant(), hundredth, 0.0, at(5_200)).is_ok()).count();
+    assert!(granted <= 11, "{granted} hundredths of the capacity, over an even part and one request");
+}
+
+#[test]
+fn a_node_that_stood_still_draws_on_its_own_part_before_it_looks_at_who_is_heard() {
+    let mut ledger = ledger(100_000.0);
+    ledger.tick(ALONE, at(0));
+    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(10), at(20));
+    let hundredth = Plan::of(&quota(100_000.0), &bounds()).capacity / 100.0;
+    let granted = (0..200).filter(|_| ledger.admit(&tenant(), hundredth, 0.0, at(5_200)).is_ok()).count();
+    assert!(granted <= 11, "{granted} hundredths of the capacity, over an even part and one request");
+}
+
+#[test]
+fn an_answer_that_was_long_under_way_still_takes_the_report_off() {
+    let mut ledger = ledger(100_000.0);
+    ledger.tick(ALONE, at(0));
+    ledger.admit(&tenant(), 1_000.0, 0.5, at(100)).expect("granted");
+    assert_eq!(ledger.report(at(200))[0].spent, 1_000.0);
+    ledger.answered(&digest(1.0, 50_000.0, 0.0), at(200), at(5_200));
+    assert!(ledger.report(at(5_300)).iter().all(|entry| entry.spent == 0.0), "it was told");
+}
+
 #[test]
 fn a_report_without_answer_is_told_again() {
     let mut ledger = ledger(100_000.0);
@@ -267,8 +317,11 @@
             match kind % 7 {
                 0 => drop(ledger.admit(&tenant(), f64::from(*figure), 0.3, at(now))),
                 1 => drop(ledger.report(at(now))),
-                2 => ledger
-                    .answered(&digest(f64::from(*signed), f64::from(*signed), f64::from(*signed)), at(now)),
+                2 => ledger.answered(
+                    &digest(f64::from(*signed), f64::from(*signed), f64::from(*signed)),
+                    at(now),
+                    at(now),
+                ),
                 3 => ledger.unanswered(),
                 4 => ledger.tick(ALONE, at(now)),
                 5 => ledger.tick(ROOT, at(now)),
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -255,7 +255,7 @@
             let name = NodeId::from(format!("n{index}").as_str());
             self.nodes[parent].ledger.reported(name, heard, report, now);
             let digest = self.nodes[parent].ledger.digest(now);
-            self.nodes[index].ledger.answered(&digest, now);
+            self.nodes[index].ledger.answered(&digest, now, now);
         }
     }
 
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -223,8 +223,10 @@
         if let Some(peers) = &node.peers {
             let mut peers = peers.borrow_mut();
             let uplink = &mut peers.fleet.uplink;
-            let rooted_before = digest.rooted_ms.map(Duration::from_millis);
-            if !uplink.told(digest.path.clone(), rooted_before, node.now()) {
+            let now = node.now();
+            let under_way = now.saturating_since(sent_at);
+            let rooted_before = digest.rooted_ms.map(|age| Duration::from_millis(age) + under_way);
+            if !uplink.told(digest.path.clone(), rooted_before, now) {
                 let problem = "it stands below this node".to_owned();
                 node.journal.tell(&Event::ParentFailed { parent: self.parent.node.as_str(), problem });
             } else if let Some(to) = digest.refer.clone() {
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -15,7 +15,8 @@
 const LOADING: Duration = Duration::from_millis(1_500);
 
 impl Node {
-    /// Takes in the answer to a report that was sent at `sent_at` and named `revision`.
+    /// Takes in the answer to a report that was sent at `sent_at` and named `revision`. What it tells of load and quotas
+    /// counts from then: the answer may have been long under way, or this process may have stood still.
     pub fn take_digest(&self, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
         let now = self.now();
         let Some(peers) = &self.peers else { return };
@@ -26,15 +27,15 @@
             }
             beliefs.chooser.loads.told(digest.work.clone());
             match &digest.quotas {
-                Some(quotas) => beliefs.quotas.answered(quotas, now),
+                Some(quotas) => beliefs.quotas.answered(quotas, sent_at, now),
                 None => beliefs.quotas.unanswered(),
             }
-            beliefs.backends.set_loading(&digest.loading, now + LOADING);
+            beliefs.backends.set_loading(&digest.loading, sent_at + LOADING);
         }
         {
             let mut peers = peers.borrow_mut();
             peers.news.log(digest.news);
-            peers.fleet.told(digest.work, digest.nodes, now);
+            peers.fleet.told(digest.work, digest.nodes, sent_at);
         }
         self.quarantine_told(digest.quarantine);
         if let Some(relay) = digest.store {
