--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -30,26 +30,35 @@
 /// What is known of how facts came here.
 struct Telling {
     learned: Learned,
-    /// When the listing was asked for that shows what the store holds.
-    listed_at: Option<Timestamp>,
-    /// What another node has proof of.
+    /// What another node, or a leader's record in the store, proves of when versions were named.
     named: Vec<NamingProof>,
 }
 
 impl Telling {
-    const fn by_the_store(learned: Learned, listed_at: Option<Timestamp>) -> Self {
-        Self { learned, listed_at, named: Vec::new() }
+    /// A watch tells that a record was written, and not that it is still there: it proves nothing.
+    const fn by_a_watch() -> Self {
+        Self { learned: Learned::Watched, named: Vec::new() }
+    }
+
+    /// A listing that began at `listed_at` shows the records that are there.
+    fn by_a_listing(learned: Learned, facts: &[Fact], listed_at: Timestamp) -> Self {
+        let record = |fact: &Fact| match fact {
+            Fact::NamingRecord(named) => Some(named.clone()),
+            _ => None,
+        };
+        let records: Vec<NamedLately> = facts.iter().filter_map(record).collect();
+        Self { learned, named: proofs(&records, listed_at) }
     }
 
     const fn by_another(named: Vec<NamingProof>) -> Self {
-        Self { learned: Learned::Told, listed_at: None, named }
+        Self { learned: Learned::Told, named }
     }
 }
 
 impl Node {
     /// Takes in what has changed up to `revision`, as the store told it in answer to a call sent at `sent_at`.
     pub fn learn(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
-        self.learn_changes(facts, revision, sent_at, &Telling::by_the_store(Learned::Watched, None));
+        self.learn_changes(facts, revision, sent_at, &Telling::by_a_watch());
     }
 
     /// Takes in what has changed up to `revision`, as another node passed it on with a proof that counts from
@@ -79,13 +88,14 @@
     /// Takes in a part of what the store holds, which it told in answer to a call sent at `sent_at`: enough to serve by,
     /// until the rest is known.
     pub fn learn_part(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
-        let telling = Telling::by_the_store(Learned::Found, Some(sent_at));
+        let telling = Telling::by_a_listing(Learned::Found, &facts, sent_at);
         for fact in facts {
             self.learn_one(fact, revision, &telling);
         }
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.leader_looked_for = true;
         beliefs.freshness.prove(sent_at);
+        beliefs.take_naming_proofs(&telling.named);
         drop(beliefs);
         self.leader_known.notify_one();
     }
@@ -95,7 +105,8 @@
     pub fn learn_all(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
         let first = self.beliefs.borrow().revision.is_none();
         let learned = if first { Learned::Found } else { Learned::Watched };
-        self.learn_whole(facts, revision, sent_at, &Telling::by_the_store(learned, Some(sent_at)));
+        let telling = Telling::by_a_listing(learned, &facts, sent_at);
+        self.learn_whole(facts, revision, sent_at, &telling);
     }
 
     /// The same, as another node gave it with a proof that counts from `proved_at`.
@@ -198,7 +209,8 @@
             }
             Fact::NoLeader => self.beliefs.borrow_mut().leader = None,
             Fact::FleetSize(nodes) => self.beliefs.borrow_mut().fleet_size = Some(nodes),
-            Fact::NamedLately(named) => self.learn_record(named, telling),
+            // What it proves is part of how the facts came here.
+            Fact::NamingRecord(_) => {}
             Fact::Held(request) => {
                 self.quarantine_stored(&request);
                 self.beliefs.borrow_mut().held.insert(request.fingerprint, *request);
@@ -237,13 +249,6 @@
         self.journal.tell(&event);
     }
 
-    /// A listing shows a leader's record. A watch tells that one was written, and not that it is still there.
-    fn learn_record(&self, named: NamedLately, telling: &Telling) {
-        let Some(listed_at) = telling.listed_at else { return };
-        let mut beliefs = self.beliefs.borrow_mut();
-        proofs(&[named], listed_at).iter().for_each(|proof| beliefs.rollout.namings.take_proof(proof));
-    }
-
     fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
         let mut beliefs = self.beliefs.borrow_mut();
         let pool = PoolId::from(entry.service.as_str());
--- a/crates/forward/src/named.rs
+++ b/crates/forward/src/named.rs
@@ -10,8 +10,13 @@
 impl Beliefs {
     /// All that had been named up to `proved_at` is known, and what another node has proof of.
     pub(crate) fn know_namings(&mut self, proved_at: Timestamp, proofs: &[NamingProof]) {
+        self.rollout.namings.complete(proved_at);
+        self.take_naming_proofs(proofs);
+    }
+
+    /// What others have proof of, where it is not certain that all that had been named is known.
+    pub(crate) fn take_naming_proofs(&mut self, proofs: &[NamingProof]) {
         let namings = &mut self.rollout.namings;
-        namings.complete(proved_at);
         proofs.iter().for_each(|proof| namings.take_proof(proof));
     }
 
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -170,7 +170,7 @@
     /// A root has counted so many nodes.
     FleetSize(u32),
     /// A leader has recorded how lately a version of weights was named: before what a listing proves that shows the record.
-    NamedLately(NamedLately),
+    NamingRecord(NamedLately),
     /// A request is held back.
     Held(Box<HeldRequest>),
     /// A request is no longer held back.
@@ -200,7 +200,7 @@
             Self::Held(request) => Subject::Held(request.fingerprint),
             Self::Released(fingerprint) => Subject::Held(*fingerprint),
             // Nodes tell each other what follows from it.
-            Self::NamedLately(_) => return None,
+            Self::NamingRecord(_) => return None,
             Self::Unreadable { backend, .. } => Subject::Backend(backend.clone()?),
         })
     }
