Soak: namings of weights beside crashes, starts and stand-stills; checks of weights and of the retry budget

Cause: the soak named weights but never saw on which version a request began, and never counted what all nodes repeat together. Engines that crashed were back after a quarter of a second, never all nodes started together. Change: a second play beside the one of all faults, with store and links left alone so that bounds do not begin anew all the time: several names in quick succession or seconds apart, most or all engines away for 1 to 9 s and back with the weights that they had (same identity with another start, or another one), all nodes started together, nodes that stand still for 1 to 6 s, engines that refuse for long. Two checks as pure functions with histories that are right and wrong: requests that begin on weights replaced longer ago than the bound, and repeats of all nodes in any window. Starts of nodes excuse nothing in the second. Some callers hold on to one connection until its process is gone. Nodes of both plays have a bound of weights of 4 s, half of the usual one, so the play of all faults is stricter than before. The stand-in's runners come back as told, tell their start, lose a load with their process (before, a load that outlived a crash gave the next process its weights) and tell of their weights like a heartbeat does.

--- a/crates/cli/tests/forward/raw_caller.rs
+++ b/crates/cli/tests/forward/raw_caller.rs
@@ -24,6 +24,8 @@
     Whole {
         /// Its status.
         status: u16,
+        /// Its headers.
+        headers: http::HeaderMap,
         /// Its body, without the framing.
         body: String,
         /// Whether the node closes the connection after it.
@@ -117,6 +119,7 @@
         let status = parsed.code.expect("a status");
         let closes = header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
         let retry_after = header("retry-after");
+        let all = headers_of(&parsed);
         let rest = &self.received[head..];
         let (body, length) = match header("content-length") {
             Some(length) => {
@@ -127,10 +130,18 @@
         };
         self.received.drain(..head + length);
         let body = String::from_utf8_lossy(&body).into_owned();
-        Some(Ending::Whole { status, body, closes, retry_after })
+        Some(Ending::Whole { status, headers: all, body, closes, retry_after })
     }
 }
 
+fn headers_of(parsed: &httparse::Response) -> http::HeaderMap {
+    let pairs = parsed.headers.iter().map(|header| {
+        let name = http::HeaderName::from_bytes(header.name.as_bytes()).expect("a header's name");
+        (name, http::HeaderValue::from_bytes(header.value).expect("a header's value"))
+    });
+    pairs.collect()
+}
+
 fn head_of(path: &str, id: &str, length: usize) -> Vec<u8> {
     let mut text = format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n{}: {id}\r\n{}: 9000\r\n\
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -25,6 +25,15 @@
 /// How long anything that is waited for may take.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Retries that all test nodes together may make beside their share, in a window.
+pub const RETRY_SLACK: u64 = 56;
+/// Retries that they may make for a hundred requests.
+pub const RETRIES_PER_CENT: u64 = 20;
+/// The window in which retries count.
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The bound of weights of test nodes.
+const WEIGHTS_BOUND: Duration = Duration::from_secs(8);
+
 /// A running node.
 pub struct Router {
     child: Mutex<Child>,
@@ -93,14 +102,16 @@
         router
     }
 
-    /// The same, where other nodes reach it only through `link`.
-    pub async fn start_behind(store: SocketAddr, name: &str, link: &Proxy) -> Self {
-        let router = Self::start_with(&settings_behind(store, name, link)).await;
+    /// The same with this bound of weights, where other nodes reach it only through `link`.
+    pub async fn start_behind(store: SocketAddr, name: &str, link: &Proxy, bound: Duration) -> Self {
+        let weights_ms = |bound: Duration| format!("weights_ms = {}\n", bound.as_millis());
+        let text = settings_behind(store, name, link).replace(&weights_ms(WEIGHTS_BOUND), &weights_ms(bound));
+        let router = Self::start_with(&text).await;
         link.aim(router.peers);
         router
     }
 
-    /// The same, with a lease that outlasts any test.
+    /// The same with the usual bound, and a lease that outlasts any test.
     pub async fn start_with_long_lease(store: SocketAddr, name: &str, link: &Proxy) -> Self {
         let text = settings_behind(store, name, link).replace("lease_ms = 3000", "lease_ms = 600000");
         let router = Self::start_with(&text).await;
@@ -291,8 +302,10 @@
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
-         grace_s = 6\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
-        store
+         grace_s = 6\nretry_share = 0.{RETRIES_PER_CENT}\nretry_slack = {RETRY_SLACK}\nretry_window_s = {}\nlease_ms = 3000\nweights_ms = {}\n",
+        store,
+        RETRY_WINDOW.as_secs(),
+        WEIGHTS_BOUND.as_millis(),
     )
 }
 
--- /dev/null
+++ b/crates/cli/tests/forward/soak/callers.rs
@@ -0,0 +1,158 @@
+//! Callers of a soak, and what they sent and got.
+
+use std::time::{Duration, Instant};
+
+use paddlemount_platform_standin::place::KEY;
+use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
+
+use super::{ORDINARY, POISON, REMOVED_KEY, Soak, locked};
+use crate::{
+    raw_caller::{Ending, RawCaller},
+    router::Got,
+};
+
+/// How long the caller of the request that crashes what runs it waits between two tries.
+const POISON_PAUSE: Duration = Duration::from_millis(400);
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// How long a caller waits that was refused, or whose node is away.
+const COME_BACK: Duration = Duration::from_millis(50);
+const PATHS: [&str; 4] = ["/hold/1", "/quote/1", "/chat/1", "/claim/1"];
+
+/// A service of the place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// Model engines.
+    Engines,
+    /// Booking instances.
+    Bookings,
+}
+
+/// The service of a path.
+pub fn service_of(path: &str) -> Service {
+    if path == "/chat/1" || path == "/claim/1" { Service::Engines } else { Service::Bookings }
+}
+
+/// What one caller sent and got.
+#[derive(Debug)]
+pub struct Sent {
+    pub id: String,
+    pub path: &'static str,
+    pub key: &'static str,
+    pub body: &'static str,
+    pub node: usize,
+    pub at: Instant,
+    pub got: Option<Got>,
+}
+
+/// A request as a caller's retry budget counts it.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub service: Service,
+    pub at: Instant,
+}
+
+impl Soak {
+    /// Callers ask from now on for something on this path.
+    pub(super) fn ask(&self, path: &str, at: Instant) {
+        locked(&self.asked).push(Asked { service: service_of(path), at });
+    }
+
+    /// A caller that goes to any node with each request.
+    pub(super) async fn call(&self, caller: usize, seed: u64, until: Instant) -> Vec<Sent> {
+        let mut random = StdRng::seed_from_u64(seed ^ (caller as u64) << 32);
+        let mut sent = Vec::new();
+        while Instant::now() < until {
+            let node = random.random_range(0..self.nodes());
+            let path = PATHS[random.random_range(0..PATHS.len())];
+            let key = if random.random_range(0..5) == 0 { REMOVED_KEY } else { KEY };
+            let id = format!("{caller}-{}-{:x}", sent.len(), random.next_u64());
+            sent.extend(self.send(node, path, id, key, ORDINARY).await);
+            tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
+        }
+        sent
+    }
+
+    /// The caller of the request that crashes whatever runs it: it comes back all the time, at any node.
+    pub(super) async fn call_poison(&self, seed: u64, until: Instant) -> Vec<Sent> {
+        let mut random = StdRng::seed_from_u64(seed ^ u64::from(u32::MAX) << 32);
+        let mut sent = Vec::new();
+        while Instant::now() < until {
+            let node = random.random_range(0..self.nodes());
+            let id = format!("poison-{}-{:x}", sent.len(), random.next_u64());
+            sent.extend(self.send(node, "/chat/1", id, KEY, POISON).await);
+            tokio::time::sleep(POISON_PAUSE).await;
+        }
+        sent
+    }
+
+    async fn send(
+        &self,
+        node: usize,
+        path: &'static str,
+        id: String,
+        key: &'static str,
+        body: &'static str,
+    ) -> Option<Sent> {
+        let router = self.router(node)?;
+        let at = Instant::now();
+        self.ask(path, at);
+        let call = router.send_body(path, &id, key, body);
+        let got = tokio::time::timeout(PATIENCE, call).await.ok().flatten();
+        Some(Sent { id, path, key, body, node, at, got })
+    }
+
+    /// A caller that uses one connection until its process is gone, or it was told to close, and then opens one to any node.
+    pub(super) async fn call_on_one_connection(&self, caller: usize, seed: u64, until: Instant) -> Vec<Sent> {
+        let mut random = StdRng::seed_from_u64(seed ^ (caller as u64 + 1) << 40);
+        let mut sent = Vec::new();
+        while Instant::now() < until {
+            let node = random.random_range(0..self.nodes());
+            let connection = match self.router(node) {
+                Some(router) => RawCaller::try_connect(router.callers).await,
+                None => None,
+            };
+            match connection {
+                Some(mut connection) => {
+                    self.use_up(&mut connection, node, caller, &mut random, until, &mut sent).await;
+                }
+                None => tokio::time::sleep(COME_BACK).await,
+            }
+        }
+        sent
+    }
+
+    async fn use_up(
+        &self,
+        connection: &mut RawCaller,
+        node: usize,
+        caller: usize,
+        random: &mut StdRng,
+        until: Instant,
+        sent: &mut Vec<Sent>,
+    ) {
+        while Instant::now() < until && connection.is_open() {
+            let path = PATHS[random.random_range(0..PATHS.len())];
+            let id = format!("held-{caller}-{}-{:x}", sent.len(), random.next_u64());
+            let at = Instant::now();
+            self.ask(path, at);
+            let ending = connection.call(path, &id).await;
+            let goes_on = matches!(&ending, Ending::Whole { closes: false, .. });
+            sent.push(Sent { id, path, key: KEY, body: ORDINARY, node, at, got: got_by(ending) });
+            if !goes_on {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(random.random_range(1..40))).await;
+        }
+    }
+}
+
+fn got_by(ending: Ending) -> Option<Got> {
+    match ending {
+        Ending::Whole { status, headers, body, .. } => {
+            let status = http::StatusCode::from_u16(status).expect("a status");
+            Some(Got { status, headers, body, whole: true })
+        }
+        Ending::Cut(_) => None,
+    }
+}
--- a/crates/cli/tests/forward/soak/check.rs
+++ b/crates/cli/tests/forward/soak/check.rs
@@ -2,15 +2,23 @@
 
 use std::{
     collections::BTreeMap,
-    sync::PoisonError,
     time::{Duration, Instant},
 };
 
 use http::StatusCode;
 use paddlemount_platform_standin::{Place, Runner, Seen};
 
-use super::{ORDINARY, POISON, REMOVED_KEY, Sent, Soak};
-use crate::delivery::WHOLE_STREAM;
+use super::{
+    ORDINARY, POISON, REMOVED_KEY, Soak, WEIGHTS_BOUND,
+    callers::{Sent, Service},
+    locked,
+    retries::{Arrival, Budget, OverBudget, over_budget},
+    weights::{Begun, BegunLate, begun_late},
+};
+use crate::{
+    delivery::WHOLE_STREAM,
+    router::{RETRIES_PER_CENT, RETRY_SLACK, RETRY_WINDOW},
+};
 
 /// The bound after which a removed key runs nothing, with the time that a request needs to its node.
 const REVOCATION: Duration = Duration::from_millis(5_200);
@@ -20,6 +28,8 @@
 const TOLD: Duration = Duration::from_secs(3);
 /// Runs that may still begin after that.
 const LATE_RUNS: usize = 3;
+/// What a busy machine may need to pass a request on.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
 
 impl Soak {
     /// What is wrong with what callers got and back ends saw.
@@ -30,7 +40,7 @@
             by_id.entry(&one.id).or_default().push(one);
         }
         let mut wrong: Vec<String> = seen.iter().filter_map(wrong_at_back_end).collect();
-        let removed_at = *self.removed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let removed_at = *locked(&self.removed_at);
         for one in sent {
             let seen = by_id.get(one.id.as_str()).map_or(&[][..], Vec::as_slice);
             let runs = seen.iter().filter(|seen| seen.ran).count();
@@ -46,9 +56,64 @@
         if late.len() > LATE_RUNS {
             wrong.push(format!("{} runs of a request that crashes came late: {late:?}", late.len()));
         }
+        wrong.extend(self.late_weights(sent).iter().map(|late| self.describe_late(late)));
+        wrong.extend(self.over_budget().iter().map(|(service, over)| self.describe_over(*service, over)));
         wrong
     }
 
+    /// Requests that began on weights that were too old.
+    fn late_weights(&self, sent: &[Sent]) -> Vec<BegunLate> {
+        let nodes: BTreeMap<&str, usize> = sent.iter().map(|one| (one.id.as_str(), one.node)).collect();
+        let ran = self.place.engines.iter().flat_map(Runner::seen).filter(|seen| seen.ran);
+        let begun = ran.filter_map(|seen| {
+            let node = *nodes.get(seen.id.as_str())?;
+            Some(Begun { id: seen.id, node, version: seen.version, at: seen.at })
+        });
+        let begun: Vec<Begun> = begun.collect();
+        begun_late(&begun, &locked(&self.namings), &locked(&self.disturbances), WEIGHTS_BOUND + ON_ITS_WAY)
+    }
+
+    fn describe_late(&self, late: &BegunLate) -> String {
+        let Begun { id, node, version, at } = &late.begun;
+        format!(
+            "{:7.3} s: {id} of node {node} began on version {version}, {:?} after {} could be known",
+            self.second(*at),
+            late.known_for,
+            late.newer.version
+        )
+    }
+
+    /// Services whose back ends got more repeats than allowed.
+    fn over_budget(&self) -> Vec<(Service, OverBudget)> {
+        let budget = Budget { per_cent: RETRIES_PER_CENT, slack: RETRY_SLACK, window: RETRY_WINDOW };
+        let services = [(Service::Engines, &self.place.engines), (Service::Bookings, &self.place.bookings)];
+        let over = services.into_iter().filter_map(|(service, runners)| {
+            let all = locked(&self.asked);
+            let asked = all.iter().filter(|asked| asked.service == service).map(|asked| asked.at);
+            let asked: Vec<Instant> = asked.collect();
+            let seen: Vec<Seen> = runners.iter().flat_map(Runner::seen).collect();
+            let arrivals: Vec<Arrival> =
+                seen.iter().map(|seen| Arrival { id: &seen.id, at: seen.at }).collect();
+            Some((service, over_budget(&asked, &arrivals, &budget)?))
+        });
+        over.collect()
+    }
+
+    fn describe_over(&self, service: Service, over: &OverBudget) -> String {
+        let OverBudget { from, to, repeats, requests, allowed } = over;
+        format!(
+            "{service:?} from {:.3} to {:.3} s: {repeats} repeats for {requests} requests, {allowed} allowed",
+            self.second(*from),
+            self.second(*to)
+        )
+    }
+
+    /// Seconds since the beginning, below zero before it.
+    fn second(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.began).as_secs_f64()
+            - self.began.saturating_duration_since(at).as_secs_f64()
+    }
+
     fn seen(&self) -> Vec<Seen> {
         self.place.engines.iter().chain(&self.place.bookings).flat_map(Runner::seen).collect()
     }
@@ -65,17 +130,12 @@
         let mut crashing: Vec<&Sent> = sent.iter().filter(|one| runs.contains(&one.id)).collect();
         crashing.sort_by_key(|one| one.at);
         let Some(third) = crashing.get(CRASHES - 1).map(|one| one.at) else { return Vec::new() };
-        let late =
-            crashing.into_iter().filter(|one| one.at > third + TOLD && !self.was_disturbed(one.node, one.at));
+        let late = crashing.into_iter().filter(|one| one.at > third + TOLD && !self.was_disturbed(one.at));
         late.map(|one| one.id.as_str()).collect()
     }
 
-    fn was_disturbed(&self, node: usize, at: Instant) -> bool {
-        let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
-        disturbances.iter().any(|disturbance| {
-            let concerns = disturbance.node.is_none_or(|concerned| concerned == node);
-            concerns && disturbance.from < at && at < disturbance.to + TOLD
-        })
+    fn was_disturbed(&self, at: Instant) -> bool {
+        locked(&self.disturbances).iter().any(|disturbance| disturbance.concerns_any(at))
     }
 }
 
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -1,28 +1,41 @@
 //! Randomized faults from outside over real processes; the promises are checked from what callers and back ends see.
 //!
 //! Faults come in several series at once, so that signals, restarts, cuts, crashes and changes overlap. Callers keep their
-//! connections to a process until it is gone. One caller sends a request that crashes whatever runs it.
+//! connections to a process until it is gone. There are two plays: faults of all kinds, where one caller sends a request
+//! that crashes whatever runs it; and namings of weights beside crashes, starts and stand-stills, while store and links work.
 //!
 //! CI plays the seeds below for some seconds each. Longer, with a fresh seed, more nodes:
 //! `PADDLEMOUNT_SOAK_SECONDS=60 PADDLEMOUNT_SOAK_SEED=77 PADDLEMOUNT_SOAK_NODES=12 cargo test -p paddlemount-cli --test forward soak -- --nocapture`
 
+mod callers;
 mod check;
+mod disturbance;
 mod faults;
+mod namings;
+mod retries;
+mod weights;
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use http::StatusCode;
 use paddlemount_platform_standin::{Place, place::KEY, proxy::Proxy};
-use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
-use crate::router::{Got, Router, from_environment};
+use self::{
+    callers::{Asked, Sent},
+    disturbance::Disturbance,
+    weights::Naming,
+};
+use crate::router::{Router, from_environment};
 
 const NODES: usize = 3;
+/// Callers that go to any node with each request.
 const CALLERS: usize = 6;
+/// Callers that hold on to one connection.
+const HOLDING_CALLERS: usize = 16;
 /// Series of faults that go on at once.
 const SERIES: u64 = 3;
 /// A key that the operator takes away at some moment.
@@ -31,33 +44,38 @@
 const ORDINARY: &str = "the body";
 /// The body of the request that crashes whatever runs it.
 const POISON: &str = "crashes whatever runs it";
-/// How long its caller waits between two tries.
-const POISON_PAUSE: Duration = Duration::from_millis(400);
-/// How long a caller waits for an answer.
-const PATIENCE: Duration = Duration::from_secs(6);
 const SECONDS_IN_CI: u64 = 12;
-/// Seeds that are played each time; those that once failed stay here with their cause. 1: victims of a request that crashed
-/// what ran it were held back with it. 108: a run that was sent on to a second engine of a lost rack counted as a crash.
+/// The bound of weights of the nodes: short, so that a play of some seconds passes it several times.
+const WEIGHTS_BOUND: Duration = Duration::from_secs(4);
+/// How often engines tell of their weights.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// How long engines may take to get the last version once nothing disturbs them: a leader's lease, and some looks.
+const ROLLOUT_PATIENCE: Duration = Duration::from_secs(20);
+/// Seeds of all faults that are played each time; those that once failed stay here with their cause. 1: victims of a request
+/// that crashed what ran it were held back with it. 108: a run that was sent on to a second engine of a lost rack counted as a
+/// crash.
 const SEEDS: [u64; 4] = [1, 2, 3, 108];
+/// Seeds of namings that are played each time.
+const NAMING_SEEDS: [u64; 3] = [1, 2, 3];
 
-/// What one caller sent and got.
-#[derive(Debug)]
-struct Sent {
-    id: String,
-    path: &'static str,
-    key: &'static str,
-    body: &'static str,
-    node: usize,
-    at: Instant,
-    got: Option<Got>,
+/// What a soak plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Play {
+    /// Faults of all kinds.
+    AllFaults,
+    /// Namings of weights beside crashes, starts and stand-stills.
+    Namings,
 }
 
-/// A time in which a node, or all of them, did not see the rest of the place as it was.
-#[derive(Clone, Copy, Debug)]
-struct Disturbance {
-    node: Option<usize>,
-    from: Instant,
-    to: Instant,
+impl Play {
+    /// One in so many requests must be served, or a play shows nothing.
+    const fn least_served(self) -> usize {
+        match self {
+            Self::AllFaults => 5,
+            // All engines are away for most of some plays.
+            Self::Namings => 10,
+        }
+    }
 }
 
 struct Soak {
@@ -71,14 +89,22 @@
     peer_links: Vec<Proxy>,
     /// The version of the operator's document and the keys in it.
     document: tokio::sync::Mutex<u64>,
-    weights: Mutex<u64>,
+    namings: Mutex<Vec<Naming>>,
     removed_at: Mutex<Option<Instant>>,
     disturbances: Mutex<Vec<Disturbance>>,
+    /// All requests of callers, those that wait for a node to serve included.
+    asked: Mutex<Vec<Asked>>,
     told: Mutex<Vec<String>>,
+    began: Instant,
+    until: Instant,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Soak {
-    async fn start(nodes: usize) -> Self {
+    async fn start(nodes: usize, seconds: u64) -> Self {
         let place = Place::start().await.expect("a place starts");
         place.configure(1, &[KEY, REMOVED_KEY]);
         let mut runner_links = Vec::new();
@@ -92,12 +118,13 @@
         for number in 0..nodes {
             let link = Proxy::start(place.store_address).await.expect("a proxy starts");
             let peer_link = Proxy::start_without_target().await.expect("a proxy starts");
-            let router = Router::start_behind(link.address, &format!("node-{number}"), &peer_link).await;
+            let router = start_node(&link, &peer_link, number).await;
             store_links.push(link);
             peer_links.push(peer_link);
             routers.push(Mutex::new(Some(Arc::new(router))));
         }
-        let soak = Self {
+        let now = Instant::now();
+        let mut soak = Self {
             place,
             routers,
             taken: (0..nodes).map(|_| tokio::sync::Mutex::default()).collect(),
@@ -105,14 +132,19 @@
             runner_links,
             peer_links,
             document: tokio::sync::Mutex::new(1),
-            weights: Mutex::new(1),
+            namings: Mutex::default(),
             removed_at: Mutex::default(),
             disturbances: Mutex::default(),
+            asked: Mutex::default(),
             told: Mutex::default(),
+            began: now,
+            until: now,
         };
         for number in 0..nodes {
             soak.serves(number).await;
         }
+        soak.began = Instant::now();
+        soak.until = soak.began + Duration::from_secs(seconds);
         soak
     }
 
@@ -121,12 +153,12 @@
     }
 
     fn router(&self, number: usize) -> Option<Arc<Router>> {
-        self.routers[number].lock().unwrap_or_else(PoisonError::into_inner).clone()
+        locked(&self.routers[number]).clone()
     }
 
-    fn tell(&self, began: Instant, what: String) {
-        let line = format!("{:7.3} s  {what}", began.elapsed().as_secs_f64());
-        self.told.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+    fn tell(&self, what: String) {
+        let line = format!("{:7.3} s  {what}", self.began.elapsed().as_secs_f64());
+        locked(&self.told).push(line);
     }
 
     /// What the nodes that still run have said of back ends that ended under requests, in order of time.
@@ -145,107 +177,126 @@
         let router = self.router(number).expect("a node runs");
         let served = async || {
             let id = format!("settle-{number}-{}", rand::random::<u64>());
+            self.ask("/hold/1", Instant::now());
             router.send("/hold/1", &id).await.is_some_and(|got| got.status == StatusCode::OK)
         };
         router.until("serving", served).await;
     }
 
-    async fn call(&self, caller: usize, seed: u64, until: Instant) -> Vec<Sent> {
-        let mut random = StdRng::seed_from_u64(seed ^ (caller as u64) << 32);
-        let mut sent = Vec::new();
-        while Instant::now() < until {
-            let node = random.random_range(0..self.nodes());
-            let paths = ["/hold/1", "/quote/1", "/chat/1", "/claim/1"];
-            let path = paths[random.random_range(0..paths.len())];
-            let key = if random.random_range(0..5) == 0 { REMOVED_KEY } else { KEY };
-            let id = format!("{caller}-{}-{:x}", sent.len(), random.next_u64());
-            sent.extend(self.send(node, path, id, key, ORDINARY).await);
-            tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
+    /// Engines tell of their weights, until all is over and each has the version that was named last; whether they got it.
+    async fn heartbeats(&self) -> bool {
+        loop {
+            self.place.tell_of_weights();
+            let newest = locked(&self.namings).last().map_or(0, |naming| naming.version);
+            let over = Instant::now() >= self.until;
+            if over && self.place.engines.iter().all(|engine| engine.version() >= newest) {
+                return true;
+            }
+            if Instant::now() >= self.until + ROLLOUT_PATIENCE {
+                return false;
+            }
+            tokio::time::sleep(HEARTBEAT).await;
         }
-        sent
     }
 
-    /// The caller of the request that crashes whatever runs it: it comes back all the time, at any node.
-    async fn call_poison(&self, seed: u64, until: Instant) -> Vec<Sent> {
-        let mut random = StdRng::seed_from_u64(seed ^ u64::from(u32::MAX) << 32);
-        let mut sent = Vec::new();
-        while Instant::now() < until {
-            let node = random.random_range(0..self.nodes());
-            let id = format!("poison-{}-{:x}", sent.len(), random.next_u64());
-            sent.extend(self.send(node, "/chat/1", id, KEY, POISON).await);
-            tokio::time::sleep(POISON_PAUSE).await;
-        }
-        sent
+    /// Everything that callers send while faults go on.
+    async fn calls(&self, play: Play, seed: u64) -> Vec<Sent> {
+        let until = self.until;
+        let callers = (0..CALLERS).map(|caller| self.call(caller, seed, until));
+        let callers = futures_util::future::join_all(callers);
+        let sent: Vec<Vec<Sent>> = match play {
+            Play::AllFaults => {
+                let (mut sent, poison) = tokio::join!(callers, self.call_poison(seed, until));
+                sent.push(poison);
+                sent
+            }
+            Play::Namings => {
+                let holding =
+                    (0..HOLDING_CALLERS).map(|caller| self.call_on_one_connection(caller, seed, until));
+                let (mut sent, held) = tokio::join!(callers, futures_util::future::join_all(holding));
+                sent.extend(held);
+                sent
+            }
+        };
+        sent.into_iter().flatten().collect()
     }
 
-    async fn send(
-        &self,
-        node: usize,
-        path: &'static str,
-        id: String,
-        key: &'static str,
-        body: &'static str,
-    ) -> Option<Sent> {
-        let router = self.router(node)?;
-        let at = Instant::now();
-        let call = router.send_body(path, &id, key, body);
-        let got = tokio::time::timeout(PATIENCE, call).await.ok().flatten();
-        Some(Sent { id, path, key, body, node, at, got })
+    /// The faults of one play.
+    async fn harm(&self, play: Play, seed: u64) {
+        let series = (0..SERIES).map(async |series| match play {
+            Play::AllFaults => self.faults(seed, series).await,
+            Play::Namings => self.faults_beside_namings(seed, series).await,
+        });
+        futures_util::future::join_all(series).await;
     }
 }
 
-async fn soak(seed: u64, seconds: u64, nodes: usize) {
-    let soak = Soak::start(nodes).await;
-    let began = Instant::now();
-    let until = began + Duration::from_secs(seconds);
-    let callers = futures_util::future::join_all((0..CALLERS).map(|caller| soak.call(caller, seed, until)));
-    let series =
-        futures_util::future::join_all((0..SERIES).map(|series| soak.faults(seed, series, began, until)));
-    let (sent, poison, _, ()) = tokio::join!(
-        callers,
-        soak.call_poison(seed, until),
-        series,
-        soak.take_key_away(began + Duration::from_secs(seconds / 3))
+async fn start_node(store: &Proxy, peers: &Proxy, number: usize) -> Router {
+    let name = format!("node-{number}");
+    Router::start_behind(store.address, &name, peers, WEIGHTS_BOUND).await
+}
+
+async fn soak(play: Play, seed: u64, seconds: u64, nodes: usize) {
+    let soak = Soak::start(nodes, seconds).await;
+    let key_goes = soak.began + Duration::from_secs(seconds / 3);
+    let (sent, (), (), rolled_out) = tokio::join!(
+        soak.calls(play, seed),
+        soak.harm(play, seed),
+        soak.take_key_away(key_goes),
+        soak.heartbeats()
     );
-    let sent: Vec<Sent> = sent.into_iter().flatten().chain(poison).collect();
     for number in 0..nodes {
         soak.serves(number).await;
     }
     // What is still on its way may arrive.
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let wrong = soak.violations(&sent);
+    let mut wrong = soak.violations(&sent);
+    if !rolled_out {
+        let held: Vec<u64> = soak.place.engines.iter().map(|engine| engine.version()).collect();
+        wrong.push(format!("engines did not get the last version: {held:?}"));
+    }
     let ordinary = sent.iter().filter(|one| one.body == ORDINARY);
     let statuses = ordinary.fold(BTreeMap::new(), |mut counts: BTreeMap<u16, usize>, one| {
         *counts.entry(one.got.as_ref().map_or(0, |got| got.status.as_u16())).or_default() += 1;
         counts
     });
-    let told = soak.told.lock().unwrap_or_else(PoisonError::into_inner).join("\n");
+    let told = locked(&soak.told).join("\n");
     println!(
-        "seed {seed}, {seconds} s, {nodes} nodes: {} requests, ordinary ones by status {statuses:?}, {} runs of the one that \
-         crashes, {} wrong",
+        "{play:?}, seed {seed}, {seconds} s, {nodes} nodes: {} requests, ordinary ones by status {statuses:?}, {} runs of \
+         the one that crashes, {} namings, {} wrong",
         sent.len(),
         soak.poison_runs().len(),
+        locked(&soak.namings).len(),
         wrong.len()
     );
     let lines = soak.lines_about_crashes().join("\n");
-    assert!(wrong.is_empty(), "seed {seed}:\n{told}\n{lines}\n{}", wrong.join("\n"));
+    assert!(wrong.is_empty(), "{play:?}, seed {seed}:\n{told}\n{lines}\n{}", wrong.join("\n"));
     let all: usize = statuses.values().sum();
     assert!(
-        statuses.get(&200).is_some_and(|count| *count > all / 5),
+        statuses.get(&200).is_some_and(|count| *count > all / play.least_served()),
         "hardly anything was served: {statuses:?}\n{told}"
     );
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn promises_hold_under_faults_from_outside() {
+async fn play_seeds(play: Play, seeds: &[u64]) {
     let seconds = from_environment("PADDLEMOUNT_SOAK_SECONDS").unwrap_or(SECONDS_IN_CI);
     let nodes = from_environment("PADDLEMOUNT_SOAK_NODES").map_or(NODES, |nodes| nodes as usize);
     match from_environment("PADDLEMOUNT_SOAK_SEED") {
-        Some(seed) => soak(seed, seconds, nodes).await,
+        Some(seed) => soak(play, seed, seconds, nodes).await,
         None => {
-            for seed in SEEDS {
-                soak(seed, seconds, nodes).await;
+            for seed in seeds {
+                soak(play, *seed, seconds, nodes).await;
             }
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults_from_outside() {
+    play_seeds(Play::AllFaults, &SEEDS).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn weights_and_retries_keep_their_bounds_beside_crashes_and_starts() {
+    play_seeds(Play::Namings, &NAMING_SEEDS).await;
+}
--- /dev/null
+++ b/crates/cli/tests/forward/soak/retries.rs
@@ -0,0 +1,154 @@
+//! Whether the retries of all nodes together keep to the budget of their service.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+/// What all nodes together may repeat.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    /// Repeats for a hundred requests.
+    pub per_cent: u64,
+    /// Repeats beside, in a window.
+    pub slack: u64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// A request that reached a back end, run or refused.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// The identity that its caller gave it.
+    pub id: &'a str,
+    /// When it arrived.
+    pub at: Instant,
+}
+
+/// A window with more repeats than allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OverBudget {
+    /// Its beginning.
+    pub from: Instant,
+    /// Its end.
+    pub to: Instant,
+    /// Arrivals beyond the first of each request.
+    pub repeats: u64,
+    /// Requests that callers sent.
+    pub requests: u64,
+    /// Repeats that were allowed.
+    pub allowed: u64,
+}
+
+/// The window with the most repeats beyond what is allowed, of one service; nothing where each window keeps to its budget.
+///
+/// `asked` tells when callers sent requests for the service. They count in whichever has most: the window itself, the one
+/// before it, or the one half a window before it.
+pub fn over_budget(asked: &[Instant], arrivals: &[Arrival], budget: &Budget) -> Option<OverBudget> {
+    let asked = sorted(asked.to_vec());
+    let repeats = repeats(arrivals);
+    let ends = repeats.iter().copied();
+    let begins = repeats.iter().map(|at| *at + budget.window);
+    let windows = ends.chain(begins).map(|to| window_ending(to, &asked, &repeats, budget));
+    windows
+        .filter(|window| window.repeats > window.allowed)
+        .max_by_key(|window| window.repeats - window.allowed)
+}
+
+fn sorted(mut moments: Vec<Instant>) -> Vec<Instant> {
+    moments.sort();
+    moments
+}
+
+/// When requests arrived that had arrived before, in order.
+fn repeats(arrivals: &[Arrival]) -> Vec<Instant> {
+    let mut arrivals = arrivals.to_vec();
+    arrivals.sort_by_key(|arrival| arrival.at);
+    let mut known = BTreeSet::new();
+    arrivals.into_iter().filter(|arrival| !known.insert(arrival.id)).map(|arrival| arrival.at).collect()
+}
+
+/// The window that ends with what happens at `to`.
+fn window_ending(to: Instant, asked: &[Instant], repeats: &[Instant], budget: &Budget) -> OverBudget {
+    let from = to - budget.window;
+    let earlier = |by: Duration| count(asked, from - by, to - by);
+    let half = budget.window / 2;
+    let requests = earlier(Duration::ZERO).max(earlier(half)).max(earlier(budget.window));
+    let allowed = requests * budget.per_cent / 100 + budget.slack;
+    OverBudget { from, to, repeats: count(repeats, from, to), requests, allowed }
+}
+
+/// How many of these sorted moments lie after `from`, up to and with `to`.
+fn count(moments: &[Instant], from: Instant, to: Instant) -> u64 {
+    let until = |end: Instant| moments.partition_point(|moment| *moment <= end);
+    (until(to) - until(from)) as u64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BUDGET: Budget = Budget { per_cent: 20, slack: 3, window: Duration::from_secs(10) };
+
+    fn moment(start: Instant, tenths: u64) -> Instant {
+        start + Duration::from_millis(tenths * 100)
+    }
+
+    /// One request a tenth of a second; those for which `arrivals` is more than one are sent on so often.
+    fn play(start: Instant, requests: u64, arrivals: impl Fn(u64) -> u64) -> Option<OverBudget> {
+        let ids: Vec<String> = (0..requests).map(|number| number.to_string()).collect();
+        let asked: Vec<Instant> = (0..requests).map(|number| moment(start, number)).collect();
+        let arrived = ids.iter().zip(&asked).enumerate().flat_map(|(number, (id, at))| {
+            (0..arrivals(number as u64)).map(move |_| Arrival { id: id.as_str(), at: *at })
+        });
+        over_budget(&asked, &arrived.collect::<Vec<_>>(), &BUDGET)
+    }
+
+    #[test]
+    fn first_arrivals_are_no_retries() {
+        assert_eq!(play(Instant::now(), 300, |_| 1), None);
+    }
+
+    #[test]
+    fn retries_up_to_the_share_and_the_slack_are_allowed() {
+        // 23 of the 100 requests of a window; its 24th is one too many.
+        let start = Instant::now() + Duration::from_secs(60);
+        assert_eq!(play(start, 100, |number| 1 + u64::from(number >= 77)), None);
+        let over = play(start, 100, |number| 1 + u64::from(number >= 76)).expect("over the budget");
+        assert_eq!((over.repeats, over.requests, over.allowed), (24, 100, 23));
+        assert_eq!(over.to, moment(start, 99));
+    }
+
+    #[test]
+    fn retries_of_two_windows_do_not_add_up() {
+        let start = Instant::now() + Duration::from_secs(60);
+        assert_eq!(play(start, 300, |number| 1 + u64::from(number % 100 < 20)), None);
+    }
+
+    #[test]
+    fn a_burst_across_the_border_of_two_windows_counts_whole() {
+        let start = Instant::now() + Duration::from_secs(60);
+        let burst = |number| 1 + u64::from((88..112).contains(&number));
+        assert_eq!(play(start, 300, burst).expect("over the budget").repeats, 24);
+    }
+
+    #[test]
+    fn a_refused_arrival_of_a_request_counts_as_often_as_it_comes() {
+        let start = Instant::now() + Duration::from_secs(60);
+        assert_eq!(play(start, 100, |number| if number == 99 { 24 } else { 1 }), None);
+        assert!(play(start, 100, |number| if number == 99 { 25 } else { 1 }).is_some());
+    }
+
+    #[test]
+    fn requests_of_the_window_before_count_where_they_are_more() {
+        let start = Instant::now() + Duration::from_secs(60);
+        let ids: Vec<String> = (0..23).map(|number| number.to_string()).collect();
+        let asked: Vec<Instant> = (0..100).map(|number| moment(start, number)).collect();
+        let arrivals_at = |at: Instant| -> Vec<Arrival> {
+            ids.iter().flat_map(|id| [Arrival { id, at: start }, Arrival { id, at }]).collect()
+        };
+        assert_eq!(over_budget(&asked, &arrivals_at(moment(start, 190)), &BUDGET), None);
+        // By then nobody has asked for anything for too long.
+        assert!(over_budget(&asked, &arrivals_at(moment(start, 350)), &BUDGET).is_some());
+    }
+}
