--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -151,7 +151,7 @@
             began: now,
             until: now,
         };
-        soak.place.engines.iter().for_each(|engine| engine.set_load(LOAD));
+        soak.place.engines.iter().for_each(|engine| engine.load_for(LOAD));
         for number in 0..nodes {
             soak.serves(number).await;
         }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -131,7 +131,7 @@
             if let Some(held_for) = self.held_for() {
                 return self.hold_back(held_for);
             }
-            let Some(choice) = self.place() else { return self.give_up(Reason::NoBackend) };
+            let Some(choice) = self.place() else { return self.give_up(self.why_none()) };
             match self.attempt(&choice, Resume::default()).await {
                 Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
                     return self.relay(choice, begun).await;
@@ -173,6 +173,18 @@
         Some(choice)
     }
 
+    /// Why no back end was chosen.
+    fn why_none(&self) -> Reason {
+        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        let beliefs = self.node.beliefs.borrow();
+        match model {
+            Some(model) if beliefs.has_only_older_weights(&self.service, model, self.node.now()) => {
+                Reason::OlderWeights
+            }
+            _ => Reason::NoBackend,
+        }
+    }
+
     /// One try at the chosen back end.
     pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
@@ -208,19 +220,12 @@
 
     /// Until when this try is waited for: to the end, or shorter where another back end may be asked.
     fn patience(&self, choice: &Choice, now: Timestamp) -> Timestamp {
-        let give_up_at = self.begin_by(choice).map_or(self.give_up_at, |at| at.min(self.give_up_at));
         if !self.may_ask_another() {
-            return give_up_at;
+            return self.give_up_at;
         }
         let usual = self.node.slowest(&choice.backend) * 3 / 2;
         let patience = (self.route.target_latency * 3 / 2).max(LEAST_PATIENCE).max(usual);
-        (now + patience).min(give_up_at)
-    }
-
-    /// Until when the request must have begun at its back end, whose weights may grow too old meanwhile.
-    pub fn begin_by(&self, choice: &Choice) -> Option<Timestamp> {
-        let scope = choice.scope.as_ref()?;
-        self.node.beliefs.borrow().rollout.begin_by(&scope.model, scope.weights)
+        (now + patience).min(self.give_up_at)
     }
 
     /// Whether a silent back end may be left for another one: without that, waiting is all that is left.
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -7,12 +7,14 @@
         backends::{BackendEntry, BackendId, Change},
         change_log::Subject,
         document::Document,
-        rollout::NamedAt,
+        namings::NamingProof,
+        rollout::Learned,
         table::RouteTable,
     },
     health::HealthEvent,
 };
 use paddlemount_protocol::{
+    fleet::NamedLately,
     identity::{Incarnation, ModelId, PoolId, Revision, WeightsVersion},
     time::Timestamp,
 };
@@ -20,28 +22,66 @@
 use crate::{
     beliefs::{Beliefs, Leader},
     journal::Event,
+    named::proofs,
     node::Node,
     ports::Fact,
 };
 
+/// What is known of how facts came here.
+struct Telling {
+    learned: Learned,
+    /// When the listing was asked for that shows what the store holds.
+    listed_at: Option<Timestamp>,
+    /// What another node has proof of.
+    named: Vec<NamingProof>,
+}
+
+impl Telling {
+    const fn by_the_store(learned: Learned, listed_at: Option<Timestamp>) -> Self {
+        Self { learned, listed_at, named: Vec::new() }
+    }
+
+    const fn by_another(named: Vec<NamingProof>) -> Self {
+        Self { learned: Learned::Told, listed_at: None, named }
+    }
+}
+
 impl Node {
     /// Takes in what has changed up to `revision`, as the store told it in answer to a call sent at `sent_at`.
     pub fn learn(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        self.learn_changes(facts, revision, sent_at, &Telling::by_the_store(Learned::Watched, None));
+    }
+
+    /// Takes in what has changed up to `revision`, as another node passed it on with a proof that counts from
+    /// `proved_at`, and how lately versions of weights were named.
+    pub fn learn_relayed(
+        &self,
+        facts: Vec<Fact>,
+        revision: Revision,
+        proved_at: Timestamp,
+        named: &[NamedLately],
+    ) {
+        self.learn_changes(facts, revision, proved_at, &Telling::by_another(proofs(named, proved_at)));
+    }
+
+    fn learn_changes(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, telling: &Telling) {
         for fact in facts {
             let subject = fact.subject();
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, telling);
             self.note_change(subject, revision);
         }
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.revision = Some(revision);
-        beliefs.freshness.prove(sent_at);
+        beliefs.freshness.prove(proved_at);
+        beliefs.know_namings(proved_at, &telling.named);
     }
 
     /// Takes in a part of what the store holds, which it told in answer to a call sent at `sent_at`: enough to serve by,
     /// until the rest is known.
     pub fn learn_part(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        let telling = Telling::by_the_store(Learned::Found, Some(sent_at));
         for fact in facts {
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, &telling);
         }
         let mut beliefs = self.beliefs.borrow_mut();
         beliefs.leader_looked_for = true;
@@ -50,17 +90,34 @@
         self.leader_known.notify_one();
     }
 
-    /// Takes in all that the store held at `revision`: what is not among `facts` is gone. The nodes below are told what
-    /// that has changed.
-    pub fn learn_all(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp) {
+    /// Takes in all that the store held at `revision`, as a listing told that began at `sent_at`: what is not among
+    /// `facts` is gone. The nodes below are told what that has changed.
+    pub fn learn_all(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
+        let first = self.beliefs.borrow().revision.is_none();
+        let learned = if first { Learned::Found } else { Learned::Watched };
+        self.learn_whole(facts, revision, sent_at, &Telling::by_the_store(learned, Some(sent_at)));
+    }
+
+    /// The same, as another node gave it with a proof that counts from `proved_at`.
+    pub fn learn_snapshot(
+        &self,
+        facts: Vec<Fact>,
+        revision: Revision,
+        proved_at: Timestamp,
+        named: &[NamedLately],
+    ) {
+        self.learn_whole(facts, revision, proved_at, &Telling::by_another(proofs(named, proved_at)));
+    }
+
+    fn learn_whole(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, telling: &Telling) {
         let first = self.beliefs.borrow().revision.is_none();
         for subject in self.missing_among(&facts) {
-            self.lose(&subject, revision);
+            self.lose(&subject, revision, telling);
             self.note_change(Some(subject), revision);
         }
         for fact in facts {
             let subject = fact.subject().filter(|_| self.is_news(&fact));
-            self.learn_one(fact, revision);
+            self.learn_one(fact, revision, telling);
             self.note_change(subject, revision);
         }
         {
@@ -71,6 +128,7 @@
             beliefs.revision = Some(revision);
             beliefs.leader_looked_for = true;
             beliefs.freshness.prove(proved_at);
+            beliefs.know_namings(proved_at, &telling.named);
         }
         self.history_lost.set(false);
         self.store_known.notify_one();
@@ -95,11 +153,11 @@
     }
 
     /// The store holds nothing of this any more.
-    fn lose(&self, subject: &Subject, revision: Revision) {
+    fn lose(&self, subject: &Subject, revision: Revision, telling: &Telling) {
         match subject {
             Subject::Backend(id) => self.lose_backend(id, revision),
-            Subject::Held(fingerprint) => self.learn_one(Fact::Released(*fingerprint), revision),
-            Subject::Leader => self.learn_one(Fact::NoLeader, revision),
+            Subject::Held(fingerprint) => self.learn_one(Fact::Released(*fingerprint), revision, telling),
+            Subject::Leader => self.learn_one(Fact::NoLeader, revision, telling),
             // These stay once they are there.
             Subject::Document | Subject::FleetSize | Subject::Weights(_) => {}
         }
@@ -126,24 +184,13 @@
         }
     }
 
-    fn learn_one(&self, fact: Fact, revision: Revision) {
-        let now = self.now();
+    fn learn_one(&self, fact: Fact, revision: Revision, telling: &Telling) {
         match fact {
             Fact::Document(document) => self.learn_document(*document, revision),
             Fact::Backend(entry) => self.learn_backend(entry, revision),
             Fact::BackendGone(id) => self.lose_backend(&id, revision),
             Fact::WeightsNamed { model, version } => {
-                let first_look = self.beliefs.borrow().revision.is_none();
-                let at = if first_look { NamedAt::Found(now) } else { NamedAt::Heard(now) };
-                let news = self.beliefs.borrow_mut().rollout.name(model.clone(), version, at);
-                if news {
-                    let event = Event::WeightsNamed {
-                        model: model.as_str(),
-                        version: version.0,
-                        revision: revision.0,
-                    };
-                    self.journal.tell(&event);
-                }
+                self.learn_weights(&model, version, revision, telling);
             }
             Fact::Leader { holder, token, peers } => {
                 self.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
@@ -151,6 +198,7 @@
             }
             Fact::NoLeader => self.beliefs.borrow_mut().leader = None,
             Fact::FleetSize(nodes) => self.beliefs.borrow_mut().fleet_size = Some(nodes),
+            Fact::NamedLately(named) => self.learn_record(named, telling),
             Fact::Held(request) => {
                 self.quarantine_stored(&request);
                 self.beliefs.borrow_mut().held.insert(request.fingerprint, *request);
@@ -168,6 +216,34 @@
         }
     }
 
+    fn learn_weights(&self, model: &ModelId, version: WeightsVersion, revision: Revision, telling: &Telling) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        let namings = &mut beliefs.rollout.namings;
+        if !namings.name(model.clone(), version) {
+            return;
+        }
+        telling.named.iter().for_each(|proof| namings.take_proof(proof));
+        let now = self.now();
+        let age = namings.newest(model).and_then(|naming| naming.age(now));
+        // Requests that wait at back ends may have to be taken back.
+        self.weights_named.notify_waiters();
+        let event = Event::WeightsNamed {
+            model: model.as_str(),
+            version: version.0,
+            revision: revision.0,
+            learned: telling.learned.name(),
+            at_most_ms: age.map(|age| age.as_millis() as u64),
+        };
+        self.journal.tell(&event);
+    }
+
+    /// A listing shows a leader's record. A watch tells that one was written, and not that it is still there.
+    fn learn_record(&self, named: NamedLately, telling: &Telling) {
+        let Some(listed_at) = telling.listed_at else { return };
+        let mut beliefs = self.beliefs.borrow_mut();
+        proofs(&[named], listed_at).iter().for_each(|proof| beliefs.rollout.namings.take_proof(proof));
+    }
+
     fn learn_backend(&self, entry: BackendEntry, revision: Revision) {
         let mut beliefs = self.beliefs.borrow_mut();
         let pool = PoolId::from(entry.service.as_str());
