--- /dev/null
+++ b/crates/cli/tests/forward/budget.rs
@@ -0,0 +1,115 @@
+//! What back ends get beside the first try of each request: repeats, and requests meant for processes that are gone.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Place, Runner, place::KEY};
+use serde_json::Value;
+use tokio::net::TcpSocket;
+
+use crate::router::{Router, gauge};
+
+/// Requests that a test sends one after the other.
+const REQUESTS: usize = 30;
+/// Repeats that a node alone may make beside its requests' share: half of the slack in the router's settings.
+const RESERVE: u64 = 28;
+
+/// Addresses that are held, and on which nobody listens.
+fn closed_addresses(count: usize) -> Vec<TcpSocket> {
+    let closed = || {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("an address on loopback");
+        socket
+    };
+    (0..count).map(|_| closed()).collect()
+}
+
+/// Lines of one event.
+fn lines_of(router: &Router, event: &str) -> Vec<Value> {
+    let parsed = router.lines().into_iter().filter_map(|line| serde_json::from_str::<Value>(&line).ok());
+    parsed.filter(|line| line["event"] == event).collect()
+}
+
+/// When 90 of 100 engines crashed at once, requests were placed up to five times on engines that refused connections, and
+/// each placement counted as a new request: 4,102 connections were refused, and 856 requests met four of them. The budget
+/// grew by five shares a request, and 535 repeats reached the engines where 430 were allowed.
+#[tokio::test]
+async fn a_request_earns_its_share_of_repeats_once_however_many_connections_are_refused() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let closed = closed_addresses(place.engines.len());
+    for (engine, socket) in place.engines.iter().zip(&closed) {
+        place.register_at(engine, "ready", socket.local_addr().expect("an address"));
+    }
+    let router = Router::start(&place).await;
+    router.until("counted", async || gauge(&router, "paddlemount_forward_nodes").await == Some(1.0)).await;
+    for number in 0..REQUESTS {
+        let got = router.send("/claim/1", &format!("refused-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    router.until("told", async || lines_of(&router, "request").len() >= REQUESTS).await;
+    let ended = lines_of(&router, "attempt_ended");
+    assert!(ended.len() > REQUESTS, "requests were placed more than once: {}", ended.len());
+    let most = RESERVE + REQUESTS as u64 / 5;
+    let left: Vec<u64> = ended.iter().filter_map(|line| line["budget_left"].as_u64()).collect();
+    assert!(left.iter().all(|left| *left <= most), "{left:?} for {REQUESTS} requests, {most} were earned");
+}
+
+/// When half of the engines had ended for good and their addresses had gone to another service, their entries still stood:
+/// 747 requests reached the wrong process over 125 pairs of node and back end, up to 29 a pair. When 90 of 100 engines came
+/// back under new identities at their old addresses, one node asked one of those that were gone 88 times. Each of these is
+/// an arrival at a service that may be allowed hardly any.
+#[tokio::test]
+async fn a_back_end_whose_address_another_process_has_is_asked_once_at_most() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let router = Router::start(&place).await;
+    let gone = &place.bookings[0];
+    let (id, entry) = (gone.id(), gone.entry("ready", gone.address));
+    gone.crash();
+    router.until("whole again", async || place.is_whole()).await;
+    place.store.put(&format!("servers/{id}"), &entry);
+    let heard_again = async || {
+        let changes = lines_of(&router, "backend_changed");
+        let appeared = |line: &&Value| line["backend"] == id.as_str() && line["change"] == "appeared";
+        changes.iter().filter(appeared).count() == 2
+    };
+    router.until("told of the old entry", heard_again).await;
+    for number in 0..REQUESTS * 2 {
+        let got = router.send("/quote/1", &format!("quote-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::OK);
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let asked = gone.seen().into_iter().filter(|seen| seen.meant_for == id && !seen.ran).count();
+    assert!(asked <= 1, "{asked} requests were sent to a process that is gone");
+    let ran = gone.seen().into_iter().filter(|seen| seen.ran && seen.meant_for == gone.id()).count();
+    assert!(ran > 0, "the process that has the address gets work of its own");
+}
+
+/// One request went on from one wrong address to the next, to four of them: where half of the addresses had been taken over,
+/// the next one was wrong as often as the first.
+#[tokio::test]
+async fn a_request_goes_on_from_a_wrong_address_once_and_is_refused_then() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    for (number, engine) in place.engines.iter().enumerate() {
+        place.unregister(engine);
+        place.store.put(&format!("servers/gone-{number}"), &engine.entry("ready", engine.address));
+    }
+    let router = Router::start(&place).await;
+    for number in 0..REQUESTS {
+        let got = router.send("/claim/1", &format!("wrong-{number}")).await.expect("an answer");
+        assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(got.headers.contains_key(http::header::RETRY_AFTER), "the caller is told when to come back");
+    }
+    let seen: Vec<_> = place.engines.iter().flat_map(Runner::seen).collect();
+    assert_eq!(seen.len(), place.engines.len(), "each back end that is gone is asked once");
+    for number in 0..REQUESTS {
+        let id = format!("wrong-{number}");
+        assert!(seen.iter().filter(|seen| seen.id == id).count() <= 2, "{id} went on more than once");
+    }
+    place.engines.iter().for_each(|engine| place.register(engine, "ready"));
+    let served =
+        async || router.send("/claim/1", "served").await.is_some_and(|got| got.status == StatusCode::OK);
+    router.until("serving", served).await;
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -59,6 +59,8 @@
     grant: Option<QuotaGrant>,
     tried: Vec<BackendId>,
     draw: u64,
+    /// When a stray was drawn for the next try, which follows one that met a wrong address.
+    pub(crate) stray: Option<Timestamp>,
     /// When the last try was sent.
     pub(crate) sent_at: Option<Timestamp>,
 }
@@ -103,6 +105,7 @@
         grant,
         tried: Vec::new(),
         draw: rand::random(),
+        stray: None,
         sent_at: None,
     };
     match exchange.read_body(body).await {
@@ -165,6 +168,7 @@
             prompt: self.head.prompt.as_ref(),
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
+            only_sound: self.spent.misdirected > 0,
             tried: &self.tried,
             draw: self.draw,
         };
@@ -188,9 +192,8 @@
     /// One try at the chosen back end.
     pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
-        if self.spent.sent == 0 {
+        if self.sent_at.is_none() {
             self.node.metrics.observe(Distribution::Added, now.saturating_since(self.arrived));
-            self.node.earned_retry(&self.service);
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
@@ -200,6 +203,10 @@
         let patience = self.patience(choice, now);
         let node = Rc::clone(&self.node);
         let result = attempts::send(&node, choice, self.head.id.as_deref(), request, patience).await;
+        let end = result.as_ref().err().map(|ended| ended.end);
+        if self.spent.sent > 0 && end != Some(AttemptEnd::NotSent) {
+            self.node.settle_stray(self.stray.take(), end);
+        }
         match &result {
             Err(Ended { end: AttemptEnd::NotSent, reused, .. }) => {
                 self.spent.not_sent += 1;
@@ -208,10 +215,18 @@
                 }
             }
             Ok(_) | Err(_) => {
+                // Once a request: earned with each connection that was refused as well, the shares of one request allowed
+                // up to five times the repeats.
+                if self.spent.sent == 0 {
+                    self.node.earned_retry(&self.service);
+                }
                 self.spent.sent += 1;
                 self.tried.push(choice.backend.clone());
             }
         }
+        if let Err(Ended { end: AttemptEnd::Misdirected, .. }) = &result {
+            self.spent.misdirected += 1;
+        }
         if let Err(Ended { end: AttemptEnd::Unclear | AttemptEnd::FailedAnswer, .. }) = &result {
             self.spent.may_have_run = true;
         }
@@ -366,6 +381,7 @@
         self.node.running.set(self.node.running.get().saturating_sub(1));
         let grant = self.grant.take().filter(|_| self.has_not_run());
         self.node.give_back(grant);
+        self.node.settle_stray(self.stray.take(), None);
         if self.account.is_served() {
             let now = self.node.now();
             let whole = now.saturating_since(self.arrived);
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use paddlemount_core::forwarding::{
     attempt::{self, AttemptEnd, Next},
+    backends::BackendId,
     choice::Choice,
 };
 
@@ -38,10 +39,19 @@
         let now = self.node.now();
         let time_left = self.give_up_at.saturating_since(now) >= LEAST_TIME;
         let (node, service) = (Rc::clone(&self.node), self.service.clone());
+        let mut stray = None;
         let budget = || {
+            if ended.end == AttemptEnd::Misdirected {
+                stray = node.draw_stray();
+                if stray.is_none() {
+                    return false;
+                }
+            }
             let granted = node.draw_retry(&service);
             if granted {
                 node.metrics.count(Counter::Retries);
+            } else if stray.is_some() {
+                node.settle_stray(stray.take(), None);
             }
             granted
         };
@@ -50,6 +60,8 @@
         }
         let next =
             attempt::next(self.route.kind, self.route.attempts, ended.end, self.spent, time_left, budget);
+        // One that was drawn is kept until a try has arrived somewhere.
+        self.stray = stray.or(self.stray);
         let end = end_label(ended.end);
         self.node.metrics.count(Counter::Attempts(end));
         self.node.journal.tell(&Event::AttemptEnded {
@@ -62,6 +74,8 @@
             after_ms: now.saturating_since(self.arrived).as_millis() as u64,
             reused: ended.reused,
             fingerprint: ended.broke.then(|| self.fingerprint().to_string()),
+            service: self.service.as_str(),
+            answered_by: ended.answered_by.as_ref().map(BackendId::as_str),
             budget_left: self.node.retries_left(&self.service),
         });
         next
@@ -130,6 +144,7 @@
     match end {
         AttemptEnd::NotSent => "not_sent",
         AttemptEnd::NotRun => "not_run",
+        AttemptEnd::Misdirected => "misdirected",
         AttemptEnd::Unclear => "unclear",
         AttemptEnd::FailedAnswer => "failed_answer",
         AttemptEnd::Copied => "broken_with_copy",
