--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -25,6 +25,15 @@
 /// How long anything that is waited for may take.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Retries that all test nodes together may make beside their share, in a window.
+pub const RETRY_SLACK: u64 = 56;
+/// Retries that they may make for a hundred requests.
+pub const RETRIES_PER_CENT: u64 = 20;
+/// The window in which retries count.
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The bound of weights of test nodes.
+pub const WEIGHTS_BOUND: Duration = Duration::from_secs(8);
+
 /// A running node.
 pub struct Router {
     child: Mutex<Child>,
@@ -181,7 +190,7 @@
     }
 
     /// Sends a request with a key and a body; nothing where the connection ends without a head.
-    pub async fn send_body(&self, path: &str, id: &str, key: &str, body: &'static str) -> Option<Got> {
+    pub async fn send_body(&self, path: &str, id: &str, key: &str, body: impl Into<Bytes>) -> Option<Got> {
         let mut request = Request::post(format!("http://{}{path}", self.callers))
             .header(http::header::HOST, HOST)
             .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
@@ -192,7 +201,7 @@
                 request = request.header(name, value);
             }
         }
-        let request = request.body(Full::from(body)).expect("a request");
+        let request = request.body(Full::new(body.into())).expect("a request");
         let answer = self.client.request(request).await.ok()?;
         let (head, mut body) = answer.into_parts();
         let mut bytes = Vec::new();
@@ -297,8 +306,10 @@
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
-         grace_s = 6\nretry_share = 0.2\nretry_slack = 56\nlease_ms = 3000\nweights_ms = 8000\n",
-        store
+         grace_s = 6\nretry_share = 0.{RETRIES_PER_CENT}\nretry_slack = {RETRY_SLACK}\nretry_window_s = {}\nlease_ms = 3000\nweights_ms = {}\n",
+        store,
+        RETRY_WINDOW.as_secs(),
+        WEIGHTS_BOUND.as_millis(),
     )
 }
 
