Failing: what back ends say of themselves in their answers is not heard

Cause, as the nodes' lines show it: an answer's word that its back end leaves, and the time in which a back end wants no requests, are read nowhere. The registry alone tells of leaving, and a fixed pause of 250 ms stands for the asked time. Ten tests over real processes: leaving while the store is away, against older entries, told to other nodes, said by all; rest asked by one, by all, by all but one, in values that mean nothing; and a new start, which ends both.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Forwarded routes through a real process, against stand-ins of the platform.
 
+mod announced;
 mod belief;
 mod budget;
 mod delivery;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -34,6 +34,9 @@
 /// The bound of weights of test nodes.
 pub const WEIGHTS_BOUND: Duration = Duration::from_secs(8);
 
+/// How long a back end that is leaving may still get requests of test nodes.
+pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A running node.
 pub struct Router {
     child: Mutex<Child>,
@@ -314,10 +317,11 @@
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
          [store]\naddress = \"{}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = {revocation_ms}\nrevocation_fails_closed = true\n\
-         grace_s = 6\nretry_share = 0.{RETRIES_PER_CENT}\nretry_slack = {RETRY_SLACK}\nretry_window_s = {}\nlease_ms = 3000\nweights_ms = {}\n",
+         grace_s = 6\nretry_share = 0.{RETRIES_PER_CENT}\nretry_slack = {RETRY_SLACK}\nretry_window_s = {}\nlease_ms = 3000\nweights_ms = {}\ndrain_ms = {}\n",
         store,
         RETRY_WINDOW.as_secs(),
         WEIGHTS_BOUND.as_millis(),
+        DRAIN_TIMEOUT.as_millis(),
     )
 }
 
