What back ends say of themselves in their answers holds: that they leave, and how long they rest

Cause: nothing that an answer says of its back end was heard but identity and weights. Leaving came from the registry alone, which is late or never there while the store is away; a refusal was followed by a fixed pause of 250 ms that the second choice passed over. Change: core::forwarding::announcements remembers by process what answers announce; a back end that says that it leaves is departing at once, whatever its entry says, until a new start, and other nodes are told for 2 s; a rest keeps every send out, the latest named end holds, 300 s at most. Placing, sends after a connection has come up, orders and copies go by it. Where all rest, callers are refused at once (backends_rest) with the least rest and up to a quarter more. Where all leave and nobody else is known they serve for half of the drain timeout. Conclusion: the statement of the one who knows best is kept beside the registry's, and neither takes back the other's no.

--- a/crates/cli/tests/forward/announced.rs
+++ b/crates/cli/tests/forward/announced.rs
@@ -116,7 +116,7 @@
     runner.leave();
     let told = until_told(&router, "/quote/1", runner).await;
     // Entries that were written before it left: one changed, one that comes anew after a lapse.
-    place.store.change(&format!("servers/{}", runner.id()), |entry| entry["slots"] = 9.into());
+    place.change_slots(runner, 9);
     ask_for(&router, "/quote/1", DRAIN_TIMEOUT / 2).await;
     place.unregister(runner);
     ask_for(&router, "/quote/1", DRAIN_TIMEOUT / 4).await;
--- /dev/null
+++ b/crates/core/src/forwarding/announcements.rs
@@ -0,0 +1,231 @@
+//! What back ends announce of themselves in their answers: that they are leaving, and for how long they want no requests.
+//!
+//! Nobody knows better, and the registry may be away, late or out of date: without its own word an engine got requests for 12.3 s
+//! after it had said that it leaves, as long as an outage lasted, and one that had asked for 3 s of rest the next after 0.25 s.
+//! So an announcement holds whatever entries say, and only a new start of the process ends it: one that leaves does not stay,
+//! and a rest lasts until it is over.
+//!
+//! | announced | other nodes are told | holds for a node that was told |
+//! |---|---|---|
+//! | it leaves | yes: it leaves for all | from then on |
+//! | it wants no requests | no: it speaks to the node that it answers | until the latest of the ends that it has named |
+//!
+//! An announcement outlives the entry of its process: entries lapse while the registry is away, and return.
+
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
+
+use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
+
+use super::backends::{Backend, BackendEntry, BackendId, Backends, Standing};
+
+/// The longest time without requests that a back end is granted: one that asks for more is asked again after this.
+pub const LONGEST_REST: Duration = Duration::from_secs(300);
+/// How long it is remembered that a process leaves, beyond its last word. Its entry is gone by then.
+const REMEMBERED: Duration = Duration::from_secs(600);
+/// Processes whose announcements are remembered, about 100 bytes each. More are heard of only where a whole pool of the
+/// largest size announces at once; the ones heard of first are forgotten.
+const MOST_REMEMBERED: usize = 16_384;
+/// How long other nodes are told that a process leaves: ten reports, of which some may be lost.
+const TOLD_FOR: Duration = Duration::from_secs(2);
+/// Processes that other nodes are told of in one message, some 30 bytes each: 4 KB.
+const MOST_TOLD: usize = 128;
+
+/// What one process has announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Announced {
+    /// When it was first heard that it leaves.
+    leaving_since: Option<Timestamp>,
+    /// The end of the time in which it wants no requests from this node.
+    rests_until: Option<Timestamp>,
+    /// When anything was last heard.
+    heard_at: Timestamp,
+}
+
+impl Announced {
+    fn holds(&self, now: Timestamp) -> bool {
+        let leaves = self.leaving_since.is_some() && now.saturating_since(self.heard_at) < REMEMBERED;
+        leaves || self.rests_until.is_some_and(|until| now < until)
+    }
+}
+
+/// A time without requests that a back end has asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// Its end.
+    pub until: Timestamp,
+    /// Whether the back end had not asked for one before that is still going on.
+    pub begins: bool,
+    /// Whether it asked for more than it is granted.
+    pub is_cut: bool,
+}
+
+/// What followed the news that a process leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It was known, or the process is none that can be known.
+    Known,
+    /// It gets no work any more, unless nobody else is left.
+    Leaves,
+    /// The registry held no entry of it any more: it is dropped.
+    Dropped,
+}
+
+/// Announcements of back ends, by process. Starts are not put in order: the clock by which processes say when they started may
+/// step.
+#[derive(Debug, Default)]
+pub struct Announcements(BTreeMap<BackendProcess, Announced>);
+
+impl Announcements {
+    /// What a process has announced, to be added to.
+    fn of(&mut self, process: &BackendProcess, now: Timestamp) -> &mut Announced {
+        if self.0.len() >= MOST_REMEMBERED && !self.0.contains_key(process) {
+            let first = self.0.iter().min_by_key(|(_, announced)| announced.heard_at);
+            let first = first.map(|(process, _)| process.clone());
+            first.and_then(|process| self.0.remove(&process));
+        }
+        let fresh = Announced { leaving_since: None, rests_until: None, heard_at: now };
+        let known = self.0.entry(process.clone()).or_insert(fresh);
+        known.heard_at = now;
+        known
+    }
+
+    /// A process leaves. Whether that is news.
+    fn leaves(&mut self, process: &BackendProcess, now: Timestamp) -> bool {
+        let known = self.of(process, now);
+        let is_news = known.leaving_since.is_none();
+        known.leaving_since.get_or_insert(now);
+        is_news
+    }
+
+    /// A process wants no requests from this node for `asked`, from now on. A time that ends sooner than one that it has asked
+    /// for before shortens nothing: it may have been asked for by an earlier request.
+    pub fn rests(&mut self, process: &BackendProcess, asked: Duration, now: Timestamp) -> Option<Rest> {
+        if asked.is_zero() {
+            return None;
+        }
+        let known = self.of(process, now);
+        let before = known.rests_until.filter(|until| now < *until);
+        let until = before.max(Some(now + asked.min(LONGEST_REST)))?;
+        known.rests_until = Some(until);
+        Some(Rest { until, begins: before.is_none(), is_cut: asked > LONGEST_REST })
+    }
+
+    /// When it was first heard that the process of an entry leaves.
+    pub(super) fn leaving_since(&self, entry: &BackendEntry) -> Option<Timestamp> {
+        self.0.get(&entry.process())?.leaving_since
+    }
+
+    /// Until when the process of an entry wants no requests from this node, where it does not want any now.
+    pub fn rests_until(&self, entry: &BackendEntry, now: Timestamp) -> Option<Timestamp> {
+        if self.0.is_empty() {
+            return None;
+        }
+        self.0.get(&entry.process())?.rests_until.filter(|until| now < *until)
+    }
+
+    /// Processes that leave of which other nodes are to be told, those heard of last first.
+    pub fn to_tell(&self, now: Timestamp) -> Vec<BackendProcess> {
+        let mut told: Vec<(Timestamp, BackendProcess)> = self
+            .0
+            .iter()
+            .filter_map(|(process, known)| {
+                let since = known.leaving_since.filter(|since| is_told(*since, now))?;
+                Some((since, process.clone()))
+            })
+            .collect();
+        told.sort_unstable_by_key(|(since, _)| Reverse(*since));
+        told.into_iter().take(MOST_TOLD).map(|(_, process)| process).collect()
+    }
+
+    /// Forgets what no longer holds. Gives the back ends whose rest is over.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
+        let mut rested = Vec::new();
+        for (process, known) in &mut self.0 {
+            if known.rests_until.take_if(|until| *until <= now).is_some() {
+                rested.push(process.id.clone());
+            }
+        }
+        self.0.retain(|_, known| known.holds(now));
+        rested
+    }
+
+    /// Whether there is anything of which other nodes are to be told.
+    pub fn has_to_tell(&self, now: Timestamp) -> bool {
+        self.0.values().any(|known| known.leaving_since.is_some_and(|since| is_told(since, now)))
+    }
+
+    /// How many back ends want no requests now.
+    pub fn count_resting(&self, now: Timestamp) -> usize {
+        self.0.values().filter(|known| known.rests_until.is_some_and(|until| now < until)).count()
+    }
+}
+
+/// Whether other nodes are still told of a process that was first heard to leave at `since`.
+fn is_told(since: Timestamp, now: Timestamp) -> bool {
+    now.saturating_since(since) < TOLD_FOR
+}
+
+impl BackendEntry {
+    /// The process whose entry it is.
+    fn process(&self) -> BackendProcess {
+        BackendProcess { id: self.id.clone(), born: self.born }
+    }
+}
+
+impl Backends {
+    /// The process of a back end, as far as it is known.
+    pub fn process_of(&self, id: &BackendId) -> BackendProcess {
+        let born = self.get(id).and_then(|known| known.entry.born);
+        BackendProcess { id: id.clone(), born }
+    }
+
+    /// An answer of a process, or another node, told that it leaves.
+    pub fn hear_leaving(&mut self, process: &BackendProcess, now: Timestamp) -> Departure {
+        let is_news = self.announcements.leaves(process, now);
+        // Another process of this identity may have started since it was asked.
+        let known = self.get(&process.id).filter(|known| known.entry.born == process.born);
+        match known.map(|known| known.standing) {
+            Some(Standing::Ready) => {
+                self.stand(&process.id, Standing::Departing { since: now });
+                Departure::Leaves
+            }
+            Some(Standing::Doubted { .. }) => {
+                self.drop(&process.id);
+                Departure::Dropped
+            }
+            Some(Standing::Replaced) if is_news => Departure::Leaves,
+            Some(Standing::Departing { .. } | Standing::Leaving | Standing::Replaced) | None => {
+                Departure::Known
+            }
+        }
+    }
+
+    /// How a back end stands with this entry, where nothing is known of it but what it has announced.
+    pub(super) fn standing_with(&self, entry: &BackendEntry) -> Standing {
+        match self.announcements.leaving_since(entry) {
+            _ if entry.leaving => Standing::Leaving,
+            Some(since) => Standing::Departing { since },
+            None => Standing::Ready,
+        }
+    }
+
+    /// Whether a back end may be sent a request now, where one that departs may for `parting` after that was first heard.
+    pub fn takes_requests(&self, backend: &Backend, parting: Duration, now: Timestamp) -> bool {
+        let stays = match backend.standing {
+            Standing::Ready | Standing::Doubted { .. } => true,
+            Standing::Departing { since } => now.saturating_since(since) < parting,
+            Standing::Leaving | Standing::Replaced => false,
+        };
+        stays && self.announcements.rests_until(&backend.entry, now).is_none()
+    }
+
+    /// Until when the first of some back ends rests, where there are any and all of them rest.
+    pub fn least_rest<'a>(&self, of: impl Iterator<Item = &'a Backend>, now: Timestamp) -> Option<Timestamp> {
+        let mut least: Option<Timestamp> = None;
+        for backend in of {
+            let until = self.announcements.rests_until(&backend.entry, now)?;
+            least = Some(least.map_or(until, |least| least.min(until)));
+        }
+        least
+    }
+}
--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -1,7 +1,7 @@
 //! Back ends as the registry tells of them.
 //!
 //! A back end is known by the identity of one start of its process. The registry's word that it is leaving counts
-//! at once. An entry that vanishes while the registry is away, or has just returned, says little: such a back end is
+//! at once, and so does its own ([`super::announcements`]). An entry that vanishes while the registry is away, or has just returned, says little: such a back end is
 //! doubted and gets work only where too few others are left.
 
 use std::{
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{pool::Pool, registry::Registry, replacement::Addresses};
+use super::{announcements::Announcements, pool::Pool, registry::Registry, replacement::Addresses};
 
 /// One start of a back end: a model engine, or an instance of another service.
 pub type BackendId = EngineId;
@@ -71,8 +71,14 @@
 pub enum Standing {
     /// It may.
     Ready,
-    /// It must not: it is leaving.
+    /// It must not: the registry says that it is leaving.
     Leaving,
+    /// It has said itself that it is leaving, which the registry has not told. It gets work only where nobody else is left,
+    /// and for a short time.
+    Departing {
+        /// When that was first heard.
+        since: Timestamp,
+    },
     /// Its entry vanished while the registry was away or returning.
     Doubted {
         /// When the entry vanished.
@@ -82,6 +88,13 @@
     Replaced,
 }
 
+impl Standing {
+    /// Whether the back end is leaving, by the registry's word or its own.
+    pub const fn is_leaving(self) -> bool {
+        matches!(self, Self::Leaving | Self::Departing { .. })
+    }
+}
+
 /// A back end as believed.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -107,6 +120,8 @@
 pub struct Backends {
     /// Whether the registry's silence about a back end counts.
     pub registry: Registry,
+    /// What back ends have said of themselves.
+    pub announcements: Announcements,
     by_id: BTreeMap<BackendId, Backend>,
     pub(super) addresses: Addresses,
     /// Those that were replaced and get work again, as nobody else is known to have their address.
@@ -138,7 +153,7 @@
 impl Backends {
     /// Takes an entry in.
     pub fn put(&mut self, entry: BackendEntry) -> Change {
-        let standing = if entry.leaving { Standing::Leaving } else { Standing::Ready };
+        let standing = self.standing_with(&entry);
         let Some(known) = self.by_id.get_mut(&entry.id) else {
             let backend = Backend { entry: entry.clone(), standing, loading_until: None, seen_beside: false };
             self.pools.entry(entry.service.clone()).or_default().enter(&backend);
@@ -154,8 +169,11 @@
         let started_again =
             matches!((known.entry.born, entry.born), (Some(before), Some(now)) if before != now);
         // A process that said once that it is leaving does not stay.
-        let leaves = known.standing == Standing::Leaving && !started_again;
-        let standing = if leaves { Standing::Leaving } else { standing };
+        let standing = match known.standing {
+            Standing::Leaving if !started_again => Standing::Leaving,
+            Standing::Departing { .. } if !started_again && standing == Standing::Ready => known.standing,
+            _ => standing,
+        };
         let change = match (known.standing == standing, known.entry == entry) {
             _ if started_again => Change::StartedAgain,
             (true, true) => Change::None,
@@ -188,7 +206,11 @@
                 return Change::Doubted;
             }
             Standing::Doubted { .. } if doubtful => return Change::None,
-            Standing::Ready | Standing::Doubted { .. } | Standing::Leaving | Standing::Replaced => {}
+            Standing::Ready
+            | Standing::Doubted { .. }
+            | Standing::Leaving
+            | Standing::Departing { .. }
+            | Standing::Replaced => {}
         }
         self.drop(id);
         Change::Removed
@@ -218,7 +240,7 @@
         let returned = !self.registry.lacks_entries(now);
         let expired = |backend: &Backend| match backend.standing {
             Standing::Doubted { since } => returned || now.saturating_since(since) >= LONGEST_DOUBT,
-            Standing::Ready | Standing::Leaving | Standing::Replaced => false,
+            Standing::Ready | Standing::Leaving | Standing::Departing { .. } | Standing::Replaced => false,
         };
         let ids: Vec<BackendId> =
             self.by_id.iter().filter(|(_, backend)| expired(backend)).map(|(id, _)| id.clone()).collect();
@@ -311,7 +333,7 @@
         of_service.filter(move |backend| match backend.standing {
             Standing::Ready => true,
             Standing::Doubted { .. } => with_doubted,
-            Standing::Leaving | Standing::Replaced => false,
+            Standing::Leaving | Standing::Departing { .. } | Standing::Replaced => false,
         })
     }
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -6,6 +6,7 @@
 //! | [`table`] | which route and tenant a request belongs to, or why it has none |
 //! | [`freshness`] | whether what is believed of the configuration is recent enough to act on |
 //! | [`backends`] | which back ends exist and may get new work |
+//! | [`announcements`] | what back ends' own words in their answers change of that |
 //! | [`choice`] | which back end gets a request, and whose cached prefix it imports |
 //! | [`load`], [`prefixes`] | nothing: work under way, and parts of prompts believed to be kept |
 //! | [`caller_connection`] | when a caller's connection closes |
@@ -27,6 +28,7 @@
 //!
 //! Everything here is pure: the present time is an argument.
 
+pub mod announcements;
 pub mod answer_times;
 pub mod attempt;
 pub mod backends;
--- a/crates/core/src/forwarding/pool.rs
+++ b/crates/core/src/forwarding/pool.rs
@@ -23,6 +23,8 @@
 pub struct Pool {
     ready: Vec<Ranked>,
     doubted: Vec<Ranked>,
+    /// Those that have said themselves that they leave.
+    departing: Vec<Ranked>,
     /// How many of the ready ones have which version of a model's weights.
     versions: BTreeMap<ModelId, BTreeMap<WeightsVersion, usize>>,
 }
@@ -34,6 +36,7 @@
         let list = match backend.standing {
             Standing::Ready => &mut self.ready,
             Standing::Doubted { .. } => &mut self.doubted,
+            Standing::Departing { .. } => &mut self.departing,
             Standing::Leaving | Standing::Replaced => return,
         };
         if let Err(place) = list.binary_search(&ranked) {
@@ -49,7 +52,7 @@
     /// A back end that has entered with this standing is gone, or is about to change.
     pub(super) fn leave(&mut self, backend: &Backend) {
         let ranked = Ranked { rank: rank(&backend.entry.id), id: backend.entry.id.clone() };
-        for list in [&mut self.ready, &mut self.doubted] {
+        for list in [&mut self.ready, &mut self.doubted, &mut self.departing] {
             if let Ok(place) = list.binary_search(&ranked) {
                 list.remove(place);
             }
@@ -69,14 +72,15 @@
         versions.retain(|_, count| *count > 0);
     }
 
-    /// The back ends that may get work: the ready ones, and the doubted ones where fewer than half are ready.
+    /// The back ends that may get work: the ready ones, and the doubted ones where fewer than half are ready. Where there is
+    /// none of either, those that depart.
     pub fn usable(&self) -> impl Iterator<Item = &Ranked> {
-        self.ready.iter().chain(self.doubted_in_use())
+        self.ready.iter().chain(self.doubted_in_use()).chain(self.departing_in_use())
     }
 
     /// The number of back ends that may get work.
     pub fn len(&self) -> usize {
-        self.ready.len() + self.doubted_in_use().len()
+        self.ready.len() + self.doubted_in_use().len() + self.departing_in_use().len()
     }
 
     /// Whether none may get work.
@@ -86,7 +90,8 @@
 
     /// One of the back ends that may get work.
     pub fn get(&self, index: usize) -> Option<&Ranked> {
-        self.ready.get(index).or_else(|| self.doubted_in_use().get(index - self.ready.len()))
+        let others = if self.uses_departing() { &self.departing } else { self.doubted_in_use() };
+        self.ready.get(index).or_else(|| others.get(index - self.ready.len()))
     }
 
     /// Whether doubted back ends are in use.
@@ -94,6 +99,15 @@
         self.ready.len() < self.doubted.len()
     }
 
+    /// Whether back ends that depart are in use: nobody else is left.
+    pub const fn uses_departing(&self) -> bool {
+        self.ready.is_empty() && self.doubted.is_empty()
+    }
+
+    fn departing_in_use(&self) -> &[Ranked] {
+        if self.uses_departing() { &self.departing } else { &[] }
+    }
+
     fn doubted_in_use(&self) -> &[Ranked] {
         if self.uses_doubted() { &self.doubted } else { &[] }
     }
--- a/crates/core/src/forwarding/replacement.rs
+++ b/crates/core/src/forwarding/replacement.rs
@@ -135,7 +135,7 @@
     fn settle(&mut self, id: &BackendId, heard: Heard) -> Vec<Replacement> {
         let Some(newcomer) = self.get(id).map(|known| known.entry.clone()) else { return Vec::new() };
         // One that is heard of for the first time as it leaves may have left long ago.
-        if newcomer.leaving {
+        if newcomer.leaving || self.announcements.leaving_since(&newcomer).is_some() {
             return Vec::new();
         }
         let mut replaced = Vec::new();
@@ -164,14 +164,14 @@
         match self.get(id).map(|known| known.standing) {
             Some(Standing::Ready) => self.stand(id, Standing::Replaced),
             Some(Standing::Doubted { .. }) => self.drop(id),
-            Some(Standing::Leaving | Standing::Replaced) | None => return false,
+            Some(Standing::Leaving | Standing::Departing { .. } | Standing::Replaced) | None => return false,
         }
         true
     }
 
     fn come_back(&mut self, id: &BackendId) {
-        if self.get(id).is_some_and(|known| known.standing == Standing::Replaced) {
-            self.stand(id, Standing::Ready);
-        }
+        let Some(known) = self.get(id).filter(|known| known.standing == Standing::Replaced) else { return };
+        let standing = self.standing_with(&known.entry);
+        self.stand(id, standing);
     }
 }
--- a/crates/core/tests/tree_support/mod.rs
+++ b/crates/core/tests/tree_support/mod.rs
@@ -263,6 +263,7 @@
 
 fn report_of(fleet: &Fleet, now: Timestamp) -> Report {
     Report {
+        leaving: Vec::new(),
         sender: fleet.me().clone(),
         room: fleet.children.room(now),
         work: Vec::new(),
--- /dev/null
+++ b/crates/forward/src/announced.rs
@@ -0,0 +1,144 @@
+//! What back ends announce of themselves in their answers, as a node hears it, tells it and goes by it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use paddlemount_core::forwarding::{
+    announcements::{Departure, Rest},
+    backends::BackendId,
+    choice::Choice,
+};
+use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
+
+use crate::{
+    journal::Event,
+    metrics::{Counter, Gauge},
+    node::Node,
+    ports::{AnswerHead, AskedRest},
+};
+
+/// How much later than the first back end's rest ends callers are told to come back at most, as a share of that rest: all that
+/// were refused in it would come in one moment.
+const SPREAD: f64 = 0.25;
+
+/// How it was heard that a process leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeardBy {
+    /// An answer of the process says so.
+    Answer,
+    /// Another node has told it.
+    Told,
+}
+
+impl HeardBy {
+    /// Its name in log lines.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Told => "told",
+        }
+    }
+}
+
+impl Node {
+    /// The process of a back end that something is being sent to. What its answer announces holds for that one.
+    pub(crate) fn process_of(&self, id: &BackendId) -> BackendProcess {
+        self.beliefs.borrow().backends.process_of(id)
+    }
+
+    /// Takes in what an answer of one of a back end's own interfaces announces. Where that refuses, it concerns the interface and
+    /// no requests.
+    pub(crate) fn hear_call(&self, asked: &BackendProcess, answer: &Response<Bytes>) {
+        let says = self.platform.read_answer(answer.status(), answer.headers());
+        self.hear(asked, &AnswerHead { rest: None, ..says });
+    }
+
+    /// Takes in what an answer of `asked` announces, whatever else it says. Another process that answers in its place speaks
+    /// for itself only.
+    pub(crate) fn hear(&self, asked: &BackendProcess, says: &AnswerHead) {
+        let is_other = match &says.backend {
+            Some(backend) => *backend != asked.id,
+            None => says.misdirected,
+        };
+        if is_other {
+            return;
+        }
+        if says.leaving {
+            self.heard_leaving(asked, HeardBy::Answer);
+        }
+        match &says.rest {
+            Some(AskedRest::For(time)) => self.heard_rest(asked, *time),
+            Some(AskedRest::Unreadable(value)) => {
+                self.journal.tell(&Event::RestUnreadable { backend: asked.id.as_str(), value });
+            }
+            None => {}
+        }
+    }
+
+    /// Other nodes have heard that these processes leave.
+    pub(crate) fn told_of_leaving(&self, processes: &[BackendProcess]) {
+        for process in processes {
+            self.heard_leaving(process, HeardBy::Told);
+        }
+    }
+
+    fn heard_leaving(&self, process: &BackendProcess, heard: HeardBy) {
+        let mut beliefs = self.beliefs.borrow_mut();
+        let service = beliefs.backends.get(&process.id).map(|known| known.entry.service.clone());
+        match beliefs.backends.hear_leaving(process, self.now()) {
+            Departure::Known => return,
+            Departure::Leaves => {}
+            Departure::Dropped => {
+                beliefs.forget(&process.id);
+                self.pool.borrow_mut().close(&process.id);
+            }
+        }
+        drop(beliefs);
+        let service = service.as_ref().map(ServiceId::as_str);
+        let backend = process.id.as_str();
+        self.journal.tell(&Event::BackendLeaving { backend, service, heard: heard.name() });
+    }
+
+    fn heard_rest(&self, process: &BackendProcess, asked: Duration) {
+        let now = self.now();
+        let rest = self.beliefs.borrow_mut().backends.announcements.rests(process, asked, now);
+        let Some(Rest { until, begins, is_cut }) = rest else { return };
+        self.metrics.count(Counter::RestsAsked);
+        if begins || is_cut {
+            let for_ms = until.saturating_since(now).as_millis() as u64;
+            self.journal.tell(&Event::BackendRests { backend: process.id.as_str(), for_ms, is_cut });
+        }
+    }
+
+    /// Whether a back end that was chosen may still be sent the request: it may have spoken while a connection came up.
+    pub(crate) fn still_takes(&self, choice: &Choice) -> bool {
+        let beliefs = self.beliefs.borrow();
+        let known = beliefs.backends.get(&choice.backend);
+        known.is_some_and(|backend| beliefs.takes_requests(backend, self.now()))
+    }
+
+    /// When a caller may come back where all that could serve it rest until `first` at least.
+    pub(crate) fn after_rest(&self, first: Timestamp) -> Duration {
+        first.saturating_since(self.now()).mul_f64(1.0 + SPREAD * rand::random::<f64>())
+    }
+
+    /// Forgets what no longer holds, and tells whose rest is over.
+    pub(crate) fn sweep_announcements(&self) {
+        let rested = self.beliefs.borrow_mut().backends.announcements.expire(self.now());
+        for backend in &rested {
+            self.journal.tell(&Event::BackendRested { backend: backend.as_str() });
+        }
+    }
+
+    /// How many back ends rest and leave now.
+    pub(crate) fn announced_gauges(&self) -> [Gauge; 2] {
+        let beliefs = self.beliefs.borrow();
+        let resting = beliefs.backends.announcements.count_resting(self.now());
+        let leaving = beliefs.backends.iter().filter(|backend| backend.standing.is_leaving()).count();
+        [
+            Gauge { name: "paddlemount_forward_backends_resting", value: resting as f64 },
+            Gauge { name: "paddlemount_forward_backends_leaving", value: leaving as f64 },
+        ]
+    }
+}
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -45,6 +45,8 @@
     NoBackend,
     /// All back ends have older weights than a request may begin on.
     OlderWeights,
+    /// All back ends that could serve the request have asked for a time without any.
+    BackendsRest,
     /// No back end took the request.
     NotTaken,
     /// The node is about to end, and answers of this route take longer than it has left.
@@ -67,6 +69,7 @@
             | Self::ConfigurationTooOld
             | Self::NoBackend
             | Self::OlderWeights
+            | Self::BackendsRest
             | Self::NotTaken
             | Self::Stopping
             | Self::HeldBack
@@ -84,7 +87,8 @@
     /// When a caller that is refused may come back.
     pub const fn come_back(self) -> Option<Duration> {
         match self {
-            Self::NoConfiguration | Self::NoBackend => Some(Duration::from_millis(400)),
+            // The least of their times, where that is known.
+            Self::NoConfiguration | Self::NoBackend | Self::BackendsRest => Some(Duration::from_millis(400)),
             // One of them may have been given the named weights by then.
             Self::OlderWeights => Some(LOAD_TIME),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
@@ -110,6 +114,7 @@
             Self::RequestBroken => "the request is not whole",
             Self::NoBackend => "no back end may get the request; it was not run",
             Self::OlderWeights => "no back end has the named weights yet; the request was not run",
+            Self::BackendsRest => "all back ends want no requests for a while; the request was not run",
             Self::NotTaken => "no back end took the request; it was not run",
             Self::Stopping => "this node is stopping; the request was not run, another node serves it",
             Self::HeldBack => {
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -27,6 +27,9 @@
 /// How long the body of a refusal may take; a connection whose refusal takes longer is closed.
 const REFUSAL_BODY: Duration = Duration::from_millis(100);
 
+/// What is told of a try at a back end that has meanwhile said that it leaves or rests.
+const TAKES_NONE: &str = "the back end takes no requests any more";
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [header::HeaderName; 6] = [
     header::CONNECTION,
@@ -164,19 +167,20 @@
     // A run that goes on begins nothing: its weights were in time when it began.
     let begins_at = (run == Run::New).then_some(choice);
     // Looked at before a connection is taken from the pool: one that is not used is closed.
-    if node.is_outdated(begins_at) {
-        return Err(not_sent(node, choice));
+    if let Some(why) = why_not_to_send(node, choice, begins_at) {
+        return Err(not_sent(node, choice, why));
     }
+    let asked = node.process_of(&choice.backend);
     let pooled = node.pool.borrow_mut().take(&choice.backend, node.now());
     let reused = pooled.is_some();
     let mut connection = match pooled {
         Some(connection) => connection,
         None => connect(node, choice, give_up_at).await?,
     };
-    // Newer weights may have been named while the connection came up.
-    if !reused && node.is_outdated(begins_at) {
+    // The connection took its time.
+    if let Some(why) = why_not_to_send(node, choice, begins_at).filter(|_| !reused) {
         node.pool.borrow_mut().put(&choice.backend, connection, node.now());
-        return Err(not_sent(node, choice));
+        return Err(not_sent(node, choice, why));
     }
     let waiting = connection.send(request);
     let answer = match node.wait(begins_at, give_up_at, waiting).await {
@@ -199,16 +203,26 @@
         node.pool.borrow_mut().distrust(&choice.backend, node.now());
         return Err(Ended { reused, ..Ended::unclear("an answer to another request".into()) });
     }
+    // On whatever it says of the request: the registry may be away, or tell of it much later.
+    node.hear(&asked, &says);
     let framed = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let begun = Begun { head, says, body, connection, work, framed };
     judge(node, choice, begun, reused, give_up_at).await
 }
 
-/// The back end's weights are too old. This says nothing against it, and it was not asked.
-fn not_sent(node: &Rc<Node>, choice: &Choice) -> Ended {
+/// Why a back end that was chosen must not be sent the request any more.
+fn why_not_to_send(node: &Node, choice: &Choice, begins_at: Option<&Choice>) -> Option<&'static str> {
+    if node.is_outdated(begins_at) {
+        return Some(OUTDATED);
+    }
+    (!node.still_takes(choice)).then_some(TAKES_NONE)
+}
+
+/// The back end's weights are too old, or it wants no requests. This says nothing against it, and it was not asked.
+fn not_sent(node: &Rc<Node>, choice: &Choice, why: &str) -> Ended {
     node.health(&choice.backend, HealthEvent::Inconclusive, false);
-    Ended { end: AttemptEnd::NotSent, ..Ended::unclear(OUTDATED.into()) }
+    Ended { end: AttemptEnd::NotSent, ..Ended::unclear(why.into()) }
 }
 
 async fn connect(node: &Rc<Node>, choice: &Choice, give_up_at: Timestamp) -> Result<Connection, Ended> {
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -71,6 +71,8 @@
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
     /// Drawn evenly from 0 to 1: which nodes have one more repeat than the others.
     repeat_draw: f64,
+    /// How long a back end that has said itself that it leaves gets requests where nobody else is left.
+    pub(crate) parting: Duration,
 }
 
 /// The node that leads.
@@ -155,6 +157,7 @@
             started_again_at: None,
             refused_until: BTreeMap::new(),
             repeat_draw: rand::random(),
+            parting: settings.bounds.parting(),
         }
     }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,7 +21,7 @@
 use crate::{
     account::{ANSWERED, Account, HELD_BACK, REFUSED},
     admission::{Admitted, admit},
-    answers::{AnswerBody, Reason, own_answer},
+    answers::{AnswerBody, Reason, Refusal, own_answer},
     attempts::{self, Begun, Ended, Run, strip_connection_headers, take_whole},
     dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
@@ -134,7 +134,7 @@
             if let Some(held_for) = self.held_for() {
                 return self.hold_back(held_for);
             }
-            let Some(choice) = self.place() else { return self.give_up(self.why_none()) };
+            let Some(choice) = self.place() else { return self.give_up(self.why_none(Reason::NoBackend)) };
             match self.attempt(&choice, Resume::default()).await {
                 Ok(begun) if self.route.kind.is_stream() && begun.head.status.is_success() => {
                     return self.relay(choice, begun).await;
@@ -177,15 +177,19 @@
         Some(choice)
     }
 
-    /// Why no back end was chosen.
-    fn why_none(&self) -> Reason {
+    /// Why no back end gets the request, where nothing is wrong with all of them it is `otherwise`.
+    pub(crate) fn why_none(&self, otherwise: Reason) -> Refusal {
         let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        let now = self.node.now();
         let beliefs = self.node.beliefs.borrow();
-        match model {
-            Some(model) if beliefs.has_only_older_weights(&self.service, model, self.node.now()) => {
-                Reason::OlderWeights
+        if model.is_some_and(|model| beliefs.has_only_older_weights(&self.service, model, now)) {
+            return Reason::OlderWeights.into();
+        }
+        match beliefs.least_rest(&self.service, model, now) {
+            Some(until) => {
+                Refusal { reason: Reason::BackendsRest, come_back: Some(self.node.after_rest(until)) }
             }
-            _ => Reason::NoBackend,
+            None => otherwise.into(),
         }
     }
 
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -80,6 +80,14 @@
     },
     /// Another process has a back end's address: it gets no work until its own entry changes.
     BackendReplaced { backend: &'a str, by: &'a str, shown_by: &'static str },
+    /// A back end leaves, as an answer of it says or another node has told: it gets no work unless nobody else is left.
+    BackendLeaving { backend: &'a str, service: Option<&'a str>, heard: &'static str },
+    /// A back end has asked this node for a time without requests, or for more of it than it is granted.
+    BackendRests { backend: &'a str, for_ms: u64, is_cut: bool },
+    /// A back end's time without requests is over.
+    BackendRested { backend: &'a str },
+    /// A back end has asked for a time without requests in words that mean nothing: it gets none.
+    RestUnreadable { backend: &'a str, value: &'a str },
     /// What a back end keeps is followed by its feed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
     /// A version of weights was named, `at_most_ms` ago at most where that is known.
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -139,8 +139,12 @@
 impl Feed {
     async fn turn(&mut self) -> Duration {
         let request = self.node.platform.feed_request(self.next, WAIT);
+        let asked = self.node.process_of(&self.backend);
         let answer = match self.calls.call(request, WAIT + PATIENCE).await {
-            Ok(answer) => self.node.platform.feed_answer(&answer).map_err(|error| error.to_string()),
+            Ok(answer) => {
+                self.node.hear_call(&asked, &answer);
+                self.node.platform.feed_answer(&answer).map_err(|error| error.to_string())
+            }
             Err(error) => Err(error.to_string()),
         };
         match answer {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`calls`] | calls to the metadata store and to engines' own interfaces |
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`placing`] | describes back ends to the chooser |
+//! | [`announced`] | what back ends say of themselves in their answers |
 //! | [`feed`] | follows the metadata store |
 //! | `replica`, `named` | what is known of the store, as facts for other nodes, and how lately weights were named |
 //! | [`kept`] | follows what engines and the store keep |
@@ -30,6 +31,7 @@
 
 pub mod account;
 pub mod admission;
+pub mod announced;
 pub mod answers;
 pub mod attempts;
 pub mod beliefs;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -23,6 +23,8 @@
     Retries,
     /// Answers that another back end, or one with other weights, got the request.
     Misdirected,
+    /// Refusals by which back ends asked for a time without requests.
+    RestsAsked,
     /// Streams that went on at another back end.
     Resumed,
     /// Calls to the store by what they are for and how they ended.
@@ -63,6 +65,7 @@
             Self::Attempts(_) => "paddlemount_forward_attempts_failed_total",
             Self::Retries => "paddlemount_forward_retries_total",
             Self::Misdirected => "paddlemount_forward_misdirected_total",
+            Self::RestsAsked => "paddlemount_forward_rests_asked_total",
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
             Self::StoreCalls { .. } => "paddlemount_forward_store_calls_total",
             Self::Orders(_) => "paddlemount_forward_orders_total",
@@ -93,6 +96,7 @@
             | Self::SnapshotsGiven
             | Self::SnapshotsTaken
             | Self::Misdirected
+            | Self::RestsAsked
             | Self::Resumed
             | Self::Connections
             | Self::Imports
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -311,6 +311,7 @@
         self.note_reopened(&mut beliefs);
         beliefs.refused_until.retain(|_, until| now < *until);
         drop(beliefs);
+        self.sweep_announcements();
         self.sweep_quarantine();
     }
 
@@ -321,7 +322,7 @@
         let version = beliefs.table.as_ref().map_or(0, |table| table.version());
         let quarantine = &beliefs.quarantine;
         let gauge = |name, value| Gauge { name, value };
-        vec![
+        let gauges = vec![
             gauge("paddlemount_forward_configuration_age_seconds", age),
             gauge("paddlemount_forward_configuration_version", version as f64),
             gauge("paddlemount_forward_nodes", self.counted().map_or(f64::NAN, f64::from)),
@@ -336,7 +337,8 @@
             gauge("paddlemount_forward_oldest_hold_seconds", self.oldest_hold(self.now()).as_secs_f64()),
             gauge("paddlemount_forward_named_age_seconds", named_age(&beliefs, self.now())),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
-        ]
+        ];
+        gauges.into_iter().chain(self.announced_gauges()).collect()
     }
 }
 
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use paddlemount_core::forwarding::{
-    backends::{BackendId, Standing},
+    backends::{Backend, BackendId, Standing},
     rollout::{EngineReport, Manner, SET_ASIDE, Step, Target, after_report},
 };
 use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
@@ -33,7 +33,10 @@
         let mut beliefs = node.beliefs.borrow_mut();
         let beliefs = &mut *beliefs;
         let chooser = &beliefs.chooser;
-        beliefs.rollout.begin(beliefs.backends.iter(), |id| chooser.loads.requests_of_all(id), node.now())
+        let (backends, now) = (&beliefs.backends, node.now());
+        // One that wants nothing from this node gets no order either; it is looked at again when its rest is over.
+        let awake = |backend: &&Backend| backends.announcements.rests_until(&backend.entry, now).is_none();
+        beliefs.rollout.begin(backends.iter().filter(awake), |id| chooser.loads.requests_of_all(id), now)
     };
     let Some(token) = node.token().filter(|_| !targets.is_empty()) else {
         release(node, &targets);
@@ -88,7 +91,7 @@
         if let Some(newest) = node.beliefs.borrow().rollout.newest(&target.model) {
             target.version = newest;
         }
-        let Some(report) = report(node, &engine).await else {
+        let Some(report) = report(node, &engine, &target.backend).await else {
             // It may be dead, and must not keep others waiting.
             return "no report";
         };
@@ -116,11 +119,12 @@
     "given up for now"
 }
 
-/// Where an engine is reached; nowhere once it is gone.
+/// Where an engine is reached; nowhere once it is gone or leaves: weights would be loaded there for nobody.
 fn address_of(node: &Node, id: &BackendId) -> Option<SocketAddr> {
     let beliefs = node.beliefs.borrow();
-    let backend = beliefs.backends.get(id).filter(|backend| backend.standing != Standing::Replaced)?;
-    Some(backend.entry.address)
+    let backend = beliefs.backends.get(id)?;
+    let stays = matches!(backend.standing, Standing::Ready | Standing::Doubted { .. });
+    stays.then_some(backend.entry.address)
 }
 
 /// Waits until the registry tells of the version, or it is time to ask the engine itself.
@@ -137,8 +141,10 @@
     backend.entry.weights.get(&target.model).is_some_and(|version| *version >= target.version)
 }
 
-async fn report(node: &Node, engine: &Caller) -> Option<EngineReport> {
+async fn report(node: &Node, engine: &Caller, id: &BackendId) -> Option<EngineReport> {
+    let asked = node.process_of(id);
     let answer = engine.call(node.platform.report_request(), PATIENCE).await.ok()?;
+    node.hear_call(&asked, &answer);
     node.platform.report_answer(&answer).ok()
 }
 
@@ -161,8 +167,12 @@
         token,
         sequence,
     };
+    let asked = node.process_of(&target.backend);
     let answer = engine.call(node.platform.order_request(&order), PATIENCE).await;
-    let answer = answer.ok().map(|answer| node.platform.order_answer(&answer));
+    let answer = answer.ok().map(|answer| {
+        node.hear_call(&asked, &answer);
+        node.platform.order_answer(&answer)
+    });
     let outcome = match answer {
         Some(OrderAnswer::Accepted) => "accepted",
         Some(OrderAnswer::AlreadyHolds) => "held already",
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -167,6 +167,7 @@
             let peers = peers.borrow();
             peers.news.has_news() || !peers.fleet.children.is_empty()
         });
+        let tells = tells || node.beliefs.borrow().backends.announcements.has_to_tell(now);
         let lacks = node.beliefs.borrow().revision.is_none() || node.history_lost.get();
         let busy = was_busy || node.running.get() > 0;
         let idle = now.saturating_since(sent_at) < node.settings().bounds.idle_report();
@@ -209,6 +210,7 @@
             work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), now),
             heard: peers.fleet.children.heard(),
             spending: beliefs.quotas.report(now),
+            leaving: beliefs.backends.announcements.to_tell(now),
             news: if log == NO_LOG { Vec::new() } else { peers.news.report() },
             log,
             cursor,
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -37,6 +37,7 @@
             peers.news.log(digest.news);
             peers.fleet.told(digest.work, digest.nodes, sent_at);
         }
+        self.told_of_leaving(&digest.leaving);
         self.quarantine_told(digest.quarantine);
         if let Some(relay) = digest.store {
             self.take_relay(relay, revision, sent_at);
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -135,6 +135,7 @@
 fn digest(node: &Node, peers: &mut Peers, report: Report, refer: Option<Contact>, now: Timestamp) -> Digest {
     let leads = node.token().is_some();
     node.runs_reported(report.runs);
+    node.told_of_leaving(&report.leaving);
     let mut beliefs = node.beliefs.borrow_mut();
     for news in &report.news {
         beliefs.chooser.heard(news, now);
@@ -154,6 +155,7 @@
         path: peers.fleet.uplink.path(),
         rooted_ms: peers.fleet.uplink.rooted_age(leads, now).map(|age| age.as_millis() as u64),
         refer,
+        leaving: beliefs.backends.announcements.to_tell(now),
         log: peers.news.id(),
         cursor,
         nodes: peers.fleet.count(now),
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -115,6 +115,26 @@
         newest.is_some_and(|(newest, _)| Some(newest) < self.required(model, now))
     }
 
+    /// Whether a back end's own words allow that it is sent a request now.
+    pub(crate) fn takes_requests(&self, backend: &Backend, now: Timestamp) -> bool {
+        self.backends.takes_requests(backend, self.parting, now)
+    }
+
+    /// Until when the first back end rests that could serve a request of `service`, for `model` where it has a prompt; nothing
+    /// where any of them does not.
+    pub(crate) fn least_rest(
+        &self,
+        service: &ServiceId,
+        model: Option<&ModelId>,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let required = model.and_then(|model| self.required(model, now));
+        let usable = self.backends.pool(service)?.usable().filter_map(|ranked| self.backends.get(&ranked.id));
+        let fit = usable
+            .filter(|backend| model.and_then(|model| backend.entry.weights.get(model).copied()) >= required);
+        self.backends.least_rest(fit, now)
+    }
+
     /// The version that this request rather begins on: as many requests prefer it as engines have it.
     fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
         let preferred = self.rollout.preferred(&prompt.model, now)?;
@@ -152,6 +172,7 @@
         !self.ask.tried.contains(id)
             && weights >= self.required
             && (!self.strict || self.is_free(backend))
+            && self.beliefs.takes_requests(backend, self.now)
             && self.has_room(id)
     }
 
@@ -192,6 +213,7 @@
         let in_use = match backend.standing {
             Standing::Ready => true,
             Standing::Doubted { .. } => self.pool.uses_doubted(),
+            Standing::Departing { .. } => self.pool.uses_departing(),
             Standing::Leaving | Standing::Replaced => false,
         };
         let of_service = backend.entry.service == *self.ask.service;
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -337,6 +337,19 @@
     pub weights: Option<WeightsVersion>,
     /// Whether the body is in an encoding that nobody asked for.
     pub encoded: bool,
+    /// Whether the back end says that it is leaving.
+    pub leaving: bool,
+    /// For how long the back end wants no requests, where it refuses this one and says so.
+    pub rest: Option<AskedRest>,
+}
+
+/// For how long a back end wants no requests, as it says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskedRest {
+    /// So long from its answer on.
+    For(Duration),
+    /// What it says has no meaning.
+    Unreadable(String),
 }
 
 /// A platform's translation.
--- a/crates/forward/src/replica.rs
+++ b/crates/forward/src/replica.rs
@@ -67,7 +67,8 @@
 /// it: the nodes below conclude by themselves who has its address, and none of them takes over another's mistake.
 fn entry_fact(backend: &Backend) -> Option<Fact> {
     let leaving = match backend.standing {
-        Standing::Ready | Standing::Replaced => false,
+        // Of those that depart nodes tell each other beside.
+        Standing::Ready | Standing::Departing { .. } | Standing::Replaced => false,
         Standing::Leaving => true,
         Standing::Doubted { .. } => return None,
     };
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -95,6 +95,9 @@
     /// No request begins on an older version after this time from when a newer one was named.
     #[serde(deserialize_with = "figures::whole")]
     pub weights_ms: u64,
+    /// A back end that is leaving gets no request after this time.
+    #[serde(deserialize_with = "figures::whole")]
+    pub drain_ms: u64,
 }
 
 /// What the node allows itself.
@@ -246,6 +249,7 @@
             quota_slack: 0.0,
             lease_ms: 3_000,
             weights_ms: 8_000,
+            drain_ms: 2_000,
         }
     }
 }
@@ -261,6 +265,12 @@
         Duration::from_millis(self.weights_ms)
     }
 
+    /// How long a back end that is leaving may still be sent requests where nobody else is left. The other half of its time is
+    /// for the answers.
+    pub fn parting(&self) -> Duration {
+        Duration::from_millis(self.drain_ms / 2)
+    }
+
     /// How much more than a tenant's quota may run.
     pub fn quotas(&self) -> QuotaBounds {
         QuotaBounds {
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -29,7 +29,7 @@
                 let answer = ended.answer?;
                 Some(self.pass_on_failure(answer))
             }
-            Next::Refuse => Some(self.give_up(Reason::NotTaken)),
+            Next::Refuse => Some(self.give_up(self.why_none(Reason::NotTaken))),
             Next::Fail => Some(self.give_up(Reason::AnswerLost)),
         }
     }
@@ -90,17 +90,17 @@
     }
 
     /// The answer for a request that is given up, as far as what may have happened allows it.
-    pub(crate) fn give_up(&mut self, reason: Reason) -> Response<AnswerBody> {
+    pub(crate) fn give_up(&mut self, refusal: impl Into<Refusal>) -> Response<AnswerBody> {
         let time_up = self.node.now() + LEAST_TIME >= self.give_up_at;
-        let reason = match attempt::give_up(self.route.kind, self.spent) {
-            Next::Fail if time_up => Reason::TimeUp,
-            Next::Fail => Reason::AnswerLost,
-            _ if time_up && !self.spent.may_have_run => Reason::TimeUpBeforeSending,
-            _ if self.spent.may_have_run && time_up => Reason::TimeUp,
-            _ if self.spent.may_have_run => Reason::AnswerLost,
-            _ => reason,
+        let refusal = match attempt::give_up(self.route.kind, self.spent) {
+            Next::Fail if time_up => Reason::TimeUp.into(),
+            Next::Fail => Reason::AnswerLost.into(),
+            _ if time_up && !self.spent.may_have_run => Reason::TimeUpBeforeSending.into(),
+            _ if self.spent.may_have_run && time_up => Reason::TimeUp.into(),
+            _ if self.spent.may_have_run => Reason::AnswerLost.into(),
+            _ => refusal.into(),
         };
-        self.refuse(reason)
+        self.refuse(refusal)
     }
 
     /// Refuses the request, or says that it may have run, as `reason` has it.
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -167,6 +167,28 @@
     }
 }
 
+/// One process of a back end, which may start again under its identity. On the wire it is a row of its two fields.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "(EngineId, Option<u64>)", into = "(EngineId, Option<u64>)")]
+pub struct BackendProcess {
+    /// The back end's identity.
+    pub id: EngineId,
+    /// When the process started, in Unix milliseconds, where its entry in the registry says so.
+    pub born: Option<u64>,
+}
+
+impl From<(EngineId, Option<u64>)> for BackendProcess {
+    fn from((id, born): (EngineId, Option<u64>)) -> Self {
+        Self { id, born }
+    }
+}
+
+impl From<BackendProcess> for (EngineId, Option<u64>) {
+    fn from(process: BackendProcess) -> Self {
+        (process.id, process.born)
+    }
+}
+
 /// What a node knows of the registry's own state, for nodes that do not ask the metadata store themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -233,6 +255,9 @@
     pub runs: RunReport,
     /// What it and they have learned of engines since the last report that was answered.
     pub news: Vec<KeptNews>,
+    /// Back ends of which it has lately heard that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<BackendProcess>,
     /// The log that `cursor` belongs to.
     pub log: u64,
     /// The number of the last news that it has.
@@ -251,6 +276,9 @@
     /// Another node that the reader is to report to from now on.
     #[serde(default)]
     pub refer: Option<Contact>,
+    /// Back ends of which the sender has lately heard that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<BackendProcess>,
     /// The log that `cursor` belongs to.
     pub log: u64,
     /// The number of the last news among these.
