--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -20,6 +20,7 @@
 //! | [`uplink`], [`children`] | whom a node reports to, and whom it takes in |
 //! | [`news`] | news of what engines keep, on its way between nodes |
 //! | [`readers`] | which feeds of kept parts a node follows |
+//! | [`refusals`] | whether a request that was refused is sent on, and when its caller comes back |
 //! | [`registry`] | whether an entry that has vanished says that its back end is gone |
 //! | [`replacement`] | which of several back ends has an address |
 //! | [`change_log`] | what another node must be told of the store |
@@ -50,6 +51,7 @@
 pub mod prompt;
 pub mod ranks;
 pub mod readers;
+pub mod refusals;
 pub mod registry;
 pub mod replacement;
 pub mod rollout;
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -9,7 +9,7 @@
     backends::BackendId,
     choice::Choice,
 };
-use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
+use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId};
 
 use crate::{
     journal::Event,
@@ -18,8 +18,8 @@
     ports::{AnswerHead, AskedRest},
 };
 
-/// How much later than the first back end's rest ends callers are told to come back at most, as a share of that rest: all that
-/// were refused in it would come in one moment.
+/// How much later than they may callers are told to come back at most, as a share of that time: all that were refused in one
+/// rest of the back ends would come in one moment.
 const SPREAD: f64 = 0.25;
 
 /// How it was heard that a process leaves.
@@ -41,6 +41,11 @@
     }
 }
 
+/// When one of many callers that may come back after `least` is told to.
+pub(crate) fn spread(least: Duration) -> Duration {
+    least.mul_f64(1.0 + SPREAD * rand::random::<f64>())
+}
+
 impl Node {
     /// The process of a back end that something is being sent to. What its answer announces holds for that one.
     pub(crate) fn process_of(&self, id: &BackendId) -> BackendProcess {
@@ -118,11 +123,6 @@
         known.is_some_and(|backend| beliefs.takes_requests(backend, self.now()))
     }
 
-    /// When a caller may come back where all that could serve it rest until `first` at least.
-    pub(crate) fn after_rest(&self, first: Timestamp) -> Duration {
-        first.saturating_since(self.now()).mul_f64(1.0 + SPREAD * rand::random::<f64>())
-    }
-
     /// Forgets what no longer holds, and tells whose rest is over.
     pub(crate) fn sweep_announcements(&self) {
         let rested = self.beliefs.borrow_mut().backends.announcements.expire(self.now());
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -9,6 +9,7 @@
         change_log::ChangeLog,
         choice::{Chooser, Store},
         freshness::Freshness,
+        refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
         table::{RouteTable, ShareWheel},
     },
@@ -64,6 +65,8 @@
     pub(crate) held: BTreeMap<RequestFingerprint, HeldRequest>,
     pub(crate) wheel: ShareWheel,
     pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
+    /// Whether services refuse everything.
+    pub(crate) refusals: BTreeMap<ServiceId, Refusals>,
     /// Repeats that may reach wrong addresses.
     strays: Option<WindowBudget>,
     /// When the process started, where others may have run in its place before.
@@ -153,6 +156,7 @@
             held: BTreeMap::new(),
             wheel: ShareWheel::default(),
             budgets: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             strays: None,
             started_again_at: None,
             refused_until: BTreeMap::new(),
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::{
     account::{ANSWERED, Account, HELD_BACK, REFUSED},
     admission::{Admitted, admit},
+    announced::spread,
     answers::{AnswerBody, Reason, Refusal, own_answer},
     attempts::{self, Begun, Ended, Run, strip_connection_headers, take_whole},
     dispatch::Resume,
@@ -187,9 +188,15 @@
         }
         match beliefs.least_rest(&self.service, model, now) {
             Some(until) => {
-                Refusal { reason: Reason::BackendsRest, come_back: Some(self.node.after_rest(until)) }
+                Refusal { reason: Reason::BackendsRest, come_back: Some(spread(until.saturating_since(now))) }
             }
-            None => otherwise.into(),
+            None => match beliefs.refusals.get(&self.service) {
+                Some(refusals) if otherwise == Reason::NotTaken => {
+                    let come_back = Some(spread(refusals.come_back(now)));
+                    Refusal { reason: otherwise, come_back }
+                }
+                _ => otherwise.into(),
+            },
         }
     }
 
@@ -212,6 +219,7 @@
         let run = if resume.continues.is_some() { Run::Continued } else { Run::New };
         let result = attempts::send(&node, choice, self.head.id.as_deref(), request, run, patience).await;
         let end = result.as_ref().err().map(|ended| ended.end);
+        self.node.note_taken(&self.service, end);
         if self.spent.sent > 0 && end != Some(AttemptEnd::NotSent) {
             self.node.settle_stray(self.stray.take(), end);
         }
--- a/crates/forward/src/repeats.rs
+++ b/crates/forward/src/repeats.rs
@@ -33,6 +33,26 @@
         self.beliefs.borrow_mut().budget(service, &settings, nodes).request(self.now());
     }
 
+    /// A try of a request for a service has ended so; `end` is none where its answer has begun.
+    pub fn note_taken(&self, service: &ServiceId, end: Option<AttemptEnd>) {
+        let now = self.now();
+        let mut beliefs = self.beliefs.borrow_mut();
+        let refusals = beliefs.refusals.entry(service.clone()).or_default();
+        match end {
+            Some(AttemptEnd::NotRun) => refusals.refused(now),
+            None | Some(AttemptEnd::FailedAnswer) => refusals.taken(),
+            Some(
+                AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::Unclear | AttemptEnd::Copied,
+            ) => {}
+        }
+    }
+
+    /// Whether all back ends of a service lately refuse.
+    pub fn is_refused_by_all(&self, service: &ServiceId) -> bool {
+        let beliefs = self.beliefs.borrow();
+        beliefs.refusals.get(service).is_some_and(|refusals| refusals.by_all(self.now()))
+    }
+
     /// Draws on the repeats that may reach a wrong address; when that was, for giving it back.
     pub fn draw_stray(&self) -> Option<Timestamp> {
         let settings = self.settings();
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -41,6 +41,10 @@
         let (node, service) = (Rc::clone(&self.node), self.service.clone());
         let mut stray = None;
         let budget = || {
+            // The others refuse as well: the caller is told so at once.
+            if ended.end == AttemptEnd::NotRun && node.is_refused_by_all(&service) {
+                return false;
+            }
             if ended.end == AttemptEnd::Misdirected {
                 stray = node.draw_stray();
                 if stray.is_none() {
