Reports and feeds say it as well; a soak of back ends that leave and rest

Cause: the same words stand in an engine's report (its state) and in what its own interfaces refuse, and were not heard there. Change: a report that says so is heard as an answer is; orders go to no engine that leaves or rests; a feed that names a time is left alone for it. The soak has a third play: back ends leave (said in answers, half of them in entries too, some with an older entry written again), ask for rest in seconds, fractions and values that mean nothing, one or all, beside outages of the store, starts, stops and stand-stills; it judges both statements from what back ends and callers saw, by process and node.

--- a/crates/cli/tests/forward/announced.rs
+++ b/crates/cli/tests/forward/announced.rs
@@ -193,6 +193,24 @@
     assert!(arrivals_after(runner, before).is_empty(), "it stops as well");
 }
 
+#[tokio::test]
+async fn an_engine_whose_report_says_that_it_leaves_is_loaded_with_nothing_and_gets_no_work() {
+    // No request reaches it: the leader hears it in place of an order's answer.
+    let place = place().await;
+    let router = Router::start(&place).await;
+    router.until("leading", async || gauge(&router, "paddlemount_forward_leads").await == Some(1.0)).await;
+    let engine = &place.engines[0];
+    engine.leave();
+    place.name_version(2);
+    router.until("heard", async || router.told("backend_leaving")).await;
+    let others = async || place.engines[1..].iter().all(|engine| engine.version() == 2);
+    router.until("loaded elsewhere", others).await;
+    assert_eq!(lines_of(&router, "backend_leaving").remove(0)["backend"], engine.id().as_str());
+    let before = Instant::now();
+    assert!(all_ok(&ask_for(&router, "/claim/1", WATCHED).await));
+    assert!(arrivals_after(engine, before).is_empty());
+}
+
 /// Requests that reached a runner in the rest that it asked for at `told`, less those that may have been on their way.
 fn arrivals_in_rest(runner: &Runner, told: Instant) -> Vec<Duration> {
     let arrivals = arrivals_after(runner, told);
--- a/crates/cli/tests/forward/soak/callers.rs
+++ b/crates/cli/tests/forward/soak/callers.rs
@@ -82,7 +82,7 @@
             let id = format!("{caller}-{}-{:x}", sent.len(), random.next_u64());
             let body = match play {
                 Play::AllFaults => ORDINARY.to_owned(),
-                Play::Namings => own_body(&id),
+                Play::Namings | Play::Announcements => own_body(&id),
             };
             sent.extend(self.send(node, path, id, key, body).await);
             tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
--- a/crates/cli/tests/forward/soak/check.rs
+++ b/crates/cli/tests/forward/soak/check.rs
@@ -10,6 +10,7 @@
 
 use super::{
     ORDINARY, POISON, REMOVED_KEY, Soak,
+    announced::{self, Unheeded},
     callers::{Sent, Service, own_body},
     locked,
     retries::{Arrival, Budget, Window, fullest_window},
@@ -17,7 +18,7 @@
 };
 use crate::{
     delivery::WHOLE_STREAM,
-    router::{RETRIES_PER_CENT, RETRY_SLACK, RETRY_WINDOW, WEIGHTS_BOUND},
+    router::{DRAIN_TIMEOUT, Got, RETRIES_PER_CENT, RETRY_SLACK, RETRY_WINDOW, WEIGHTS_BOUND},
 };
 
 /// The bound after which a removed key runs nothing, with the time that a request needs to its node.
@@ -58,11 +59,32 @@
         }
         let late = self.on_older_weights(sent, WEIGHTS_BOUND + ON_ITS_WAY);
         wrong.extend(late.iter().map(|late| self.describe_late(late)));
+        wrong.extend(self.unheeded(sent).iter().map(|unheeded| format!("{unheeded:?}")));
         let over = self.fullest_windows().into_iter().filter(|(_, window)| window.is_over());
         wrong.extend(over.map(|(service, window)| self.describe_window(service, &window)));
         wrong
     }
 
+    /// Statements of back ends that nodes have not heeded.
+    fn unheeded(&self, sent: &[Sent]) -> Vec<Unheeded> {
+        let by_id: BTreeMap<&str, &Sent> = sent.iter().map(|one| (one.id.as_str(), one)).collect();
+        let disturbances = locked(&self.disturbances);
+        let runners = self.place.engines.iter().chain(&self.place.bookings);
+        let seen_by: Vec<Vec<Seen>> = runners.map(Runner::seen).collect();
+        let of_runner = |seen: &Vec<Seen>| {
+            let arrivals: Vec<announced::Arrival> = seen
+                .iter()
+                .filter_map(|seen| {
+                    let sent = by_id.get(seen.id.as_str())?;
+                    let passed_on = seen.ran && sent.got.as_ref().is_some_and(|got| got.is_answer_of(seen));
+                    Some(announced::Arrival { seen, node: sent.node, sent_at: sent.at, passed_on })
+                })
+                .collect();
+            announced::unheeded(&arrivals, &disturbances, DRAIN_TIMEOUT)
+        };
+        seen_by.iter().flat_map(of_runner).collect()
+    }
+
     /// What came nearest to the bounds of weights and retries.
     pub(super) fn nearest(&self, sent: &[Sent]) -> String {
         let older = self.on_older_weights(sent, Duration::ZERO);
@@ -151,6 +173,15 @@
     }
 }
 
+impl Got {
+    /// Whether it is the whole answer of the back end that a request was meant for.
+    fn is_answer_of(&self, seen: &Seen) -> bool {
+        let signature = self.headers.get(Place::SIGNATURE).and_then(|value| value.to_str().ok());
+        let signed = signature.is_some_and(|signature| signature.ends_with(&format!("-{}", seen.meant_for)));
+        self.whole && self.status == StatusCode::OK && signed
+    }
+}
+
 fn wrong_at_back_end(seen: &Seen) -> Option<String> {
     let bodies = [ORDINARY.to_owned(), POISON.to_owned(), own_body(&seen.id)];
     let known_body = bodies.iter().any(|body| seen.body == body.as_bytes());
--- a/crates/cli/tests/forward/soak/disturbance.rs
+++ b/crates/cli/tests/forward/soak/disturbance.rs
@@ -39,6 +39,12 @@
         self.cause == Cause::Node(node) && self.concerns_any(at)
     }
 
+    /// Whether, between two moments, it ended, started or stopped this node's process, or touched any link.
+    pub fn parts_node(&self, node: usize, from: Instant, to: Instant) -> bool {
+        let parts = matches!(self.cause, Cause::Link) || self.cause == Cause::Node(node);
+        parts && self.from < to && self.to > from
+    }
+
     /// Since when, looked at from `at`, it has left store and links alone; nothing where it is later or never disturbed them.
     pub fn place_undisturbed_since(&self, at: Instant) -> Option<Instant> {
         let disturbs_place = matches!(self.cause, Cause::Store | Cause::Link);
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -1,16 +1,19 @@
 //! Randomized faults from outside over real processes; the promises are checked from what callers and back ends see.
 //!
 //! Faults come in several series at once, so that signals, restarts, cuts, crashes and changes overlap. Callers keep their
-//! connections to a process until it is gone. There are two plays: faults of all kinds, where one caller sends a request
-//! that crashes whatever runs it; and namings of weights beside crashes, starts and stand-stills, while store and links work.
+//! connections to a process until it is gone. There are three plays: faults of all kinds, where one caller sends a request
+//! that crashes whatever runs it; namings of weights beside crashes, starts and stand-stills, while store and links work; and back
+//! ends that leave or ask for rest beside outages of the store and starts of nodes.
 //!
 //! CI plays the seeds below for some seconds each. Longer, with a fresh seed, more nodes:
 //! `PADDLEMOUNT_SOAK_SECONDS=60 PADDLEMOUNT_SOAK_SEED=77 PADDLEMOUNT_SOAK_NODES=12 cargo test -p paddlemount-cli --test forward soak -- --nocapture`
 
+mod announced;
 mod callers;
 mod check;
 mod disturbance;
 mod faults;
+mod leaving;
 mod namings;
 mod retries;
 mod weights;
@@ -62,6 +65,9 @@
 /// Seeds of namings that are played each time.
 const NAMING_SEEDS: [u64; 2] = [1, 2];
 
+/// Seeds of back ends that leave and rest that are played each time.
+const ANNOUNCEMENT_SEEDS: [u64; 2] = [1, 2];
+
 /// What a soak plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Play {
@@ -69,12 +75,14 @@
     AllFaults,
     /// Namings of weights beside crashes, starts and stand-stills.
     Namings,
+    /// Back ends that leave or ask for rest, beside outages of the store and starts of nodes.
+    Announcements,
 }
 
 impl Play {
     const fn seconds_in_ci(self) -> u64 {
         match self {
-            Self::AllFaults => SECONDS_IN_CI,
+            Self::AllFaults | Self::Announcements => SECONDS_IN_CI,
             Self::Namings => NAMING_SECONDS_IN_CI,
         }
     }
@@ -84,7 +92,7 @@
         match self {
             Self::AllFaults => 5,
             // In some plays all engines are away, and bookings refuse everything, most of the time.
-            Self::Namings => 50,
+            Self::Namings | Self::Announcements => 50,
         }
     }
 }
@@ -222,7 +230,7 @@
                 sent.push(poison);
                 sent
             }
-            Play::Namings => {
+            Play::Namings | Play::Announcements => {
                 let holding =
                     (0..HOLDING_CALLERS).map(|caller| self.call_on_one_connection(caller, seed, until));
                 let (mut sent, held) = tokio::join!(callers, futures_util::future::join_all(holding));
@@ -238,6 +246,7 @@
         let series = (0..SERIES).map(async |series| match play {
             Play::AllFaults => self.faults(seed, series).await,
             Play::Namings => self.faults_beside_namings(seed, series).await,
+            Play::Announcements => self.faults_beside_announcements(seed, series).await,
         });
         futures_util::future::join_all(series).await;
     }
@@ -313,3 +322,8 @@
 async fn weights_and_retries_keep_their_bounds_beside_crashes_and_starts() {
     play_seeds(Play::Namings, &NAMING_SEEDS).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_back_ends_say_of_themselves_is_heeded_beside_outages_and_starts() {
+    play_seeds(Play::Announcements, &ANNOUNCEMENT_SEEDS).await;
+}
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -88,6 +88,8 @@
     pub sequence: u64,
     /// The versions of its models.
     pub weights: BTreeMap<ModelId, WeightsVersion>,
+    /// Whether it is about to end.
+    pub leaving: bool,
 }
 
 /// What to do with a back end after its report.
--- a/crates/core/tests/forwarding_rollout.rs
+++ b/crates/core/tests/forwarding_rollout.rs
@@ -187,6 +187,7 @@
         requests,
         sequence,
         weights: BTreeMap::from([(model(), WeightsVersion(version))]),
+        leaving: false,
     };
     let step = |report: EngineReport, drained| after_report(&target, &report, Duration::from_millis(drained));
     assert_eq!(step(report(false, 0, 1, 2), 0), Step::Done);
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Response;
 use paddlemount_core::forwarding::{
-    announcements::{Departure, Rest},
+    announcements::{Departure, LONGEST_REST, Rest},
     backends::BackendId,
     choice::Choice,
 };
@@ -52,11 +52,22 @@
         self.beliefs.borrow().backends.process_of(id)
     }
 
-    /// Takes in what an answer of one of a back end's own interfaces announces. Where that refuses, it concerns the interface and
-    /// no requests.
-    pub(crate) fn hear_call(&self, asked: &BackendProcess, answer: &Response<Bytes>) {
+    /// Takes in what an answer of one of a back end's own interfaces announces, whose body may say as well that it leaves. Where
+    /// the interface refuses, that concerns no requests; for how long it wants to be left alone, if it says so.
+    pub(crate) fn hear_call(
+        &self,
+        asked: &BackendProcess,
+        answer: &Response<Bytes>,
+        body_says_leaving: bool,
+    ) -> Option<Duration> {
         let says = self.platform.read_answer(answer.status(), answer.headers());
-        self.hear(asked, &AnswerHead { rest: None, ..says });
+        let leaving = says.leaving || body_says_leaving;
+        let rest = match says.rest {
+            Some(AskedRest::For(time)) => Some(time.min(LONGEST_REST)),
+            Some(AskedRest::Unreadable(_)) | None => None,
+        };
+        self.hear(asked, &AnswerHead { leaving, rest: None, ..says });
+        rest
     }
 
     /// Takes in what an answer of `asked` announces, whatever else it says. Another process that answers in its place speaks
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -140,9 +140,10 @@
     async fn turn(&mut self) -> Duration {
         let request = self.node.platform.feed_request(self.next, WAIT);
         let asked = self.node.process_of(&self.backend);
+        let mut wanted_pause = None;
         let answer = match self.calls.call(request, WAIT + PATIENCE).await {
             Ok(answer) => {
-                self.node.hear_call(&asked, &answer);
+                wanted_pause = self.node.hear_call(&asked, &answer, false);
                 self.node.platform.feed_answer(&answer).map_err(|error| error.to_string())
             }
             Err(error) => Err(error.to_string()),
@@ -151,11 +152,12 @@
             Ok(FeedAnswer::Page(page)) => self.take(page).await,
             Ok(FeedAnswer::Crowded) => {
                 self.note(false, "too many read it already".into());
-                CROWDED_PAUSE.mul_f64(0.5 + rand::random::<f64>())
+                let usual = || CROWDED_PAUSE.mul_f64(0.5 + rand::random::<f64>());
+                wanted_pause.map_or_else(usual, |wanted| wanted.max(PAUSE))
             }
             Err(problem) => {
                 self.note(false, problem);
-                PAUSE
+                wanted_pause.map_or(PAUSE, |wanted| wanted.max(PAUSE))
             }
         }
     }
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -144,8 +144,9 @@
 async fn report(node: &Node, engine: &Caller, id: &BackendId) -> Option<EngineReport> {
     let asked = node.process_of(id);
     let answer = engine.call(node.platform.report_request(), PATIENCE).await.ok()?;
-    node.hear_call(&asked, &answer);
-    node.platform.report_answer(&answer).ok()
+    let report = node.platform.report_answer(&answer).ok();
+    node.hear_call(&asked, &answer, report.as_ref().is_some_and(|report| report.leaving));
+    report
 }
 
 async fn order(
@@ -170,7 +171,7 @@
     let asked = node.process_of(&target.backend);
     let answer = engine.call(node.platform.order_request(&order), PATIENCE).await;
     let answer = answer.ok().map(|answer| {
-        node.hear_call(&asked, &answer);
+        node.hear_call(&asked, &answer, false);
         node.platform.order_answer(&answer)
     });
     let outcome = match answer {
