Failing: nodes of a killed test live on; the demo's processes have ports that anybody may be given

Ports of the demo's nodes and engines come from the range from which each outgoing connection gets its own. Conclusion: both are faults of the tests' own processes, and the second one of the demo's.

--- a/crates/bench/src/demo/cluster.rs
+++ b/crates/bench/src/demo/cluster.rs
@@ -162,6 +162,11 @@
         lock(&self.nodes).iter().map(|node| node.settings.listen.admin).collect()
     }
 
+    /// Where engines listen.
+    pub fn engine_addresses(&self) -> Vec<SocketAddr> {
+        lock(&self.engines).iter().map(|engine| engine.settings.listen).collect()
+    }
+
     /// Addresses and keys, for a person.
     pub fn introduction(&self) -> String {
         let mut text = format!(
@@ -180,10 +185,8 @@
 
     /// The engine with the most requests in its batch, by its own account.
     pub async fn busiest_engine(&self, caller: &Caller) -> usize {
-        let addresses: Vec<SocketAddr> =
-            lock(&self.engines).iter().map(|engine| engine.settings.listen).collect();
         let mut busiest = (0, 0);
-        for (number, address) in addresses.into_iter().enumerate() {
+        for (number, address) in self.engine_addresses().into_iter().enumerate() {
             let running = caller.running_at(address).await;
             if running > busiest.1 {
                 busiest = (number, running);
--- a/crates/bench/tests/demo.rs
+++ b/crates/bench/tests/demo.rs
@@ -31,6 +31,26 @@
     assert!(summary.prefix_hit_rate > 0.0 && summary.ttft_ms.p50 > 0.0);
 }
 
+/// Ports from which the system gives any free one to whoever asks, and to each outgoing connection.
+fn given_ports() -> std::ops::RangeInclusive<u16> {
+    let text =
+        std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").expect("the range can be read");
+    let ports: Vec<u16> = text.split_whitespace().map(|port| port.parse().expect("a port")).collect();
+    ports[0]..=ports[1]
+}
+
+/// A node's port was found free, and taken by somebody else before the node listened: "peers, 127.0.0.1:46501, Address already
+/// in use". The same may happen to whatever ends and starts again at its address.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_starts_again_at_its_address_has_one_that_nobody_else_is_given() {
+    let cluster = Cluster::start().await.expect("the cluster starts");
+    let addresses = cluster.caller_addresses().into_iter().chain(cluster.admin_addresses());
+    let addresses: Vec<_> = addresses.chain(cluster.engine_addresses()).collect();
+    cluster.stop().await;
+    let given: Vec<_> = addresses.iter().filter(|address| given_ports().contains(&address.port())).collect();
+    assert!(given.is_empty(), "{given:?} of {addresses:?}");
+}
+
 fn entry(key: &str) -> LedgerEntry {
     LedgerEntry {
         at: Timestamp::ZERO,
--- a/crates/cli/tests/forward/ending.rs
+++ b/crates/cli/tests/forward/ending.rs
@@ -1,5 +1,7 @@
 //! Planned stops, losses of all nodes, and connections that end by themselves.
 
+use std::time::{Duration, Instant};
+
 use http::StatusCode;
 use paddlemount_platform_standin::{Behaviour, Place, place::KEY};
 
@@ -81,3 +83,33 @@
     let closed = async || !caller.is_open();
     router.until("closed", closed).await;
 }
+
+/// Whether a process runs; one that has ended and that nobody has asked for does not.
+fn runs(process: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process}/stat"));
+    status.is_ok_and(|status| !status.rsplit(')').next().is_some_and(|rest| rest.trim().starts_with('Z')))
+}
+
+/// Nodes of a test that was killed lived on, and called the address of its store 13 times a second. When the address went to a
+/// back end of another test, that one got 84 calls that no caller had sent, among them {"ttlMs":3000}, the body by which a node
+/// asks the store for a lease.
+#[test]
+fn a_node_ends_with_the_test_that_started_it_also_where_nobody_stops_it() {
+    let test = std::thread::spawn(|| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        runtime.block_on(async {
+            let place = Place::start().await.expect("a place starts");
+            let router = Router::start_unready(&place).await;
+            let process = router.process();
+            assert!(runs(process));
+            std::mem::forget(router);
+            process
+        })
+    });
+    let process = test.join().expect("a node starts");
+    let ended_at = Instant::now();
+    while runs(process) {
+        assert!(ended_at.elapsed() < Duration::from_secs(5), "process {process} lives on");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -8,6 +8,8 @@
 mod fleet;
 mod planned_soak;
 mod poison;
+#[path = "../support/program.rs"]
+mod program;
 mod quota;
 mod raw_caller;
 mod router;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -22,6 +22,8 @@
 };
 use serde_json::Value;
 
+use crate::program::program;
+
 /// How long anything that is waited for may take.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -138,7 +140,7 @@
         let file = format!("paddlemount-forward-{}-{}.toml", std::process::id(), rand_name());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a settings file can be written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_paddlemount"))
+        let mut child = program()
             .args(["forward", "--settings"])
             .arg(&path)
             .stdout(Stdio::piped())
@@ -271,6 +273,11 @@
         self.child.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The process's identity on this machine.
+    pub fn process(&self) -> u32 {
+        self.child().id()
+    }
+
     /// Whether the process has ended.
     pub fn is_gone(&self) -> bool {
         self.child().try_wait().expect("a child can be waited for").is_some()
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod expectations;
 
+pub mod program;
+
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
@@ -63,7 +65,7 @@
     /// Starts a command and waits for its ready line.
     pub fn start(command: &[&str], settings: &str) -> Self {
         let file = SettingsFile::new(settings);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_paddlemount"))
+        let mut child = program::program()
             .args(command)
             .arg("--settings")
             .arg(&file.0)
