Nodes of tests end with their test; what starts again at its address has a port that nobody is given

Cause: as in the failing tests before: a killed test process left its nodes behind, and the demo reserved ports that any outgoing connection may be given before its processes listen again.

--- a/crates/bench/src/demo/cluster.rs
+++ b/crates/bench/src/demo/cluster.rs
@@ -28,7 +28,8 @@
 
 use self::settings::{
     BOOKING_RUNNERS, ENGINES, NodeAddresses, PlatformAddresses, ZONES, booking_machine, booking_name,
-    configuration_store, engine_machine, engine_settings, node_machine, node_name, node_settings,
+    configuration_store, engine_machine, engine_settings, free_address, node_machine, node_name,
+    node_settings,
 };
 pub use self::settings::{MODEL, OPERATOR, OPERATOR_KEY, TENANTS, WEIGHTS, caller_key};
 use super::caller::Caller;
@@ -272,6 +273,7 @@
     let mut engines = Vec::new();
     for number in 0..ENGINES {
         let mut settings = engine_settings(number, weight_store);
+        settings.listen = free_address()?;
         let running = start_standin(StandinSettings::Engine(settings.clone())).await?;
         settings.listen = running.address();
         engines.push(EngineProcess { settings, running: Some(running) });
--- a/crates/bench/src/demo/cluster/settings.rs
+++ b/crates/bench/src/demo/cluster/settings.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener},
+    ops::Range,
 };
 
 use paddlemount_node::settings::NodeSettings;
@@ -144,16 +145,29 @@
 }
 
 impl NodeAddresses {
-    /// Ports that are free now.
+    /// Ports that are free, and stay so.
     pub(super) fn reserve() -> Result<Self, io::Error> {
-        let listeners = [free_port()?, free_port()?, free_port()?];
-        let [callers, peers, admin] = listeners.each_ref().map(TcpListener::local_addr);
-        Ok(Self { callers: callers?, peers: peers?, admin: admin? })
+        Ok(Self { callers: free_address()?, peers: free_address()?, admin: free_address()? })
     }
 }
 
-fn free_port() -> Result<TcpListener, io::Error> {
-    TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+/// Ports below those that the system gives to outgoing connections and to whoever asks for any. What starts again at its address
+/// finds it taken otherwise: "Address already in use".
+const KEPT_PORTS: Range<u16> = 20_000..32_000;
+/// Ports that are tried for one address.
+const MOST_TRIED: usize = 100;
+
+/// An address on loopback that is free now, and that nobody is given who does not ask for it.
+pub(super) fn free_address() -> Result<SocketAddr, io::Error> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..MOST_TRIED {
+        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(KEPT_PORTS)));
+        match TcpListener::bind(address) {
+            Ok(_free) => return Ok(address),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
 }
 
 /// Where the platform's services listen.
--- a/crates/cli/tests/support/program.rs
+++ b/crates/cli/tests/support/program.rs
@@ -4,5 +4,9 @@
 
 /// The program, with nothing asked of it yet. It ends with the thread that starts it, also where the whole test is killed.
 pub fn program() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_paddlemount"))
+    // It takes the place of this helper, and gets the signal when its parent thread ends. Without that the nodes of a test that
+    // was killed live on, and call addresses that belong to others by then.
+    let mut command = Command::new("setpriv");
+    command.args(["--pdeathsig", "KILL", "--", env!("CARGO_BIN_EXE_paddlemount")]);
+    command
 }
