--- a/crates/cli/tests/forward/poison.rs
+++ b/crates/cli/tests/forward/poison.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use paddlemount_platform_standin::{Place, Runner, place::KEY, store::Trouble};
+use paddlemount_platform_standin::{Behaviour, Place, Runner, place::KEY, store::Trouble};
 
 use crate::{
     fleet::fleet,
@@ -244,3 +244,32 @@
         serves(router, "/chat/1").await;
     }
 }
+
+/// Back ends that leave end under what still runs there. Where three in turn did, which had said so, an ordinary request was taken
+/// for the cause, and held back for 600 s.
+#[tokio::test]
+async fn a_request_under_which_back_ends_end_as_they_had_said_is_not_held_back() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    let router = Router::start(&place).await;
+    for round in 0..CRASHES {
+        whole_again(&place).await;
+        serves(&router, "/chat/1").await;
+        for engine in &place.engines {
+            engine.leave();
+            engine.script(&[Behaviour::Long]);
+        }
+        let id = format!("long-{round}");
+        let ends = async {
+            router.until("running", async || place.engines.iter().any(|engine| engine.runs(&id) == 1)).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            place.engines.iter().for_each(Runner::crash);
+        };
+        let (got, ()) = tokio::join!(router.send_body("/chat/1", &id, KEY, "takes long"), ends);
+        assert!(got.is_none_or(|got| !got.whole), "its engine has ended under it");
+    }
+    whole_again(&place).await;
+    serves(&router, "/chat/1").await;
+    let last = router.send_body("/chat/1", "last", KEY, "takes long").await.expect("an answer");
+    assert_eq!(last.status, StatusCode::OK, "{}", last.body);
+}
