Failing: a store that comes back from an older copy

Cause, as read: a revision counts as later where it is higher, and a fencing token is the revision of the leader's key. Tests: a configuration after it, revisions given out again, tokens, a revoked key, a held request, nodes that are told by others.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -12,6 +12,7 @@
 mod program;
 mod quota;
 mod raw_caller;
+mod restored;
 mod router;
 mod soak;
 mod unanswered;
--- /dev/null
+++ b/crates/cli/tests/forward/restored.rs
@@ -0,0 +1,170 @@
+//! The store comes back from a copy that is some seconds old.
+//!
+//! Revisions were taken for something that only rises. After the store had come back, a node that knew revision 25 passed over
+//! a listing of revision 21 as older, and watched from 25 on: a configuration that was acknowledged at 23 was never in force
+//! there. A leader's fencing token is the revision of its key: the next one was lower, and engines refused all orders under it.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Place, Runner, place::KEY, store::Trouble};
+
+use crate::router::{Router, gauge};
+
+/// A key that the operator takes away.
+const REMOVED_KEY: &str = "key-that-goes";
+/// The body of a request that crashes whatever runs it.
+const POISON: &str = "crashes whatever runs it";
+/// A key that is added late.
+const LATE_KEY: &str = "key-that-comes";
+/// How long the store is away in a drill.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// Revisions that the copy lacks, more than the nodes' own writes make good for within a test.
+const MANY: u32 = 500;
+/// How long a node may take to hear of a change.
+const HEARD: Duration = Duration::from_millis(1_500);
+
+async fn place() -> Place {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY]);
+    place
+}
+
+async fn status(router: &Router, key: &str) -> Option<StatusCode> {
+    let id = format!("e-{}", rand::random::<u64>());
+    Some(router.send_with_key("/hold/1", &id, key).await?.status)
+}
+
+async fn until_served(router: &Router, key: &str) {
+    router.until("serving", async || status(router, key).await == Some(StatusCode::OK)).await;
+}
+
+async fn until_leading(router: &Router) {
+    router.until("leading", async || gauge(router, "paddlemount_forward_leads").await == Some(1.0)).await;
+}
+
+/// Revisions pass that nobody needs.
+fn pass_revisions(place: &Place, count: u32) {
+    for slots in 0..count {
+        place.change_slots(&place.bookings[0], 10 + slots % 2);
+    }
+}
+
+#[tokio::test]
+async fn a_configuration_that_is_written_after_the_stores_return_is_in_force() {
+    let place = place().await;
+    let router = Router::start(&place).await;
+    until_served(&router, KEY).await;
+    let copy = place.store.copy();
+    pass_revisions(&place, MANY);
+    tokio::time::sleep(HEARD).await;
+    let written = place.store.restore(&copy);
+    place.store.write_again(&written);
+    place.configure(2, &[KEY, LATE_KEY]);
+    until_served(&router, LATE_KEY).await;
+    router.until("told", async || router.told("store_restored")).await;
+}
+
+#[tokio::test]
+async fn revisions_that_were_given_out_again_are_no_continuation() {
+    // By the next watch the store is past the revision that the node knows, by other changes.
+    let place = place().await;
+    let router = Router::start(&place).await;
+    until_served(&router, KEY).await;
+    let copy = place.store.copy();
+    pass_revisions(&place, MANY);
+    tokio::time::sleep(HEARD).await;
+    place.store.set_trouble(Trouble::Refuses);
+    tokio::time::sleep(AWAY).await;
+    let written = place.store.restore(&copy);
+    place.store.write_again(&written);
+    place.configure(2, &[KEY, LATE_KEY]);
+    pass_revisions(&place, MANY * 2);
+    place.store.set_trouble(Trouble::None);
+    until_served(&router, LATE_KEY).await;
+}
+
+#[tokio::test]
+async fn a_leader_gives_orders_under_tokens_that_rise_over_restores() {
+    let place = place().await;
+    let copy = place.store.copy();
+    let router = Router::start(&place).await;
+    until_leading(&router).await;
+    pass_revisions(&place, MANY);
+    place.name_version(2);
+    let loaded = |version| place.engines.iter().all(|engine| engine.version() == version);
+    router.until("loaded", async || loaded(2)).await;
+    for version in 3..5 {
+        let written = place.store.restore(&copy);
+        place.store.write_again(&written);
+        place.name_version(version);
+        router.until("loaded again", async || loaded(version)).await;
+    }
+    assert!(!router.lines().iter().any(|line| line.contains("\"fenced\"")), "no order is refused as older");
+}
+
+#[tokio::test]
+async fn a_key_that_was_taken_away_stays_away_while_the_copy_has_it() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY, REMOVED_KEY]);
+    let router = Router::start(&place).await;
+    until_served(&router, REMOVED_KEY).await;
+    let copy = place.store.copy();
+    place.configure(2, &[KEY]);
+    let refused = async || status(&router, REMOVED_KEY).await == Some(StatusCode::UNAUTHORIZED);
+    router.until("refusing the key", refused).await;
+    let written = place.store.restore(&copy);
+    for _ in 0..20 {
+        assert_eq!(status(&router, REMOVED_KEY).await, Some(StatusCode::UNAUTHORIZED));
+        tokio::time::sleep(AWAY / 10).await;
+    }
+    place.store.write_again(&written);
+    until_served(&router, KEY).await;
+    assert_eq!(status(&router, REMOVED_KEY).await, Some(StatusCode::UNAUTHORIZED));
+}
+
+#[tokio::test]
+async fn a_request_that_is_held_back_stays_held_and_is_written_again() {
+    let place = place().await;
+    let router = Router::start(&place).await;
+    until_leading(&router).await;
+    until_served(&router, KEY).await;
+    let copy = place.store.copy();
+    place.engines.iter().for_each(|engine| engine.crash_on(POISON.as_bytes()));
+    let held = async || {
+        router.until("whole", async || place.is_whole()).await;
+        let id = format!("poison-{}", rand::random::<u64>());
+        let got = router.send_body("/chat/1", &id, KEY, POISON).await;
+        got.is_some_and(|got| got.body.contains("held_back"))
+    };
+    router.until("held back", held).await;
+    router.until("written", async || place.holds_a_request()).await;
+    let runs =
+        || place.engines.iter().flat_map(Runner::seen).filter(|seen| seen.body == POISON.as_bytes()).count();
+    let before = runs();
+    let written = place.store.restore(&copy);
+    place.store.write_again(&written);
+    router.until("written again", async || place.holds_a_request()).await;
+    assert!(held().await, "it is held back all the time");
+    assert_eq!(runs(), before);
+}
+
+#[tokio::test]
+async fn nodes_that_are_told_by_others_hear_what_follows_a_restore() {
+    let place = place().await;
+    let first = Router::start_at(place.store_address, "node-0").await;
+    until_leading(&first).await;
+    let second = Router::start_at(place.store_address, "node-1").await;
+    until_served(&second, KEY).await;
+    second.until("reporting", async || second.told("parent_changed")).await;
+    let copy = place.store.copy();
+    pass_revisions(&place, MANY);
+    tokio::time::sleep(HEARD).await;
+    let written = place.store.restore(&copy);
+    place.store.write_again(&written);
+    place.configure(2, &[KEY, LATE_KEY]);
+    for router in [&first, &second] {
+        until_served(router, LATE_KEY).await;
+    }
+}
