A store that comes back from an older copy: revisions and fencing tokens rise over its eras

Cause: as in the failing tests before: a higher revision counted as later, and a fencing token is the revision of the leader's key. Change: a revision carries the store's era in its upper bits (protocol::era), set and taken off in the adapter; without the header it is the store's own number as before. A watch from another era is lost history, an answer of an earlier era makes no sense, pages of two eras form no listing. A node that hears of a new era (from any answer) doubts entries that are missing, lets whoever leads stand down; the next leader waits for the longest lease of one that has not heard, and writes holds again; holds that only the copy lacks are not released. Line store_restored, metric store_restores_total.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -57,6 +57,9 @@
     /// The store refused; nothing was done.
     #[error("refused with status {0}")]
     Refused(http::StatusCode),
+    /// The answer is older than the copy from which the store has come back.
+    #[error("an answer of before the store's return")]
+    OlderCopy,
     /// An answer of another kind than asked for.
     #[error("an answer of another kind")]
     Unexpected,
@@ -69,6 +72,7 @@
         node.store.call(node.platform.store_request(call), patience).await;
     node.metrics.observe(Distribution::StoreCall, node.now().saturating_since(began));
     let result = answer.map_err(StoreError::from).and_then(|answer| {
+        node.heard_era(node.platform.store_era(&answer));
         match node.platform.store_answer(call, &answer)? {
             StoreAnswer::Refused(status) => Err(StoreError::Refused(status)),
             other => Ok(other),
@@ -77,7 +81,7 @@
     let outcome = match &result {
         Ok(_) => "answered",
         Err(StoreError::Call(_)) => "unclear",
-        Err(StoreError::Misread(_) | StoreError::Unexpected) => "misread",
+        Err(StoreError::Misread(_) | StoreError::Unexpected | StoreError::OlderCopy) => "misread",
         Err(StoreError::Refused(_)) => "refused",
     };
     node.metrics.count(Counter::StoreCalls { purpose: call.purpose(), outcome });
@@ -126,6 +130,13 @@
     after: Option<String>,
 }
 
+impl Listing {
+    /// Whether a page of this revision cannot belong to it: the store has come back from a copy meanwhile.
+    fn is_of_another_era(&self, page: Revision) -> bool {
+        self.revision.is_some_and(|first| first.era() != page.era())
+    }
+}
+
 struct Feed {
     node: Rc<Node>,
     started_at: Timestamp,
@@ -260,6 +271,10 @@
         loop {
             let call = StoreCall::List { after: listing.after.clone() };
             match ask_store(&self.node, &call, PATIENCE).await? {
+                StoreAnswer::Facts { revision, .. } if listing.is_of_another_era(revision) => {
+                    self.listing = None;
+                    return Ok(());
+                }
                 StoreAnswer::Facts { facts, revision, more_after } => {
                     listing.revision.get_or_insert(revision);
                     listing.facts.extend(facts);
@@ -281,21 +296,25 @@
                 return Ok(());
             }
         }
-        if let Some(listing) = self.listing.take() {
-            self.take_listing(listing);
+        match self.listing.take() {
+            Some(listing) => self.take_listing(listing),
+            None => Ok(()),
         }
-        Ok(())
     }
 
-    fn take_listing(&self, listing: Listing) {
+    fn take_listing(&self, listing: Listing) -> Result<(), StoreError> {
         let revision = listing.revision.unwrap_or_default();
         let known = self.node.beliefs.borrow().revision;
+        if known.is_some_and(|known| known.era() > revision.era()) {
+            return Err(StoreError::OlderCopy);
+        }
         // Another node may have passed on more meanwhile.
         if known.is_none_or(|known| known <= revision) {
             let items = listing.facts.len();
             self.node.learn_all(listing.facts, revision, listing.sent_at);
             self.node.journal.tell(&Event::StoreListed { items, revision: revision.0 });
         }
+        Ok(())
     }
 
     /// The least time between two watches, in which changes gather: each answer costs a call.
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -64,6 +64,8 @@
     StoreRegained { after_ms: u64 },
     /// The store forgot changes: all is listed anew.
     StoreListed { items: usize, revision: u64 },
+    /// The store has come back from an older copy: what followed it is gone, and revisions are given out again.
+    StoreRestored { era: u64, before: u64, revision: Option<u64> },
     /// A configuration is in force here.
     ConfigurationApplied { version: u64, before: Option<u64>, routes: usize, revision: u64 },
     /// A configuration is older than the one in force, and is passed over.
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -41,7 +41,16 @@
     let ttl = Duration::from_millis(settings.bounds.lease_ms.max(settings.store.shortest_lease_ms));
     let lease_settings = LeaseSettings { name: LEASE_NAME.into(), holder: settings.node.clone(), ttl };
     let holder = LeaseHolder::new(lease_settings, node.now());
-    let mut leadership = Leadership { node, holder, ttl, lease: None, free_since: None, deserted_at: None };
+    let mut leadership = Leadership {
+        node,
+        holder,
+        ttl,
+        lease: None,
+        free_since: None,
+        deserted_at: None,
+        restored_at: None,
+        led_at_restore: false,
+    };
     while !leadership.node.is_stopping() {
         leadership.turn().await;
         // What can be done next is looked for at once where something has ended.
@@ -58,11 +67,19 @@
     free_since: Option<Timestamp>,
     /// When this node last led and heard nobody.
     deserted_at: Option<Timestamp>,
+    /// The last return of the store from a copy that has been acted on.
+    restored_at: Option<Timestamp>,
+    /// Whether this node led then.
+    led_at_restore: bool,
 }
 
 impl Leadership {
     async fn turn(&mut self) {
         let now = self.node.now();
+        if self.restored_at != self.node.restored_at.get() {
+            self.stand_down_for_restore(now).await;
+            return;
+        }
         if self.holder.token(now).is_none() && !self.may_ask(now) {
             self.publish(now);
             return;
@@ -94,9 +111,21 @@
     /// Gives the lease up to nodes that the others can reach.
     async fn give_way(&mut self, now: Timestamp) {
         self.deserted_at = Some(now);
+        self.stand_down("no other node reports here", now).await;
+    }
+
+    /// The store has come back from a copy: whether that holds this node's lease is not known, and another may be given it.
+    async fn stand_down_for_restore(&mut self, now: Timestamp) {
+        self.restored_at = self.node.restored_at.get();
+        self.led_at_restore = self.holder.token(now).is_some();
+        if self.led_at_restore {
+            self.stand_down("the store came back from a copy", now).await;
+        }
+    }
+
+    async fn stand_down(&mut self, why: &'static str, now: Timestamp) {
         if let Some((token, _)) = self.node.leading.take() {
-            let event = Event::LeadershipLost { token: token.0, why: "no other node reports here" };
-            self.node.journal.tell(&event);
+            self.node.journal.tell(&Event::LeadershipLost { token: token.0, why });
         }
         if let Some(request) = self.holder.handle(LeaseEvent::Stop, now) {
             let event = self.perform(request).await;
@@ -164,7 +193,7 @@
         let taken = ask_store(&self.node, &call, PATIENCE).await;
         match taken {
             Ok(StoreAnswer::Done { revision }) => {
-                let token = FencingToken(revision.0);
+                let token = FencingToken::from(revision);
                 self.lease = Some(lease);
                 self.node.beliefs.borrow_mut().leader = Some(Leader { holder, token, peers });
                 Ok(LeaseResult::Held { token, ttl_ms: ttl.as_millis() as u64 })
@@ -199,11 +228,16 @@
     /// Makes known until when this node certainly leads.
     fn publish(&mut self, now: Timestamp) {
         let before = self.node.leading.get();
-        let token = self.holder.token(now + SAFETY);
+        let token = self.holder.token(now + SAFETY).filter(|_| !self.waits_for_others(now));
         let until = self.holder.held_until().map_or(now, |until| until - SAFETY);
         self.node.leading.set(token.map(|token| (token, until)));
         match (before, token) {
-            (None, Some(token)) => self.node.journal.tell(&Event::LeadershipGained { token: token.0 }),
+            (None, Some(token)) => {
+                self.node.journal.tell(&Event::LeadershipGained { token: token.0 });
+                if self.restored_at.is_some() {
+                    self.node.write_holds_again();
+                }
+            }
             (Some((token, _)), None) => {
                 let event = Event::LeadershipLost { token: token.0, why: "lease not renewed in time" };
                 self.node.journal.tell(&event);
@@ -212,6 +246,13 @@
         }
     }
 
+    /// Whether another node may still act as leader: one that has not heard of the store's return takes its lease for certain,
+    /// up to its end.
+    fn waits_for_others(&self, now: Timestamp) -> bool {
+        let over = self.restored_at.map(|at| at + self.ttl);
+        !self.led_at_restore && over.is_some_and(|over| now < over)
+    }
+
     async fn stop(&mut self) {
         if let Some((token, _)) = self.node.leading.take() {
             self.node.journal.tell(&Event::LeadershipLost { token: token.0, why: "stopping" });
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -127,11 +127,20 @@
     }
 
     fn learn_whole(&self, facts: Vec<Fact>, revision: Revision, proved_at: Timestamp, telling: &Telling) {
-        let first = self.beliefs.borrow().revision.is_none();
+        let known = self.beliefs.borrow().revision;
+        let first = known.is_none();
+        let restored = known.is_some_and(|known| known.era() < revision.era()) || self.is_restored_lately();
         for subject in self.missing_among(&facts) {
+            // Nobody released what only the copy lacks: it is written again.
+            if restored && matches!(subject, Subject::Held(_)) {
+                continue;
+            }
             self.lose(&subject, revision, telling);
             self.note_change(Some(subject), revision);
         }
+        if restored && !facts.iter().any(|fact| matches!(fact, Fact::FleetSize(_))) {
+            self.beliefs.borrow_mut().fleet_size = None;
+        }
         for fact in facts {
             let subject = fact.subject().filter(|_| self.is_news(&fact));
             self.learn_one(fact, revision, telling);
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`placing`] | describes back ends to the chooser |
 //! | [`announced`] | what back ends say of themselves in their answers |
-//! | [`feed`] | follows the metadata store |
+//! | [`feed`], [`restored`] | follows the metadata store, also where that comes back from an older copy |
 //! | `replica`, `named` | what is known of the store, as facts for other nodes, and how lately weights were named |
 //! | [`kept`] | follows what engines and the store keep |
 //! | [`peers`] | what nodes tell each other |
@@ -63,6 +63,7 @@
 pub mod relay;
 mod repeats;
 mod replica;
+pub mod restored;
 mod runs;
 pub mod settings;
 pub mod verdicts;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -42,6 +42,8 @@
     SnapshotsGiven,
     /// Snapshots of the store that were taken of another node.
     SnapshotsTaken,
+    /// Returns of the store from an older copy.
+    StoreRestores,
     /// New connections to back ends.
     Connections,
     /// Requests whose prefix was to be imported.
@@ -72,6 +74,7 @@
             Self::PeerCalls(_) => "paddlemount_forward_peer_calls_total",
             Self::SnapshotsGiven => "paddlemount_forward_snapshots_given_total",
             Self::SnapshotsTaken => "paddlemount_forward_snapshots_taken_total",
+            Self::StoreRestores => "paddlemount_forward_store_restores_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
             Self::Imports => "paddlemount_forward_imports_total",
             Self::SpendingPassedOver => "paddlemount_forward_spending_passed_over_total",
@@ -98,6 +101,7 @@
             | Self::Misdirected
             | Self::RestsAsked
             | Self::Resumed
+            | Self::StoreRestores
             | Self::Connections
             | Self::Imports
             | Self::SpendingPassedOver
--- a/crates/forward/src/naming_record.rs
+++ b/crates/forward/src/naming_record.rs
@@ -31,7 +31,13 @@
 /// Records names for as long as the process lives.
 pub async fn keep(node: Rc<Node>) {
     let mut recorded = BTreeMap::new();
+    let mut restored_at = None;
     loop {
+        // A copy of the store may lack what was recorded.
+        if restored_at != node.restored_at.get() {
+            restored_at = node.restored_at.get();
+            recorded.clear();
+        }
         let named = node.weights_named.notified();
         for proof in to_record(&node, &recorded) {
             let (model, version) = (proof.model.clone(), proof.version);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -16,6 +16,7 @@
     limits::ledger::{Place, QuotaGrant},
 };
 use paddlemount_protocol::{
+    era::StoreEra,
     fleet::{KeptNews, Member},
     identity::{FencingToken, ServiceId},
     time::Timestamp,
@@ -71,6 +72,10 @@
     pub loading: Cell<usize>,
     /// Whether the store has forgotten what followed this node's knowledge: all is to be learned anew.
     pub history_lost: Cell<bool>,
+    /// How often the store has come back from an older copy, as it last said.
+    pub store_era: Cell<Option<StoreEra>>,
+    /// When this node heard that it has.
+    pub restored_at: Cell<Option<Timestamp>>,
     /// Snapshots of the store that are being given to other nodes.
     pub snapshots_given: Cell<usize>,
     /// Told where all of the store is known, by a listing or a snapshot.
@@ -125,6 +130,8 @@
             running: Cell::new(0),
             loading: Cell::new(0),
             history_lost: Cell::new(false),
+            store_era: Cell::new(None),
+            restored_at: Cell::new(None),
             snapshots_given: Cell::new(0),
             store_known: Notify::new(),
             feeds_known: Notify::new(),
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -16,6 +16,7 @@
     rollout::{EngineReport, Manner},
 };
 use paddlemount_protocol::{
+    era::StoreEra,
     fleet::NamedLately,
     identity::{FencingToken, ModelId, NodeId, Revision, WeightsVersion},
     quarantine::{HeldRequest, RequestFingerprint},
@@ -357,6 +358,9 @@
     /// A call to the store as an HTTP request.
     fn store_request(&self, call: &StoreCall) -> Request<Bytes>;
 
+    /// How often the store has come back from an older copy, by any of its answers; none where it tells nothing of it.
+    fn store_era(&self, answer: &Response<Bytes>) -> Option<StoreEra>;
+
     /// The store's answer to `call`.
     fn store_answer(&self, call: &StoreCall, answer: &Response<Bytes>) -> Result<StoreAnswer, Misread>;
 
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -47,7 +47,7 @@
 
 /// A change of what the metadata store keeps.
 #[derive(Clone, Debug)]
-enum Change {
+pub(crate) enum Change {
     Keep(HeldRequest),
     Release(RequestFingerprint),
 }
@@ -169,7 +169,7 @@
         }
     }
 
-    fn change(&self, change: Change) {
+    pub(crate) fn change(&self, change: Change) {
         let mut changes = self.quarantine_work.changes.borrow_mut();
         if changes.len() >= MOST_WAITING {
             changes.pop_front();
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod engine;
+pub mod era;
 pub mod fleet;
 pub mod header;
 pub mod identity;
