--- a/specs/src/lease.rs
+++ b/specs/src/lease.rs
@@ -2,13 +2,18 @@
 //!
 //! Two nodes ask the store for one lease and send orders to one engine. Calls to the store and orders take any
 //! time; replies may be lost; a node is paused at any point, which is the same as its messages being
-//! late; the engine may restart and forget its fence.
+//! late; the engine may restart and forget its fence. The store may come back from an older copy, without the lease and with
+//! revisions that it gives out again.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use paddlemount_core::lease::{LeaseEvent, LeaseHolder, LeaseRequest, LeaseSettings};
 use paddlemount_protocol::{
-    identity::{FencingToken, Incarnation, NodeId},
+    era::StoreEra,
+    identity::{FencingToken, Incarnation, NodeId, Revision},
     platform::LeaseResult,
     time::Timestamp,
 };
@@ -27,6 +32,8 @@
     NoFence,
     /// Orders do not name the engine's life.
     OrdersForAnyLife,
+    /// The store's own numbers are the tokens, whatever its era.
+    NumbersAlone,
 }
 
 /// Bounds of the search, and what is broken.
@@ -40,6 +47,8 @@
     pub orders: u8,
     /// Restarts of the engine.
     pub restarts: u8,
+    /// Returns of the store from an older copy.
+    pub restores: u8,
 }
 
 /// A state of the model.
@@ -51,12 +60,17 @@
     orders: BTreeSet<Order>,
     engine: Engine,
     restarts: u8,
+    restores: u8,
+    /// Who was given each token; known to the judge only.
+    granted: BTreeMap<FencingToken, usize>,
     broken: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Store {
-    token: u64,
+    era: StoreEra,
+    /// The number of the last change of holder.
+    number: u64,
     holder: Option<(usize, u64)>,
 }
 
@@ -64,7 +78,10 @@
 struct Node {
     holder: LeaseHolder,
     call: Option<LeaseRequest>,
-    reply: Option<LeaseResult>,
+    /// The store's answer, and the era that it tells.
+    reply: Option<(LeaseResult, StoreEra)>,
+    /// The latest era that the node has heard of.
+    era: StoreEra,
     /// The engine's life that the node knows of.
     life: Incarnation,
     sent: u8,
@@ -88,7 +105,21 @@
 impl LeaseSpecification {
     /// Bounds under which the search takes seconds.
     pub const fn with_fault(fault: LeaseFault) -> Self {
-        Self { fault, last_second: 3, orders: 2, restarts: 1 }
+        Self { fault, last_second: 3, orders: 2, restarts: 1, restores: 0 }
+    }
+
+    /// Bounds under which the store comes back from a copy once.
+    pub const fn with_restore(fault: LeaseFault) -> Self {
+        Self { fault, last_second: 2, orders: 1, restarts: 0, restores: 1 }
+    }
+
+    /// The store comes back from a copy in which the lease was free and the last number was `number`.
+    fn restore(&self, state: &LeaseState, number: u64) -> Step<LeaseState> {
+        let mut next = state.clone();
+        next.restores += 1;
+        let era = if self.fault == LeaseFault::NumbersAlone { 0 } else { state.store.era.0 + 1 };
+        next.store = Store { era: StoreEra(era), number, holder: None };
+        Step { label: format!("the store comes back from a copy that ends with {number}"), state: next }
     }
 
     fn obey(&self, state: &LeaseState, order: Order) -> Step<LeaseState> {
@@ -118,22 +149,24 @@
         let (second, store) = (self.second, &mut self.store);
         let holder = store.holder.filter(|(_, until)| *until > second);
         let until = second + TTL_SECONDS;
-        let held = |token| LeaseResult::Held { token: FencingToken(token), ttl_ms: 1_000 * TTL_SECONDS };
+        let held = |token| LeaseResult::Held { token, ttl_ms: 1_000 * TTL_SECONDS };
         match (request, holder) {
             (LeaseRequest::Acquire(_), Some((other, until))) if other != node => LeaseResult::HeldByOther {
                 holder: NodeId::from(other.to_string()),
                 remaining_ms: 1_000 * (until - second),
             },
             (LeaseRequest::Acquire(_), held_before) => {
-                store.token += u64::from(held_before.is_none());
+                store.number += u64::from(held_before.is_none());
                 store.holder = Some((node, until));
-                held(store.token)
+                let token = store.token();
+                self.broken |= *self.granted.entry(token).or_insert(node) != node;
+                held(token)
             }
             (LeaseRequest::Renew(renew), Some((other, _)))
-                if other == node && renew.token.0 == store.token =>
+                if other == node && renew.token == store.token() =>
             {
                 store.holder = Some((node, until));
-                held(store.token)
+                held(store.token())
             }
             _ => LeaseResult::NotHeld,
         }
@@ -148,14 +181,19 @@
             let reply = answered.serve(node, request);
             answered.nodes[node].call = None;
             let mut lost = answered.clone();
-            answered.nodes[node].reply = Some(reply.clone());
+            answered.nodes[node].reply = Some((reply.clone(), self.store.era));
             push(format!("the store answers node {node}: {reply:?}"), answered);
             lost.nodes[node].holder.handle(LeaseEvent::Failed, self.now());
             push(format!("the store's answer to node {node} is lost"), lost);
         }
-        if let Some(reply) = &view.reply {
+        if let Some((reply, era)) = &view.reply {
             let mut next = self.clone();
             next.nodes[node].reply = None;
+            if view.era < *era {
+                // What it held is not certain any more.
+                next.nodes[node].era = *era;
+                next.nodes[node].holder = new_holder(node, self.now());
+            }
             next.nodes[node].life = self.engine.life;
             next.nodes[node].holder.handle(LeaseEvent::Answered(reply.clone()), self.now());
             push(format!("node {node} takes the answer"), next);
@@ -183,31 +221,42 @@
     }
 }
 
+impl Store {
+    const fn token(&self) -> FencingToken {
+        FencingToken(Revision::in_era(self.era, self.number).0)
+    }
+}
+
+fn new_holder(node: usize, now: Timestamp) -> LeaseHolder {
+    let settings = LeaseSettings {
+        name: "placement".to_owned(),
+        holder: NodeId::from(node.to_string()),
+        ttl: Duration::from_secs(TTL_SECONDS),
+    };
+    LeaseHolder::new(settings, now)
+}
+
 impl Specification for LeaseSpecification {
     type State = LeaseState;
 
     fn initial(&self) -> LeaseState {
         let node = |number: usize| Node {
-            holder: LeaseHolder::new(
-                LeaseSettings {
-                    name: "placement".to_owned(),
-                    holder: NodeId::from(number.to_string()),
-                    ttl: Duration::from_secs(TTL_SECONDS),
-                },
-                Timestamp::ZERO,
-            ),
+            holder: new_holder(number, Timestamp::ZERO),
             call: None,
             reply: None,
+            era: StoreEra::default(),
             life: Incarnation(1),
             sent: 0,
         };
         LeaseState {
             second: 0,
-            store: Store { token: 0, holder: None },
+            store: Store { era: StoreEra::default(), number: 0, holder: None },
             nodes: (0..NODES).map(node).collect(),
             orders: BTreeSet::new(),
             engine: Engine { life: Incarnation(1), fence: FencingToken(0), obeyed: FencingToken(0) },
             restarts: 0,
+            restores: 0,
+            granted: BTreeMap::new(),
             broken: false,
         }
     }
@@ -218,6 +267,9 @@
         if state.restarts < self.restarts {
             steps.push(state.restart_engine());
         }
+        if state.restores < self.restores {
+            steps.extend((0..state.store.number).map(|number| self.restore(state, number)));
+        }
         if state.second < self.last_second {
             let mut next = state.clone();
             next.second += 1;
@@ -227,6 +279,7 @@
     }
 
     fn violation(&self, state: &LeaseState) -> Option<&'static str> {
-        state.broken.then_some("no order of an earlier holder takes effect after one of a later holder")
+        let broken = "no order of an earlier holder takes effect after one of a later holder, and no two holders have one token";
+        state.broken.then_some(broken)
     }
 }
--- a/specs/tests/configuration_and_lease.rs
+++ b/specs/tests/configuration_and_lease.rs
@@ -59,3 +59,13 @@
 fn an_order_for_any_life_is_caught() {
     broken(&LeaseSpecification::with_fault(LeaseFault::OrdersForAnyLife), "earlier holder");
 }
+
+#[test]
+fn tokens_rise_over_a_return_of_the_store_from_a_copy() {
+    sound(&LeaseSpecification::with_restore(LeaseFault::None));
+}
+
+#[test]
+fn tokens_that_are_the_stores_numbers_alone_are_caught() {
+    broken(&LeaseSpecification::with_restore(LeaseFault::NumbersAlone), "no two holders have one token");
+}
