--- a/crates/cli/tests/forward/soak/leaving.rs
+++ b/crates/cli/tests/forward/soak/leaving.rs
@@ -1,5 +1,5 @@
-//! Back ends that say in their answers that they leave, or ask for rest, beside outages of the store and starts, stand-stills and
-//! stops of nodes, in series that overlap. Links work all the time.
+//! Back ends that say in their answers that they leave, or ask for rest, beside outages of the store, its returns from older copies,
+//! and starts, stand-stills and stops of nodes, in series that overlap. Links work all the time.
 
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,9 @@
 /// Times without requests that back ends ask for: seconds, fractions, and values that mean nothing.
 const RESTS: [&str; 7] = ["1", "2", "3", "0.7", "1.25", "-2", "soon"];
 
+/// How long the store is away before it comes back from a copy, and what was lost is missing there.
+const RESTORE: Duration = Duration::from_millis(200);
+
 /// The faults of these plays.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -20,6 +23,7 @@
     Rest,
     AllRest,
     StoreAway,
+    StoreRestored,
     StandStill,
     Kill,
     Stop,
@@ -29,7 +33,7 @@
 }
 
 /// The faults that are drawn, each as often as it stands here.
-const FAULTS: [Fault; 16] = [
+const FAULTS: [Fault; 18] = [
     Fault::Leave,
     Fault::Leave,
     Fault::LeaveWhileStoreIsAway,
@@ -39,6 +43,8 @@
     Fault::Rest,
     Fault::AllRest,
     Fault::StoreAway,
+    Fault::StoreRestored,
+    Fault::StoreRestored,
     Fault::StandStill,
     Fault::Kill,
     Fault::Stop,
@@ -65,6 +71,7 @@
                 Fault::Rest => self.turn_away(&mut random, 1),
                 Fault::AllRest => self.turn_away(&mut random, self.place.engines.len()),
                 Fault::StoreAway => self.store_away(length).await,
+                Fault::StoreRestored => self.restore_store(length).await,
                 Fault::StandStill => self.freeze(node, length).await,
                 Fault::Kill => self.kill(node, length).await,
                 Fault::Stop => self.stop(node).await,
@@ -84,6 +91,23 @@
         self.disturbed(Cause::Store, from);
     }
 
+    /// The store is away for a moment, and comes back from a copy that is some seconds old.
+    async fn restore_store(&self, age: Duration) {
+        // Two at once would make one of the copies older than the other's era.
+        let Ok(_taken) = self.restoring.try_lock() else { return };
+        let copy = self.place.store.copy();
+        tokio::time::sleep(age).await;
+        self.tell(format!("the store comes back from a copy of {age:?} ago"));
+        let from = Instant::now();
+        self.place.store.set_trouble(Trouble::Silent);
+        tokio::time::sleep(RESTORE).await;
+        let written = self.place.store.restore(&copy);
+        self.place.store.set_trouble(Trouble::None);
+        tokio::time::sleep(RESTORE).await;
+        self.place.store.write_again(&written);
+        self.disturbed(Cause::Store, from);
+    }
+
     /// One or two back ends leave: they say so in their answers, some in their entries as well, serve on for seconds, and start
     /// again.
     async fn leave(&self, random: &mut StdRng) {
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -108,6 +108,8 @@
     peer_links: Vec<Proxy>,
     /// The version of the operator's document and the keys in it.
     document: tokio::sync::Mutex<u64>,
+    /// Held by the series that makes the store come back from a copy.
+    restoring: tokio::sync::Mutex<()>,
     namings: Mutex<Vec<Naming>>,
     removed_at: Mutex<Option<Instant>>,
     disturbances: Mutex<Vec<Disturbance>>,
@@ -151,6 +153,7 @@
             runner_links,
             peer_links,
             document: tokio::sync::Mutex::new(1),
+            restoring: tokio::sync::Mutex::default(),
             namings: Mutex::default(),
             removed_at: Mutex::default(),
             disturbances: Mutex::default(),
