--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -1,8 +1,8 @@
 //! Back ends as the registry tells of them.
 //!
 //! A back end is known by the identity of one start of its process. The registry's word that it is leaving counts
-//! at once, and so does its own ([`super::announcements`]). An entry that vanishes while the registry is away, or has just returned, says little: such a back end is
-//! doubted and gets work only where too few others are left.
+//! at once, and so does its own ([`super::announcements`]). An entry that vanishes while the registry is away, or has just
+//! returned, says little: such a back end is doubted and gets work only where too few others are left.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,8 +21,7 @@
 use crate::{
     account::{ANSWERED, Account, HELD_BACK, REFUSED},
     admission::{Admitted, admit},
-    announced::spread,
-    answers::{AnswerBody, Reason, Refusal, own_answer},
+    answers::{AnswerBody, Reason, own_answer},
     attempts::{self, Begun, Ended, Run, strip_connection_headers, take_whole},
     dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
@@ -178,28 +177,6 @@
         Some(choice)
     }
 
-    /// Why no back end gets the request, where nothing is wrong with all of them it is `otherwise`.
-    pub(crate) fn why_none(&self, otherwise: Reason) -> Refusal {
-        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
-        let now = self.node.now();
-        let beliefs = self.node.beliefs.borrow();
-        if model.is_some_and(|model| beliefs.has_only_older_weights(&self.service, model, now)) {
-            return Reason::OlderWeights.into();
-        }
-        match beliefs.least_rest(&self.service, model, now) {
-            Some(until) => {
-                Refusal { reason: Reason::BackendsRest, come_back: Some(spread(until.saturating_since(now))) }
-            }
-            None => match beliefs.refusals.get(&self.service) {
-                Some(refusals) if otherwise == Reason::NotTaken => {
-                    let come_back = Some(spread(refusals.come_back(now)));
-                    Refusal { reason: otherwise, come_back }
-                }
-                _ => otherwise.into(),
-            },
-        }
-    }
-
     /// One try at the chosen back end.
     pub async fn attempt(&mut self, choice: &Choice, resume: Resume) -> Result<Begun, Ended> {
         let now = self.node.now();
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     account::{HELD_BACK, REFUSED},
+    announced::spread,
     answers::{AnswerBody, Reason, Refusal, own_answer, whole},
     attempts::{Ended, strip_connection_headers},
     exchange::{Exchange, LEAST_TIME},
@@ -85,6 +86,28 @@
         next
     }
 
+    /// Why no back end gets the request, where nothing is wrong with all of them it is `otherwise`.
+    pub(crate) fn why_none(&self, otherwise: Reason) -> Refusal {
+        let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
+        let now = self.node.now();
+        let beliefs = self.node.beliefs.borrow();
+        if model.is_some_and(|model| beliefs.has_only_older_weights(&self.service, model, now)) {
+            return Reason::OlderWeights.into();
+        }
+        match beliefs.least_rest(&self.service, model, now) {
+            Some(until) => {
+                Refusal { reason: Reason::BackendsRest, come_back: Some(spread(until.saturating_since(now))) }
+            }
+            None => match beliefs.refusals.get(&self.service) {
+                Some(refusals) if otherwise == Reason::NotTaken => {
+                    let come_back = Some(spread(refusals.come_back(now)));
+                    Refusal { reason: otherwise, come_back }
+                }
+                _ => otherwise.into(),
+            },
+        }
+    }
+
     /// The answer for a request that is held back, as far as an earlier try of it leaves a choice.
     pub(crate) fn hold_back(&mut self, held_for: Duration) -> Response<AnswerBody> {
         if attempt::give_up(self.route.kind, self.spent) == Next::Fail || self.spent.may_have_run {
