Failing: an entry of an earlier start ends what a later process has said

The node's lines show the rest of 2,000 ms begin at 9.93 s and another one begin at 10.46 s for the same back end. Ruled out: answers that came in the place of others (no line tells of any). The soak prints the lines that settled it.

--- a/crates/cli/tests/forward/soak/announced.rs
+++ b/crates/cli/tests/forward/soak/announced.rs
@@ -33,7 +33,7 @@
     /// A request came from a node long after it had passed on an answer that says that the back end leaves.
     Leaving { node: usize, id: String, after: Duration },
     /// More requests than may be on their way came from a node in a time without any.
-    Rest { node: usize, asked: Duration, ids: Vec<String> },
+    Rest { node: usize, asked: Duration, told: String, ids: Vec<String> },
 }
 
 /// What nodes have not heeded of the statements of one back end, whose arrivals come in the order of time.
@@ -88,7 +88,7 @@
         let within = arrivals.iter().filter(|one| one.seen.at > from && one.seen.at < to);
         let ids: Vec<String> = within.map(|one| one.seen.id.clone()).collect();
         if ids.len() > MOST_IN_REST && !parted(node, told.seen.at - ON_ITS_WAY, to) {
-            found.push(Unheeded::Rest { node, asked, ids });
+            found.push(Unheeded::Rest { node, asked, told: told.seen.id.clone(), ids });
         }
     }
     found
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -65,8 +65,9 @@
 /// Seeds of namings that are played each time.
 const NAMING_SEEDS: [u64; 2] = [1, 2];
 
-/// Seeds of back ends that leave and rest that are played each time.
-const ANNOUNCEMENT_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of back ends that leave and rest that are played each time. 144: an older entry, which a copy of the store told, ended a
+/// rest that a back end had asked for.
+const ANNOUNCEMENT_SEEDS: [u64; 3] = [1, 2, 144];
 
 /// What a soak plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,11 +185,20 @@
         locked(&self.told).push(line);
     }
 
-    /// What the nodes that still run have said of back ends that ended under requests, in order of time.
+    /// What the nodes that still run have said of back ends that ended under requests, and of what back ends have announced, in
+    /// order of time.
     fn lines_about_crashes(&self) -> Vec<String> {
         let routers = (0..self.nodes()).filter_map(|number| self.router(number));
         let about = |line: &String| {
-            line.contains("\"run_c") || line.contains("\"request_") || line.contains("\"leadership")
+            let told = [
+                "\"run_c",
+                "\"request_",
+                "\"leadership",
+                "\"backend_rest",
+                "\"backend_leaving",
+                "to another request",
+            ];
+            told.iter().any(|word| line.contains(word))
         };
         let mut lines: Vec<String> = routers.flat_map(|router| router.lines()).filter(about).collect();
         lines.sort();
--- a/crates/core/tests/forwarding_announcements.rs
+++ b/crates/core/tests/forwarding_announcements.rs
@@ -89,6 +89,23 @@
     assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(2) }));
 }
 
+/// A store that had come back from a copy told an entry of the start before, and a rest of 2 s ended after 0.5 s: the entry was
+/// taken for a new start.
+#[test]
+fn an_entry_of_an_earlier_start_ends_nothing_that_a_later_process_has_said() {
+    let mut backends = Backends::default();
+    backends.take_in(entry(0, 2), Heard::AsChange);
+    backends.announcements.rests(&process(0, 2), Duration::from_secs(2), at(0));
+    backends.take_in(entry(0, 1), Heard::InListing);
+    assert!(!takes_requests(&backends, 0, at(530)) && takes_requests(&backends, 0, at(2_000)));
+    backends.hear_leaving(&process(0, 2), at(3_000));
+    assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(3_000) }));
+    backends.take_in(entry(0, 2), Heard::AsChange);
+    assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(3_000) }));
+    backends.take_in(entry(0, 3), Heard::AsChange);
+    assert_eq!(standing(&backends, 0), Some(Standing::Ready), "a new start ends it");
+}
+
 #[test]
 fn one_whose_entry_had_lapsed_is_dropped_and_leaves_still_when_the_entry_is_back() {
     let mut backends = Backends::default();
