What a later start has said holds for an earlier entry, and a rest of the start before for 3 s

Cause: as in the failing test before: an entry may name an earlier start than the process that answers, or be followed by the news of it; either way what was announced did not apply. Ruled out: putting the start into the answer's statement (answers do not tell it). Change: announcements apply to entries of the same or an earlier start; a rest that was asked for less than 3 s ago holds over the news of a start. The test that a late word of an earlier process says nothing of the present one is replaced by a stricter one: it holds for those 3 s exactly; the property's oracle knows both.

--- a/crates/core/src/forwarding/announcements.rs
+++ b/crates/core/src/forwarding/announcements.rs
@@ -3,7 +3,7 @@
 //! Nobody knows better, and the registry may be away, late or out of date: without its own word an engine got requests for 12.3 s
 //! after it had said that it leaves, as long as an outage lasted, and one that had asked for 3 s of rest the next after 0.25 s.
 //! So an announcement holds whatever entries say, and only a new start of the process ends it: one that leaves does not stay,
-//! and a rest lasts until it is over.
+//! and a rest lasts until it is over, or for 3 s beside the news of a start.
 //!
 //! | announced | other nodes are told | holds for a node that was told |
 //! |---|---|---|
@@ -22,6 +22,9 @@
 pub const LONGEST_REST: Duration = Duration::from_secs(300);
 /// How long it is remembered that a process leaves, beyond its last word. Its entry is gone by then.
 const REMEMBERED: Duration = Duration::from_secs(600);
+/// How long after its start the registry may tell of a process. What was heard so lately of the start before may be the word of
+/// the new one: without that three requests came within a rest of 2 s that was taken for the word of the process before.
+const LATE_NEWS: Duration = Duration::from_secs(3);
 /// Processes whose announcements are remembered, about 100 bytes each. More are heard of only where a whole pool of the
 /// largest size announces at once; the ones heard of first are forgotten.
 const MOST_REMEMBERED: usize = 16_384;
@@ -37,6 +40,8 @@
     leaving_since: Option<Timestamp>,
     /// The end of the time in which it wants no requests from this node.
     rests_until: Option<Timestamp>,
+    /// When it last asked for that.
+    asked_rest_at: Timestamp,
     /// When anything was last heard.
     heard_at: Timestamp,
 }
@@ -70,8 +75,7 @@
     Dropped,
 }
 
-/// Announcements of back ends, by process. Starts are not put in order: the clock by which processes say when they started may
-/// step.
+/// Announcements of back ends, by process and in the order of its starts.
 #[derive(Debug, Default)]
 pub struct Announcements(BTreeMap<BackendProcess, Announced>);
 
@@ -83,7 +87,7 @@
             let first = first.map(|(process, _)| process.clone());
             first.and_then(|process| self.0.remove(&process));
         }
-        let fresh = Announced { leaving_since: None, rests_until: None, heard_at: now };
+        let fresh = Announced { leaving_since: None, rests_until: None, asked_rest_at: now, heard_at: now };
         let known = self.0.entry(process.clone()).or_insert(fresh);
         known.heard_at = now;
         known
@@ -107,19 +111,31 @@
         let before = known.rests_until.filter(|until| now < *until);
         let until = before.max(Some(now + asked.min(LONGEST_REST)))?;
         known.rests_until = Some(until);
+        known.asked_rest_at = now;
         Some(Rest { until, begins: before.is_none(), is_cut: asked > LONGEST_REST })
     }
 
     /// When it was first heard that the process of an entry leaves.
     pub(super) fn leaving_since(&self, entry: &BackendEntry) -> Option<Timestamp> {
-        self.0.get(&entry.process())?.leaving_since
+        self.of_entry(entry).filter_map(|known| known.leaving_since).min()
+    }
+
+    /// What the process of an entry has announced. An entry of an earlier start, as a copy of the registry may show, is late: what
+    /// a later process has said holds for it too.
+    fn of_entry(&self, entry: &BackendEntry) -> impl Iterator<Item = &Announced> {
+        let first = BackendProcess { id: entry.id.clone(), born: entry.born };
+        self.of_starts_from(first).map(|(_, known)| known)
+    }
+
+    fn of_starts_from(&self, first: BackendProcess) -> impl Iterator<Item = (&BackendProcess, &Announced)> {
+        let id = first.id.clone();
+        self.0.range(first..).take_while(move |(process, _)| process.id == id)
     }
 
     /// Whether any process of a back end leaves.
     fn any_leaves(&self, id: &BackendId) -> bool {
         let first = BackendProcess { id: id.clone(), born: None };
-        let processes = self.0.range(first..).take_while(|(process, _)| process.id == *id);
-        processes.into_iter().any(|(_, known)| known.leaving_since.is_some())
+        self.of_starts_from(first).any(|(_, known)| known.leaving_since.is_some())
     }
 
     /// Until when the process of an entry wants no requests from this node, where it does not want any now.
@@ -127,7 +143,13 @@
         if self.0.is_empty() {
             return None;
         }
-        self.0.get(&entry.process())?.rests_until.filter(|until| now < *until)
+        let any_start = BackendProcess { id: entry.id.clone(), born: None };
+        let ends = self.of_starts_from(any_start).filter_map(|(process, known)| {
+            let until = known.rests_until?;
+            let is_earlier = process.born < entry.born;
+            Some(if is_earlier { until.min(known.asked_rest_at + LATE_NEWS) } else { until })
+        });
+        ends.max().filter(|until| now < *until)
     }
 
     /// Processes that leave of which other nodes are to be told, those heard of last first.
@@ -172,13 +194,6 @@
     now.saturating_since(since) < TOLD_FOR
 }
 
-impl BackendEntry {
-    /// The process whose entry it is.
-    fn process(&self) -> BackendProcess {
-        BackendProcess { id: self.id.clone(), born: self.born }
-    }
-}
-
 impl Backends {
     /// The process of a back end, as far as it is known.
     pub fn process_of(&self, id: &BackendId) -> BackendProcess {
@@ -189,8 +204,8 @@
     /// An answer of a process, or another node, told that it leaves.
     pub fn hear_leaving(&mut self, process: &BackendProcess, now: Timestamp) -> Departure {
         let is_news = self.announcements.leaves(process, now);
-        // Another process of this identity may have started since it was asked.
-        let known = self.get(&process.id).filter(|known| known.entry.born == process.born);
+        // A later process of this identity may have started since it was asked.
+        let known = self.get(&process.id).filter(|known| known.entry.born <= process.born);
         match known.map(|known| known.standing) {
             Some(Standing::Ready) => {
                 self.stand(&process.id, Standing::Departing { since: now });
