Failing: a back end that was slow once is never asked again while there are few requests

Cause: one run of the tests failed in announced::a_rest_that_cannot_be_read_or_is_over_at_once_keeps_nobody_out: for 20 s a sound back end got none of the requests that came one after the other. Its first answers had begun late beside other tests, and the average by which it is weighed does not age. Ruled out: a rest that was taken for one (no line of one, and both back ends were candidates at cost 700 and 1,000).

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -90,6 +90,8 @@
     pub considered: Option<usize>,
     /// Whether the run's memory is to be copied to another back end as it grows.
     pub copied: bool,
+    /// When it is placed: what back ends have measured is worth less with time.
+    pub now: Timestamp,
 }
 
 /// The chosen back end.
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -1,6 +1,6 @@
 //! Choosing back ends for prompts and other requests.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use paddlemount_core::forwarding::{
     backends::BackendId,
@@ -52,6 +52,7 @@
             store: None,
             considered: None,
             copied: false,
+            now: Timestamp::ZERO,
         }
     }
 }
@@ -182,6 +183,7 @@
         store: None,
         considered: None,
         copied: false,
+        now: Timestamp::ZERO,
     };
     chooser.loads.started(&world.ids[0], 0, Timestamp::ZERO);
     chooser.loads.started(&world.ids[1], 0, Timestamp::ZERO);
@@ -308,6 +310,71 @@
     assert!(chooser.loads.slowest(at(20_000)).as_millis() < 100);
 }
 
+/// Sends requests one after the other, each answered by a sound back end, and gives how many each back end got.
+fn one_after_the_other(
+    chooser: &mut Chooser,
+    world: &World,
+    from: Timestamp,
+    length: Duration,
+) -> Vec<usize> {
+    let mut got = vec![0; world.ids.len()];
+    let mut now = from;
+    while now < from + length {
+        let asked = prompt(&[], 1);
+        let placement = Placement { prompt: None, now, ..world.placement(&asked, now.as_millis()) };
+        let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
+        chooser.loads.measured(&choice.backend, 2.0, now);
+        let index = world.ids.iter().position(|id| *id == choice.backend).expect("one of them");
+        got[index] += 1;
+        now = now + Duration::from_millis(100);
+    }
+    got
+}
+
+/// Two back ends were sound, and requests that came one after the other, some 11 ms apart, all went to the same one for 20 s: the
+/// first answers of the other had begun late, and a back end is weighed by the average of its answers, which stood as it was for
+/// as long as nothing newer was measured there. Every line told `"candidates":2,"cost":700`, the least cost that an idle back end
+/// can have; the other one stood at 1,000 for good, whatever it would have answered.
+#[test]
+fn a_back_end_that_was_slow_for_a_moment_is_asked_again_however_few_requests_there_are() {
+    for (count, slow_ms) in [(2, 10.0), (4, 10.0), (4, 2_000.0)] {
+        let world = World::of(&vec![1; count]);
+        let mut chooser = Chooser::default();
+        for id in &world.ids {
+            let milliseconds = if *id == world.ids[0] { slow_ms } else { 2.0 };
+            (0..5).for_each(|_| chooser.loads.measured(id, milliseconds, Timestamp::ZERO));
+        }
+        let got = one_after_the_other(&mut chooser, &world, Timestamp::ZERO, Duration::from_secs(30));
+        assert!(
+            got[0] > 0,
+            "of {count} back ends the one that took {slow_ms} ms got {got:?} requests in 30 s"
+        );
+        let later = Timestamp::ZERO + Duration::from_secs(30);
+        let got = one_after_the_other(&mut chooser, &world, later, Duration::from_secs(30));
+        let least = got.iter().sum::<usize>() / (3 * count);
+        assert!(got[0] >= least, "sound again, it gets {got:?}, at least {least} asked");
+    }
+}
+
+/// What keeps a slow back end out must not go with its age: it is asked a few times, and gets nothing more.
+#[test]
+fn a_back_end_that_stays_slow_gets_few_requests() {
+    let world = World::of(&[1; 4]);
+    let mut chooser = Chooser::default();
+    let mut slow = 0;
+    for tenth in 0..600 {
+        let now = Timestamp::from_millis(tenth * 100);
+        let asked = prompt(&[], 1);
+        let placement = Placement { prompt: None, now, ..world.placement(&asked, tenth) };
+        let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
+        let is_slow = choice.backend == world.ids[0];
+        slow += usize::from(is_slow);
+        chooser.loads.measured(&choice.backend, if is_slow { 50.0 } else { 2.0 }, now);
+    }
+    // Five to be known as slow, then one in ten seconds.
+    assert!(slow <= 15, "{slow} of 600 went to the slow one");
+}
+
 #[test]
 fn engines_are_asked_instead_of_stores_while_answers_from_stores_begin_much_later() {
     let ms = std::time::Duration::from_millis;
--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -122,6 +122,7 @@
             store: None,
             considered: Some(6),
             copied: false,
+            now: Timestamp::ZERO,
         };
         let choice: Choice = chooser.choose(placement, &all).expect("a choice");
         let weights = choice.scope.as_ref().expect("a scope").weights;
@@ -150,6 +151,7 @@
             store: None,
             considered: Some(6),
             copied: false,
+            now: Timestamp::ZERO,
         };
         let choice = Chooser::default().choose(placement, &all).expect("a choice");
         assert_eq!(choice.backend, ids[500]);
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -73,6 +73,7 @@
             store: store.as_ref(),
             considered: considered(pool.len(), nodes),
             copied: ask.copied && self.can_copy(ask.service, now),
+            now,
         };
         let strict = self.view(pool, ask, nodes, now);
         if let Some(choice) = self.chooser.choose(placement, &strict) {
