A back end of which nothing new is known goes first at services without prompts, and counts as usual for prompts

Ruled out: fading towards what is usual at both; the fastest of two then stays first for good. Change: the factor of what is not known is named by who asks. Where only the number of requests weighs, the unknown one goes first; prompts, which reach every engine by what it keeps, take it for usual, so that no prefix leaves its place for that.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -36,7 +36,7 @@
 
 use super::{
     backends::BackendId,
-    load::{BackendLoad, Loads},
+    load::{AS_SOON_AS_ANY, BackendLoad, Loads},
     prefixes::{KeptPart, Prefixes, ScopeHash},
     prompt::{CacheScope, PartId, Prompt},
 };
@@ -216,8 +216,9 @@
         let cost = |candidate: &Candidate<'_>| {
             let requests = f64::from(self.loads.requests_of_all(candidate.id)) + 1.0;
             let distance = if candidate.zone == placement.zone { 0.0 } else { OTHER_ZONE_REQUESTS };
-            ((requests * self.loads.slowness(candidate.id, usual_ms, placement.now) + distance) * 1_000.0)
-                as u64
+            // One of which little or nothing new is known goes first: nothing else would make it known.
+            let slowness = self.loads.slowness(candidate.id, usual_ms, AS_SOON_AS_ANY, placement.now);
+            ((requests * slowness + distance) * 1_000.0) as u64
         };
         let eligible = candidates.iter().filter(|candidate| candidate.eligible);
         let count = eligible.clone().count();
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -10,6 +10,7 @@
 };
 use crate::forwarding::{
     backends::BackendId,
+    load::AS_USUAL,
     prefixes::ScopeHash,
     prompt::{CacheScope, Prompt},
 };
@@ -107,7 +108,9 @@
     ) -> u64 {
         let waiting = self.waiting_tokens(candidate.id) + self.queue_tokens(candidate);
         let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
-        let work = (waiting + read) as f64 * self.loads.slowness(candidate.id, usual_ms, placement.now);
+        // Prompts reach every back end by what it keeps: one of which nothing new is known has no need to go first.
+        let slowness = self.loads.slowness(candidate.id, usual_ms, AS_USUAL, placement.now);
+        let work = (waiting + read) as f64 * slowness;
         let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
         work as u64 + distance + outdated
     }
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -22,6 +22,10 @@
 const FEWEST_MEASUREMENTS: u32 = 5;
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 8.0);
+/// The factor of a back end that answers as soon as any is reckoned to.
+pub const AS_SOON_AS_ANY: f64 = SLOWNESS_BOUNDS.0;
+/// The factor of a back end that answers as soon as is usual.
+pub const AS_USUAL: f64 = 1.0;
 
 /// The least time without a first byte after which a back end is suspect.
 const LEAST_PATIENCE: Duration = Duration::from_millis(700);
@@ -54,10 +58,16 @@
         (-elapsed / AVERAGE_FADES_IN.as_secs_f64()).exp()
     }
 
-    /// The weight that a measurement at `now` has in the average: what came long before says nothing beside it.
-    fn weight_of_next(&self, now: Timestamp) -> f64 {
+    /// The weight of a measurement at `now` in the average. One that is faster says the more, the older the average is: a back end
+    /// that was slow is asked seldom, and would else be known as slow for several such times more.
+    fn weight_of(&self, milliseconds: f64, now: Timestamp) -> f64 {
         let is_old = now.saturating_since(self.measured_at) >= AVERAGE_FADES_IN;
-        if self.measurements == 0 || is_old { 1.0 } else { AVERAGE_WEIGHT.max(1.0 - self.average_left(now)) }
+        match milliseconds < self.average_ms {
+            _ if self.measurements == 0 => 1.0,
+            true if is_old => 1.0,
+            true => AVERAGE_WEIGHT.max(1.0 - self.average_left(now)),
+            false => AVERAGE_WEIGHT,
+        }
     }
 
     fn faded_slowest_ms(&self, now: Timestamp) -> f64 {
@@ -107,7 +117,7 @@
     /// An answer began at `now`, after `milliseconds`.
     pub fn measured(&mut self, backend: &BackendId, milliseconds: f64, now: Timestamp) {
         let load = self.by_backend.entry(backend.clone()).or_default();
-        let weight = load.weight_of_next(now);
+        let weight = load.weight_of(milliseconds, now);
         load.measurements += 1;
         load.average_ms += (milliseconds - load.average_ms) * weight;
         load.slowest_ms = milliseconds.max(load.faded_slowest_ms(now) * SLOWEST_FADES);
@@ -177,13 +187,15 @@
         averages.get(averages.len() / 2).copied().unwrap_or(0.0)
     }
 
-    /// How much slower than usual a back end answers, as far as that is still known at `now`.
-    pub fn slowness(&self, backend: &BackendId, usual_ms: f64, now: Timestamp) -> f64 {
+    /// How much slower than usual a back end answers, as far as that is still known at `now`; `unknown` where it isn't, and what
+    /// a greater factor fades to.
+    pub fn slowness(&self, backend: &BackendId, usual_ms: f64, unknown: f64, now: Timestamp) -> f64 {
         let load = self.of(backend);
         if usual_ms <= 0.0 || load.measurements < FEWEST_MEASUREMENTS {
-            return 1.0;
+            return unknown;
         }
         let (least, most) = SLOWNESS_BOUNDS;
-        ((load.average_ms / usual_ms).min(most) * load.average_left(now)).max(least)
+        let measured = (load.average_ms / usual_ms).clamp(least, most);
+        measured.min(unknown).max(measured * load.average_left(now))
     }
 }
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -315,18 +315,18 @@
     chooser: &mut Chooser,
     world: &World,
     from: Timestamp,
-    length: Duration,
+    pause: Duration,
+    count: u32,
 ) -> Vec<usize> {
     let mut got = vec![0; world.ids.len()];
-    let mut now = from;
-    while now < from + length {
+    for number in 0..count {
+        let now = from + pause * number;
         let asked = prompt(&[], 1);
         let placement = Placement { prompt: None, now, ..world.placement(&asked, now.as_millis()) };
         let choice = chooser.choose(placement, &world.candidates()).expect("a back end");
         chooser.loads.measured(&choice.backend, 2.0, now);
         let index = world.ids.iter().position(|id| *id == choice.backend).expect("one of them");
         got[index] += 1;
-        now = now + Duration::from_millis(100);
     }
     got
 }
@@ -337,6 +337,7 @@
 /// can have; the other one stood at 1,000 for good, whatever it would have answered.
 #[test]
 fn a_back_end_that_was_slow_for_a_moment_is_asked_again_however_few_requests_there_are() {
+    let pause = Duration::from_millis(100);
     for (count, slow_ms) in [(2, 10.0), (4, 10.0), (4, 2_000.0)] {
         let world = World::of(&vec![1; count]);
         let mut chooser = Chooser::default();
@@ -344,18 +345,32 @@
             let milliseconds = if *id == world.ids[0] { slow_ms } else { 2.0 };
             (0..5).for_each(|_| chooser.loads.measured(id, milliseconds, Timestamp::ZERO));
         }
-        let got = one_after_the_other(&mut chooser, &world, Timestamp::ZERO, Duration::from_secs(30));
+        let got = one_after_the_other(&mut chooser, &world, Timestamp::ZERO, pause, 300);
         assert!(
             got[0] > 0,
             "of {count} back ends the one that took {slow_ms} ms got {got:?} requests in 30 s"
         );
         let later = Timestamp::ZERO + Duration::from_secs(30);
-        let got = one_after_the_other(&mut chooser, &world, later, Duration::from_secs(30));
+        let got = one_after_the_other(&mut chooser, &world, later, pause, 300);
         let least = got.iter().sum::<usize>() / (3 * count);
         assert!(got[0] >= least, "sound again, it gets {got:?}, at least {least} asked");
     }
 }
 
+/// The one that had answered most was reckoned a little faster than usual for the milliseconds since its last answer, and the one
+/// that had answered once exactly as usual: 1,731 of 1,731 requests went to the first.
+#[test]
+fn a_back_end_that_has_hardly_been_met_is_asked_whatever_the_others_answers() {
+    for pause_ms in [10, 100, 5_000] {
+        let world = World::of(&[1; 2]);
+        let mut chooser = Chooser::default();
+        (0..10).for_each(|_| chooser.loads.measured(&world.ids[1], 2.0, Timestamp::ZERO));
+        let got =
+            one_after_the_other(&mut chooser, &world, Timestamp::ZERO, Duration::from_millis(pause_ms), 60);
+        assert!(got[0] >= 10, "every {pause_ms} ms one: {got:?}");
+    }
+}
+
 /// What keeps a slow back end out must not go with its age: it is asked a few times, and gets nothing more.
 #[test]
 fn a_back_end_that_stays_slow_gets_few_requests() {
