Repeats are earned by the mean of two windows, so that the sum over all nodes holds wherever requests go

The sum may be earned by the requests of whichever window has most; each node by itself can only count by one weighted mean of the windows for all nodes, since the sum of these is that mean of all requests. Change: half of what is earned comes from the window itself, half from the one before. A process that starts again needs no rule of its own: it counts as one more node, with its own requests; before, it earned nothing for a window.

--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -1,9 +1,14 @@
 //! The retry budget of one service at one node, over a sliding window.
 //!
-//! All nodes together may repeat a share of a service's requests, and a fixed number beside, in any window. Each node
-//! keeps to its own requests' share and to its part of the fixed number, so that the sum holds whatever the nodes know of
-//! each other. Unlike a bucket, the window allows as many repeats at once as the requests before have earned: the
-//! streams of one crashed back end all break at the same moment.
+//! All nodes together may repeat a share of a service's requests, and a fixed number beside, in any window. The requests are
+//! those of that window or of the one before it, whichever has more. Each node keeps to its own requests and to its part of
+//! the fixed number, so that the sum holds whatever the nodes know of each other, also where requests move from some nodes to
+//! others: what each node earns in a window is by the mean of its requests there and in the window before. The sum
+//! over the nodes then is that mean of all requests, which is never more than the greater of the two. (By its own last window
+//! alone, a node that requests have just left and one that they have just come to would both earn by them.)
+//!
+//! Unlike a bucket, this allows many repeats at once: the streams of one crashed back end all break at the same moment. That is
+//! what the window before is for, and the window itself is for services and processes that have just begun.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -13,6 +18,9 @@
 const STEPS: u32 = 20;
 /// The part of what is allowed that is used, in thousandths.
 const USED_PER_MILLE: u64 = 900;
+/// The weight of the window before in what requests earn, in thousandths; the window itself has the rest. In steady traffic this
+/// part of the share may be spent at one moment; in the first window of a service's traffic, or of a process, the rest is all.
+const BEFORE_PER_MILLE: u64 = 500;
 /// Thousandths of a repeat in one repeat.
 const WHOLE: u64 = 1_000;
 
@@ -55,21 +63,13 @@
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     settings: WindowBudgetSettings,
-    /// Until when requests earn nothing.
-    earns_from: Timestamp,
     steps: VecDeque<Step>,
 }
 
 impl WindowBudget {
     /// A budget that has seen nothing.
     pub const fn new(settings: WindowBudgetSettings) -> Self {
-        Self { settings, earns_from: Timestamp::ZERO, steps: VecDeque::new() }
-    }
-
-    /// The budget of a process that has started again at `started_at`. The one before may have spent all that the requests
-    /// of the window before had earned: until that window is over there is the reserve alone.
-    pub fn after_restart(settings: WindowBudgetSettings, started_at: Timestamp) -> Self {
-        Self { earns_from: started_at + settings.window, ..Self::new(settings) }
+        Self { settings, steps: VecDeque::new() }
     }
 
     /// Sets the repeats beside, as when the number of nodes that share them has changed.
@@ -107,13 +107,27 @@
     /// Repeats that would be granted now.
     pub fn left(&self, now: Timestamp) -> u64 {
         let number = self.number(now);
+        let windows = number.saturating_sub(u64::from(STEPS))..=number;
+        windows.map(|first| self.left_within(first)).min().unwrap_or(0)
+    }
+
+    /// Repeats left in the windows that begin within the step `first`. Only part of that step and of the one a window later is in
+    /// such a window: their repeats count, and their requests do not.
+    fn left_within(&self, first: u64) -> u64 {
         let steps = u64::from(STEPS);
-        // Requests count for a little less than the window, repeats for a little more.
-        let requests: u64 =
-            self.steps.iter().filter(|step| step.number + steps > number).map(|step| step.requests).sum();
-        let repeats: u64 =
-            self.steps.iter().filter(|step| step.number + steps >= number).map(|step| step.repeats).sum();
-        let requests = if now < self.earns_from { 0 } else { requests };
+        let (mut before, mut within, mut repeats) = (0, 0, 0);
+        for step in &self.steps {
+            if step.number < first && step.number + steps > first {
+                before += step.requests;
+            }
+            if step.number > first && step.number < first + steps {
+                within += step.requests;
+            }
+            if step.number >= first && step.number <= first + steps {
+                repeats += step.repeats;
+            }
+        }
+        let requests = (before * BEFORE_PER_MILLE + within * (WHOLE - BEFORE_PER_MILLE)) / WHOLE;
         let earned = requests * u64::from(self.settings.share_per_mille) * USED_PER_MILLE / WHOLE;
         (earned / WHOLE + u64::from(self.settings.reserve)).saturating_sub(repeats)
     }
@@ -125,7 +139,7 @@
 
     fn step(&mut self, now: Timestamp) -> &mut Step {
         let number = self.number(now);
-        while self.steps.front().is_some_and(|step| step.number + u64::from(STEPS) < number) {
+        while self.steps.front().is_some_and(|step| step.number + 2 * u64::from(STEPS) < number) {
             self.steps.pop_front();
         }
         if self.steps.back().is_none_or(|step| step.number < number) {
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -69,8 +69,6 @@
     pub(crate) refusals: BTreeMap<ServiceId, Refusals>,
     /// Repeats that may reach wrong addresses.
     strays: Option<WindowBudget>,
-    /// When the process started, where others may have run in its place before.
-    pub(crate) started_again_at: Option<Timestamp>,
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
     /// Drawn evenly from 0 to 1: which nodes have one more repeat than the others.
     repeat_draw: f64,
@@ -158,7 +156,6 @@
             budgets: BTreeMap::new(),
             refusals: BTreeMap::new(),
             strays: None,
-            started_again_at: None,
             refused_until: BTreeMap::new(),
             repeat_draw: rand::random(),
             parting: settings.bounds.parting(),
@@ -215,17 +212,12 @@
         nodes: Nodes,
     ) -> &mut WindowBudget {
         let reserve = reserve_of(settings.bounds.retry_slack, nodes.known(), nodes.assumed, self.repeat_draw);
-        let started_again_at = self.started_again_at;
         let budget = self.budgets.entry(service.clone()).or_insert_with(|| {
-            let settings = WindowBudgetSettings {
+            WindowBudget::new(WindowBudgetSettings {
                 share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
                 reserve,
                 window: Duration::from_millis(settings.bounds.retry_window_ms),
-            };
-            match started_again_at {
-                Some(at) => WindowBudget::after_restart(settings, at),
-                None => WindowBudget::new(settings),
-            }
+            })
         });
         budget.set_reserve(reserve);
         budget
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -105,7 +105,6 @@
     ) -> Self {
         let store = Caller::new(settings.store.address, clock);
         let mut beliefs = Beliefs::new(&settings);
-        beliefs.started_again_at = (!settings.first_start).then(|| clock.now());
         let me = |address| Member {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
