A back end that owes an answer stays as slow as it was known to be

Cause: its average faded while it stalled, which is when it is slowest. Change: the average fades only where nothing is unanswered; a test.

--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -155,6 +155,10 @@
         busy.map(work).collect()
     }
 
+    fn awaits(&self, backend: &BackendId) -> bool {
+        self.unanswered.get(backend).is_some_and(|unanswered| !unanswered.is_empty())
+    }
+
     /// Whether a request has waited at a back end for much longer than answers there have lately taken: nothing more
     /// is sent there as long as others are left.
     pub fn is_suspect(&self, backend: &BackendId, now: Timestamp) -> bool {
@@ -196,6 +200,8 @@
         }
         let (least, most) = SLOWNESS_BOUNDS;
         let measured = (load.average_ms / usual_ms).clamp(least, most);
-        measured.min(unknown).max(measured * load.average_left(now))
+        // One that leaves requests unanswered is not unknown: it may be slower still.
+        let left = if self.awaits(backend) { 1.0 } else { load.average_left(now) };
+        measured.min(unknown).max(measured * left)
     }
 }
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -357,6 +357,19 @@
     }
 }
 
+/// A stall is no silence from which nothing can be told: what was known of a slow back end stands while it owes an answer.
+#[test]
+fn a_slow_back_end_that_owes_an_answer_is_still_known_as_slow() {
+    let world = World::of(&[1; 2]);
+    let mut chooser = Chooser::default();
+    for (id, milliseconds) in world.ids.iter().zip([50.0, 2.0]) {
+        (0..5).for_each(|_| chooser.loads.measured(id, milliseconds, Timestamp::ZERO));
+    }
+    chooser.loads.started(&world.ids[0], 0, Timestamp::ZERO);
+    let got = one_after_the_other(&mut chooser, &world, Timestamp::ZERO, Duration::from_millis(100), 600);
+    assert_eq!(got[0], 0, "{got:?}");
+}
+
 /// The one that had answered most was reckoned a little faster than usual for the milliseconds since its last answer, and the one
 /// that had answered once exactly as usual: 1,731 of 1,731 requests went to the first.
 #[test]
