Failing: serve asks engines again that have asked for rest, or that leave

Cause: of a refusal only the request that got it heard anything: it left the engine out and handed the time on to its caller.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -38,6 +38,7 @@
 mod exports;
 mod healthy;
 mod kept;
+mod rests;
 mod scoring;
 mod types;
 
@@ -116,6 +117,7 @@
             }
             RouterEvent::FirstToken { attempt } => self.apply_first_token(attempt),
             RouterEvent::Ended { attempt, ending } => self.apply_ended(attempt, ending, now),
+            RouterEvent::Refused { engine, refusal } => self.apply_refused(engine, refusal, now),
             RouterEvent::Draining { engine, draining } => {
                 self.engines.set_draining(engine, draining);
             }
--- a/crates/core/src/routing/types.rs
+++ b/crates/core/src/routing/types.rs
@@ -4,8 +4,8 @@
 
 use paddlemount_protocol::{
     engine::{
-        CacheEventBatch, CacheSnapshot, EngineStatus, ExportRequest, KvTransfer, LoadReport, Precondition,
-        Priority,
+        CacheEventBatch, CacheSnapshot, EngineRefusal, EngineStatus, ExportRequest, KvTransfer, LoadReport,
+        Precondition, Priority,
     },
     identity::{
         AdapterId, AttemptId, EngineId, Incarnation, ModelId, PoolId, RequestId, TenantId, WeightsVersion,
@@ -212,6 +212,13 @@
         /// How.
         ending: AttemptEnding,
     },
+    /// An engine refused a try, which has not run.
+    Refused {
+        /// The engine.
+        engine: &'a EngineId,
+        /// Its answer.
+        refusal: &'a EngineRefusal,
+    },
     /// An engine takes no new work, or takes it again.
     Draining {
         /// The engine.
