serve: what an engine says of itself in a refusal holds for all requests of the node

Cause: a refusal's time, and that the engine takes no work, were heard by the request that got it alone. Ruled out: a mark that only a new life ends for engines that refuse as they drain: one that loads other weights says the same and goes on in the same life. Change: a rest keeps the engine out of every choice (one limit and one spread of callers with forwarding nodes); where all rest callers are refused at once as overloaded, with the least rest and up to a quarter more; an engine that refused because it takes no work gets none until a later account of it or its next life. A column of engines and an event tell of it.

--- a/crates/core/src/forwarding/announcements.rs
+++ b/crates/core/src/forwarding/announcements.rs
@@ -17,9 +17,8 @@
 use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
 
 use super::backends::{Backend, BackendEntry, BackendId, Backends, Standing};
+use crate::rest::LONGEST_REST;
 
-/// The longest time without requests that a back end is granted: one that asks for more is asked again after this.
-pub const LONGEST_REST: Duration = Duration::from_secs(300);
 /// How long it is remembered that a process leaves, beyond its last word. Its entry is gone by then.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// How long after its start the registry may tell of a process. What was heard so lately of the start before may be the word of
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod request;
+pub mod rest;
 pub mod retry;
 pub mod routing;
 pub mod service;
--- a/crates/core/src/request/machine.rs
+++ b/crates/core/src/request/machine.rs
@@ -194,7 +194,11 @@
         if self.phase != Phase::Choosing {
             return;
         }
-        self.retry_after = retry_after.or(self.retry_after);
+        if retry_after.is_some() {
+            self.retry_after = retry_after;
+            let message = "all engines that could serve this request have asked for a time without any";
+            return self.refuse(RefusalCode::Overloaded, message, actions);
+        }
         self.refuse(self.last_code, "no engine can serve this request now", actions);
     }
 
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -46,7 +46,7 @@
         let mut weighed: Vec<(Candidate, Slot)> = Vec::with_capacity(slots.len());
         for slot in slots {
             let Some(view) = self.engines.get(slot) else { continue };
-            if view.serves(request) {
+            if view.serves(request, now) {
                 weighed.push((self.weigh(&weighing, slot, view), slot));
             }
         }
--- a/crates/core/src/routing/engines.rs
+++ b/crates/core/src/routing/engines.rs
@@ -51,6 +51,11 @@
     pub(super) eviction: EvictionAge,
     pub(super) in_flight: u32,
     pub(super) draining: bool,
+    /// Where the engine has said in a refusal that it takes no work: when its last account before that was measured. A later
+    /// account takes it back, as after a load of other weights.
+    pub(super) refused_after: Option<Timestamp>,
+    /// Until when the engine wants no requests from this node.
+    pub(super) rests_until: Timestamp,
     /// Hash of the engine's name, for rendezvous hashing.
     pub(super) name_hash: u64,
     sends: VecDeque<Send>,
@@ -69,6 +74,8 @@
             eviction: EvictionAge::default(),
             in_flight: 0,
             draining: false,
+            refused_after: None,
+            rests_until: Timestamp::ZERO,
             sends: VecDeque::new(),
             sent_tokens: DecayedCount::default(),
         }
@@ -77,18 +84,24 @@
     /// Whether the engine takes requests at all.
     pub(super) fn takes_work(&self) -> bool {
         !self.draining
+            && self.refused_after.is_none()
             && !self.status.draining
             && self.status.role == EngineRole::Serving
             && self.status.loaded.is_some()
     }
 
-    pub(super) fn serves(&self, request: &RouteRequest<'_>) -> bool {
+    /// Whether the engine may be sent `request` now.
+    pub(super) fn serves(&self, request: &RouteRequest<'_>, now: Timestamp) -> bool {
+        self.has(request) && !self.rests(now) && !request.excluded.contains(&self.status.engine)
+    }
+
+    /// Whether the engine takes work and has what `request` asks for.
+    pub(super) fn has(&self, request: &RouteRequest<'_>) -> bool {
         let Some(loaded) = &self.status.loaded else { return false };
         self.takes_work()
             && loaded.weights == request.weights
             && loaded.model == *request.model
             && request.adapter.is_none_or(|adapter| loaded.adapters.contains(adapter))
-            && !request.excluded.contains(&self.status.engine)
     }
 
     pub(super) fn precondition(&self, request: &RouteRequest<'_>) -> Precondition {
@@ -251,6 +264,7 @@
         let moved = status.pool != view.status.pool;
         let took_work = view.takes_work();
         if same_life {
+            view.refused_after = view.refused_after.filter(|before| status.load.measured_at <= *before);
             let load = view.status.load;
             view.status = EngineStatus { load, ..status.clone() };
             view.apply_load(status.load, now);
@@ -258,6 +272,8 @@
             view.status = status.clone();
             view.load_received = now;
             view.sends.clear();
+            view.refused_after = None;
+            view.rests_until = Timestamp::ZERO;
         }
         if emptied {
             let old = view.residence;
@@ -300,7 +316,7 @@
         self.index_pools();
     }
 
-    fn index_pools(&mut self) {
+    pub(super) fn index_pools(&mut self) {
         let mut by_pool: BTreeMap<PoolId, Vec<Member>> = BTreeMap::new();
         for slot in self.by_id.values() {
             if let Some(view) = self.get(*slot).filter(|view| view.takes_work()) {
--- a/crates/core/tests/forwarding_announcements.rs
+++ b/crates/core/tests/forwarding_announcements.rs
@@ -3,10 +3,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bolero::TypeGenerator;
-use paddlemount_core::forwarding::{
-    announcements::{Announcements, Departure, LONGEST_REST, Rest},
-    backends::{BackendEntry, BackendId, Backends, Standing},
-    replacement::Heard,
+use paddlemount_core::{
+    forwarding::{
+        announcements::{Announcements, Departure, Rest},
+        backends::{BackendEntry, BackendId, Backends, Standing},
+        replacement::Heard,
+    },
+    rest::LONGEST_REST,
 };
 use paddlemount_protocol::{
     fleet::BackendProcess,
--- a/crates/core/tests/routing_rests.rs
+++ b/crates/core/tests/routing_rests.rs
@@ -83,6 +83,15 @@
     assert_eq!(least_rest(&router, 30), None);
 }
 
+#[test]
+fn one_that_has_loaded_other_weights_and_says_so_takes_work_again() {
+    let mut router = router(1, 1);
+    refuse(&mut router, 0, &refusal(RefusalCode::Draining, 1, None), 0);
+    assert!(chosen_among(&mut router, 10).is_empty());
+    router.apply(RouterEvent::Status(&status(0, 1, at_ms(900))), at_ms(910));
+    assert!(!chosen_among(&mut router, 920).is_empty());
+}
+
 #[test]
 fn a_new_life_ends_what_the_one_before_has_said_and_is_not_bound_by_its_late_refusals() {
     let mut router = router(1, 1);
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -4,10 +4,13 @@
 
 use bytes::Bytes;
 use http::Response;
-use paddlemount_core::forwarding::{
-    announcements::{Departure, LONGEST_REST, Rest},
-    backends::BackendId,
-    choice::Choice,
+use paddlemount_core::{
+    forwarding::{
+        announcements::{Departure, Rest},
+        backends::BackendId,
+        choice::Choice,
+    },
+    rest::{self, LONGEST_REST},
 };
 use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId};
 
@@ -18,10 +21,6 @@
     ports::{AnswerHead, AskedRest},
 };
 
-/// How much later than they may callers are told to come back at most, as a share of that time: all that were refused in one
-/// rest of the back ends would come in one moment.
-const SPREAD: f64 = 0.25;
-
 /// How it was heard that a process leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeardBy {
@@ -43,7 +42,7 @@
 
 /// When one of many callers that may come back after `least` is told to.
 pub(crate) fn spread(least: Duration) -> Duration {
-    least.mul_f64(1.0 + SPREAD * rand::random::<f64>())
+    rest::spread(least, rand::random())
 }
 
 impl Node {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -104,7 +104,7 @@
         peers: Option<SocketAddr>,
     ) -> Self {
         let store = Caller::new(settings.store.address, clock);
-        let mut beliefs = Beliefs::new(&settings);
+        let beliefs = Beliefs::new(&settings);
         let me = |address| Member {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
--- a/crates/language/src/schema/fields.rs
+++ b/crates/language/src/schema/fields.rs
@@ -57,6 +57,7 @@
         "weights" Number "the loaded weights version";
         "role" Text "serving or standby";
         "draining" Bool "whether it takes no new work";
+        "rests_ms" Number "milliseconds for which it still wants no requests from the node, by its own word";
         "running" Number "requests in its batch, as last reported";
         "waiting" Number "requests that wait to enter the batch, as last reported";
         "queued_prefill_tokens" Number "prompt tokens yet to be read, as last reported";
--- a/crates/node/src/admin/observations.rs
+++ b/crates/node/src/admin/observations.rs
@@ -4,6 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use paddlemount_core::decisions::{
@@ -179,6 +180,11 @@
         }
     }
 
+    /// An engine has asked this node for a time without requests.
+    pub fn engine_rests(&self, engine: &EngineId, rest: Duration) {
+        self.event(Mechanism::Drains, "rests", engine, format!("no requests for {} ms", rest.as_millis()));
+    }
+
     /// Forgets an engine that no longer exists.
     pub fn forget_engine(&self, engine: &EngineId) {
         lock(&self.draining).remove(engine);
--- a/crates/node/src/admin/rows/engines.rs
+++ b/crates/node/src/admin/rows/engines.rs
@@ -29,6 +29,7 @@
     report: Option<EngineReport>,
     drained: bool,
     in_flight: usize,
+    rest: Option<Duration>,
 }
 
 impl EngineView {
@@ -58,7 +59,9 @@
             reports.into_iter().map(|report| (report.status.engine.clone(), report)).collect();
         let in_flight = self.in_flight_by_engine();
         let drained = &self.active.document.configuration.drained;
+        let now = self.state.clock.now();
         let views = self.state.directory.engines().into_iter().map(|(engine, entry)| EngineView {
+            rest: self.state.route(|router| router.rest_of(&engine, now)),
             pool: entry.pool.clone(),
             report: reports.remove(&engine),
             drained: drained.contains_key(&engine),
@@ -90,6 +93,7 @@
             .with("pool", view.pool.as_str())
             .with("zone", view.entry.zone.as_str())
             .with("draining", view.is_draining())
+            .with("rests_ms", view.rest.map(|rest| rest.as_millis() as u64))
             .with("in_flight", view.in_flight);
         let Some(EngineReport { status, .. }) = &view.report else { return row.with("age", Value::None) };
         row.with("incarnation", status.incarnation.0)
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod output;
 mod record;
+mod refusals;
 mod terms;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
@@ -135,6 +136,7 @@
         while let Some(event) = events.pop_front() {
             let now = self.state.clock.now();
             self.record.learn(&event, now);
+            self.hear_refusal(&event);
             for action in self.machine.handle(event, now) {
                 events.extend(self.act(action).await);
             }
@@ -259,7 +261,7 @@
         self.distance = Duration::try_from_secs_f64(distance_ms / 1_000.0).unwrap_or_default();
         match decision.chosen {
             Some(precondition) => RequestEvent::Decided(precondition),
-            None => RequestEvent::NoneServes { retry_after: None },
+            None => RequestEvent::NoneServes { retry_after: self.come_back() },
         }
     }
 
--- a/crates/node/src/exchange/connection.rs
+++ b/crates/node/src/exchange/connection.rs
@@ -147,6 +147,9 @@
     }
 }
 
+/// The life in a refusal whose answer names none.
+pub const UNNAMED_LIFE: Incarnation = Incarnation(0);
+
 /// The typed refusal in the body of an engine's answer. An answer that is not one proves nothing.
 fn refusal_of(body: &[u8]) -> Option<EngineRefusal> {
     if let Ok(refusal) = serde_json::from_slice::<EngineRefusal>(body) {
@@ -155,7 +158,7 @@
     let refusal: Refusal = serde_json::from_slice(body).ok()?;
     (refusal.outcome == Outcome::NotRun).then_some(EngineRefusal {
         code: refusal.code,
-        incarnation: Incarnation(0),
+        incarnation: UNNAMED_LIFE,
         loaded: None,
         message: refusal.message,
         retry_after_ms: refusal.retry_after_ms,
--- a/crates/node/tests/overload.rs
+++ b/crates/node/tests/overload.rs
@@ -1,7 +1,11 @@
 //! A node before one small engine: shedding, budgets, and places that are given back.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
+use paddlemount_core::decisions::DecisionCursor;
 use paddlemount_node::{
     client::{ClientError, HttpClient},
     node::{Node, RunningNode},
@@ -14,6 +18,7 @@
     identity::{PoolId, RegionId, TenantId, WeightsVersion, ZoneId},
     platform::{Machine, MachineRole, MachineState},
     refusal::{Outcome, RefusalCode},
+    time::Timestamp,
 };
 use paddlemount_standins::{
     server::{self, RunningStandin},
@@ -22,6 +27,8 @@
 use sha2::{Digest, Sha256};
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// What the stand-in of an engine asks for when its queue is full and empty of tokens.
+const REST: Duration = Duration::from_millis(200);
 
 struct World {
     node: RunningNode,
@@ -33,9 +40,14 @@
 }
 
 async fn world(extra_settings: &str) -> World {
+    world_with(extra_settings, |_| ()).await
+}
+
+async fn world_with(extra_settings: &str, change: impl FnOnce(&mut EngineSettings)) -> World {
     let loaded = LoadedModel { model: "model".into(), weights: WeightsVersion(1), adapters: Vec::new() };
     let mut engine = EngineSettings::new("engine".into(), "pool".into(), "zone".into(), Some(loaded));
     engine.behaviour.speed.batch_slots = 1;
+    change(&mut engine);
     let engine = server::start(StandinSettings::Engine(engine)).unwrap();
     let one_a_minute = Quota { requests_per_second: Some(1.0 / 60.0), ..Quota::default() };
     let pool = Pool {
@@ -98,6 +110,21 @@
         }
     }
 
+    /// When tries were sent to the engine, as the requests' records have it, in order.
+    fn tries(&self) -> Vec<Timestamp> {
+        let observations = &self.node.state().observations;
+        let mut sent: Vec<Timestamp> = observations.decisions(|ring| {
+            let page = ring.read_after(DecisionCursor::default(), usize::MAX);
+            page.entries
+                .iter()
+                .flat_map(|entry| &entry.value.attempts)
+                .map(|attempt| attempt.sent_at)
+                .collect()
+        });
+        sent.sort_unstable();
+        sent
+    }
+
     async fn until_idle(&self) {
         let idle = || {
             let view = self.node.state().overload.pool_view(&PoolId::from("pool"));
@@ -128,6 +155,26 @@
     world.node.kill().await;
 }
 
+/// An engine without a place in its queue refuses and asks for 0.2 s. Only the request that it had refused left it out: 233 tries
+/// reached it within 0.1 s, of callers that came one after the other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_asks_for_rest_is_not_reached_until_its_end() {
+    let world = world_with("", |engine| engine.behaviour.speed.waiting_limit = 0).await;
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < REST * 4 || world.tries().len() < 2 {
+        let refusal = world.ask("free-key", number).await.expect_err("the engine takes nothing");
+        assert_eq!((refusal.error.code, refusal.error.outcome), (RefusalCode::Overloaded, Outcome::NotRun));
+        assert!(refusal.error.retry_after_ms.is_some_and(|after| after <= 250), "{refusal:?}");
+        number += 1;
+    }
+    let tries = world.tries();
+    for pair in tries.windows(2) {
+        assert!(pair[1].saturating_since(pair[0]) >= REST, "{} tries: {tries:?}", tries.len());
+    }
+    world.node.kill().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_that_leaves_gives_its_place_back_wherever_it_was() {
     let world = world("[admission]\nlongest_wait_ms = 20000\n").await;
