Failing: a node that starts before the operator has written again serves by the older copy

Cause: a node that starts knows of nothing but the copy. Others know better, and tell changes between revisions alone: at the same revision there are none. Change: a test, listed. Measured: a key that was taken away is served with 200 by the node that started, refused with 401 by the other.

--- a/crates/cli/tests/forward/restored.rs
+++ b/crates/cli/tests/forward/restored.rs
@@ -168,3 +168,28 @@
         until_served(router, LATE_KEY).await;
     }
 }
+
+/// A node that starts before the operator has written again knows of nothing but the copy, which still has the key. The others
+/// know better.
+#[tokio::test]
+async fn a_node_that_starts_before_all_is_written_again_goes_by_what_the_others_know() {
+    let place = Place::start().await.expect("a place starts");
+    place.configure(1, &[KEY, REMOVED_KEY]);
+    let first = Router::start_at(place.store_address, "node-0").await;
+    until_leading(&first).await;
+    let copy = place.store.copy();
+    place.configure(2, &[KEY]);
+    let refused = async || status(&first, REMOVED_KEY).await == Some(StatusCode::UNAUTHORIZED);
+    first.until("refusing the key", refused).await;
+    let written = place.store.restore(&copy);
+    let second = Router::start_at(place.store_address, "node-1").await;
+    for _ in 0..60 {
+        let got = status(&second, REMOVED_KEY).await;
+        assert_ne!(got, Some(StatusCode::OK), "lines: {:#?}", second.lines());
+        tokio::time::sleep(AWAY / 10).await;
+    }
+    until_served(&second, KEY).await;
+    place.store.write_again(&written);
+    until_served(&second, KEY).await;
+    assert_eq!(status(&second, REMOVED_KEY).await, Some(StatusCode::UNAUTHORIZED));
+}
