Neighbours tell each other what they go by that only rises, once the store has come back

Cause: changes are told between revisions, and a node that has read the copy alone knows the same revision as the others. Change: reports and digests name the document's version and a hash of the named weights; one that has seen the store come back tells a neighbour that goes by anything else its document and namings, up and down the tree. What is older changes nothing. Some 40 bytes a message.

--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -10,7 +10,7 @@
     readers::{are_worth_following, followed},
 };
 use paddlemount_protocol::{
-    fleet::{EngineWork, JoinRequest, KeptNews, Member, Report},
+    fleet::{EngineWork, InForce, JoinRequest, KeptNews, Member, Report},
     identity::{EngineId, NodeId, ZoneId},
     quarantine::RunReport,
     time::Timestamp,
@@ -67,6 +67,8 @@
         log: 0,
         cursor: 0,
         revision: None,
+        in_force: InForce::default(),
+        rising: String::new(),
     };
     assert!(fleet.children.reported(&report, now));
 }
--- a/crates/core/tests/tree_support/mod.rs
+++ b/crates/core/tests/tree_support/mod.rs
@@ -8,7 +8,7 @@
 
 use paddlemount_core::forwarding::{children::Admission, fleet::Fleet, uplink::Turn};
 use paddlemount_protocol::{
-    fleet::{Contact, JoinAnswer, JoinRequest, Member, Report},
+    fleet::{Contact, InForce, JoinAnswer, JoinRequest, Member, Report},
     identity::{NodeId, ZoneId},
     quarantine::RunReport,
     time::Timestamp,
@@ -274,5 +274,7 @@
         log: 0,
         cursor: 0,
         revision: None,
+        in_force: InForce::default(),
+        rising: String::new(),
     }
 }
--- a/crates/forward/src/learning.rs
+++ b/crates/forward/src/learning.rs
@@ -90,6 +90,14 @@
         beliefs.know_namings(proved_at, &telling.named);
     }
 
+    /// Takes in what another node goes by that only rises, whatever this one has read of the store.
+    pub(crate) fn learn_rising(&self, facts: Vec<Fact>, revision: Revision) {
+        let telling = Telling::by_another(Heard::AsChange, Vec::new());
+        let rising =
+            facts.into_iter().filter(|fact| matches!(fact, Fact::Document(_) | Fact::WeightsNamed { .. }));
+        rising.for_each(|fact| self.learn_one(fact, revision, &telling));
+    }
+
     /// Takes in a part of what the store holds, which it told in answer to a call sent at `sent_at`: enough to serve by,
     /// until the rest is known.
     pub fn learn_part(&self, facts: Vec<Fact>, revision: Revision, sent_at: Timestamp) {
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, StatusCode, header};
 use paddlemount_core::{forwarding::uplink::Turn, quarantine::MOST_REPORTED};
 use paddlemount_protocol::{
-    fleet::{Contact, Digest, EXCHANGE_PATH, JOIN_PATH, JoinAnswer, Report},
+    fleet::{Contact, Digest, EXCHANGE_PATH, InForce, JOIN_PATH, JoinAnswer, Report},
     identity::Revision,
     time::Timestamp,
 };
@@ -149,6 +149,8 @@
     cursor: Cell<(u64, u64)>,
     /// The last news of runs that the node above has taken; another node above is told all that is remembered.
     runs_told: Cell<u64>,
+    /// What the node above goes by, as it told last.
+    in_force: Cell<Option<InForce>>,
     /// When the last report was sent, and whether requests were under way then.
     sent: Cell<Option<(Timestamp, bool)>>,
 }
@@ -156,7 +158,14 @@
 impl Link {
     fn to(parent: Contact, node: &Node) -> Self {
         let calls = Caller::new(parent.address, node.clock);
-        Self { parent, calls, cursor: Cell::new((NO_LOG, 0)), runs_told: Cell::new(0), sent: Cell::new(None) }
+        Self {
+            parent,
+            calls,
+            cursor: Cell::new((NO_LOG, 0)),
+            runs_told: Cell::new(0),
+            in_force: Cell::new(None),
+            sent: Cell::new(None),
+        }
     }
 
     /// Whether it is time to report. A node without requests and without others below it has nothing to tell: where each
@@ -199,6 +208,7 @@
     /// What the node above is told, and up to which news of runs.
     fn report_of(&self, node: &Node) -> Option<(Report, u64)> {
         let now = node.now();
+        let rising = self.in_force.get().map(|theirs| node.rising_for(theirs)).unwrap_or_default();
         let mut beliefs = node.beliefs.borrow_mut();
         let mut peers = node.peers.as_ref()?.borrow_mut();
         let (log, cursor) = self.cursor.get();
@@ -215,6 +225,8 @@
             log,
             cursor,
             revision: beliefs.revision,
+            in_force: beliefs.in_force(),
+            rising,
         };
         Some((report, runs.upto))
     }
@@ -222,6 +234,7 @@
     fn take(&self, node: &Node, digest: Digest, revision: Option<Revision>, sent_at: Timestamp) {
         node.metrics.count(Counter::PeerCalls("answered"));
         self.cursor.set((digest.log, digest.cursor));
+        self.in_force.set(Some(digest.in_force));
         if let Some(peers) = &node.peers {
             let mut peers = peers.borrow_mut();
             let uplink = &mut peers.fleet.uplink;
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -42,6 +42,7 @@
         if let Some(relay) = digest.store {
             self.take_relay(relay, revision, sent_at);
         }
+        self.hear_rising(&digest.rising);
     }
 
     /// Takes in what the store has told another node. It counts from when the report was sent, less the age that the
--- a/crates/forward/src/peers/mod.rs
+++ b/crates/forward/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! | [`client`] | finds a place in the tree of nodes, and reports several times a second |
 //! | [`server`] | takes nodes in, takes their reports, and answers them |
 //! | [`intake`] | takes in what the node above has told |
+//! | [`rising`] | what neighbours tell each other after the store has come back from an older copy |
 //! | [`snapshot`] | gives and takes all that is known of the store |
 //!
 //! What the store has told is passed on as facts, with the age of its proof. A node that hears of nobody, or of nothing
@@ -13,6 +14,7 @@
 
 pub mod client;
 pub mod intake;
+mod rising;
 pub mod server;
 pub mod snapshot;
 
--- /dev/null
+++ b/crates/forward/src/peers/rising.rs
@@ -0,0 +1,52 @@
+//! What neighbours tell each other after the store has come back from an older copy.
+//!
+//! The document and the versions of weights that a node goes by only rise, whatever the copy shows. A node that has started since
+//! then knows of nothing but the copy, and changes are told between revisions alone: at the same revision there are none.
+//! Without this such a node served a key that had been taken away, until the operator had written again. So neighbours name in
+//! each message what they go by, some 40 bytes; one that has seen the store come back tells a neighbour that goes by anything else
+//! what it may lack, from then on: how long the operator takes to write again is not known.
+
+use paddlemount_protocol::fleet::InForce;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{beliefs::Beliefs, journal::Event, node::Node, ports::Fact};
+
+impl Beliefs {
+    /// What this node goes by that only rises.
+    pub(crate) fn in_force(&self) -> InForce {
+        let mut hash = Xxh3::new();
+        for model in self.rollout.namings.models() {
+            let version = self.rollout.newest(model).map_or(0, |version| version.0);
+            hash.update(model.as_str().as_bytes());
+            hash.update(&version.to_le_bytes());
+        }
+        InForce { document: self.table.as_ref().map(|table| table.version()), weights: hash.digest() }
+    }
+
+    /// What a neighbour that goes by `theirs` may lack, as a JSON list of facts; empty where it lacks nothing.
+    pub(crate) fn lacked_by(&self, theirs: InForce) -> String {
+        let known = self.in_force();
+        if theirs == known || theirs.document > known.document {
+            return String::new();
+        }
+        serde_json::to_string(&self.rising_facts()).unwrap_or_default()
+    }
+}
+
+impl Node {
+    /// What a neighbour that goes by `theirs` is told. Only a node that has seen the store come back knows more than any listing
+    /// tells.
+    pub(super) fn rising_for(&self, theirs: InForce) -> String {
+        if self.restored_at.get().is_some() { self.beliefs.borrow().lacked_by(theirs) } else { String::new() }
+    }
+
+    /// Takes in what a neighbour went by when the store came back. What is older than what this node goes by changes nothing.
+    pub(super) fn hear_rising(&self, rising: &str) {
+        let known = self.beliefs.borrow().revision;
+        let (Some(revision), false) = (known, rising.is_empty()) else { return };
+        match serde_json::from_str::<Vec<Fact>>(rising) {
+            Ok(facts) => self.learn_rising(facts, revision),
+            Err(error) => self.journal.tell(&Event::ChangesUnreadable { problem: error.to_string() }),
+        }
+    }
+}
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -129,6 +129,7 @@
     if let Some(to) = &refer {
         node.journal.tell(&Event::ChildReferred { child: report.sender.node.as_str(), to: to.node.as_str() });
     }
+    node.hear_rising(&report.rising);
     Some(digest(node, &mut peers.borrow_mut(), report, refer, now))
 }
 
@@ -136,6 +137,7 @@
     let leads = node.token().is_some();
     node.runs_reported(report.runs);
     node.told_of_leaving(&report.leaving);
+    let rising = node.rising_for(report.in_force);
     let mut beliefs = node.beliefs.borrow_mut();
     for news in &report.news {
         beliefs.chooser.heard(news, now);
@@ -166,6 +168,8 @@
         news,
         snapshot: store.is_none() && knows_more,
         store,
+        in_force: beliefs.in_force(),
+        rising,
     }
 }
 
--- a/crates/forward/src/replica.rs
+++ b/crates/forward/src/replica.rs
@@ -26,6 +26,12 @@
         single.chain(leader).chain(weights).chain(held).chain(backends).collect()
     }
 
+    /// What only rises of it: no older copy of the store takes it back.
+    pub(crate) fn rising_facts(&self) -> Vec<Fact> {
+        let weights = self.rollout.namings.models().filter_map(|model| self.weights_fact(model));
+        self.document_fact().into_iter().chain(weights).collect()
+    }
+
     fn fact_about(&self, subject: &Subject) -> Option<Fact> {
         match subject {
             Subject::Document => self.document_fact(),
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -234,6 +234,17 @@
     pub named: Vec<NamedLately>,
 }
 
+/// What a node goes by that only rises: for a neighbour that may have read an older copy of the store, or that has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// The version of the operator's document.
+    #[serde(rename = "d")]
+    pub document: Option<u64>,
+    /// A hash of the versions of all models' weights that were named.
+    #[serde(rename = "w")]
+    pub weights: u64,
+}
+
 /// What a node tells the node above it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -264,6 +275,12 @@
     pub cursor: u64,
     /// The revision of the store up to which it knows all.
     pub revision: Option<Revision>,
+    /// What it goes by.
+    #[serde(default)]
+    pub in_force: InForce,
+    /// What the receiver may lack of it since the store came back from an older copy, as a JSON list of facts.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub rising: String,
 }
 
 /// What a node is told from above.
@@ -300,6 +317,12 @@
     pub news: Vec<KeptNews>,
     /// What the store has told; nothing where the sender can't tell it without a gap.
     pub store: Option<StoreRelay>,
+    /// What the sender goes by.
+    #[serde(default)]
+    pub in_force: InForce,
+    /// What the reader may lack of it since the store came back from an older copy, as a JSON list of facts.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub rising: String,
     /// Whether the sender knows more of the store than the reader, and can't tell what has changed: a snapshot of all
     /// is to be asked for.
     #[serde(default)]
