A hold is written again also where the store came back before it had told that it keeps it

Cause: what is written again after a restore was what a watch had told. Ruled out: the mend of rising facts beside it (the node was the only one). Change: what a node holds back counts as kept from its conclusion on; one whose time is over no longer does.

--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -61,7 +61,7 @@
     pub quotas: QuotaLedger,
     /// Requests under which back ends ended.
     pub quarantine: Quarantine,
-    /// Requests that the store holds back, as they stand there.
+    /// Requests that the store holds back, as they stand there, or that this node has asked it to.
     pub(crate) held: BTreeMap<RequestFingerprint, HeldRequest>,
     pub(crate) wheel: ShareWheel,
     pub(crate) budgets: BTreeMap<ServiceId, WindowBudget>,
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -140,6 +140,7 @@
     pub fn sweep_quarantine(&self) {
         let ended = self.beliefs.borrow_mut().quarantine.sweep(self.now());
         for fingerprint in ended {
+            self.beliefs.borrow_mut().held.remove(&fingerprint);
             self.tell_release(&fingerprint, "its time is over");
         }
     }
@@ -165,6 +166,8 @@
         let held = self.beliefs.borrow_mut().quarantine.conclude(&me, self.now());
         for request in held {
             self.tell_hold(&HeldLine::from(&request), HeldBy::Counted);
+            // The store may come back from a copy without it before it has told that it keeps it.
+            self.beliefs.borrow_mut().held.insert(request.fingerprint, request.clone());
             self.change(Change::Keep(request));
         }
     }
