Requests of the present step earn their half at once

Cause: with weights of their own the two windows left out the step in which a window begins and the present one. A test of processes asks that each request earns at once: 30 requests within half a second had earned nothing. Change: both windows weigh alike, so that it is the same on which side of a window's beginning a request came; the sum over one range replaces two. The test's figure follows the bound: half of the share at once, still exact.

--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -18,9 +18,9 @@
 const STEPS: u32 = 20;
 /// The part of what is allowed that is used, in thousandths.
 const USED_PER_MILLE: u64 = 900;
-/// The weight of the window before in what requests earn, in thousandths; the window itself has the rest. In steady traffic this
-/// part of the share may be spent at one moment; in the first window of a service's traffic, or of a process, the rest is all.
-const BEFORE_PER_MILLE: u64 = 500;
+/// Each request counts by one part in so many in two windows: its own and the next one. So half of the share may be spent at one
+/// moment, be it the first of a service's traffic or of a process, and in steady traffic all of it over a window.
+const WINDOWS: u64 = 2;
 /// Thousandths of a repeat in one repeat.
 const WHOLE: u64 = 1_000;
 
@@ -111,24 +111,21 @@
         windows.map(|first| self.left_within(first)).min().unwrap_or(0)
     }
 
-    /// Repeats left in the windows that begin within the step `first`. Only part of that step and of the one a window later is in
-    /// such a window: their repeats count, and their requests do not.
+    /// Repeats left in the windows that begin within the step `first`. Repeats count for all of that step and of the one a window
+    /// later, parts of which are outside; requests for all that came surely later than a window before. Whether those of the step
+    /// came before or after the beginning is the same: both windows weigh alike.
     fn left_within(&self, first: u64) -> u64 {
         let steps = u64::from(STEPS);
-        let (mut before, mut within, mut repeats) = (0, 0, 0);
+        let (mut requests, mut repeats) = (0, 0);
         for step in &self.steps {
-            if step.number < first && step.number + steps > first {
-                before += step.requests;
-            }
-            if step.number > first && step.number < first + steps {
-                within += step.requests;
+            if step.number + steps > first {
+                requests += step.requests;
             }
             if step.number >= first && step.number <= first + steps {
                 repeats += step.repeats;
             }
         }
-        let requests = (before * BEFORE_PER_MILLE + within * (WHOLE - BEFORE_PER_MILLE)) / WHOLE;
-        let earned = requests * u64::from(self.settings.share_per_mille) * USED_PER_MILLE / WHOLE;
+        let earned = requests * u64::from(self.settings.share_per_mille) * USED_PER_MILLE / WINDOWS / WHOLE;
         (earned / WHOLE + u64::from(self.settings.reserve)).saturating_sub(repeats)
     }
 
