--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -61,13 +61,14 @@
     /// The weight of a measurement at `now` in the average. One that is faster says the more, the older the average is: a back end
     /// that was slow is asked seldom, and would else be known as slow for several such times more.
     fn weight_of(&self, milliseconds: f64, now: Timestamp) -> f64 {
-        let is_old = now.saturating_since(self.measured_at) >= AVERAGE_FADES_IN;
-        match milliseconds < self.average_ms {
-            _ if self.measurements == 0 => 1.0,
-            true if is_old => 1.0,
-            true => AVERAGE_WEIGHT.max(1.0 - self.average_left(now)),
-            false => AVERAGE_WEIGHT,
+        if self.measurements == 0 {
+            return 1.0;
+        }
+        if milliseconds >= self.average_ms {
+            return AVERAGE_WEIGHT;
         }
+        let is_old = now.saturating_since(self.measured_at) >= AVERAGE_FADES_IN;
+        if is_old { 1.0 } else { AVERAGE_WEIGHT.max(1.0 - self.average_left(now)) }
     }
 
     fn faded_slowest_ms(&self, now: Timestamp) -> f64 {
@@ -155,6 +156,7 @@
         busy.map(work).collect()
     }
 
+    /// Whether requests were sent there that no first byte has come for.
     fn awaits(&self, backend: &BackendId) -> bool {
         self.unanswered.get(backend).is_some_and(|unanswered| !unanswered.is_empty())
     }
--- a/crates/forward/src/peers/rising.rs
+++ b/crates/forward/src/peers/rising.rs
@@ -3,7 +3,7 @@
 //! The document and the versions of weights that a node goes by only rise, whatever the copy shows. A node that has started since
 //! then knows of nothing but the copy, and changes are told between revisions alone: at the same revision there are none.
 //! Without this such a node served a key that had been taken away, until the operator had written again. So neighbours name in
-//! each message what they go by, some 40 bytes; one that has seen the store come back tells a neighbour that goes by anything else
+//! each message what they go by, some 45 bytes; one that has seen the store come back tells a neighbour that goes by anything else
 //! what it may lack, from then on: how long the operator takes to write again is not known.
 
 use paddlemount_protocol::fleet::InForce;
@@ -26,10 +26,10 @@
     /// What a neighbour that goes by `theirs` may lack, as a JSON list of facts; empty where it lacks nothing.
     pub(crate) fn lacked_by(&self, theirs: InForce) -> String {
         let known = self.in_force();
-        if theirs == known || theirs.document > known.document {
-            return String::new();
-        }
-        serde_json::to_string(&self.rising_facts()).unwrap_or_default()
+        let document = self.document_fact().filter(|_| theirs.document < known.document);
+        let weights = self.weights_facts().filter(|_| theirs.weights != known.weights);
+        let lacked: Vec<Fact> = document.into_iter().chain(weights).collect();
+        if lacked.is_empty() { String::new() } else { serde_json::to_string(&lacked).unwrap_or_default() }
     }
 }
 
--- a/crates/forward/src/replica.rs
+++ b/crates/forward/src/replica.rs
@@ -20,18 +20,12 @@
     pub(crate) fn all_facts(&self) -> Vec<Fact> {
         let single = [self.document_fact(), self.fleet_size.map(Fact::FleetSize)].into_iter().flatten();
         let leader = self.leader.iter().map(|_| self.leader_fact());
-        let weights = self.rollout.namings.models().filter_map(|model| self.weights_fact(model));
+        let weights = self.weights_facts();
         let held = self.held.values().map(|request| Fact::Held(Box::new(request.clone())));
         let backends = self.backends.iter().filter_map(entry_fact);
         single.chain(leader).chain(weights).chain(held).chain(backends).collect()
     }
 
-    /// What only rises of it: no older copy of the store takes it back.
-    pub(crate) fn rising_facts(&self) -> Vec<Fact> {
-        let weights = self.rollout.namings.models().filter_map(|model| self.weights_fact(model));
-        self.document_fact().into_iter().chain(weights).collect()
-    }
-
     fn fact_about(&self, subject: &Subject) -> Option<Fact> {
         match subject {
             Subject::Document => self.document_fact(),
@@ -49,7 +43,8 @@
         }
     }
 
-    fn document_fact(&self) -> Option<Fact> {
+    /// The operator's document.
+    pub(crate) fn document_fact(&self) -> Option<Fact> {
         let table = self.table.as_ref()?;
         Some(Fact::Document(Box::new(table.document().clone())))
     }
@@ -63,6 +58,11 @@
         }
     }
 
+    /// The versions of all models' weights that were named.
+    pub(crate) fn weights_facts(&self) -> impl Iterator<Item = Fact> {
+        self.rollout.namings.models().filter_map(|model| self.weights_fact(model))
+    }
+
     fn weights_fact(&self, model: &ModelId) -> Option<Fact> {
         let version = self.rollout.newest(model)?;
         Some(Fact::WeightsNamed { model: model.clone(), version })
