Headers of back ends' answers that nothing reads are told once, by name

What operators saw: two engines had put a limit into every answer for seven seconds, and no line of any node spoke of it. Cause: an answer's head is read by a fixed list of names; whatever else a back end says is dropped without a word, as three statements of earlier incidents were. Shown by: announced::a_header_of_answers_that_nothing_reads_is_told_once_without_its_value.

--- a/crates/cli/tests/forward/announced.rs
+++ b/crates/cli/tests/forward/announced.rs
@@ -316,3 +316,18 @@
     }
     assert_eq!(lines_of(&router, "rest_unreadable").len(), 3, "a line tells of each that cannot be read");
 }
+
+#[tokio::test]
+async fn a_header_of_answers_that_nothing_reads_is_told_once_without_its_value() {
+    let place = place().await;
+    let router = Router::start(&place).await;
+    place.bookings.iter().for_each(|runner| runner.add_header("Server-Mood"));
+    ask_for(&router, "/quote/1", Duration::from_millis(200)).await;
+    router.until("told", async || router.told("answer_header_unknown")).await;
+    let lines = lines_of(&router, "answer_header_unknown");
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["name"], "server-mood");
+    assert!(router.lines().iter().all(|line| !line.contains("a value")));
+    let counted = gauge(&router, "paddlemount_forward_unknown_answer_headers_total").await;
+    assert!(counted > Some(1.0), "each answer counts");
+}
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -72,6 +72,7 @@
     /// Takes in what an answer of `asked` announces, whatever else it says. Another process that answers in its place speaks
     /// for itself only.
     pub(crate) fn hear(&self, asked: &BackendProcess, says: &AnswerHead) {
+        self.note_unknown_headers(&asked.id, &says.unknown);
         let is_other = match &says.backend {
             Some(backend) => *backend != asked.id,
             None => says.misdirected,
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -90,6 +90,8 @@
     BackendRested { backend: &'a str },
     /// A back end has asked for a time without requests in words that mean nothing: it gets none.
     RestUnreadable { backend: &'a str, value: &'a str },
+    /// Answers of back ends carry a header that nothing reads; told once for each name.
+    AnswerHeaderUnknown { name: &'a str, backend: &'a str },
     /// What a back end keeps is followed by its feed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
     /// A version of weights was named, `at_most_ms` ago at most where that is known.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`placing`] | describes back ends to the chooser |
 //! | [`announced`] | what back ends say of themselves in their answers |
+//! | [`unknown_headers`] | notes headers of back ends' answers that nothing reads |
 //! | [`feed`], [`restored`] | follows the metadata store, also where that comes back from an older copy |
 //! | `replica`, `named` | what is known of the store, as facts for other nodes, and how lately weights were named |
 //! | [`kept`] | follows what engines and the store keep |
@@ -66,5 +67,6 @@
 pub mod restored;
 mod runs;
 pub mod settings;
+pub mod unknown_headers;
 pub mod verdicts;
 pub mod waiting;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -25,6 +25,8 @@
     Misdirected,
     /// Refusals by which back ends asked for a time without requests.
     RestsAsked,
+    /// Headers of back ends' answers that nothing reads.
+    UnknownAnswerHeaders,
     /// Streams that went on at another back end.
     Resumed,
     /// Calls to the store by what they are for and how they ended.
@@ -68,6 +70,7 @@
             Self::Retries => "paddlemount_forward_retries_total",
             Self::Misdirected => "paddlemount_forward_misdirected_total",
             Self::RestsAsked => "paddlemount_forward_rests_asked_total",
+            Self::UnknownAnswerHeaders => "paddlemount_forward_unknown_answer_headers_total",
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
             Self::StoreCalls { .. } => "paddlemount_forward_store_calls_total",
             Self::Orders(_) => "paddlemount_forward_orders_total",
@@ -100,6 +103,7 @@
             | Self::SnapshotsTaken
             | Self::Misdirected
             | Self::RestsAsked
+            | Self::UnknownAnswerHeaders
             | Self::Resumed
             | Self::StoreRestores
             | Self::Connections
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -35,6 +35,7 @@
     ports::Platform,
     quarantine::UnderWay,
     settings::ForwardSettings,
+    unknown_headers::UnknownHeaders,
 };
 
 /// How long a back end is left alone that refused a request.
@@ -88,6 +89,8 @@
     pub weights_named: Notify,
     /// Told where an order has ended.
     pub order_ended: Notify,
+    /// Headers of back ends' answers that nothing reads.
+    pub unknown_headers: UnknownHeaders,
     /// What is under way about requests under which back ends ended.
     pub quarantine_work: UnderWay,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -137,6 +140,7 @@
             leader_known: Notify::new(),
             weights_named: Notify::new(),
             order_ended: Notify::new(),
+            unknown_headers: UnknownHeaders::default(),
             quarantine_work: UnderWay::default(),
             leading: Cell::new(None),
         }
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode};
 use paddlemount_core::forwarding::{
     backends::{BackendEntry, BackendId},
     change_log::Subject,
@@ -342,6 +342,8 @@
     pub leaving: bool,
     /// For how long the back end wants no requests, where it refuses this one and says so.
     pub rest: Option<AskedRest>,
+    /// Headers that the translation does not understand.
+    pub unknown: Vec<HeaderName>,
 }
 
 /// For how long a back end wants no requests, as it says.
