Failing: back ends get more requests than the limit that they name

An engine that names 1.1 requests a second in all answers gets them from three nodes as before: 88 windows of 4 s hold more than the 11.6 that may come from nodes that it has told; where all three engines name 5 a second, 113 at one of them.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -6,6 +6,8 @@
 mod delivery;
 mod ending;
 mod fleet;
+mod limit_judge;
+mod limits;
 mod planned_soak;
 mod poison;
 #[path = "../support/program.rs"]
--- a/crates/cli/tests/forward/soak/announced.rs
+++ b/crates/cli/tests/forward/soak/announced.rs
@@ -117,6 +117,7 @@
             misdirected: false,
             told_leaving: false,
             retry_after: None,
+            limit: None,
         }
     }
 
