A rate limit that a back end names is divided over all nodes and kept to with every send

What callers saw: nothing; two engines in need got 14 and 15 requests in 4 s where 13 and 12 were allowed, from nodes that they had told in every answer. Unlike leaving, which is one fact for all, and back-off, which is between one back end and one node, it is one number for all nodes together. Ruled out: a bucket at each node with an even part. Its bursts add up: where 70 nodes hold one request each, 70 come at once by a limit of one a second. A coordinator that is asked for each request: a round trip, and nothing where it is away. Rendezvous over a list of all nodes: no node has one. Change: the limit is cut into slots, as many as it allows requests in a second and one more. The head of the tree of nodes divides them by weighted rendezvous hashing between itself and the nodes that report to it, by what callers ask there; these divide what they were granted. A node sends by a token bucket over its slots, taken with each send on every path and given back only where nothing was written. A grant lasts 1.5 s; without one a node sends what an even part would be. What came beyond the limit before it was heard is made up for by a pause of 4 s at most. A limit is told to other nodes with its age, ends with an answer without it to a request that was sent after it was heard, and with a new start of the process. Where all back ends of a service are limited, requests beyond are refused at once with the time of the next slot, spaced.

--- /dev/null
+++ b/crates/core/src/forwarding/announcements/limits.rs
@@ -0,0 +1,252 @@
+//! Rate limits among what back ends have announced: as they are heard, told to other nodes, and kept to.
+
+use std::time::Duration;
+
+use paddlemount_protocol::{
+    fleet::{BackendProcess, LimitGrant, LimitNews},
+    identity::NodeId,
+    time::Timestamp,
+};
+
+use super::{
+    Announcements,
+    rate_limit::{FleetPlace, LimitChange, MADE_UP_FOR, RateLimit, Stated},
+};
+use crate::forwarding::backends::{Backend, BackendEntry, BackendId, Backends};
+
+/// Limited processes that one message tells of, some 80 bytes each. Of further ones each node keeps to its even part by itself.
+const MOST_TOLD: usize = 128;
+/// How long a node goes by what it was granted: some reports may be lost.
+const GRANTED_FOR: Duration = Duration::from_millis(1_500);
+
+/// How long a back end's limit keeps a request from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    /// It has no limit, or this node may send a request now.
+    None,
+    /// So long.
+    For(Duration),
+    /// This node has no part of the limit.
+    NoPart,
+}
+
+/// When a service whose back ends take nothing for the moment takes a request again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Opening {
+    /// When the first of them may.
+    pub at: Timestamp,
+    /// Requests a second that this node may then send to those that are limited; none where none of them is.
+    pub per_second: Option<f64>,
+}
+
+impl Announcements {
+    /// A process has said what it takes, or that it takes all again; `sent_per_second` requests lately went there from all nodes.
+    pub fn state_limit(
+        &mut self,
+        process: &BackendProcess,
+        stated: Stated,
+        sent_per_second: f64,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let is_known = self.by_process.get(process).is_some_and(|known| known.limit.is_some());
+        if stated.per_second.is_none() && !is_known {
+            return None;
+        }
+        let announced = self.of(process, now);
+        let change = match &mut announced.limit {
+            Some(limit) => limit.state(stated)?,
+            None => LimitChange::Began(stated.per_second?),
+        };
+        let limit = announced.limit.get_or_insert_with(|| RateLimit::new(stated, now));
+        if let LimitChange::Began(_) = change {
+            limit.begin(sent_per_second, now);
+        }
+        self.divide_limit(process, now);
+        Some(change)
+    }
+
+    /// Another node has told of a limit, in a message that was written at `written_at` or shortly after.
+    fn hear_limit(
+        &mut self,
+        news: &LimitNews,
+        stated: Stated,
+        written_at: Timestamp,
+        now: Timestamp,
+    ) -> Option<LimitChange> {
+        let change = self.state_limit(&news.process, stated, 0.0, now);
+        let closed_for = MADE_UP_FOR.min(Duration::from_millis(news.opens_in_ms));
+        let limit = self.by_process.get_mut(&news.process).and_then(|known| known.limit.as_mut());
+        if let Some(limit) = limit.filter(|_| !closed_for.is_zero()) {
+            limit.open_at(written_at + closed_for);
+        }
+        change
+    }
+
+    fn divide_limit(&mut self, process: &BackendProcess, now: Timestamp) {
+        let Self { by_process, place } = self;
+        if let Some(limit) = by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
+            limit.divide(process, place, false, now);
+        }
+    }
+
+    /// Divides all limits anew by this node's place in the tree; to be called several times a second.
+    pub fn divide_limits(&mut self, place: FleetPlace, now: Timestamp) {
+        let members_changed = place.members != self.place.members;
+        for (process, announced) in &mut self.by_process {
+            if let Some(limit) = announced.limit.as_mut().filter(|limit| limit.per_second().is_some()) {
+                limit.divide(process, &place, members_changed, now);
+            }
+        }
+        self.place = place;
+    }
+
+    /// The node above has answered a report that was sent at `sent_at`. Gives what is news to this node.
+    pub fn take_grants(
+        &mut self,
+        grants: &[LimitGrant],
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> Vec<(BackendProcess, LimitChange)> {
+        for limit in self.by_process.values_mut().filter_map(|known| known.limit.as_mut()) {
+            limit.untold_above();
+        }
+        let mut news = Vec::new();
+        for grant in grants.iter().take(MOST_TOLD) {
+            let process = &grant.news.process;
+            let Some(stated) = Stated::told(&grant.news, sent_at) else { continue };
+            let change = self.hear_limit(&grant.news, stated, sent_at, now);
+            news.extend(change.map(|change| (process.clone(), change)));
+            if let Some(limit) = self.by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
+                limit.take_grant(stated, grant, sent_at + GRANTED_FOR);
+                self.divide_limit(process, now);
+            }
+        }
+        news
+    }
+
+    /// A node below has told what it has heard. Gives what is news to this node.
+    pub fn hear_limits(&mut self, told: &[LimitNews], now: Timestamp) -> Vec<(BackendProcess, LimitChange)> {
+        let stated = told.iter().take(MOST_TOLD).filter_map(|news| Some((news, Stated::told(news, now)?)));
+        let changes = stated.filter_map(|(news, stated)| {
+            let change = self.hear_limit(news, stated, now, now)?;
+            Some((news.process.clone(), change))
+        });
+        changes.collect()
+    }
+
+    /// What the node above is to be told.
+    pub fn limit_news(&self, now: Timestamp) -> Vec<LimitNews> {
+        let limits = self.limits().filter_map(|(process, limit)| limit.news(process, now));
+        newest(limits.map(|news| (news.age_ms, news)))
+    }
+
+    /// What a node below is told and granted.
+    pub fn limit_grants(&self, node: &NodeId, now: Timestamp) -> Vec<LimitGrant> {
+        let grants = self.limits().filter_map(|(process, limit)| limit.grant_for(process, node, now));
+        newest(grants.map(|grant| (grant.news.age_ms, grant)))
+    }
+
+    /// Whether a process is limited.
+    pub fn is_limited(&self, process: &BackendProcess) -> bool {
+        let limit = self.by_process.get(process).and_then(|known| known.limit.as_ref());
+        limit.is_some_and(|limit| limit.per_second().is_some())
+    }
+
+    /// How many back ends are limited.
+    pub fn count_limited(&self) -> usize {
+        self.limits().filter(|(_, limit)| limit.per_second().is_some()).count()
+    }
+
+    /// Requests a second that this node may send to a process; 0 where it is not limited.
+    pub fn own_part(&self, process: &BackendProcess) -> f64 {
+        let limit = self.by_process.get(process).and_then(|known| known.limit.as_ref());
+        limit.map_or(0.0, RateLimit::own_per_second)
+    }
+
+    fn limits(&self) -> impl Iterator<Item = (&BackendProcess, &RateLimit)> {
+        self.by_process.iter().filter_map(|(process, known)| Some((process, known.limit.as_ref()?)))
+    }
+
+    /// The process whose limit holds for an entry: the last one that has named any.
+    fn limited_process(&self, entry: &BackendEntry) -> Option<(&BackendProcess, &RateLimit)> {
+        if self.by_process.is_empty() {
+            return None;
+        }
+        let first = BackendProcess { id: entry.id.clone(), born: entry.born };
+        let starts = self.of_starts_from(first);
+        let named = starts.filter_map(|(process, known)| Some((process, known.limit.as_ref()?))).last();
+        named.filter(|(_, limit)| limit.per_second().is_some())
+    }
+
+    fn limit_wait(&self, entry: &BackendEntry, now: Timestamp) -> Wait {
+        let Some((_, limit)) = self.limited_process(entry) else { return Wait::None };
+        match limit.wait(now) {
+            Some(Duration::ZERO) => Wait::None,
+            Some(wait) => Wait::For(wait),
+            None => Wait::NoPart,
+        }
+    }
+
+    /// Whether the limit of a back end lets this node send it a request now.
+    pub(super) fn is_within_limit(&self, entry: &BackendEntry, now: Timestamp) -> bool {
+        self.limit_wait(entry, now) == Wait::None
+    }
+}
+
+/// The newest of some items with their ages, as many as one message tells.
+fn newest<T>(items: impl Iterator<Item = (u64, T)>) -> Vec<T> {
+    let mut items: Vec<(u64, T)> = items.collect();
+    items.sort_by_key(|(age, _)| *age);
+    items.into_iter().take(MOST_TOLD).map(|(_, item)| item).collect()
+}
+
+impl Backends {
+    /// Whether the limit of a back end lets this node send it a request now.
+    pub fn is_within_limit(&self, id: &BackendId, now: Timestamp) -> bool {
+        self.get(id).is_none_or(|backend| self.announcements.is_within_limit(&backend.entry, now))
+    }
+
+    /// A request is being sent to a back end.
+    pub fn take_from_limit(&mut self, id: &BackendId, now: Timestamp) {
+        if let Some(limit) = self.limit_mut(id) {
+            limit.take(now);
+        }
+    }
+
+    /// A request was not sent to a back end after all: nothing of it was written.
+    pub fn give_back_to_limit(&mut self, id: &BackendId) {
+        if let Some(limit) = self.limit_mut(id) {
+            limit.give_back();
+        }
+    }
+
+    fn limit_mut(&mut self, id: &BackendId) -> Option<&mut RateLimit> {
+        let entry = &self.get(id)?.entry;
+        let process = self.announcements.limited_process(entry)?.0.clone();
+        self.announcements.by_process.get_mut(&process)?.limit.as_mut()
+    }
+
+    /// When the first of some back ends takes requests again, where there are any and none of them does now for what it has announced.
+    pub fn next_opening<'a>(&self, of: impl Iterator<Item = &'a Backend>, now: Timestamp) -> Option<Opening> {
+        let mut openings = Vec::new();
+        let mut own_per_second = None;
+        for backend in of {
+            let back_off_ends = self.announcements.rests_until(&backend.entry, now);
+            let opens_at = match self.announcements.limit_wait(&backend.entry, now) {
+                Wait::None => None,
+                Wait::For(wait) => Some(now + wait),
+                Wait::NoPart => {
+                    let limit = self.announcements.limited_process(&backend.entry);
+                    limit.map(|(_, limit)| now + limit.interval())
+                }
+            };
+            if let Some((_, limit)) = self.announcements.limited_process(&backend.entry) {
+                *own_per_second.get_or_insert(0.0) += limit.own_per_second();
+            }
+            // One that takes requests now may be closed for another reason.
+            openings.push(back_off_ends.max(opens_at)?);
+        }
+        let at = openings.into_iter().min()?;
+        Some(Opening { at, per_second: own_per_second })
+    }
+}
--- a/crates/core/src/forwarding/announcements.rs
+++ b/crates/core/src/forwarding/announcements/mod.rs
@@ -1,28 +1,41 @@
-//! What back ends announce of themselves in their answers: that they are leaving, and for how long they want no requests.
+//! What back ends announce of themselves in their answers: that they drain, for how long they want no requests, and how many
+//! requests a second they take.
 //!
-//! Nobody knows better, and the registry may be away, late or out of date: without its own word an engine got requests for 12.3 s
-//! after it had said that it leaves, as long as an outage lasted, and one that had asked for 3 s of rest the next after 0.25 s.
-//! So an announcement holds whatever entries say, and only a new start of the process ends it: one that leaves does not stay,
-//! and a rest lasts until it is over, or for 3 s beside the news of a start.
+//! Nobody knows better, and the registry may be away, late or out of date. So an announcement holds whatever entries say, until a
+//! new start of the process or the end that the table gives.
 //!
-//! | announced | other nodes are told | holds for a node that was told |
-//! |---|---|---|
-//! | it leaves | yes: it leaves for all | from then on |
-//! | it wants no requests | no: it speaks to the node that it answers | until the latest of the ends that it has named |
+//! | announced | other nodes are told | holds for a node that was told | ends |
+//! |---|---|---|---|
+//! | it leaves | yes: it leaves for all | from then on | never: one that leaves does not stay |
+//! | it wants no requests | no: it speaks to the node that it answers | until the latest of the ends that it has named | then; 3 s after the news of a start |
+//! | a rate limit | yes: it is one number for all nodes together | by its part, which the node above grants ([`rate_limit`]) | with an answer without it, to a request that was sent after it was last heard |
 //!
 //! An announcement outlives the entry of its process: entries lapse while the registry is away, and return.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`rate_limit`] | the limit of one process, and this node's part of it |
+//! | `division` | how a limit is divided over the tree of nodes |
+//! | [`limits`] | limits as they are heard, told and kept to |
+
+mod division;
+pub mod limits;
+pub mod rate_limit;
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
 
+pub use division::Member;
+
+use self::rate_limit::{FleetPlace, RateLimit};
 use super::backends::{Backend, BackendEntry, BackendId, Backends, Standing};
 use crate::rest::LONGEST_REST;
 
 /// How long it is remembered that a process leaves, beyond its last word. Its entry is gone by then.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// How long after its start the registry may tell of a process. What was heard so lately of the start before may be the word of
-/// the new one: without that three requests came within a rest of 2 s that was taken for the word of the process before.
+/// the new one.
 const LATE_NEWS: Duration = Duration::from_secs(3);
 /// Processes whose announcements are remembered, about 100 bytes each. More are heard of only where a whole pool of the
 /// largest size announces at once; the ones heard of first are forgotten.
@@ -33,7 +46,7 @@
 const MOST_TOLD: usize = 128;
 
 /// What one process has announced.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 struct Announced {
     /// When it was first heard that it leaves.
     leaving_since: Option<Timestamp>,
@@ -41,14 +54,17 @@
     rests_until: Option<Timestamp>,
     /// When it last asked for that.
     asked_rest_at: Timestamp,
+    /// The requests that it takes from all nodes together, where it has ever named a limit.
+    limit: Option<RateLimit>,
     /// When anything was last heard.
     heard_at: Timestamp,
 }
 
 impl Announced {
     fn holds(&self, now: Timestamp) -> bool {
-        let leaves = self.leaving_since.is_some() && now.saturating_since(self.heard_at) < REMEMBERED;
-        leaves || self.rests_until.is_some_and(|until| now < until)
+        let is_remembered = now.saturating_since(self.heard_at) < REMEMBERED;
+        let lasts = self.leaving_since.is_some() || self.limit.is_some();
+        (lasts && is_remembered) || self.rests_until.is_some_and(|until| now < until)
     }
 }
 
@@ -74,20 +90,31 @@
     Dropped,
 }
 
-/// Announcements of back ends, by process and in the order of its starts.
+/// Announcements of back ends.
 #[derive(Debug, Default)]
-pub struct Announcements(BTreeMap<BackendProcess, Announced>);
+pub struct Announcements {
+    /// By process, in the order of its starts.
+    by_process: BTreeMap<BackendProcess, Announced>,
+    /// This node's place among those between whom limits are divided.
+    place: FleetPlace,
+}
 
 impl Announcements {
     /// What a process has announced, to be added to.
     fn of(&mut self, process: &BackendProcess, now: Timestamp) -> &mut Announced {
-        if self.0.len() >= MOST_REMEMBERED && !self.0.contains_key(process) {
-            let first = self.0.iter().min_by_key(|(_, announced)| announced.heard_at);
+        if self.by_process.len() >= MOST_REMEMBERED && !self.by_process.contains_key(process) {
+            let first = self.by_process.iter().min_by_key(|(_, announced)| announced.heard_at);
             let first = first.map(|(process, _)| process.clone());
-            first.and_then(|process| self.0.remove(&process));
+            first.and_then(|process| self.by_process.remove(&process));
         }
-        let fresh = Announced { leaving_since: None, rests_until: None, asked_rest_at: now, heard_at: now };
-        let known = self.0.entry(process.clone()).or_insert(fresh);
+        let fresh = Announced {
+            leaving_since: None,
+            rests_until: None,
+            asked_rest_at: now,
+            limit: None,
+            heard_at: now,
+        };
+        let known = self.by_process.entry(process.clone()).or_insert(fresh);
         known.heard_at = now;
         known
     }
@@ -128,7 +155,7 @@
 
     fn of_starts_from(&self, first: BackendProcess) -> impl Iterator<Item = (&BackendProcess, &Announced)> {
         let id = first.id.clone();
-        self.0.range(first..).take_while(move |(process, _)| process.id == id)
+        self.by_process.range(first..).take_while(move |(process, _)| process.id == id)
     }
 
     /// Whether any process of a back end leaves.
@@ -139,7 +166,7 @@
 
     /// Until when the process of an entry wants no requests from this node, where it does not want any now.
     pub fn rests_until(&self, entry: &BackendEntry, now: Timestamp) -> Option<Timestamp> {
-        if self.0.is_empty() {
+        if self.by_process.is_empty() {
             return None;
         }
         let any_start = BackendProcess { id: entry.id.clone(), born: None };
@@ -154,7 +181,7 @@
     /// Processes that leave of which other nodes are to be told, those heard of last first.
     pub fn to_tell(&self, now: Timestamp) -> Vec<BackendProcess> {
         let mut told: Vec<(Timestamp, BackendProcess)> = self
-            .0
+            .by_process
             .iter()
             .filter_map(|(process, known)| {
                 let since = known.leaving_since.filter(|since| is_told(*since, now))?;
@@ -168,23 +195,23 @@
     /// Forgets what no longer holds. Gives the back ends whose rest is over.
     pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
         let mut rested = Vec::new();
-        for (process, known) in &mut self.0 {
+        for (process, known) in &mut self.by_process {
             if known.rests_until.take_if(|until| *until <= now).is_some() {
                 rested.push(process.id.clone());
             }
         }
-        self.0.retain(|_, known| known.holds(now));
+        self.by_process.retain(|_, known| known.holds(now));
         rested
     }
 
     /// Whether there is anything of which other nodes are to be told.
     pub fn has_to_tell(&self, now: Timestamp) -> bool {
-        self.0.values().any(|known| known.leaving_since.is_some_and(|since| is_told(since, now)))
+        self.by_process.values().any(|known| known.leaving_since.is_some_and(|since| is_told(since, now)))
     }
 
     /// How many back ends want no requests now.
     pub fn count_resting(&self, now: Timestamp) -> usize {
-        self.0.values().filter(|known| known.rests_until.is_some_and(|until| now < until)).count()
+        self.by_process.values().filter(|known| known.rests_until.is_some_and(|until| now < until)).count()
     }
 }
 
@@ -245,16 +272,8 @@
             Standing::Departing { since } => now.saturating_since(since) < parting,
             Standing::Leaving | Standing::Replaced => false,
         };
-        stays && self.announcements.rests_until(&backend.entry, now).is_none()
-    }
-
-    /// Until when the first of some back ends rests, where there are any and all of them rest.
-    pub fn least_rest<'a>(&self, of: impl Iterator<Item = &'a Backend>, now: Timestamp) -> Option<Timestamp> {
-        let mut least: Option<Timestamp> = None;
-        for backend in of {
-            let until = self.announcements.rests_until(&backend.entry, now)?;
-            least = Some(least.map_or(until, |least| least.min(until)));
-        }
-        least
+        stays
+            && self.announcements.rests_until(&backend.entry, now).is_none()
+            && self.announcements.is_within_limit(&backend.entry, now)
     }
 }
--- a/crates/core/src/forwarding/children.rs
+++ b/crates/core/src/forwarding/children.rs
@@ -43,6 +43,8 @@
     room: i64,
     /// What it and those below it have under way, by engine.
     work: Vec<EngineWork>,
+    /// Requests a second that callers ask of it and those below it.
+    asked: f64,
     at: Timestamp,
     /// The stronger node that has taken its place: it is to report there.
     refer: Option<Contact>,
@@ -126,6 +128,7 @@
         child.room = report.room.into();
         child.work.clone_from(&report.work);
         child.work.sort_by(|left, right| left.engine.cmp(&right.engine));
+        child.asked = report.asked;
         child.at = now;
         true
     }
@@ -179,6 +182,11 @@
         child.map_or(&[], |child| child.work.as_slice())
     }
 
+    /// The nodes that report here, with the requests a second that callers ask of them and those below them.
+    pub fn asked(&self, now: Timestamp) -> impl Iterator<Item = (&NodeId, f64)> {
+        self.fresh(now).map(|child| (&child.member.node, child.asked))
+    }
+
     fn fresh(&self, now: Timestamp) -> impl Iterator<Item = &Child> {
         self.by_node.values().filter(move |child| child.is_fresh(now))
     }
@@ -191,9 +199,9 @@
     fn accept(&mut self, request: &JoinRequest, now: Timestamp) -> Admission {
         let member = request.sender.clone();
         let known = self.by_node.remove(&member.node);
-        let work = known.map(|child| child.work).unwrap_or_default();
+        let (work, asked) = known.map(|child| (child.work, child.asked)).unwrap_or_default();
         let heard = request.heard.max(1);
-        let child = Child { member, heard, room: request.room.into(), work, at: now, refer: None };
+        let child = Child { member, heard, room: request.room.into(), work, asked, at: now, refer: None };
         self.by_node.insert(request.sender.node.clone(), child);
         Admission::Accepted
     }
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -5,6 +5,7 @@
 use paddlemount_protocol::{fleet::EngineWork, time::Timestamp};
 
 use super::backends::BackendId;
+use crate::recent_rate::RecentRate;
 
 /// The weight of a new measurement in a moving average.
 const AVERAGE_WEIGHT: f64 = 0.2;
@@ -18,6 +19,8 @@
 /// again however few requests there are: twice as slow as others after 11 s, eight times after 24 s. Without it, it got none of 300
 /// requests in 30 s. One that stays slow gets one request in such a time.
 const AVERAGE_FADES_IN: Duration = Duration::from_secs(10);
+/// The time in which the rate of requests to a back end fades to a third.
+const SENT_FADES: Duration = Duration::from_secs(4);
 /// Measurements below which an average says nothing.
 const FEWEST_MEASUREMENTS: u32 = 5;
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
@@ -44,6 +47,7 @@
     /// When the last answer began.
     measured_at: Timestamp,
     measurements: u32,
+    sent: Option<RecentRate>,
 }
 
 impl BackendLoad {
@@ -71,6 +75,11 @@
         if is_old { 1.0 } else { AVERAGE_WEIGHT.max(1.0 - self.average_left(now)) }
     }
 
+    /// Requests a second that this node has lately sent there.
+    pub fn sent_per_second(&self, now: Timestamp) -> f64 {
+        self.sent.map_or(0.0, |sent| sent.per_second(now))
+    }
+
     fn faded_slowest_ms(&self, now: Timestamp) -> f64 {
         let elapsed = now.saturating_since(self.measured_at).saturating_sub(SLOWEST_STANDS).as_secs_f64();
         self.slowest_ms * (-elapsed / SLOWEST_FADES_IN.as_secs_f64()).exp()
@@ -94,6 +103,7 @@
         let load = self.by_backend.entry(backend.clone()).or_default();
         load.requests += 1;
         load.unread_tokens += tokens;
+        load.sent.get_or_insert(RecentRate::new(SENT_FADES)).add(1.0, now);
     }
 
     /// The first event of the answer to a request sent at `sent_at` has arrived, or the request has ended before it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
+pub mod recent_rate;
 pub mod request;
 pub mod rest;
 pub mod retry;
--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -26,6 +26,11 @@
         Self { rate, capacity, balance: capacity, updated: now }
     }
 
+    /// An empty bucket that fills from `from` on.
+    pub const fn empty(rate: f64, capacity: f64, from: Timestamp) -> Self {
+        Self { rate, capacity, balance: 0.0, updated: from }
+    }
+
     /// Changes rate and capacity from `now` on. What exceeds the new capacity is lost; a larger capacity begins unfilled.
     pub fn set(&mut self, rate: f64, capacity: f64, now: Timestamp) {
         self.refill(now);
@@ -37,12 +42,19 @@
     /// When `cost` will be granted, zero for at once. A cost above the capacity is granted by a full bucket.
     pub fn wait(&mut self, cost: f64, now: Timestamp) -> Duration {
         self.refill(now);
-        let missing = cost.min(self.capacity) - self.balance;
+        self.time_until(cost, now)
+    }
+
+    /// The same as [`wait`](Self::wait), for a look that grants nothing.
+    pub fn time_until(&self, cost: f64, now: Timestamp) -> Duration {
+        let not_yet_filling = self.updated.saturating_since(now);
+        let missing = cost.min(self.capacity) - self.balance_at(now);
         if missing <= 0.0 {
             return Duration::ZERO;
         }
         let seconds = missing / self.rate.max(f64::MIN_POSITIVE);
-        Duration::try_from_secs_f64(seconds).map_or(LONGEST_RETRY_AFTER, |wait| wait.min(LONGEST_RETRY_AFTER))
+        let filling = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_RETRY_AFTER);
+        not_yet_filling.saturating_add(filling).min(LONGEST_RETRY_AFTER)
     }
 
     /// Takes `cost`; to be called only where [`wait`](Self::wait) is zero.
@@ -60,9 +72,13 @@
         self.rate
     }
 
-    fn refill(&mut self, now: Timestamp) {
+    fn balance_at(&self, now: Timestamp) -> f64 {
         let passed = now.saturating_since(self.updated).as_secs_f64();
-        self.balance = (self.balance + passed * self.rate).min(self.capacity);
+        (self.balance + passed * self.rate).min(self.capacity)
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        self.balance = self.balance_at(now);
         self.updated = self.updated.max(now);
     }
 }
--- a/crates/core/src/limits/ledger/account.rs
+++ b/crates/core/src/limits/ledger/account.rs
@@ -8,7 +8,7 @@
     QuotaRefusal,
     plan::{Plan, QuotaBounds},
 };
-use crate::forwarding::document::TenantQuota;
+use crate::{forwarding::document::TenantQuota, recent_rate::RecentRate};
 
 /// The time in which demand fades to a third.
 const FADES: Duration = Duration::from_secs(1);
@@ -28,29 +28,6 @@
 /// The parts of capacity or rate beyond which other nodes hear of an account.
 const WORTH_TELLING: f64 = 0.8;
 
-/// A rate over the last second or so.
-#[derive(Clone, Copy, Debug, Default)]
-struct RecentRate {
-    sum: f64,
-    at: Timestamp,
-}
-
-impl RecentRate {
-    fn add(&mut self, units: f64, now: Timestamp) {
-        self.sum = self.faded(now) + units;
-        self.at = now;
-    }
-
-    fn per_second(&self, now: Timestamp) -> f64 {
-        self.faded(now) / FADES.as_secs_f64()
-    }
-
-    fn faded(&self, now: Timestamp) -> f64 {
-        let elapsed = now.saturating_since(self.at).as_secs_f64();
-        self.sum * (-elapsed / FADES.as_secs_f64()).exp()
-    }
-}
-
 /// What is true of all accounts of a node at a moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Sharing {
@@ -92,7 +69,7 @@
             updated: now,
             untold: 0.0,
             on_the_way: 0.0,
-            own: RecentRate::default(),
+            own: RecentRate::new(FADES),
             demand: 0.0,
         }
     }
--- a/crates/core/src/limits/ledger/mod.rs
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -210,6 +210,11 @@
         self.add_up_demand(now);
     }
 
+    /// The part of the fleet that this node and those below it are, where no other node tells it anything.
+    pub fn headed_part(&self) -> Option<f64> {
+        self.sharing.heads.then_some(self.sharing.part)
+    }
+
     /// Whether another node has told the level lately.
     fn is_told(&self, now: Timestamp) -> bool {
         self.told_at.is_some_and(|at| now.saturating_since(at) < FRESH)
--- a/crates/core/src/rest.rs
+++ b/crates/core/src/rest.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use paddlemount_protocol::time::Timestamp;
+
 /// The longest time without requests that a back end is granted: one that asks for more is asked again after this.
 pub const LONGEST_REST: Duration = Duration::from_secs(300);
 /// How much later than the end of a rest callers may be told to come back, as a part of the time until then: they would else
@@ -12,3 +14,22 @@
 pub fn spread(least: Duration, draw: f64) -> Duration {
     least.mul_f64(1.0 + SPREAD * draw)
 }
+
+/// The latest moment at which a refused caller may come back: later ones would find its time nearly over.
+const LATEST_RETURN: Duration = Duration::from_secs(5);
+
+/// Spaces the returns of callers out that were refused since all back ends of a service are limited.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReturnSchedule {
+    last: Timestamp,
+}
+
+impl ReturnSchedule {
+    /// When one more caller may come back, where requests can be sent from `opens_at` on, `per_second` of them in a second.
+    pub fn next(&mut self, opens_at: Timestamp, per_second: f64, now: Timestamp) -> Duration {
+        let latest = now + LATEST_RETURN;
+        let interval = Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(LATEST_RETURN);
+        self.last = (self.last + interval).max(opens_at).min(latest);
+        self.last.saturating_since(now)
+    }
+}
--- a/crates/core/tests/forwarding_announcements.rs
+++ b/crates/core/tests/forwarding_announcements.rs
@@ -164,14 +164,15 @@
     for number in 0..2 {
         backends.take_in(entry(number, 1), Heard::AsChange);
     }
-    let least = |backends: &Backends, now| backends.least_rest(backends.iter(), at(now));
+    let least =
+        |backends: &Backends, now| backends.next_opening(backends.iter(), at(now)).map(|opening| opening.at);
     assert_eq!(least(&backends, 0), None);
     backends.announcements.rests(&process(0, 1), Duration::from_secs(3), at(0));
     assert_eq!(least(&backends, 0), None);
     backends.announcements.rests(&process(1, 1), Duration::from_secs(2), at(500));
     assert_eq!(least(&backends, 500), Some(at(2_500)));
     assert_eq!(least(&backends, 2_500), None);
-    assert_eq!(Backends::default().least_rest(std::iter::empty(), at(0)), None);
+    assert_eq!(Backends::default().next_opening(std::iter::empty(), at(0)), None);
 }
 
 #[test]
--- a/crates/core/tests/tree_support/mod.rs
+++ b/crates/core/tests/tree_support/mod.rs
@@ -264,6 +264,8 @@
 fn report_of(fleet: &Fleet, now: Timestamp) -> Report {
     Report {
         leaving: Vec::new(),
+        limits: Vec::new(),
+        asked: 0.0,
         sender: fleet.me().clone(),
         room: fleet.children.room(now),
         work: Vec::new(),
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -12,7 +12,7 @@
     },
     rest::{self, LONGEST_REST},
 };
-use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId};
+use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
 
 use crate::{
     journal::Event,
@@ -21,9 +21,9 @@
     ports::{AnswerHead, AskedRest},
 };
 
-/// How it was heard that a process leaves.
+/// How it was heard what a process announces.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum HeardBy {
+pub(crate) enum HeardBy {
     /// An answer of the process says so.
     Answer,
     /// Another node has told it.
@@ -32,7 +32,7 @@
 
 impl HeardBy {
     /// Its name in log lines.
-    const fn name(self) -> &'static str {
+    pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Answer => "answer",
             Self::Told => "told",
@@ -65,13 +65,14 @@
             Some(AskedRest::For(time)) => Some(time.min(LONGEST_REST)),
             Some(AskedRest::Unreadable(_)) | None => None,
         };
-        self.hear(asked, &AnswerHead { leaving, rest: None, ..says });
+        self.hear(asked, &AnswerHead { leaving, rest: None, ..says }, None);
         rest
     }
 
     /// Takes in what an answer of `asked` announces, whatever else it says. Another process that answers in its place speaks
-    /// for itself only.
-    pub(crate) fn hear(&self, asked: &BackendProcess, says: &AnswerHead) {
+    /// for itself only. `sent_at` tells when it was sent a request that it answers; answers of its own interfaces need not name a
+    /// limit that holds.
+    pub(crate) fn hear(&self, asked: &BackendProcess, says: &AnswerHead, sent_at: Option<Timestamp>) {
         self.note_unknown_headers(&asked.id, &says.unknown);
         let is_other = match &says.backend {
             Some(backend) => *backend != asked.id,
@@ -90,6 +91,7 @@
             }
             None => {}
         }
+        self.hear_limit(asked, says.limit.as_ref(), sent_at);
     }
 
     /// Other nodes have heard that these processes leave.
@@ -142,14 +144,18 @@
         }
     }
 
-    /// How many back ends rest and leave now.
-    pub(crate) fn announced_gauges(&self) -> [Gauge; 2] {
+    /// How many back ends rest, leave and are limited now.
+    pub(crate) fn announced_gauges(&self) -> [Gauge; 3] {
         let beliefs = self.beliefs.borrow();
         let resting = beliefs.backends.announcements.count_resting(self.now());
         let leaving = beliefs.backends.iter().filter(|backend| backend.standing.is_leaving()).count();
         [
             Gauge { name: "paddlemount_forward_backends_resting", value: resting as f64 },
             Gauge { name: "paddlemount_forward_backends_leaving", value: leaving as f64 },
+            Gauge {
+                name: "paddlemount_forward_backends_limited",
+                value: beliefs.backends.announcements.count_limited() as f64,
+            },
         ]
     }
 }
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -47,6 +47,8 @@
     OlderWeights,
     /// All back ends that could serve the request have asked for a time without any.
     BackendsRest,
+    /// All back ends that could serve the request are limited, and the limits are used up.
+    BackendsLimited,
     /// No back end took the request.
     NotTaken,
     /// The node is about to end, and answers of this route take longer than it has left.
@@ -70,6 +72,7 @@
             | Self::NoBackend
             | Self::OlderWeights
             | Self::BackendsRest
+            | Self::BackendsLimited
             | Self::NotTaken
             | Self::Stopping
             | Self::HeldBack
@@ -88,7 +91,9 @@
     pub const fn come_back(self) -> Option<Duration> {
         match self {
             // The least of their times, where that is known.
-            Self::NoConfiguration | Self::NoBackend | Self::BackendsRest => Some(Duration::from_millis(400)),
+            Self::NoConfiguration | Self::NoBackend | Self::BackendsRest | Self::BackendsLimited => {
+                Some(Duration::from_millis(400))
+            }
             // One of them may have been given the named weights by then.
             Self::OlderWeights => Some(LOAD_TIME),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
@@ -115,6 +120,9 @@
             Self::NoBackend => "no back end may get the request; it was not run",
             Self::OlderWeights => "no back end has the named weights yet; the request was not run",
             Self::BackendsRest => "all back ends want no requests for a while; the request was not run",
+            Self::BackendsLimited => {
+                "all back ends take fewer requests than are asked for; the request was not run"
+            }
             Self::NotTaken => "no back end took the request; it was not run",
             Self::Stopping => "this node is stopping; the request was not run, another node serves it",
             Self::HeldBack => {
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -29,6 +29,8 @@
 
 /// What is told of a try at a back end that has meanwhile said that it leaves or rests.
 const TAKES_NONE: &str = "the back end takes no requests any more";
+/// What is told of a try at a back end whose limit others have used up meanwhile.
+const LIMIT_USED_UP: &str = "the back end's limit is used up";
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [header::HeaderName; 6] = [
@@ -182,10 +184,17 @@
         node.pool.borrow_mut().put(&choice.backend, connection, node.now());
         return Err(not_sent(node, choice, why));
     }
+    let sent_at = node.now();
+    node.take_from_limit(&choice.backend);
     let waiting = connection.send(request);
     let answer = match node.wait(begins_at, give_up_at, waiting).await {
         Waited::Done(Ok(answer)) => answer,
-        Waited::Done(Err(error)) => return Err(broken(node, choice, &error, reused)),
+        Waited::Done(Err(error)) => {
+            if error.is_before_sending() {
+                node.give_back_to_limit(&choice.backend);
+            }
+            return Err(broken(node, choice, &error, reused));
+        }
         Waited::Outdated => {
             // This says nothing against the back end: it was not given its time.
             node.health(&choice.backend, HealthEvent::Inconclusive, false);
@@ -204,7 +213,7 @@
         return Err(Ended { reused, ..Ended::unclear("an answer to another request".into()) });
     }
     // On whatever it says of the request: the registry may be away, or tell of it much later.
-    node.hear(&asked, &says);
+    node.hear(&asked, &says, Some(sent_at));
     let framed = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let begun = Begun { head, says, body, connection, work, framed };
@@ -216,6 +225,10 @@
     if node.is_outdated(begins_at) {
         return Some(OUTDATED);
     }
+    if node.is_limit_used_up(&choice.backend) {
+        node.metrics.count(Counter::DeferredForLimits);
+        return Some(LIMIT_USED_UP);
+    }
     (!node.still_takes(choice)).then_some(TAKES_NONE)
 }
 
--- a/crates/forward/src/beliefs.rs
+++ b/crates/forward/src/beliefs.rs
@@ -16,6 +16,8 @@
     health::{Health, HealthEvent, HealthSettings},
     limits::ledger::QuotaLedger,
     quarantine::Quarantine,
+    recent_rate::RecentRate,
+    rest::ReturnSchedule,
 };
 use paddlemount_protocol::{
     fleet::Contact,
@@ -30,6 +32,8 @@
 pub(crate) const KNOWING_NODES: usize = 8;
 /// How long unused parts must be kept for copies of runs to be worth their room.
 const KEPT_LONG_ENOUGH: Duration = Duration::from_secs(14);
+/// The time in which the rate of callers' requests fades to a third.
+const ASKED_FADES: Duration = Duration::from_secs(5);
 /// The least margin between the bound of named weights and the time from which older ones get no request.
 const WEIGHTS_MARGIN: Duration = Duration::from_millis(900);
 
@@ -70,6 +74,10 @@
     /// Repeats that may reach wrong addresses.
     strays: Option<WindowBudget>,
     pub(crate) refused_until: BTreeMap<BackendId, Timestamp>,
+    /// Requests that callers ask of this node.
+    pub(crate) asked: RecentRate,
+    /// When refused callers of services come back whose back ends are limited.
+    pub(crate) returns: BTreeMap<ServiceId, ReturnSchedule>,
     /// Drawn evenly from 0 to 1: which nodes have one more repeat than the others.
     repeat_draw: f64,
     /// How long a back end that has said itself that it leaves gets requests where nobody else is left.
@@ -157,6 +165,8 @@
             refusals: BTreeMap::new(),
             strays: None,
             refused_until: BTreeMap::new(),
+            asked: RecentRate::new(ASKED_FADES),
+            returns: BTreeMap::new(),
             repeat_draw: rand::random(),
             parting: settings.bounds.parting(),
         }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -91,6 +91,7 @@
         return own_answer(Reason::Stopping);
     }
     node.running.set(node.running.get() + 1);
+    node.beliefs.borrow_mut().asked.add(1.0, arrived);
     let mut exchange = Exchange {
         node,
         route,
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -90,6 +90,12 @@
     BackendRested { backend: &'a str },
     /// A back end has asked for a time without requests in words that mean nothing: it gets none.
     RestUnreadable { backend: &'a str, value: &'a str },
+    /// A back end takes so many requests a second from all nodes together; `own_per_second` are this node's part at the moment.
+    BackendLimited { backend: &'a str, per_second: f64, own_per_second: f64, heard: &'static str },
+    /// A back end is limited no longer.
+    BackendUnlimited { backend: &'a str, heard: &'static str },
+    /// A back end has named a limit in words that mean nothing: what held before holds on.
+    LimitUnreadable { backend: &'a str, value: &'a str },
     /// Answers of back ends carry a header that nothing reads; told once for each name.
     AnswerHeaderUnknown { name: &'a str, backend: &'a str },
     /// What a back end keeps is followed by its feed, or no longer.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,7 +12,8 @@
 //! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
 //! | [`placing`] | describes back ends to the chooser |
 //! | [`announced`] | what back ends say of themselves in their answers |
-//! | [`unknown_headers`] | notes headers of back ends' answers that nothing reads |
+//! | `limits` | limits that back ends name, divided over all nodes |
+//! | `unknown_headers`, `told_once` | notes headers of back ends' answers that nothing reads, once each |
 //! | [`feed`], [`restored`] | follows the metadata store, also where that comes back from an older copy |
 //! | `replica`, `named` | what is known of the store, as facts for other nodes, and how lately weights were named |
 //! | [`kept`] | follows what engines and the store keep |
@@ -50,6 +51,7 @@
 pub mod kept;
 pub mod leadership;
 pub mod learning;
+mod limits;
 pub mod metrics;
 mod named;
 mod naming_record;
@@ -67,6 +69,7 @@
 pub mod restored;
 mod runs;
 pub mod settings;
-pub mod unknown_headers;
+pub mod told_once;
+mod unknown_headers;
 pub mod verdicts;
 pub mod waiting;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -25,6 +25,10 @@
     Misdirected,
     /// Refusals by which back ends asked for a time without requests.
     RestsAsked,
+    /// Requests that were refused since all back ends that could serve them are limited.
+    RefusedForLimits,
+    /// Requests that were not sent to the back end that was chosen: its limit had been used up meanwhile.
+    DeferredForLimits,
     /// Headers of back ends' answers that nothing reads.
     UnknownAnswerHeaders,
     /// Streams that went on at another back end.
@@ -70,6 +74,8 @@
             Self::Retries => "paddlemount_forward_retries_total",
             Self::Misdirected => "paddlemount_forward_misdirected_total",
             Self::RestsAsked => "paddlemount_forward_rests_asked_total",
+            Self::RefusedForLimits => "paddlemount_forward_refused_for_limits_total",
+            Self::DeferredForLimits => "paddlemount_forward_deferred_for_limits_total",
             Self::UnknownAnswerHeaders => "paddlemount_forward_unknown_answer_headers_total",
             Self::Resumed => "paddlemount_forward_streams_resumed_total",
             Self::StoreCalls { .. } => "paddlemount_forward_store_calls_total",
@@ -103,6 +109,8 @@
             | Self::SnapshotsTaken
             | Self::Misdirected
             | Self::RestsAsked
+            | Self::RefusedForLimits
+            | Self::DeferredForLimits
             | Self::UnknownAnswerHeaders
             | Self::Resumed
             | Self::StoreRestores
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -35,7 +35,7 @@
     ports::Platform,
     quarantine::UnderWay,
     settings::ForwardSettings,
-    unknown_headers::UnknownHeaders,
+    told_once::ToldOnce,
 };
 
 /// How long a back end is left alone that refused a request.
@@ -90,7 +90,9 @@
     /// Told where an order has ended.
     pub order_ended: Notify,
     /// Headers of back ends' answers that nothing reads.
-    pub unknown_headers: UnknownHeaders,
+    pub unknown_headers: ToldOnce,
+    /// Limits that back ends name in words that mean nothing.
+    pub unreadable_limits: ToldOnce,
     /// What is under way about requests under which back ends ended.
     pub quarantine_work: UnderWay,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -140,7 +142,8 @@
             leader_known: Notify::new(),
             weights_named: Notify::new(),
             order_ended: Notify::new(),
-            unknown_headers: UnknownHeaders::default(),
+            unknown_headers: ToldOnce::default(),
+            unreadable_limits: ToldOnce::default(),
             quarantine_work: UnderWay::default(),
             leading: Cell::new(None),
         }
@@ -312,6 +315,7 @@
         self.answer_times.borrow_mut().sweep(now);
         if self.peers.is_none() {
             self.tick_quotas();
+            self.divide_limits();
             self.conclude_quarantine();
         }
         let mut beliefs = self.beliefs.borrow_mut();
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -51,6 +51,7 @@
         let leads = node.token().is_some();
         peers.borrow_mut().fleet.tick(leads, now);
         node.tick_quotas();
+        node.divide_limits();
         let before = std::mem::replace(&mut counted, node.counted());
         if counted != before {
             node.journal.tell(&Event::NodesCounted { nodes: counted, before });
@@ -208,6 +209,7 @@
     /// What the node above is told, and up to which news of runs.
     fn report_of(&self, node: &Node) -> Option<(Report, u64)> {
         let now = node.now();
+        let asked = node.asked_per_second();
         let rising = self.in_force.get().map(|theirs| node.rising_for(theirs)).unwrap_or_default();
         let mut beliefs = node.beliefs.borrow_mut();
         let mut peers = node.peers.as_ref()?.borrow_mut();
@@ -221,6 +223,8 @@
             heard: peers.fleet.children.heard(),
             spending: beliefs.quotas.report(now),
             leaving: beliefs.backends.announcements.to_tell(now),
+            limits: beliefs.backends.announcements.limit_news(now),
+            asked,
             news: if log == NO_LOG { Vec::new() } else { peers.news.report() },
             log,
             cursor,
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -137,6 +137,7 @@
     let leads = node.token().is_some();
     node.runs_reported(report.runs);
     node.told_of_leaving(&report.leaving);
+    node.told_of_limits(&report.limits);
     let rising = node.rising_for(report.in_force);
     let mut beliefs = node.beliefs.borrow_mut();
     for news in &report.news {
@@ -158,6 +159,7 @@
         rooted_ms: peers.fleet.uplink.rooted_age(leads, now).map(|age| age.as_millis() as u64),
         refer,
         leaving: beliefs.backends.announcements.to_tell(now),
+        limits: beliefs.backends.announcements.limit_grants(&child, now),
         log: peers.news.id(),
         cursor,
         nodes: peers.fleet.count(now),
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -2,6 +2,7 @@
 
 use paddlemount_core::{
     forwarding::{
+        announcements::limits::Opening,
         backends::{Backend, BackendId, Standing},
         choice::{Candidate, Choice, Field, Placement, shard_of},
         pool::Pool,
@@ -121,19 +122,19 @@
         self.backends.takes_requests(backend, self.parting, now)
     }
 
-    /// Until when the first back end rests that could serve a request of `service`, for `model` where it has a prompt; nothing
-    /// where any of them does not.
-    pub(crate) fn least_rest(
+    /// When the first back end takes requests again that could serve a request of `service`, for `model` where it has a prompt; nothing
+    /// where any of them does now, as far as it has announced.
+    pub(crate) fn next_opening(
         &self,
         service: &ServiceId,
         model: Option<&ModelId>,
         now: Timestamp,
-    ) -> Option<Timestamp> {
+    ) -> Option<Opening> {
         let required = model.and_then(|model| self.required(model, now));
         let usable = self.backends.pool(service)?.usable().filter_map(|ranked| self.backends.get(&ranked.id));
         let fit = usable
             .filter(|backend| model.and_then(|model| backend.entry.weights.get(model).copied()) >= required);
-        self.backends.least_rest(fit, now)
+        self.backends.next_opening(fit, now)
     }
 
     /// The version that this request rather begins on: as many requests prefer it as engines have it.
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -342,6 +342,8 @@
     pub leaving: bool,
     /// For how long the back end wants no requests, where it refuses this one and says so.
     pub rest: Option<AskedRest>,
+    /// The requests a second that the back end takes from all nodes together, where it names them.
+    pub limit: Option<AdvertisedLimit>,
     /// Headers that the translation does not understand.
     pub unknown: Vec<HeaderName>,
 }
@@ -355,6 +357,15 @@
     Unreadable(String),
 }
 
+/// The requests a second that a back end takes, as it says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdvertisedLimit {
+    /// So many, a finite number of at least 0.
+    PerSecond(f64),
+    /// What it says has no meaning.
+    Unreadable(String),
+}
+
 /// A platform's translation.
 pub trait Platform {
     /// A call to the store as an HTTP request.
--- /dev/null
+++ b/crates/forward/src/told_once.rs
@@ -0,0 +1,21 @@
+//! Texts of which a log line tells once in the life of a process.
+
+use std::{cell::RefCell, collections::BTreeSet};
+
+/// Texts that are remembered. Back ends choose them: there may be any number, and further ones are not told.
+const MOST_TEXTS: usize = 64;
+/// Bytes of a text that is remembered; longer ones are not told.
+const LONGEST_TEXT: usize = 256;
+
+/// Texts that were told.
+#[derive(Debug, Default)]
+pub struct ToldOnce(RefCell<BTreeSet<String>>);
+
+impl ToldOnce {
+    /// Whether `text` is met for the first time and there is room to remember it.
+    pub fn is_first(&self, text: &str) -> bool {
+        let mut texts = self.0.borrow_mut();
+        let has_room = texts.len() < MOST_TEXTS && text.len() <= LONGEST_TEXT;
+        has_room && !texts.contains(text) && texts.insert(text.to_owned())
+    }
+}
--- a/crates/forward/src/verdicts.rs
+++ b/crates/forward/src/verdicts.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::Response;
 use paddlemount_core::forwarding::{
+    announcements::limits::Opening,
     attempt::{self, AttemptEnd, Next},
     backends::BackendId,
     choice::Choice,
@@ -90,13 +91,19 @@
     pub(crate) fn why_none(&self, otherwise: Reason) -> Refusal {
         let model = self.head.prompt.as_ref().map(|prompt| &prompt.model);
         let now = self.node.now();
-        let beliefs = self.node.beliefs.borrow();
+        let mut beliefs = self.node.beliefs.borrow_mut();
         if model.is_some_and(|model| beliefs.has_only_older_weights(&self.service, model, now)) {
             return Reason::OlderWeights.into();
         }
-        match beliefs.least_rest(&self.service, model, now) {
-            Some(until) => {
-                Refusal { reason: Reason::BackendsRest, come_back: Some(spread(until.saturating_since(now))) }
+        match beliefs.next_opening(&self.service, model, now) {
+            Some(Opening { at, per_second: Some(per_second) }) => {
+                self.node.metrics.count(Counter::RefusedForLimits);
+                let schedule = beliefs.returns.entry(self.service.clone()).or_default();
+                let come_back = Some(spread(schedule.next(at, per_second, now)));
+                Refusal { reason: Reason::BackendsLimited, come_back }
+            }
+            Some(Opening { at, per_second: None }) => {
+                Refusal { reason: Reason::BackendsRest, come_back: Some(spread(at.saturating_since(now))) }
             }
             None => match beliefs.refusals.get(&self.service) {
                 Some(refusals) if otherwise == Reason::NotTaken => {
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -189,6 +189,42 @@
     }
 }
 
+/// What one process of a back end has said of the requests that it takes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// The process.
+    #[serde(rename = "p")]
+    pub process: BackendProcess,
+    /// Requests a second that it takes from all nodes together; none where it names no limit any more.
+    #[serde(rename = "l")]
+    pub per_second: Option<f64>,
+    /// How long ago that was heard, in milliseconds, when the message was written.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// For how long nothing more is to be sent to it, in milliseconds: more came than it takes before its limit was heard.
+    #[serde(rename = "o", default, skip_serializing_if = "is_zero")]
+    pub opens_in_ms: u64,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde calls it with a reference")]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// The same, with the part of a limit that the reader and those below it may use. The limit is divided into slots.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitGrant {
+    /// What the process has said.
+    #[serde(rename = "n")]
+    pub news: LimitNews,
+    /// Slots of the reader and those below it; none where the sender has nothing to grant.
+    #[serde(rename = "s")]
+    pub slots: Option<u32>,
+    /// Requests a second of one slot.
+    #[serde(rename = "r")]
+    pub slot_per_second: f64,
+}
+
 /// What a node knows of the registry's own state, for nodes that do not ask the metadata store themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
@@ -269,6 +305,12 @@
     /// Back ends of which it has lately heard that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<BackendProcess>,
+    /// What it has heard of the limits of back ends that the reader has not told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNews>,
+    /// Requests a second that callers ask of it and the nodes below it.
+    #[serde(default)]
+    pub asked: f64,
     /// The log that `cursor` belongs to.
     pub log: u64,
     /// The number of the last news that it has.
@@ -296,6 +338,9 @@
     /// Back ends of which the sender has lately heard that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<BackendProcess>,
+    /// The limits of back ends, and the reader's part of them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitGrant>,
     /// The log that `cursor` belongs to.
     pub log: u64,
     /// The number of the last news among these.
