The soak names limits, and judges them over all nodes

The judge counts by the greatest limit that was in force in the window: in a drawn history a limit fell from 33 to 0 while requests by the old one were on their way, and no arrival in the window told of it. A limit that begins anew after a break has its time of contact anew.

--- a/crates/cli/tests/forward/soak/check.rs
+++ b/crates/cli/tests/forward/soak/check.rs
@@ -12,12 +12,14 @@
     ORDINARY, POISON, REMOVED_KEY, Soak,
     announced::{self, Unheeded},
     callers::{Sent, Service, own_body},
+    disturbance::CONTACT,
     locked,
     retries::{Arrival, Budget, Window, fullest_window},
     weights::{Begun, BegunLate, begun_late},
 };
 use crate::{
     delivery::WHOLE_STREAM,
+    limit_judge,
     router::{DRAIN_TIMEOUT, Got, RETRIES_PER_CENT, RETRY_SLACK, RETRY_WINDOW, WEIGHTS_BOUND},
 };
 
@@ -60,6 +62,7 @@
         let late = self.on_older_weights(sent, WEIGHTS_BOUND + ON_ITS_WAY);
         wrong.extend(late.iter().map(|late| self.describe_late(late)));
         wrong.extend(self.unheeded(sent).iter().map(|unheeded| format!("{unheeded:?}")));
+        wrong.extend(self.over_limits(sent));
         let over = self.fullest_windows().into_iter().filter(|(_, window)| window.is_over());
         wrong.extend(over.map(|(service, window)| self.describe_window(service, &window)));
         wrong
@@ -85,6 +88,46 @@
         seen_by.iter().flat_map(of_runner).collect()
     }
 
+    /// Windows in which back ends got more than the limits that they had named.
+    fn over_limits(&self, sent: &[Sent]) -> Vec<String> {
+        let by_id: BTreeMap<&str, &Sent> = sent.iter().map(|one| (one.id.as_str(), one)).collect();
+        let disturbances = locked(&self.disturbances);
+        let is_excused = |node: usize, from: Instant, to: Instant| {
+            disturbances.iter().any(|disturbance| disturbance.parts_node(node, from - CONTACT, to))
+        };
+        let runners = self.place.engines.iter().chain(&self.place.bookings);
+        let over = runners.flat_map(|runner| {
+            let arrivals: Vec<limit_judge::Arrival> = runner
+                .seen()
+                .iter()
+                .filter_map(|seen| {
+                    let sent = by_id.get(seen.id.as_str())?;
+                    let passed_on = seen.ran && sent.got.as_ref().is_some_and(|got| got.is_answer_of(seen));
+                    let limit = seen.limit.as_ref().and_then(|text| text.parse().ok());
+                    Some(limit_judge::Arrival {
+                        node: sent.node,
+                        at: seen.at,
+                        starts: seen.starts,
+                        limit,
+                        passed_on,
+                    })
+                })
+                .collect();
+            let over = limit_judge::exceeded(&arrivals, &limit_judge::named_by(runner), is_excused);
+            let describe = |over: limit_judge::Exceeded| {
+                let (at, may) = (self.second(over.at), limit_judge::allowed(over.limit));
+                format!(
+                    "{at:7.3} s: {} got {} requests by a limit of {}, {may} may come",
+                    runner.id(),
+                    over.got,
+                    over.limit
+                )
+            };
+            over.into_iter().map(describe).collect::<Vec<_>>()
+        });
+        over.collect()
+    }
+
     /// What came nearest to the bounds of weights and retries.
     pub(super) fn nearest(&self, sent: &[Sent]) -> String {
         let older = self.on_older_weights(sent, Duration::ZERO);
