--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -22,7 +22,7 @@
 };
 use serde_json::Value;
 
-use crate::program::program;
+use crate::program::forwarding_program;
 
 /// How long anything that is waited for may take.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -140,7 +140,7 @@
         let file = format!("paddlemount-forward-{}-{}.toml", std::process::id(), rand_name());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a settings file can be written");
-        let mut child = program()
+        let mut child = forwarding_program()
             .args(["forward", "--settings"])
             .arg(&path)
             .stdout(Stdio::piped())
