--- a/crates/core/src/forwarding/announcements/division.rs
+++ b/crates/core/src/forwarding/announcements/division.rs
@@ -12,7 +12,7 @@
 use crate::forwarding::ranks::{rank, rank_for};
 
 /// The weight of nodes whose callers ask for less, in requests a second: they may be asked for more at any moment.
-const LEAST_WEIGHT: f64 = 1.0;
+const MIN_WEIGHT: f64 = 1.0;
 /// The bits of a hash that a fraction has room for.
 const FRACTION_BITS: u32 = 53;
 
@@ -27,9 +27,9 @@
 
 impl Member {
     /// A node whose callers, and those of the nodes below it, ask for so many requests a second.
-    pub fn new(node: NodeId, asked_per_second: f64) -> Self {
-        let asked = if asked_per_second.is_finite() { asked_per_second } else { 0.0 };
-        Self { node, weight: asked.max(LEAST_WEIGHT).log2().round().exp2() }
+    pub fn new(node: NodeId, demand_per_second: f64) -> Self {
+        let asked = if demand_per_second.is_finite() { demand_per_second } else { 0.0 };
+        Self { node, weight: asked.max(MIN_WEIGHT).log2().round().exp2() }
     }
 }
 
--- a/crates/core/src/forwarding/announcements/limits.rs
+++ b/crates/core/src/forwarding/announcements/limits.rs
@@ -3,21 +3,21 @@
 use std::time::Duration;
 
 use paddlemount_protocol::{
-    fleet::{BackendProcess, LimitGrant, LimitNews},
+    fleet::{BackendProcess, LimitGossip, LimitGrant},
     identity::NodeId,
     time::Timestamp,
 };
 
 use super::{
     Announcements,
-    rate_limit::{FleetPlace, LimitChange, MADE_UP_FOR, RateLimit, Stated},
+    rate_limit::{Advertised, LimitChange, MAX_INITIAL_PAUSE, RateLimit, TreePosition},
 };
 use crate::forwarding::backends::{Backend, BackendEntry, BackendId, Backends};
 
 /// Limited processes that one message tells of, some 80 bytes each. Of further ones each node keeps to its even part by itself.
-const MOST_TOLD: usize = 128;
+const MAX_ENTRIES: usize = 128;
 /// How long a node goes by what it was granted: some reports may be lost.
-const GRANTED_FOR: Duration = Duration::from_millis(1_500);
+const GRANT_LEASE: Duration = Duration::from_millis(1_500);
 
 /// How long a back end's limit keeps a request from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,23 +41,23 @@
 
 impl Announcements {
     /// A process has said what it takes, or that it takes all again; `sent_per_second` requests lately went there from all nodes.
-    pub fn state_limit(
+    pub fn observe_limit(
         &mut self,
         process: &BackendProcess,
-        stated: Stated,
+        advertised: Advertised,
         sent_per_second: f64,
         now: Timestamp,
     ) -> Option<LimitChange> {
         let is_known = self.by_process.get(process).is_some_and(|known| known.limit.is_some());
-        if stated.per_second.is_none() && !is_known {
+        if advertised.per_second.is_none() && !is_known {
             return None;
         }
         let announced = self.of(process, now);
         let change = match &mut announced.limit {
-            Some(limit) => limit.state(stated)?,
-            None => LimitChange::Began(stated.per_second?),
+            Some(limit) => limit.update(advertised)?,
+            None => LimitChange::Began(advertised.per_second?),
         };
-        let limit = announced.limit.get_or_insert_with(|| RateLimit::new(stated, now));
+        let limit = announced.limit.get_or_insert_with(|| RateLimit::new(advertised, now));
         if let LimitChange::Began(_) = change {
             limit.begin(sent_per_second, now);
         }
@@ -66,15 +66,15 @@
     }
 
     /// Another node has told of a limit, in a message that was written at `written_at` or shortly after.
-    fn hear_limit(
+    fn merge_limit(
         &mut self,
-        news: &LimitNews,
-        stated: Stated,
+        news: &LimitGossip,
+        advertised: Advertised,
         written_at: Timestamp,
         now: Timestamp,
     ) -> Option<LimitChange> {
-        let change = self.state_limit(&news.process, stated, 0.0, now);
-        let closed_for = MADE_UP_FOR.min(Duration::from_millis(news.opens_in_ms));
+        let change = self.observe_limit(&news.process, advertised, 0.0, now);
+        let closed_for = MAX_INITIAL_PAUSE.min(Duration::from_millis(news.opens_in_ms));
         let limit = self.by_process.get_mut(&news.process).and_then(|known| known.limit.as_mut());
         if let Some(limit) = limit.filter(|_| !closed_for.is_zero()) {
             limit.open_at(written_at + closed_for);
@@ -90,7 +90,7 @@
     }
 
     /// Divides all limits anew by this node's place in the tree; to be called several times a second.
-    pub fn divide_limits(&mut self, place: FleetPlace, now: Timestamp) {
+    pub fn divide_limits(&mut self, place: TreePosition, now: Timestamp) {
         let members_changed = place.members != self.place.members;
         for (process, announced) in &mut self.by_process {
             if let Some(limit) = announced.limit.as_mut().filter(|limit| limit.per_second().is_some()) {
@@ -101,23 +101,23 @@
     }
 
     /// The node above has answered a report that was sent at `sent_at`. Gives what is news to this node.
-    pub fn take_grants(
+    pub fn apply_limit_grants(
         &mut self,
         grants: &[LimitGrant],
         sent_at: Timestamp,
         now: Timestamp,
     ) -> Vec<(BackendProcess, LimitChange)> {
         for limit in self.by_process.values_mut().filter_map(|known| known.limit.as_mut()) {
-            limit.untold_above();
+            limit.forget_parent_knowledge();
         }
         let mut news = Vec::new();
-        for grant in grants.iter().take(MOST_TOLD) {
+        for grant in grants.iter().take(MAX_ENTRIES) {
             let process = &grant.news.process;
-            let Some(stated) = Stated::told(&grant.news, sent_at) else { continue };
-            let change = self.hear_limit(&grant.news, stated, sent_at, now);
+            let Some(advertised) = Advertised::from_gossip(&grant.news, sent_at) else { continue };
+            let change = self.merge_limit(&grant.news, advertised, sent_at, now);
             news.extend(change.map(|change| (process.clone(), change)));
             if let Some(limit) = self.by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
-                limit.take_grant(stated, grant, sent_at + GRANTED_FOR);
+                limit.apply_grant(advertised, grant, sent_at + GRANT_LEASE);
                 self.divide_limit(process, now);
             }
         }
@@ -125,23 +125,30 @@
     }
 
     /// A node below has told what it has heard. Gives what is news to this node.
-    pub fn hear_limits(&mut self, told: &[LimitNews], now: Timestamp) -> Vec<(BackendProcess, LimitChange)> {
-        let stated = told.iter().take(MOST_TOLD).filter_map(|news| Some((news, Stated::told(news, now)?)));
-        let changes = stated.filter_map(|(news, stated)| {
-            let change = self.hear_limit(news, stated, now, now)?;
+    pub fn merge_limit_gossip(
+        &mut self,
+        gossip: &[LimitGossip],
+        now: Timestamp,
+    ) -> Vec<(BackendProcess, LimitChange)> {
+        let advertised = gossip
+            .iter()
+            .take(MAX_ENTRIES)
+            .filter_map(|news| Some((news, Advertised::from_gossip(news, now)?)));
+        let changes = advertised.filter_map(|(news, advertised)| {
+            let change = self.merge_limit(news, advertised, now, now)?;
             Some((news.process.clone(), change))
         });
         changes.collect()
     }
 
     /// What the node above is to be told.
-    pub fn limit_news(&self, now: Timestamp) -> Vec<LimitNews> {
-        let limits = self.limits().filter_map(|(process, limit)| limit.news(process, now));
+    pub fn pending_limit_gossip(&self, now: Timestamp) -> Vec<LimitGossip> {
+        let limits = self.limits().filter_map(|(process, limit)| limit.pending_gossip(process, now));
         newest(limits.map(|news| (news.age_ms, news)))
     }
 
     /// What a node below is told and granted.
-    pub fn limit_grants(&self, node: &NodeId, now: Timestamp) -> Vec<LimitGrant> {
+    pub fn limit_grants_for(&self, node: &NodeId, now: Timestamp) -> Vec<LimitGrant> {
         let grants = self.limits().filter_map(|(process, limit)| limit.grant_for(process, node, now));
         newest(grants.map(|grant| (grant.news.age_ms, grant)))
     }
@@ -158,7 +165,7 @@
     }
 
     /// Requests a second that this node may send to a process; 0 where it is not limited.
-    pub fn own_part(&self, process: &BackendProcess) -> f64 {
+    pub fn own_rate(&self, process: &BackendProcess) -> f64 {
         let limit = self.by_process.get(process).and_then(|known| known.limit.as_ref());
         limit.map_or(0.0, RateLimit::own_per_second)
     }
@@ -188,7 +195,7 @@
     }
 
     /// Whether the limit of a back end lets this node send it a request now.
-    pub(super) fn is_within_limit(&self, entry: &BackendEntry, now: Timestamp) -> bool {
+    pub(super) fn has_permit(&self, entry: &BackendEntry, now: Timestamp) -> bool {
         self.limit_wait(entry, now) == Wait::None
     }
 }
@@ -197,26 +204,26 @@
 fn newest<T>(items: impl Iterator<Item = (u64, T)>) -> Vec<T> {
     let mut items: Vec<(u64, T)> = items.collect();
     items.sort_by_key(|(age, _)| *age);
-    items.into_iter().take(MOST_TOLD).map(|(_, item)| item).collect()
+    items.into_iter().take(MAX_ENTRIES).map(|(_, item)| item).collect()
 }
 
 impl Backends {
     /// Whether the limit of a back end lets this node send it a request now.
-    pub fn is_within_limit(&self, id: &BackendId, now: Timestamp) -> bool {
-        self.get(id).is_none_or(|backend| self.announcements.is_within_limit(&backend.entry, now))
+    pub fn has_permit(&self, id: &BackendId, now: Timestamp) -> bool {
+        self.get(id).is_none_or(|backend| self.announcements.has_permit(&backend.entry, now))
     }
 
     /// A request is being sent to a back end.
-    pub fn take_from_limit(&mut self, id: &BackendId, now: Timestamp) {
+    pub fn acquire_permit(&mut self, id: &BackendId, now: Timestamp) {
         if let Some(limit) = self.limit_mut(id) {
-            limit.take(now);
+            limit.acquire(now);
         }
     }
 
     /// A request was not sent to a back end after all: nothing of it was written.
-    pub fn give_back_to_limit(&mut self, id: &BackendId) {
+    pub fn release_permit(&mut self, id: &BackendId) {
         if let Some(limit) = self.limit_mut(id) {
-            limit.give_back();
+            limit.release();
         }
     }
 
@@ -231,7 +238,7 @@
         let mut openings = Vec::new();
         let mut own_per_second = None;
         for backend in of {
-            let back_off_ends = self.announcements.rests_until(&backend.entry, now);
+            let back_off_ends = self.announcements.backed_off_until(&backend.entry, now);
             let opens_at = match self.announcements.limit_wait(&backend.entry, now) {
                 Wait::None => None,
                 Wait::For(wait) => Some(now + wait),
--- a/crates/core/src/forwarding/announcements/mod.rs
+++ b/crates/core/src/forwarding/announcements/mod.rs
@@ -28,9 +28,9 @@
 
 pub use division::Member;
 
-use self::rate_limit::{FleetPlace, RateLimit};
+use self::rate_limit::{RateLimit, TreePosition};
 use super::backends::{Backend, BackendEntry, BackendId, Backends, Standing};
-use crate::rest::LONGEST_REST;
+use crate::rest::MAX_BACK_OFF;
 
 /// How long it is remembered that a process leaves, beyond its last word. Its entry is gone by then.
 const REMEMBERED: Duration = Duration::from_secs(600);
@@ -41,7 +41,7 @@
 /// largest size announces at once; the ones heard of first are forgotten.
 const MOST_REMEMBERED: usize = 16_384;
 /// How long other nodes are told that a process leaves: ten reports, of which some may be lost.
-const TOLD_FOR: Duration = Duration::from_secs(2);
+const GOSSIP_PERIOD: Duration = Duration::from_secs(2);
 /// Processes that other nodes are told of in one message, some 30 bytes each: 4 KB.
 const MOST_TOLD: usize = 128;
 
@@ -51,9 +51,9 @@
     /// When it was first heard that it leaves.
     leaving_since: Option<Timestamp>,
     /// The end of the time in which it wants no requests from this node.
-    rests_until: Option<Timestamp>,
+    backed_off_until: Option<Timestamp>,
     /// When it last asked for that.
-    asked_rest_at: Timestamp,
+    back_off_requested_at: Timestamp,
     /// The requests that it takes from all nodes together, where it has ever named a limit.
     limit: Option<RateLimit>,
     /// When anything was last heard.
@@ -64,13 +64,13 @@
     fn holds(&self, now: Timestamp) -> bool {
         let is_remembered = now.saturating_since(self.heard_at) < REMEMBERED;
         let lasts = self.leaving_since.is_some() || self.limit.is_some();
-        (lasts && is_remembered) || self.rests_until.is_some_and(|until| now < until)
+        (lasts && is_remembered) || self.backed_off_until.is_some_and(|until| now < until)
     }
 }
 
 /// A time without requests that a back end has asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rest {
+pub struct BackOff {
     /// Its end.
     pub until: Timestamp,
     /// Whether the back end had not asked for one before that is still going on.
@@ -96,7 +96,7 @@
     /// By process, in the order of its starts.
     by_process: BTreeMap<BackendProcess, Announced>,
     /// This node's place among those between whom limits are divided.
-    place: FleetPlace,
+    place: TreePosition,
 }
 
 impl Announcements {
@@ -109,8 +109,8 @@
         }
         let fresh = Announced {
             leaving_since: None,
-            rests_until: None,
-            asked_rest_at: now,
+            backed_off_until: None,
+            back_off_requested_at: now,
             limit: None,
             heard_at: now,
         };
@@ -129,16 +129,16 @@
 
     /// A process wants no requests from this node for `asked`, from now on. A time that ends sooner than one that it has asked
     /// for before shortens nothing: it may have been asked for by an earlier request.
-    pub fn rests(&mut self, process: &BackendProcess, asked: Duration, now: Timestamp) -> Option<Rest> {
+    pub fn rests(&mut self, process: &BackendProcess, asked: Duration, now: Timestamp) -> Option<BackOff> {
         if asked.is_zero() {
             return None;
         }
         let known = self.of(process, now);
-        let before = known.rests_until.filter(|until| now < *until);
-        let until = before.max(Some(now + asked.min(LONGEST_REST)))?;
-        known.rests_until = Some(until);
-        known.asked_rest_at = now;
-        Some(Rest { until, begins: before.is_none(), is_cut: asked > LONGEST_REST })
+        let before = known.backed_off_until.filter(|until| now < *until);
+        let until = before.max(Some(now + asked.min(MAX_BACK_OFF)))?;
+        known.backed_off_until = Some(until);
+        known.back_off_requested_at = now;
+        Some(BackOff { until, begins: before.is_none(), is_cut: asked > MAX_BACK_OFF })
     }
 
     /// When it was first heard that the process of an entry leaves.
@@ -165,26 +165,26 @@
     }
 
     /// Until when the process of an entry wants no requests from this node, where it does not want any now.
-    pub fn rests_until(&self, entry: &BackendEntry, now: Timestamp) -> Option<Timestamp> {
+    pub fn backed_off_until(&self, entry: &BackendEntry, now: Timestamp) -> Option<Timestamp> {
         if self.by_process.is_empty() {
             return None;
         }
         let any_start = BackendProcess { id: entry.id.clone(), born: None };
         let ends = self.of_starts_from(any_start).filter_map(|(process, known)| {
-            let until = known.rests_until?;
+            let until = known.backed_off_until?;
             let is_earlier = process.born < entry.born;
-            Some(if is_earlier { until.min(known.asked_rest_at + LATE_NEWS) } else { until })
+            Some(if is_earlier { until.min(known.back_off_requested_at + LATE_NEWS) } else { until })
         });
         ends.max().filter(|until| now < *until)
     }
 
     /// Processes that leave of which other nodes are to be told, those heard of last first.
-    pub fn to_tell(&self, now: Timestamp) -> Vec<BackendProcess> {
+    pub fn pending_draining_gossip(&self, now: Timestamp) -> Vec<BackendProcess> {
         let mut told: Vec<(Timestamp, BackendProcess)> = self
             .by_process
             .iter()
             .filter_map(|(process, known)| {
-                let since = known.leaving_since.filter(|since| is_told(*since, now))?;
+                let since = known.leaving_since.filter(|since| is_gossiped(*since, now))?;
                 Some((since, process.clone()))
             })
             .collect();
@@ -196,7 +196,7 @@
     pub fn expire(&mut self, now: Timestamp) -> Vec<BackendId> {
         let mut rested = Vec::new();
         for (process, known) in &mut self.by_process {
-            if known.rests_until.take_if(|until| *until <= now).is_some() {
+            if known.backed_off_until.take_if(|until| *until <= now).is_some() {
                 rested.push(process.id.clone());
             }
         }
@@ -205,19 +205,22 @@
     }
 
     /// Whether there is anything of which other nodes are to be told.
-    pub fn has_to_tell(&self, now: Timestamp) -> bool {
-        self.by_process.values().any(|known| known.leaving_since.is_some_and(|since| is_told(since, now)))
+    pub fn has_pending_gossip(&self, now: Timestamp) -> bool {
+        self.by_process.values().any(|known| known.leaving_since.is_some_and(|since| is_gossiped(since, now)))
     }
 
     /// How many back ends want no requests now.
-    pub fn count_resting(&self, now: Timestamp) -> usize {
-        self.by_process.values().filter(|known| known.rests_until.is_some_and(|until| now < until)).count()
+    pub fn count_backed_off(&self, now: Timestamp) -> usize {
+        self.by_process
+            .values()
+            .filter(|known| known.backed_off_until.is_some_and(|until| now < until))
+            .count()
     }
 }
 
 /// Whether other nodes are still told of a process that was first heard to leave at `since`.
-fn is_told(since: Timestamp, now: Timestamp) -> bool {
-    now.saturating_since(since) < TOLD_FOR
+fn is_gossiped(since: Timestamp, now: Timestamp) -> bool {
+    now.saturating_since(since) < GOSSIP_PERIOD
 }
 
 impl Backends {
@@ -228,7 +231,7 @@
     }
 
     /// An answer of a process, or another node, told that it leaves.
-    pub fn hear_leaving(&mut self, process: &BackendProcess, now: Timestamp) -> Departure {
+    pub fn observe_draining(&mut self, process: &BackendProcess, now: Timestamp) -> Departure {
         let is_news = self.announcements.leaves(process, now);
         // A later process of this identity may have started since it was asked.
         let known = self.get(&process.id).filter(|known| known.entry.born <= process.born);
@@ -273,7 +276,7 @@
             Standing::Leaving | Standing::Replaced => false,
         };
         stays
-            && self.announcements.rests_until(&backend.entry, now).is_none()
-            && self.announcements.is_within_limit(&backend.entry, now)
+            && self.announcements.backed_off_until(&backend.entry, now).is_none()
+            && self.announcements.has_permit(&backend.entry, now)
     }
 }
--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -61,12 +61,12 @@
     if seen.is_served {
         return Verdict::Keep(None);
     }
-    let rests_until = match stage {
+    let backed_off_until = match stage {
         StopStage::Serving | StopStage::Leaving => seen.free_since + idle_timeout + REST_SLACK,
         StopStage::Closing | StopStage::Over => seen.used_at + QUIET,
     };
-    let look_again = Verdict::Keep(Some(rests_until.max(now + QUIET)));
-    if now < rests_until || seen.is_readable {
+    let look_again = Verdict::Keep(Some(backed_off_until.max(now + QUIET)));
+    if now < backed_off_until || seen.is_readable {
         return look_again;
     }
     match (seen.is_amid_head, stage) {
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -16,8 +16,7 @@
 /// The time in which it fades to a third after that: a node of hundreds meets each back end only now and then.
 const SLOWEST_FADES_IN: Duration = Duration::from_secs(4);
 /// The time in which an average that nothing newer is measured for falls to a third. A back end that was slow for a moment is asked
-/// again however few requests there are: twice as slow as others after 11 s, eight times after 24 s. Without it, it got none of 300
-/// requests in 30 s. One that stays slow gets one request in such a time.
+/// again however few requests there are: twice as slow as others after 11 s, eight times after 24 s. One that stays slow gets one request in such a time.
 const AVERAGE_FADES_IN: Duration = Duration::from_secs(10);
 /// The time in which the rate of requests to a back end fades to a third.
 const SENT_FADES: Duration = Duration::from_secs(4);
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -1,7 +1,7 @@
 //! Which back end is believed to keep which parts of prompts.
 //!
 //! Engines tell of what they keep in feeds that are late and lose entries; what a node's own requests have made an
-//! engine read is noted at once. A belief that is wrong costs time, never correctness: engines find parts only under
+//! engine read is last_reported at once. A belief that is wrong costs time, never correctness: engines find parts only under
 //! the scope that the node names.
 
 use std::{collections::HashMap, time::Duration};
--- a/crates/core/src/forwarding/refusals.rs
+++ b/crates/core/src/forwarding/refusals.rs
@@ -2,8 +2,7 @@
 //!
 //! Where several back ends in a row have refused, the next one will: a request that goes on to all of them costs the callers
 //! time and the back ends an arrival each. So such a request is refused after its first try, and its caller is told to come
-//! back after about as long as the refusals have lasted. Where engines refused for 16 of 34 s, all of them for half of that,
-//! 0.21 of the requests were refused in place of 0.24 (means of three plays).
+//! back after about as long as the refusals have lasted.
 
 use std::time::Duration;
 
--- a/crates/core/src/limits/ledger/mod.rs
+++ b/crates/core/src/limits/ledger/mod.rs
@@ -211,7 +211,7 @@
     }
 
     /// The part of the fleet that this node and those below it are, where no other node tells it anything.
-    pub fn headed_part(&self) -> Option<f64> {
+    pub fn root_share(&self) -> Option<f64> {
         self.sharing.heads.then_some(self.sharing.part)
     }
 
@@ -223,7 +223,9 @@
     /// Heads itself where what it was told has grown too old. A process that stood still would else grant by a level of
     /// long before until it next looks at who is heard.
     fn leave_outdated(&mut self, now: Timestamp) {
-        let Some(place) = self.place.filter(|_| !self.sharing.heads && !self.is_told(now)) else { return };
+        let Some(place) = self.place.filter(|_| !self.sharing.heads && !self.is_told(now)) else {
+            return;
+        };
         self.accounts.values_mut().for_each(|account| account.refill(self.sharing, now));
         self.below.forget_silent(now);
         self.head_itself(place, false, now);
--- a/crates/core/src/rest.rs
+++ b/crates/core/src/rest.rs
@@ -5,7 +5,7 @@
 use paddlemount_protocol::time::Timestamp;
 
 /// The longest time without requests that a back end is granted: one that asks for more is asked again after this.
-pub const LONGEST_REST: Duration = Duration::from_secs(300);
+pub const MAX_BACK_OFF: Duration = Duration::from_secs(300);
 /// How much later than the end of a rest callers may be told to come back, as a part of the time until then: they would else
 /// all come at one moment.
 const SPREAD: f64 = 0.25;
--- a/crates/core/src/routing/engines.rs
+++ b/crates/core/src/routing/engines.rs
@@ -55,7 +55,7 @@
     /// account takes it back, as after a load of other weights.
     pub(super) refused_after: Option<Timestamp>,
     /// Until when the engine wants no requests from this node.
-    pub(super) rests_until: Timestamp,
+    pub(super) backed_off_until: Timestamp,
     /// Hash of the engine's name, for rendezvous hashing.
     pub(super) name_hash: u64,
     sends: VecDeque<Send>,
@@ -75,7 +75,7 @@
             in_flight: 0,
             draining: false,
             refused_after: None,
-            rests_until: Timestamp::ZERO,
+            backed_off_until: Timestamp::ZERO,
             sends: VecDeque::new(),
             sent_tokens: DecayedCount::default(),
         }
@@ -273,7 +273,7 @@
             view.load_received = now;
             view.sends.clear();
             view.refused_after = None;
-            view.rests_until = Timestamp::ZERO;
+            view.backed_off_until = Timestamp::ZERO;
         }
         if emptied {
             let old = view.residence;
--- a/crates/core/src/routing/rests.rs
+++ b/crates/core/src/routing/rests.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{Router, engines::EngineView, types::RouteRequest};
-use crate::rest::LONGEST_REST;
+use crate::rest::MAX_BACK_OFF;
 
 impl EngineView {
     /// Takes in a refusal of this life. Whether the engine takes no work from now on.
@@ -22,7 +22,7 @@
         let asked = refusal.retry_after_ms.filter(|_| of_requests).map(Duration::from_millis);
         if let Some(asked) = asked {
             // A shorter time may be the answer to an earlier request, and ends nothing.
-            self.rests_until = self.rests_until.max(now + asked.min(LONGEST_REST));
+            self.backed_off_until = self.backed_off_until.max(now + asked.min(MAX_BACK_OFF));
         }
         let is_news = refusal.code == RefusalCode::Draining && self.refused_after.is_none();
         if is_news {
@@ -33,7 +33,7 @@
 
     /// Whether the engine wants no requests now.
     pub(super) fn rests(&self, now: Timestamp) -> bool {
-        now < self.rests_until
+        now < self.backed_off_until
     }
 }
 
@@ -49,7 +49,7 @@
     /// For how long an engine still wants no requests from this node.
     pub fn rest_of(&self, engine: &EngineId, now: Timestamp) -> Option<Duration> {
         let view = self.engines.slot(engine).and_then(|slot| self.engines.get(slot))?;
-        view.rests(now).then(|| view.rests_until.saturating_since(now))
+        view.rests(now).then(|| view.backed_off_until.saturating_since(now))
     }
 
     /// How long it takes until the first engine may be sent `request` that could serve it, where all of them rest; engines that
@@ -62,7 +62,7 @@
             if !view.rests(now) {
                 return None;
             }
-            least = Some(least.map_or(view.rests_until, |least| least.min(view.rests_until)));
+            least = Some(least.map_or(view.backed_off_until, |least| least.min(view.backed_off_until)));
         }
         least.map(|until| until.saturating_since(now))
     }
--- a/crates/core/tests/forwarding_announcements.rs
+++ b/crates/core/tests/forwarding_announcements.rs
@@ -5,11 +5,11 @@
 use bolero::TypeGenerator;
 use paddlemount_core::{
     forwarding::{
-        announcements::{Announcements, Departure, Rest},
+        announcements::{Announcements, BackOff, Departure},
         backends::{BackendEntry, BackendId, Backends, Standing},
         replacement::Heard,
     },
-    rest::LONGEST_REST,
+    rest::MAX_BACK_OFF,
 };
 use paddlemount_protocol::{
     fleet::BackendProcess,
@@ -67,8 +67,8 @@
 fn an_older_entry_takes_nothing_back_and_a_new_start_ends_it() {
     let mut backends = Backends::default();
     backends.take_in(entry(0, 1), Heard::AsChange);
-    assert_eq!(backends.hear_leaving(&process(0, 1), at(0)), Departure::Leaves);
-    assert_eq!(backends.hear_leaving(&process(0, 1), at(5)), Departure::Known);
+    assert_eq!(backends.observe_draining(&process(0, 1), at(0)), Departure::Leaves);
+    assert_eq!(backends.observe_draining(&process(0, 1), at(5)), Departure::Known);
     let departing = Some(Standing::Departing { since: at(0) });
     backends.take_in(BackendEntry { slots: 2, ..entry(0, 1) }, Heard::AsChange);
     assert_eq!(standing(&backends, 0), departing);
@@ -85,13 +85,13 @@
 fn what_an_earlier_process_said_is_no_news_of_the_one_that_has_started_since() {
     let mut backends = Backends::default();
     backends.take_in(entry(0, 2), Heard::AsChange);
-    assert_eq!(backends.hear_leaving(&process(0, 1), at(0)), Departure::Known);
+    assert_eq!(backends.observe_draining(&process(0, 1), at(0)), Departure::Known);
     assert_eq!(standing(&backends, 0), Some(Standing::Ready));
     backends.announcements.rests(&process(0, 1), Duration::from_secs(60), at(0));
     // The registry tells of a start some time after it: this may be the word of the new process.
     assert!(!takes_requests(&backends, 0, at(2_999)) && takes_requests(&backends, 0, at(3_000)));
-    assert_eq!(backends.hear_leaving(&process(0, 2), at(2)), Departure::Leaves);
-    assert_eq!(backends.hear_leaving(&process(0, 1), at(3)), Departure::Known);
+    assert_eq!(backends.observe_draining(&process(0, 2), at(2)), Departure::Leaves);
+    assert_eq!(backends.observe_draining(&process(0, 1), at(3)), Departure::Known);
     assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(2) }));
 }
 
@@ -104,7 +104,7 @@
     backends.announcements.rests(&process(0, 2), Duration::from_secs(2), at(0));
     backends.take_in(entry(0, 1), Heard::InListing);
     assert!(!takes_requests(&backends, 0, at(530)) && takes_requests(&backends, 0, at(2_000)));
-    backends.hear_leaving(&process(0, 2), at(3_000));
+    backends.observe_draining(&process(0, 2), at(3_000));
     assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(3_000) }));
     backends.take_in(entry(0, 2), Heard::AsChange);
     assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(3_000) }));
@@ -118,7 +118,7 @@
     backends.take_in(entry(0, 1), Heard::AsChange);
     backends.registry.failed();
     backends.remove(&id(0), at(0));
-    assert_eq!(backends.hear_leaving(&process(0, 1), at(1)), Departure::Dropped);
+    assert_eq!(backends.observe_draining(&process(0, 1), at(1)), Departure::Dropped);
     assert_eq!(backends.iter().count(), 0);
     backends.take_in(entry(0, 1), Heard::AsChange);
     assert_eq!(standing(&backends, 0), Some(Standing::Departing { since: at(1) }));
@@ -130,9 +130,9 @@
     for number in 0..2 {
         backends.take_in(entry(number, 1), Heard::AsChange);
     }
-    backends.hear_leaving(&process(0, 1), at(0));
+    backends.observe_draining(&process(0, 1), at(0));
     assert_eq!(usable(&backends), 1);
-    backends.hear_leaving(&process(1, 1), at(500));
+    backends.observe_draining(&process(1, 1), at(500));
     assert_eq!(usable(&backends), 2, "nobody else is left");
     assert!(takes_requests(&backends, 0, at(999)) && takes_requests(&backends, 1, at(999)));
     assert!(!takes_requests(&backends, 0, at(1_000)) && takes_requests(&backends, 1, at(1_000)));
@@ -147,15 +147,15 @@
         announcements.rests(&process(0, 1), Duration::from_secs_f64(seconds), at(now))
     };
     assert_eq!(asked(0.0, 0), None, "no time is no rest");
-    assert_eq!(asked(3.0, 0), Some(Rest { until: at(3_000), begins: true, is_cut: false }));
-    assert_eq!(asked(1.0, 100), Some(Rest { until: at(3_000), begins: false, is_cut: false }));
-    assert_eq!(asked(3.0, 100), Some(Rest { until: at(3_100), begins: false, is_cut: false }));
-    assert_eq!(asked(0.5, 4_000), Some(Rest { until: at(4_500), begins: true, is_cut: false }));
-    let longest = at(5_000) + LONGEST_REST;
-    assert_eq!(asked(1e9, 5_000), Some(Rest { until: longest, begins: true, is_cut: true }));
+    assert_eq!(asked(3.0, 0), Some(BackOff { until: at(3_000), begins: true, is_cut: false }));
+    assert_eq!(asked(1.0, 100), Some(BackOff { until: at(3_000), begins: false, is_cut: false }));
+    assert_eq!(asked(3.0, 100), Some(BackOff { until: at(3_100), begins: false, is_cut: false }));
+    assert_eq!(asked(0.5, 4_000), Some(BackOff { until: at(4_500), begins: true, is_cut: false }));
+    let longest = at(5_000) + MAX_BACK_OFF;
+    assert_eq!(asked(1e9, 5_000), Some(BackOff { until: longest, begins: true, is_cut: true }));
     assert_eq!(announcements.expire(at(4_500)), Vec::new());
     assert_eq!(announcements.expire(longest), [id(0)]);
-    assert_eq!(announcements.count_resting(at(5_001)), 0);
+    assert_eq!(announcements.count_backed_off(at(5_001)), 0);
 }
 
 #[test]
@@ -178,17 +178,17 @@
 #[test]
 fn other_nodes_are_told_for_two_seconds_and_of_a_bounded_number() {
     let mut backends = Backends::default();
-    backends.hear_leaving(&process(0, 1), at(0));
-    backends.hear_leaving(&process(0, 1), at(1_500));
+    backends.observe_draining(&process(0, 1), at(0));
+    backends.observe_draining(&process(0, 1), at(1_500));
     let announcements = &backends.announcements;
-    assert_eq!(announcements.to_tell(at(1_999)), [process(0, 1)]);
-    assert!(announcements.has_to_tell(at(1_999)) && !announcements.has_to_tell(at(2_000)));
-    assert_eq!(announcements.to_tell(at(2_000)), []);
+    assert_eq!(announcements.pending_draining_gossip(at(1_999)), [process(0, 1)]);
+    assert!(announcements.has_pending_gossip(at(1_999)) && !announcements.has_pending_gossip(at(2_000)));
+    assert_eq!(announcements.pending_draining_gossip(at(2_000)), []);
     for number in 0..20_000 {
         let process = BackendProcess { id: BackendId::from(format!("p{number}").as_str()), born: None };
-        backends.hear_leaving(&process, at(3_000 + number));
+        backends.observe_draining(&process, at(3_000 + number));
     }
-    assert_eq!(backends.announcements.to_tell(at(23_000)).len(), 128);
+    assert_eq!(backends.announcements.pending_draining_gossip(at(23_000)).len(), 128);
     let first = BackendProcess { id: BackendId::from("p0"), born: None };
     backends.take_in(BackendEntry { id: first.id, ..entry(0, 1) }, Heard::AsChange);
     assert_eq!(backends.iter().next().map(|known| known.standing), Some(Standing::Ready), "forgotten");
@@ -216,8 +216,8 @@
 #[derive(Default)]
 struct Told {
     left_at: Option<u64>,
-    rests_until: u64,
-    asked_rest_at: u64,
+    backed_off_until: u64,
+    back_off_requested_at: u64,
     registry_says_leaving: bool,
 }
 
@@ -265,16 +265,16 @@
                 let born = self.born(backend) - u64::from(is_older && self.born(backend) > 1);
                 let now = self.now;
                 self.told(backend, born).left_at.get_or_insert(now);
-                self.backends.hear_leaving(&process(backend, born), at(now));
+                self.backends.observe_draining(&process(backend, born), at(now));
             }
             Step::Rests { backend, tenths } => {
                 let backend = backend % BACKENDS;
                 let (born, now) = (self.born(backend), self.now);
                 let asked = u64::from(tenths) * 100;
                 let told = self.told(backend, born);
-                told.rests_until = told.rests_until.max(now + asked);
+                told.backed_off_until = told.backed_off_until.max(now + asked);
                 if asked > 0 {
-                    told.asked_rest_at = now;
+                    told.back_off_requested_at = now;
                 }
                 let asked = Duration::from_millis(asked);
                 self.backends.announcements.rests(&process(backend, born), asked, at(now));
@@ -305,15 +305,15 @@
             let is_present = born == self.born(backend);
             let rest_of_earlier = (1..born).any(|earlier| {
                 let told = self.told(backend, earlier);
-                at(self_now) < at(told.rests_until).min(at(told.asked_rest_at) + LATE_NEWS)
+                at(self_now) < at(told.backed_off_until).min(at(told.back_off_requested_at) + LATE_NEWS)
             });
             let told = self.told(backend, born);
             told.registry_says_leaving |= standing == Standing::Leaving;
             let leaves = told.left_at.is_some() || told.registry_says_leaving;
             let left_for = told.left_at.map(|left| now.saturating_since(at(left)));
-            let rests = now < at(told.rests_until);
+            let rests = now < at(told.backed_off_until);
             if rests {
-                assert!(!takes, "b{backend} rests until {}, and it is {now:?}", told.rests_until);
+                assert!(!takes, "b{backend} rests until {}, and it is {now:?}", told.backed_off_until);
             }
             if left_for.is_some_and(|left_for| left_for >= PARTING && left_for < REMEMBERED) {
                 assert!(!takes, "b{backend} has said that it leaves {left_for:?} ago");
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -6,7 +6,7 @@
 use paddlemount_core::forwarding::{
     announcements::{
         Member,
-        rate_limit::{FleetPlace, Stated},
+        rate_limit::{Advertised, TreePosition},
     },
     backends::{BackendEntry, BackendId, Backends},
     replacement::Heard,
@@ -153,9 +153,9 @@
         let due: Vec<(u64, usize, u64, Option<f64>)> = due;
         for (_, number, sent_at, limit) in due {
             let stated_at = if limit.is_some() { self.now } else { sent_at };
-            let stated = Stated { per_second: limit, at: at(stated_at) };
+            let stated = Advertised { per_second: limit, at: at(stated_at) };
             let announcements = &mut self.nodes[number].backends.announcements;
-            announcements.state_limit(&process(), stated, per_second, at(self.now));
+            announcements.observe_limit(&process(), stated, per_second, at(self.now));
         }
     }
 
@@ -163,7 +163,7 @@
         let (now, id) = (at(self.now), BackendId::from("b"));
         let count = self.nodes.len() as u64;
         let node = &mut self.nodes[number];
-        if !node.is_busy || !node.backends.is_within_limit(&id, now) {
+        if !node.is_busy || !node.backends.has_permit(&id, now) {
             return;
         }
         if node.backends.announcements.count_limited() == 0 {
@@ -179,7 +179,7 @@
                 return;
             }
         }
-        node.backends.take_from_limit(&id, now);
+        node.backends.acquire_permit(&id, now);
         self.arrivals.push(Arrival { at: self.now, node: number, limit: self.limit });
         self.answers.push((self.now + ANSWER_MS, number, self.now, self.limit));
     }
@@ -208,23 +208,23 @@
         let parent = (number > 0).then(|| (number - 1) / FAN_IN);
         let reached = parent.filter(|parent| !self.is_cut(number) && !self.is_cut(*parent));
         if let Some(parent) = reached {
-            let news = self.nodes[number].backends.announcements.limit_news(now);
-            self.nodes[parent].backends.announcements.hear_limits(&news, now);
+            let news = self.nodes[number].backends.announcements.pending_limit_gossip(now);
+            self.nodes[parent].backends.announcements.merge_limit_gossip(&news, now);
             let name = self.nodes[number].name.clone();
-            let grants = self.nodes[parent].backends.announcements.limit_grants(&name, now);
+            let grants = self.nodes[parent].backends.announcements.limit_grants_for(&name, now);
             let node = &mut self.nodes[number];
-            node.backends.announcements.take_grants(&grants, now, now);
+            node.backends.announcements.apply_limit_grants(&grants, now, now);
             node.told_at = Some(self.now);
         }
         let part = self.heard(number) as f64 / self.nodes.len() as f64;
-        let headed_part = (number == 0 || !self.reports_to(number)).then_some(part);
+        let root_share = (number == 0 || !self.reports_to(number)).then_some(part);
         let below = self.children(number).filter(|child| self.reports_to(*child));
         let members = std::iter::once(number).chain(below);
         let asked = |number: usize| if self.nodes[number].is_busy { 20.0 } else { 0.0 };
         let members = members.map(|number| Member::new(self.nodes[number].name.clone(), asked(number)));
-        let place = FleetPlace {
+        let place = TreePosition {
             node: self.nodes[number].name.clone(),
-            headed_part,
+            root_share,
             nodes: self.nodes.len() as u32,
             members: members.collect(),
         };
@@ -343,15 +343,15 @@
 fn an_answer_to_an_earlier_request_does_not_end_a_limit_and_one_to_a_later_request_does() {
     let (mut backends, id) = (fresh_backends(), BackendId::from("b"));
     let state = |backends: &mut Backends, per_second, ms| {
-        let stated = Stated { per_second, at: at(ms) };
-        backends.announcements.state_limit(&process(), stated, 0.0, at(1_100))
+        let stated = Advertised { per_second, at: at(ms) };
+        backends.announcements.observe_limit(&process(), stated, 0.0, at(1_100))
     };
     assert!(state(&mut backends, Some(0.0), 1_000).is_some());
-    assert!(!backends.is_within_limit(&id, at(1_100)));
+    assert!(!backends.has_permit(&id, at(1_100)));
     assert_eq!(state(&mut backends, None, 900), None);
-    assert!(!backends.is_within_limit(&id, at(1_100)));
+    assert!(!backends.has_permit(&id, at(1_100)));
     assert!(state(&mut backends, None, 1_001).is_some());
-    assert!(backends.is_within_limit(&id, at(1_100)));
+    assert!(backends.has_permit(&id, at(1_100)));
 }
 
 #[test]
@@ -362,10 +362,11 @@
     fleet.nodes.iter_mut().for_each(|node| node.is_busy = false);
     fleet.pass(1_000);
     for node in &fleet.nodes[1..] {
-        assert_eq!(node.backends.announcements.limit_news(at(fleet.now)), []);
+        assert_eq!(node.backends.announcements.pending_limit_gossip(at(fleet.now)), []);
     }
     let age = |fleet: &Fleet| {
-        let grants = fleet.nodes[0].backends.announcements.limit_grants(&NodeId::from("n1"), at(fleet.now));
+        let grants =
+            fleet.nodes[0].backends.announcements.limit_grants_for(&NodeId::from("n1"), at(fleet.now));
         Duration::from_millis(grants[0].news.age_ms)
     };
     let before = age(&fleet);
--- a/crates/forward/src/announced.rs
+++ b/crates/forward/src/announced.rs
@@ -6,11 +6,11 @@
 use http::Response;
 use paddlemount_core::{
     forwarding::{
-        announcements::{Departure, Rest},
+        announcements::{BackOff, Departure},
         backends::BackendId,
         choice::Choice,
     },
-    rest::{self, LONGEST_REST},
+    rest::{self, MAX_BACK_OFF},
 };
 use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
 
@@ -18,7 +18,7 @@
     journal::Event,
     metrics::{Counter, Gauge},
     node::Node,
-    ports::{AnswerHead, AskedRest},
+    ports::{AnswerHead, RequestedBackOff},
 };
 
 /// How it was heard what a process announces.
@@ -53,7 +53,7 @@
 
     /// Takes in what an answer of one of a back end's own interfaces announces, whose body may say as well that it leaves. Where
     /// the interface refuses, that concerns no requests; for how long it wants to be left alone, if it says so.
-    pub(crate) fn hear_call(
+    pub(crate) fn observe_call(
         &self,
         asked: &BackendProcess,
         answer: &Response<Bytes>,
@@ -62,17 +62,22 @@
         let says = self.platform.read_answer(answer.status(), answer.headers());
         let leaving = says.leaving || body_says_leaving;
         let rest = match says.rest {
-            Some(AskedRest::For(time)) => Some(time.min(LONGEST_REST)),
-            Some(AskedRest::Unreadable(_)) | None => None,
+            Some(RequestedBackOff::For(time)) => Some(time.min(MAX_BACK_OFF)),
+            Some(RequestedBackOff::Unreadable(_)) | None => None,
         };
-        self.hear(asked, &AnswerHead { leaving, rest: None, ..says }, None);
+        self.observe_answer(asked, &AnswerHead { leaving, rest: None, ..says }, None);
         rest
     }
 
     /// Takes in what an answer of `asked` announces, whatever else it says. Another process that answers in its place speaks
     /// for itself only. `sent_at` tells when it was sent a request that it answers; answers of its own interfaces need not name a
     /// limit that holds.
-    pub(crate) fn hear(&self, asked: &BackendProcess, says: &AnswerHead, sent_at: Option<Timestamp>) {
+    pub(crate) fn observe_answer(
+        &self,
+        asked: &BackendProcess,
+        says: &AnswerHead,
+        sent_at: Option<Timestamp>,
+    ) {
         self.note_unknown_headers(&asked.id, &says.unknown);
         let is_other = match &says.backend {
             Some(backend) => *backend != asked.id,
@@ -82,29 +87,29 @@
             return;
         }
         if says.leaving {
-            self.heard_leaving(asked, HeardBy::Answer);
+            self.observe_draining(asked, HeardBy::Answer);
         }
         match &says.rest {
-            Some(AskedRest::For(time)) => self.heard_rest(asked, *time),
-            Some(AskedRest::Unreadable(value)) => {
+            Some(RequestedBackOff::For(time)) => self.observe_back_off(asked, *time),
+            Some(RequestedBackOff::Unreadable(value)) => {
                 self.journal.tell(&Event::RestUnreadable { backend: asked.id.as_str(), value });
             }
             None => {}
         }
-        self.hear_limit(asked, says.limit.as_ref(), sent_at);
+        self.observe_limit(asked, says.limit.as_ref(), sent_at);
     }
 
     /// Other nodes have heard that these processes leave.
-    pub(crate) fn told_of_leaving(&self, processes: &[BackendProcess]) {
+    pub(crate) fn merge_draining_gossip(&self, processes: &[BackendProcess]) {
         for process in processes {
-            self.heard_leaving(process, HeardBy::Told);
+            self.observe_draining(process, HeardBy::Told);
         }
     }
 
-    fn heard_leaving(&self, process: &BackendProcess, heard: HeardBy) {
+    fn observe_draining(&self, process: &BackendProcess, heard: HeardBy) {
         let mut beliefs = self.beliefs.borrow_mut();
         let service = beliefs.backends.get(&process.id).map(|known| known.entry.service.clone());
-        match beliefs.backends.hear_leaving(process, self.now()) {
+        match beliefs.backends.observe_draining(process, self.now()) {
             Departure::Known => return,
             Departure::Leaves => {}
             Departure::Dropped => {
@@ -118,10 +123,10 @@
         self.journal.tell(&Event::BackendLeaving { backend, service, heard: heard.name() });
     }
 
-    fn heard_rest(&self, process: &BackendProcess, asked: Duration) {
+    fn observe_back_off(&self, process: &BackendProcess, asked: Duration) {
         let now = self.now();
         let rest = self.beliefs.borrow_mut().backends.announcements.rests(process, asked, now);
-        let Some(Rest { until, begins, is_cut }) = rest else { return };
+        let Some(BackOff { until, begins, is_cut }) = rest else { return };
         self.metrics.count(Counter::RestsAsked);
         if begins || is_cut {
             let for_ms = until.saturating_since(now).as_millis() as u64;
@@ -137,7 +142,7 @@
     }
 
     /// Forgets what no longer holds, and tells whose rest is over.
-    pub(crate) fn sweep_announcements(&self) {
+    pub(crate) fn expire_announcements(&self) {
         let rested = self.beliefs.borrow_mut().backends.announcements.expire(self.now());
         for backend in &rested {
             self.journal.tell(&Event::BackendRested { backend: backend.as_str() });
@@ -147,7 +152,7 @@
     /// How many back ends rest, leave and are limited now.
     pub(crate) fn announced_gauges(&self) -> [Gauge; 3] {
         let beliefs = self.beliefs.borrow();
-        let resting = beliefs.backends.announcements.count_resting(self.now());
+        let resting = beliefs.backends.announcements.count_backed_off(self.now());
         let leaving = beliefs.backends.iter().filter(|backend| backend.standing.is_leaving()).count();
         [
             Gauge { name: "paddlemount_forward_backends_resting", value: resting as f64 },
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -185,13 +185,13 @@
         return Err(not_sent(node, choice, why));
     }
     let sent_at = node.now();
-    node.take_from_limit(&choice.backend);
+    node.acquire_permit(&choice.backend);
     let waiting = connection.send(request);
     let answer = match node.wait(begins_at, give_up_at, waiting).await {
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(error)) => {
             if error.is_before_sending() {
-                node.give_back_to_limit(&choice.backend);
+                node.release_permit(&choice.backend);
             }
             return Err(broken(node, choice, &error, reused));
         }
@@ -213,7 +213,7 @@
         return Err(Ended { reused, ..Ended::unclear("an answer to another request".into()) });
     }
     // On whatever it says of the request: the registry may be away, or tell of it much later.
-    node.hear(&asked, &says, Some(sent_at));
+    node.observe_answer(&asked, &says, Some(sent_at));
     let framed = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
     let begun = Begun { head, says, body, connection, work, framed };
@@ -225,7 +225,7 @@
     if node.is_outdated(begins_at) {
         return Some(OUTDATED);
     }
-    if node.is_limit_used_up(&choice.backend) {
+    if node.lacks_permit(&choice.backend) {
         node.metrics.count(Counter::DeferredForLimits);
         return Some(LIMIT_USED_UP);
     }
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -178,8 +178,7 @@
     if *stage.borrow() != StopStage::Serving {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     } else if let Some(seconds) = kept_alive_for {
-        // Callers heed it: a planned stop then closes no connection that a request is about to come on. Without it 1 to 8
-        // requests of a day of 69 stops crossed the close of their connections.
+        // Callers heed it: a planned stop then closes no connection that a request is about to come on.
         let told = HeaderValue::from_str(&format!("timeout={seconds}"));
         answer.headers_mut().insert(KEEP_ALIVE, told.unwrap_or(HeaderValue::from_static("timeout=1")));
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -26,7 +26,7 @@
     dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
     node::Node,
-    placing::Ask,
+    placing::RouteRequest,
     ports::{CopiedRun, RequestHead},
     relay::Relay,
 };
@@ -164,12 +164,12 @@
     pub fn place(&mut self) -> Option<Choice> {
         let isolated =
             self.account.tenant.as_ref().filter(|tenant| tenant.isolated).map(|tenant| &tenant.name);
-        let ask = Ask {
+        let ask = RouteRequest {
             service: &self.service,
             prompt: self.head.prompt.as_ref(),
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
-            only_sound: self.spent.misdirected > 0,
+            healthy_only: self.spent.misdirected > 0,
             tried: &self.tried,
             draw: self.draw,
         };
--- a/crates/forward/src/kept.rs
+++ b/crates/forward/src/kept.rs
@@ -143,7 +143,7 @@
         let mut wanted_pause = None;
         let answer = match self.calls.call(request, WAIT + PATIENCE).await {
             Ok(answer) => {
-                wanted_pause = self.node.hear_call(&asked, &answer, false);
+                wanted_pause = self.node.observe_call(&asked, &answer, false);
                 self.node.platform.feed_answer(&answer).map_err(|error| error.to_string())
             }
             Err(error) => Err(error.to_string()),
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,7 +13,7 @@
 //! | [`placing`] | describes back ends to the chooser |
 //! | [`announced`] | what back ends say of themselves in their answers |
 //! | `limits` | limits that back ends name, divided over all nodes |
-//! | `unknown_headers`, `told_once` | notes headers of back ends' answers that nothing reads, once each |
+//! | `unknown_headers`, `logged_once` | notes headers of back ends' answers that nothing reads, once each |
 //! | [`feed`], [`restored`] | follows the metadata store, also where that comes back from an older copy |
 //! | [`facts`] | reads facts that other nodes tell, also those of other versions |
 //! | `replica`, `named` | what is known of the store, as facts for other nodes, and how lately weights were named |
@@ -54,6 +54,7 @@
 pub mod leadership;
 pub mod learning;
 mod limits;
+pub mod logged_once;
 pub mod metrics;
 mod named;
 mod naming_record;
@@ -71,7 +72,6 @@
 pub mod restored;
 mod runs;
 pub mod settings;
-pub mod told_once;
 mod unknown_headers;
 pub mod verdicts;
 pub mod waiting;
--- a/crates/forward/src/limits.rs
+++ b/crates/forward/src/limits.rs
@@ -3,12 +3,12 @@
 use paddlemount_core::forwarding::{
     announcements::{
         Member,
-        rate_limit::{FleetPlace, LimitChange, Stated},
+        rate_limit::{Advertised, LimitChange, TreePosition},
     },
     backends::BackendId,
 };
 use paddlemount_protocol::{
-    fleet::{BackendProcess, LimitGrant, LimitNews},
+    fleet::{BackendProcess, LimitGossip, LimitGrant},
     time::Timestamp,
 };
 
@@ -17,7 +17,7 @@
 impl Beliefs {
     /// Requests a second that this node has lately sent to a back end like this one: the mean of its service, as one node of many
     /// meets each back end too seldom.
-    fn usually_sent(&self, id: &BackendId, now: Timestamp) -> f64 {
+    fn mean_rate_per_backend(&self, id: &BackendId, now: Timestamp) -> f64 {
         let service = self.backends.get(id).map(|backend| &backend.entry.service);
         let Some(pool) = service.and_then(|service| self.backends.pool(service)) else { return 0.0 };
         let sent: f64 = pool.usable().map(|ranked| self.chooser.load(&ranked.id).sent_per_second(now)).sum();
@@ -28,15 +28,15 @@
 impl Node {
     /// Takes in what an answer of `process` says of its limit; nothing where it names none. `sent_at` tells when the request was sent
     /// that it answers.
-    pub(crate) fn hear_limit(
+    pub(crate) fn observe_limit(
         &self,
         process: &BackendProcess,
         says: Option<&AdvertisedLimit>,
         sent_at: Option<Timestamp>,
     ) {
         let now = self.now();
-        let stated = match (says, sent_at) {
-            (Some(AdvertisedLimit::PerSecond(limit)), _) => Stated { per_second: Some(*limit), at: now },
+        let advertised = match (says, sent_at) {
+            (Some(AdvertisedLimit::PerSecond(limit)), _) => Advertised { per_second: Some(*limit), at: now },
             (Some(AdvertisedLimit::Unreadable(value)), _) => {
                 let backend = process.id.as_str();
                 if self.unreadable_limits.is_first(&format!("{backend} {value}")) {
@@ -45,19 +45,20 @@
                 return;
             }
             // What it answered before the limit was heard may have been said before it was named.
-            (None, Some(sent_at)) => Stated { per_second: None, at: sent_at },
+            (None, Some(sent_at)) => Advertised { per_second: None, at: sent_at },
             (None, None) => return,
         };
         let change = {
             let nodes = self.nodes().most();
             let mut beliefs = self.beliefs.borrow_mut();
-            let begins = stated.per_second.is_some() && !beliefs.backends.announcements.is_limited(process);
+            let begins =
+                advertised.per_second.is_some() && !beliefs.backends.announcements.is_limited(process);
             let sent_per_second =
-                if begins { beliefs.usually_sent(&process.id, now) * f64::from(nodes) } else { 0.0 };
-            beliefs.backends.announcements.state_limit(process, stated, sent_per_second, now)
+                if begins { beliefs.mean_rate_per_backend(&process.id, now) * f64::from(nodes) } else { 0.0 };
+            beliefs.backends.announcements.observe_limit(process, advertised, sent_per_second, now)
         };
         if let Some(change) = change {
-            self.tell_limit_change(process, change, HeardBy::Answer);
+            self.log_limit_change(process, change, HeardBy::Answer);
             if !matches!(change, LimitChange::Changed(_)) {
                 // The others send to it by what they know until they hear.
                 self.leader_known.notify_one();
@@ -66,28 +67,29 @@
     }
 
     /// A node below has told what it has heard of limits.
-    pub(crate) fn told_of_limits(&self, told: &[LimitNews]) {
+    pub(crate) fn merge_limit_gossip(&self, gossip: &[LimitGossip]) {
         let now = self.now();
-        let changes = self.beliefs.borrow_mut().backends.announcements.hear_limits(told, now);
+        let changes = self.beliefs.borrow_mut().backends.announcements.merge_limit_gossip(gossip, now);
         for (process, change) in &changes {
-            self.tell_limit_change(process, *change, HeardBy::Told);
+            self.log_limit_change(process, *change, HeardBy::Told);
         }
     }
 
     /// The node above has answered a report that was sent at `sent_at` with what it knows of limits, and this node's part of them.
-    pub(crate) fn granted_limits(&self, grants: &[LimitGrant], sent_at: Timestamp) {
+    pub(crate) fn apply_limit_grants(&self, grants: &[LimitGrant], sent_at: Timestamp) {
         let now = self.now();
-        let changes = self.beliefs.borrow_mut().backends.announcements.take_grants(grants, sent_at, now);
+        let changes =
+            self.beliefs.borrow_mut().backends.announcements.apply_limit_grants(grants, sent_at, now);
         for (process, change) in &changes {
-            self.tell_limit_change(process, *change, HeardBy::Told);
+            self.log_limit_change(process, *change, HeardBy::Told);
         }
     }
 
-    fn tell_limit_change(&self, process: &BackendProcess, change: LimitChange, heard: HeardBy) {
+    fn log_limit_change(&self, process: &BackendProcess, change: LimitChange, heard: HeardBy) {
         let (backend, heard) = (process.id.as_str(), heard.name());
         let event = match change {
             LimitChange::Began(per_second) | LimitChange::Changed(per_second) => {
-                let own = self.beliefs.borrow().backends.announcements.own_part(process);
+                let own = self.beliefs.borrow().backends.announcements.own_rate(process);
                 Event::BackendLimited { backend, per_second, own_per_second: own, heard }
             }
             LimitChange::Ended => Event::BackendUnlimited { backend, heard },
@@ -108,13 +110,13 @@
             let below = peers.fleet.children.asked(now);
             members.extend(below.map(|(node, asked)| Member::new(node.clone(), asked)));
         }
-        let headed_part = beliefs.quotas.headed_part();
-        let place = FleetPlace { node: settings.node.clone(), headed_part, nodes, members };
+        let root_share = beliefs.quotas.root_share();
+        let place = TreePosition { node: settings.node.clone(), root_share, nodes, members };
         beliefs.backends.announcements.divide_limits(place, now);
     }
 
     /// Requests a second that callers ask of this node and those below it.
-    pub(crate) fn asked_per_second(&self) -> f64 {
+    pub(crate) fn demand_per_second(&self) -> f64 {
         let now = self.now();
         let own = self.beliefs.borrow().asked.per_second(now);
         let below = self
@@ -125,18 +127,18 @@
     }
 
     /// Whether the limit of a back end was used up since it was chosen.
-    pub(crate) fn is_limit_used_up(&self, backend: &BackendId) -> bool {
-        !self.beliefs.borrow().backends.is_within_limit(backend, self.now())
+    pub(crate) fn lacks_permit(&self, backend: &BackendId) -> bool {
+        !self.beliefs.borrow().backends.has_permit(backend, self.now())
     }
 
     /// A request is being sent to a back end.
-    pub(crate) fn take_from_limit(&self, backend: &BackendId) {
+    pub(crate) fn acquire_permit(&self, backend: &BackendId) {
         let now = self.now();
-        self.beliefs.borrow_mut().backends.take_from_limit(backend, now);
+        self.beliefs.borrow_mut().backends.acquire_permit(backend, now);
     }
 
     /// A request was not sent to a back end after all.
-    pub(crate) fn give_back_to_limit(&self, backend: &BackendId) {
-        self.beliefs.borrow_mut().backends.give_back_to_limit(backend);
+    pub(crate) fn release_permit(&self, backend: &BackendId) {
+        self.beliefs.borrow_mut().backends.release_permit(backend);
     }
 }
--- a/crates/forward/src/told_once.rs
+++ b/crates/forward/src/logged_once.rs
@@ -9,9 +9,9 @@
 
 /// Texts that were told.
 #[derive(Debug, Default)]
-pub struct ToldOnce(RefCell<BTreeSet<String>>);
+pub struct LoggedOnce(RefCell<BTreeSet<String>>);
 
-impl ToldOnce {
+impl LoggedOnce {
     /// Whether `text` is met for the first time and there is room to remember it.
     pub fn is_first(&self, text: &str) -> bool {
         let mut texts = self.0.borrow_mut();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -28,14 +28,14 @@
     calls::Caller,
     clock::SteadyClock,
     journal::Journal,
+    logged_once::LoggedOnce,
     metrics::{Gauge, Metrics},
     peers::Peers,
-    placing::Ask,
+    placing::RouteRequest,
     pool::Pool,
     ports::Platform,
     quarantine::UnderWay,
     settings::ForwardSettings,
-    told_once::ToldOnce,
 };
 
 /// How long a back end is left alone that refused a request.
@@ -90,11 +90,11 @@
     /// Told where an order has ended.
     pub order_ended: Notify,
     /// Headers of back ends' answers that nothing reads.
-    pub unknown_headers: ToldOnce,
+    pub unknown_headers: LoggedOnce,
     /// Kinds of facts that other nodes tell and this one does not know.
-    pub unknown_facts: ToldOnce,
+    pub unknown_facts: LoggedOnce,
     /// Limits that back ends name in words that mean nothing.
-    pub unreadable_limits: ToldOnce,
+    pub unreadable_limits: LoggedOnce,
     /// What is under way about requests under which back ends ended.
     pub quarantine_work: UnderWay,
     /// The fencing token while this node leads, with the time until which its lease certainly holds.
@@ -144,9 +144,9 @@
             leader_known: Notify::new(),
             weights_named: Notify::new(),
             order_ended: Notify::new(),
-            unknown_headers: ToldOnce::default(),
-            unknown_facts: ToldOnce::default(),
-            unreadable_limits: ToldOnce::default(),
+            unknown_headers: LoggedOnce::default(),
+            unknown_facts: LoggedOnce::default(),
+            unreadable_limits: LoggedOnce::default(),
             quarantine_work: UnderWay::default(),
             leading: Cell::new(None),
         }
@@ -305,7 +305,7 @@
     }
 
     /// Chooses the back end for a request.
-    pub fn place(&self, ask: Ask<'_>) -> Option<Choice> {
+    pub fn place(&self, ask: RouteRequest<'_>) -> Option<Choice> {
         let settings = self.settings();
         let nodes = self.nodes();
         self.beliefs.borrow().place(ask, &settings.zone, nodes, self.now())
@@ -328,7 +328,7 @@
         self.note_reopened(&mut beliefs);
         beliefs.refused_until.retain(|_, until| now < *until);
         drop(beliefs);
-        self.sweep_announcements();
+        self.expire_announcements();
         self.sweep_quarantine();
     }
 
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -35,7 +35,8 @@
         let chooser = &beliefs.chooser;
         let (backends, now) = (&beliefs.backends, node.now());
         // One that wants nothing from this node gets no order either; it is looked at again when its rest is over.
-        let awake = |backend: &&Backend| backends.announcements.rests_until(&backend.entry, now).is_none();
+        let awake =
+            |backend: &&Backend| backends.announcements.backed_off_until(&backend.entry, now).is_none();
         beliefs.rollout.begin(backends.iter().filter(awake), |id| chooser.loads.requests_of_all(id), now)
     };
     let Some(token) = node.token().filter(|_| !targets.is_empty()) else {
@@ -145,7 +146,7 @@
     let asked = node.process_of(id);
     let answer = engine.call(node.platform.report_request(), PATIENCE).await.ok()?;
     let report = node.platform.report_answer(&answer).ok();
-    node.hear_call(&asked, &answer, report.as_ref().is_some_and(|report| report.leaving));
+    node.observe_call(&asked, &answer, report.as_ref().is_some_and(|report| report.leaving));
     report
 }
 
@@ -171,7 +172,7 @@
     let asked = node.process_of(&target.backend);
     let answer = engine.call(node.platform.order_request(&order), PATIENCE).await;
     let answer = answer.ok().map(|answer| {
-        node.hear_call(&asked, &answer, false);
+        node.observe_call(&asked, &answer, false);
         node.platform.order_answer(&answer)
     });
     let outcome = match answer {
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -177,7 +177,7 @@
             let peers = peers.borrow();
             peers.news.has_news() || !peers.fleet.children.is_empty()
         });
-        let tells = tells || node.beliefs.borrow().backends.announcements.has_to_tell(now);
+        let tells = tells || node.beliefs.borrow().backends.announcements.has_pending_gossip(now);
         let lacks = node.beliefs.borrow().revision.is_none() || node.history_lost.get();
         let busy = was_busy || node.running.get() > 0;
         let idle = now.saturating_since(sent_at) < node.settings().bounds.idle_report();
@@ -209,7 +209,7 @@
     /// What the node above is told, and up to which news of runs.
     fn report_of(&self, node: &Node) -> Option<(Report, u64)> {
         let now = node.now();
-        let asked = node.asked_per_second();
+        let asked = node.demand_per_second();
         let rising = self.in_force.get().map(|theirs| node.rising_for(theirs)).unwrap_or_default();
         let mut beliefs = node.beliefs.borrow_mut();
         let mut peers = node.peers.as_ref()?.borrow_mut();
@@ -222,8 +222,8 @@
             work: peers.fleet.work_below(&beliefs.chooser.loads.own_work(), now),
             heard: peers.fleet.children.heard(),
             spending: beliefs.quotas.report(now),
-            leaving: beliefs.backends.announcements.to_tell(now),
-            limits: beliefs.backends.announcements.limit_news(now),
+            leaving: beliefs.backends.announcements.pending_draining_gossip(now),
+            limits: beliefs.backends.announcements.pending_limit_gossip(now),
             asked,
             news: if log == NO_LOG { Vec::new() } else { peers.news.report() },
             log,
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -37,8 +37,8 @@
             peers.news.log(digest.news);
             peers.fleet.told(digest.work, digest.nodes, sent_at);
         }
-        self.told_of_leaving(&digest.leaving);
-        self.granted_limits(&digest.limits, sent_at);
+        self.merge_draining_gossip(&digest.leaving);
+        self.apply_limit_grants(&digest.limits, sent_at);
         self.quarantine_told(digest.quarantine);
         if let Some(relay) = digest.store {
             self.take_relay(relay, revision, sent_at);
--- a/crates/forward/src/peers/rising.rs
+++ b/crates/forward/src/peers/rising.rs
@@ -2,7 +2,7 @@
 //!
 //! The document and the versions of weights that a node goes by only rise, whatever the copy shows. A node that has started since
 //! then knows of nothing but the copy, and changes are told between revisions alone: at the same revision there are none.
-//! Without this such a node served a key that had been taken away, until the operator had written again. So neighbours name in
+//! Such a node would serve a key that has been taken away until the operator writes again. So neighbours name in
 //! each message what they go by, some 45 bytes; one that has seen the store come back tells a neighbour that goes by anything else
 //! what it may lack, from then on: how long the operator takes to write again is not known.
 
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -136,8 +136,8 @@
 fn digest(node: &Node, peers: &mut Peers, report: Report, refer: Option<Contact>, now: Timestamp) -> Digest {
     let leads = node.token().is_some();
     node.runs_reported(report.runs);
-    node.told_of_leaving(&report.leaving);
-    node.told_of_limits(&report.limits);
+    node.merge_draining_gossip(&report.leaving);
+    node.merge_limit_gossip(&report.limits);
     let rising = node.rising_for(report.in_force);
     let mut beliefs = node.beliefs.borrow_mut();
     for news in &report.news {
@@ -158,8 +158,8 @@
         path: peers.fleet.uplink.path(),
         rooted_ms: peers.fleet.uplink.rooted_age(leads, now).map(|age| age.as_millis() as u64),
         refer,
-        leaving: beliefs.backends.announcements.to_tell(now),
-        limits: beliefs.backends.announcements.limit_grants(&child, now),
+        leaving: beliefs.backends.announcements.pending_draining_gossip(now),
+        limits: beliefs.backends.announcements.limit_grants_for(&child, now),
         log: peers.news.id(),
         cursor,
         nodes: peers.fleet.count(now),
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -28,7 +28,7 @@
 
 /// What is asked of [`crate::node::Node::place`].
 #[derive(Clone, Copy)]
-pub struct Ask<'a> {
+pub struct RouteRequest<'a> {
     /// The service.
     pub service: &'a ServiceId,
     /// The prompt, if any.
@@ -38,7 +38,7 @@
     /// Whether the run's memory is to be copied as it grows, where the engines can do that.
     pub copied: bool,
     /// Whether only back ends against which nothing speaks may be chosen.
-    pub only_sound: bool,
+    pub healthy_only: bool,
     /// Back ends that have been tried.
     pub tried: &'a [BackendId],
     /// A number drawn for the request.
@@ -49,7 +49,7 @@
 struct View<'a> {
     beliefs: &'a Beliefs,
     pool: &'a Pool,
-    ask: Ask<'a>,
+    ask: RouteRequest<'a>,
     now: Timestamp,
     /// Whether only back ends against which nothing speaks are fit.
     strict: bool,
@@ -65,7 +65,13 @@
 
 impl Beliefs {
     /// Chooses the back end for a request.
-    pub(crate) fn place(&self, ask: Ask<'_>, zone: &ZoneId, nodes: Nodes, now: Timestamp) -> Option<Choice> {
+    pub(crate) fn place(
+        &self,
+        ask: RouteRequest<'_>,
+        zone: &ZoneId,
+        nodes: Nodes,
+        now: Timestamp,
+    ) -> Option<Choice> {
         let pool = self.backends.pool(ask.service)?;
         let store = ask.prompt.and_then(|prompt| shard_of(prompt, self.stores()));
         let placement = Placement {
@@ -82,14 +88,14 @@
         if let Some(choice) = self.chooser.choose(placement, &strict) {
             return Some(choice);
         }
-        if ask.only_sound {
+        if ask.healthy_only {
             return None;
         }
         // Back ends that may be unfit are better than none, but not those that were tried.
         self.chooser.choose(placement, &View { strict: false, ..strict })
     }
 
-    fn view<'a>(&'a self, pool: &'a Pool, ask: Ask<'a>, nodes: Nodes, now: Timestamp) -> View<'a> {
+    fn view<'a>(&'a self, pool: &'a Pool, ask: RouteRequest<'a>, nodes: Nodes, now: Timestamp) -> View<'a> {
         let required = ask.prompt.and_then(|prompt| self.required(&prompt.model, now));
         View {
             beliefs: self,
@@ -141,7 +147,7 @@
     }
 
     /// The version that this request rather begins on: as many requests prefer it as engines have it.
-    fn preferred(&self, ask: Ask<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
+    fn preferred(&self, ask: RouteRequest<'_>, prompt: &Prompt, now: Timestamp) -> Option<WeightsVersion> {
         let preferred = self.rollout.preferred(&prompt.model, now)?;
         let held = self.backends.versions_at_work(ask.service, &prompt.model, now);
         let all = held.iter().map(|(_, count)| count).sum();
@@ -171,22 +177,22 @@
             zone: &entry.zone,
             weights,
             slots: entry.slots,
-            eligible: self.is_fit(backend, weights),
+            eligible: self.is_eligible(backend, weights),
             outdated: weights < self.preferred,
         }
     }
 
-    fn is_fit(&self, backend: &Backend, weights: Option<WeightsVersion>) -> bool {
+    fn is_eligible(&self, backend: &Backend, weights: Option<WeightsVersion>) -> bool {
         let id = &backend.entry.id;
         !self.ask.tried.contains(id)
             && weights >= self.required
-            && (!self.strict || self.is_free(backend))
+            && (!self.strict || self.is_healthy(backend))
             && self.beliefs.takes_requests(backend, self.now)
             && self.has_room(id)
     }
 
     /// Whether nothing speaks against a back end for the moment.
-    fn is_free(&self, backend: &Backend) -> bool {
+    fn is_healthy(&self, backend: &Backend) -> bool {
         let (beliefs, now, id) = (self.beliefs, self.now, &backend.entry.id);
         let loading = self.ask.prompt.is_some() && backend.is_loading(now);
         let refused = beliefs.refused_until.get(id).is_some_and(|until| now < *until);
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -8,7 +8,7 @@
 use crate::connection::Connection;
 
 /// The longest rest after which a connection is used again, where its peer names no time.
-const LONGEST_REST: Duration = Duration::from_secs(8);
+const MAX_BACK_OFF: Duration = Duration::from_secs(8);
 /// How much earlier than its peer a connection is given up, so that no request crosses the peer's close.
 const REST_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections kept for one back end.
@@ -32,7 +32,7 @@
     /// Takes the connection that was used last, if one is fit for use.
     pub fn take(&mut self, backend: &BackendId, now: Timestamp) -> Option<Connection> {
         let kept = self.by_backend.get_mut(backend)?;
-        kept.idle.retain(|connection| is_fit(connection, now));
+        kept.idle.retain(|connection| is_eligible(connection, now));
         kept.idle.pop()
     }
 
@@ -61,7 +61,7 @@
     /// Closes connections that are no longer fit for use.
     pub fn sweep(&mut self, now: Timestamp) {
         for kept in self.by_backend.values_mut() {
-            kept.idle.retain(|connection| is_fit(connection, now));
+            kept.idle.retain(|connection| is_eligible(connection, now));
         }
         self.by_backend.retain(|_, kept| !kept.idle.is_empty() || now < kept.distrusted_until);
     }
@@ -72,7 +72,7 @@
     }
 }
 
-fn is_fit(connection: &Connection, now: Timestamp) -> bool {
-    let longest = connection.keep_alive.map_or(LONGEST_REST, |time| time.saturating_sub(REST_MARGIN));
+fn is_eligible(connection: &Connection, now: Timestamp) -> bool {
+    let longest = connection.keep_alive.map_or(MAX_BACK_OFF, |time| time.saturating_sub(REST_MARGIN));
     connection.is_ready() && now.saturating_since(connection.used_at) < longest
 }
--- a/crates/forward/src/ports.rs
+++ b/crates/forward/src/ports.rs
@@ -341,7 +341,7 @@
     /// Whether the back end says that it is leaving.
     pub leaving: bool,
     /// For how long the back end wants no requests, where it refuses this one and says so.
-    pub rest: Option<AskedRest>,
+    pub rest: Option<RequestedBackOff>,
     /// The requests a second that the back end takes from all nodes together, where it names them.
     pub limit: Option<AdvertisedLimit>,
     /// Headers that the translation does not understand.
@@ -350,7 +350,7 @@
 
 /// For how long a back end wants no requests, as it says.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AskedRest {
+pub enum RequestedBackOff {
     /// So long from its answer on.
     For(Duration),
     /// What it says has no meaning.
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -165,8 +165,7 @@
     ///
     /// The library asks once more when its bound for a head has passed, and gives the request up where nothing can be read.
     /// The runtime may not have heard yet of what has come, as after time in which the process did not run, so amid a head
-    /// and from the second time on the system is asked too: without it 154 to 200 of 200 heads whose rest had come while
-    /// the process was held up were given up (five runs).
+    /// and from the second time on the system is asked too.
     async fn come(&self) -> io::Result<Come> {
         let mut readable = pin!(self.socket.readable());
         let mut closes = pin!(self.socket.until_judged(self.stage.clone()));
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -192,7 +192,7 @@
 
 /// What one process of a back end has said of the requests that it takes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitNews {
+pub struct LimitGossip {
     /// The process.
     #[serde(rename = "p")]
     pub process: BackendProcess,
@@ -217,7 +217,7 @@
 pub struct LimitGrant {
     /// What the process has said.
     #[serde(rename = "n")]
-    pub news: LimitNews,
+    pub news: LimitGossip,
     /// Slots of the reader and those below it; none where the sender has nothing to grant.
     #[serde(rename = "s")]
     pub slots: Option<u32>,
@@ -311,7 +311,7 @@
     pub leaving: Vec<BackendProcess>,
     /// What it has heard of the limits of back ends that the reader has not told.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub limits: Vec<LimitNews>,
+    pub limits: Vec<LimitGossip>,
     /// Requests a second that callers ask of it and the nodes below it.
     #[serde(default)]
     pub asked: f64,
