--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,7 @@
 //! | [`ports`] | what a platform's translation has to offer |
 //! | [`connection`], [`pool`] | connections to back ends |
 //! | [`calls`] | calls to the metadata store and to engines' own interfaces |
-//! | [`node`], [`beliefs`], [`learning`] | what the node is, believes, and takes in |
+//! | [`node`], [`beliefs`], [`learning`], `learned_backends` | what the node is, believes, and takes in |
 //! | [`placing`] | describes back ends to the chooser |
 //! | [`announced`] | what back ends say of themselves in their answers |
 //! | `limits` | limits that back ends name, divided over all nodes |
@@ -52,6 +52,7 @@
 pub mod journal;
 pub mod kept;
 pub mod leadership;
+mod learned_backends;
 pub mod learning;
 mod limits;
 pub mod logged_once;
