The test of claims takes ports that nobody is given

Seen once in a whole run beside other load: "cannot listen for peers on 127.0.0.1:36729: Address already in use". Cause: the test looked for free ports in the range from which outgoing connections get theirs, and bound them later; one was given away between. Ruled out: a process of another test that outlived it, as these ports are drawn by the system for each listener. Change: the addresses of the demo (below that range, free_address) serve this test as well, from a module of their own.

--- a/crates/bench/src/demo/cluster.rs
+++ b/crates/bench/src/demo/cluster.rs
@@ -28,11 +28,11 @@
 
 use self::settings::{
     BOOKING_RUNNERS, ENGINES, NodeAddresses, PlatformAddresses, ZONES, booking_machine, booking_name,
-    configuration_store, engine_machine, engine_settings, free_address, node_machine, node_name,
-    node_settings,
+    configuration_store, engine_machine, engine_settings, node_machine, node_name, node_settings,
 };
 pub use self::settings::{MODEL, OPERATOR, OPERATOR_KEY, TENANTS, WEIGHTS, caller_key};
 use super::caller::Caller;
+use crate::free_address::free_address;
 
 /// How long the nodes may take to become ready.
 const READY_WITHIN: Duration = Duration::from_secs(10);
--- a/crates/bench/src/demo/cluster/settings.rs
+++ b/crates/bench/src/demo/cluster/settings.rs
@@ -1,11 +1,6 @@
 //! Names, keys, addresses and settings of the demo's processes.
 
-use std::{
-    collections::BTreeMap,
-    io,
-    net::{SocketAddr, TcpListener},
-    ops::Range,
-};
+use std::{collections::BTreeMap, io, net::SocketAddr};
 
 use paddlemount_node::settings::NodeSettings;
 use paddlemount_protocol::{
@@ -22,6 +17,7 @@
 use sha2::{Digest, Sha256};
 
 use super::ClusterError;
+use crate::free_address::free_address;
 
 /// The operator that may do everything in the demo.
 pub const OPERATOR: &str = "operator";
@@ -151,25 +147,6 @@
     }
 }
 
-/// Ports below those that the system gives to outgoing connections and to whoever asks for any. What starts again at its address
-/// finds it taken otherwise: "Address already in use".
-const KEPT_PORTS: Range<u16> = 20_000..32_000;
-/// Ports that are tried for one address.
-const MOST_TRIED: usize = 100;
-
-/// An address on loopback that is free now, and that nobody is given who does not ask for it.
-pub(super) fn free_address() -> Result<SocketAddr, io::Error> {
-    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
-    for _ in 0..MOST_TRIED {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::random_range(KEPT_PORTS)));
-        match TcpListener::bind(address) {
-            Ok(_free) => return Ok(address),
-            Err(error) => last = error,
-        }
-    }
-    Err(last)
-}
-
 /// Where the platform's services listen.
 pub(super) struct PlatformAddresses {
     pub(super) configuration_store: SocketAddr,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod drill;
 pub mod experiment;
+pub mod free_address;
 pub mod hollow;
 pub mod load;
 pub mod policy;
--- a/crates/cli/tests/claims.rs
+++ b/crates/cli/tests/claims.rs
@@ -5,10 +5,11 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use paddlemount_bench::free_address::free_address;
 use paddlemount_protocol::{
     configuration::Configuration,
     peer::claims::{ClaimMember, ClaimPlacement, PlacementEpoch},
@@ -44,8 +45,7 @@
 
 /// Peer addresses must be known before the start, as nodes find each other by them.
 fn reserve_addresses() -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..NODES).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+    (0..NODES).map(|_| free_address().unwrap()).collect()
 }
 
 impl Cluster {
