Nodes that do not know how many they are have six connections to a back end as before

Found by the first whole run of tests: eight tests of announcements failed, as a single node that had not counted the others yet shared 100 connections with the assumed number and had one or none. Cause: the even part was taken of the assumed number too. Change: it counts where the number is known, by the root or by its record in the store.

--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -20,6 +20,8 @@
 
 use crate::beliefs::{Beliefs, KNOWING_NODES, Nodes};
 
+/// Connections to a back end that a node may have at least while it does not know how many nodes there are.
+const LEAST_CONNECTIONS_UNCOUNTED: u32 = 6;
 /// Back ends that are weighed for a request at least.
 const LEAST_CONSIDERED: usize = 6;
 /// Back ends that are weighed for a request at most, where few of many are: further ones are hardly better than the best
@@ -60,7 +62,7 @@
     /// Connections that a back end takes from all nodes together; none where there is no limit.
     max_connections: Option<u32>,
     /// The nodes that share them.
-    nodes: u32,
+    nodes: Nodes,
 }
 
 impl Beliefs {
@@ -106,7 +108,7 @@
             required,
             preferred: ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now)),
             max_connections: self.max_connections(ask.service),
-            nodes: nodes.most(),
+            nodes,
         }
     }
 
@@ -206,7 +208,10 @@
     /// Whether this node has connections left of its part of those that a back end takes.
     fn has_room(&self, id: &BackendId) -> bool {
         self.max_connections.is_none_or(|most| {
-            let part = even_part(most, self.nodes, self.beliefs.draw_for(id));
+            let part = match self.nodes.known() {
+                Some(nodes) => even_part(most, nodes, self.beliefs.draw_for(id)),
+                None => (most / self.nodes.most()).max(LEAST_CONNECTIONS_UNCOUNTED),
+            };
             self.beliefs.chooser.load(id).requests < part
         })
     }
