What was sent before a limit was heard is reckoned over about a second

Cause: the rate of requests faded over 4 s, so after two seconds of traffic it was told at a third and no pause followed. Change: it fades over 1 s.

--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -19,7 +19,7 @@
 /// again however few requests there are: twice as slow as others after 11 s, eight times after 24 s. One that stays slow gets one request in such a time.
 const AVERAGE_FADES_IN: Duration = Duration::from_secs(10);
 /// The time in which the rate of requests to a back end fades to a third.
-const SENT_FADES: Duration = Duration::from_secs(4);
+const SENT_FADES: Duration = Duration::from_secs(1);
 /// Measurements below which an average says nothing.
 const FEWEST_MEASUREMENTS: u32 = 5;
 /// Bounds of the factor by which a slow back end's cost is raised or lowered.
