A limit that nobody has heard for five seconds is asked after

Cause: the end is heard from an answer, and the one node with a slot sends no request to a back end that is never its best choice, while the others may not. Change: a request of the service goes there first where the limit was heard by nobody for 5 s and this node has a slot. Ruled out: an end by time alone, after which all nodes would send at once.

--- a/crates/core/src/forwarding/announcements/limits.rs
+++ b/crates/core/src/forwarding/announcements/limits.rs
@@ -83,7 +83,7 @@
     }
 
     fn divide_limit(&mut self, process: &BackendProcess, now: Timestamp) {
-        let Self { by_process, place } = self;
+        let Self { by_process, place, .. } = self;
         if let Some(limit) = by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
             limit.divide(process, place, false, now);
         }
@@ -98,6 +98,17 @@
             }
         }
         self.place = place;
+        let limits = self.limits().filter(|(_, limit)| limit.per_second().is_some());
+        self.limited = limits.map(|(process, _)| process.clone()).collect();
+    }
+
+    /// Back ends whose limit nobody has heard for a while, and that this node may send a request now: its answer tells whether the limit
+    /// still holds. Without such a request a back end that is never the best choice would stay limited.
+    pub fn limits_to_probe(&self, now: Timestamp) -> impl Iterator<Item = &BackendId> {
+        self.limited.iter().filter_map(move |process| {
+            let limit = self.by_process.get(process)?.limit.as_ref()?;
+            limit.is_to_be_probed(now).then_some(&process.id)
+        })
     }
 
     /// The node above has answered a report that was sent at `sent_at`. Gives what is news to this node.
--- a/crates/core/src/forwarding/announcements/mod.rs
+++ b/crates/core/src/forwarding/announcements/mod.rs
@@ -97,6 +97,8 @@
     by_process: BTreeMap<BackendProcess, Announced>,
     /// This node's place among those between whom limits are divided.
     place: TreePosition,
+    /// Processes that were limited when limits were last divided.
+    limited: Vec<BackendProcess>,
 }
 
 impl Announcements {
--- a/crates/core/src/forwarding/announcements/rate_limit.rs
+++ b/crates/core/src/forwarding/announcements/rate_limit.rs
@@ -29,6 +29,8 @@
 const NOTABLE_CHANGE: f64 = 1.25;
 /// How long other nodes are told that a limit has ended.
 const TOMBSTONE_GOSSIP: Duration = Duration::from_secs(10);
+/// How long a limit holds without an answer that names it before a request is sent to learn whether it still does.
+const PROBED_AFTER: Duration = Duration::from_secs(5);
 /// What was sent beyond the limit in this time before it was first heard is made up for, by a pause of this length at most.
 pub const MAX_INITIAL_PAUSE: Duration = Duration::from_secs(4);
 
@@ -249,6 +251,12 @@
         Duration::from_secs_f64(1.0 / self.rate())
     }
 
+    /// Whether nobody has heard the limit for a while, and this node may send a request.
+    pub(super) fn is_to_be_probed(&self, now: Timestamp) -> bool {
+        let is_stale = now.saturating_since(self.advertised.at) >= PROBED_AFTER;
+        is_stale && self.advertised.per_second.is_some() && self.wait(now) == Some(Duration::ZERO)
+    }
+
     /// A request is being sent.
     pub(super) fn acquire(&mut self, now: Timestamp) {
         self.own.wait(1.0, now);
--- a/crates/forward/src/placing.rs
+++ b/crates/forward/src/placing.rs
@@ -48,11 +48,14 @@
 }
 
 /// The back ends of a service, as they look to one request.
+#[derive(Clone, Copy)]
 struct View<'a> {
     beliefs: &'a Beliefs,
     pool: &'a Pool,
     ask: RouteRequest<'a>,
     now: Timestamp,
+    /// The only back end that may be chosen, where one is to be probed.
+    only: Option<&'a BackendId>,
     /// Whether only back ends against which nothing speaks are fit.
     strict: bool,
     /// The oldest version of the weights that the request may begin on.
@@ -87,6 +90,15 @@
             now,
         };
         let strict = self.view(pool, ask, nodes, now);
+        let is_of_service = |id: &&BackendId| {
+            self.backends.get(id).is_some_and(|backend| backend.entry.service == *ask.service)
+        };
+        for probed in self.backends.announcements.limits_to_probe(now).filter(is_of_service) {
+            let probe = View { only: Some(probed), ..strict };
+            if let Some(choice) = self.chooser.choose(placement, &probe) {
+                return Some(choice);
+            }
+        }
         if let Some(choice) = self.chooser.choose(placement, &strict) {
             return Some(choice);
         }
@@ -104,6 +116,7 @@
             pool,
             ask,
             now,
+            only: None,
             strict: true,
             required,
             preferred: ask.prompt.and_then(|prompt| self.preferred(ask, prompt, now)),
@@ -186,7 +199,8 @@
 
     fn is_eligible(&self, backend: &Backend, weights: Option<WeightsVersion>) -> bool {
         let id = &backend.entry.id;
-        !self.ask.tried.contains(id)
+        self.only.is_none_or(|only| only == id)
+            && !self.ask.tried.contains(id)
             && weights >= self.required
             && (!self.strict || self.is_healthy(backend))
             && self.beliefs.takes_requests(backend, self.now)
