--- a/crates/forward/src/facts.rs
+++ b/crates/forward/src/facts.rs
@@ -36,7 +36,7 @@
 impl Node {
     /// Reads facts that another node has told; counts what is passed over, and logs each kind once. Nothing where the list itself
     /// can't be read.
-    pub(crate) fn read_facts(&self, json: &[u8]) -> Option<Vec<Fact>> {
+    pub(crate) fn read_facts(&self, json: &[u8]) -> Option<ReadFacts> {
         let read = match read_facts(json) {
             Ok(read) => read,
             Err(error) => {
@@ -50,6 +50,12 @@
                 self.journal.tell(&Event::FactUnknown { kind });
             }
         }
-        Some(read.facts)
+        Some(read)
+    }
+
+    /// The same, where all of them must be understood: what was passed over may be a change without which nothing proves that the
+    /// others are all that there is.
+    pub(crate) fn read_all_facts(&self, json: &[u8]) -> Option<Vec<Fact>> {
+        self.read_facts(json).filter(|read| read.unknown.is_empty()).map(|read| read.facts)
     }
 }
--- a/crates/forward/src/peers/intake.rs
+++ b/crates/forward/src/peers/intake.rs
@@ -57,7 +57,7 @@
         }
         let facts = match relay.changes.as_str() {
             "" => Vec::new(),
-            changes => match self.read_facts(changes.as_bytes()) {
+            changes => match self.read_all_facts(changes.as_bytes()) {
                 Some(facts) => facts,
                 None => return,
             },
--- a/crates/forward/src/peers/rising.rs
+++ b/crates/forward/src/peers/rising.rs
@@ -44,8 +44,8 @@
     pub(super) fn hear_rising(&self, rising: &str) {
         let known = self.beliefs.borrow().revision;
         let (Some(revision), false) = (known, rising.is_empty()) else { return };
-        if let Some(facts) = self.read_facts(rising.as_bytes()) {
-            self.learn_rising(facts, revision);
+        if let Some(read) = self.read_facts(rising.as_bytes()) {
+            self.learn_rising(read.facts, revision);
         }
     }
 }
--- a/crates/forward/src/peers/snapshot.rs
+++ b/crates/forward/src/peers/snapshot.rs
@@ -125,7 +125,7 @@
     if !is_newer(content.revision, known) {
         return;
     }
-    let Some(facts) = node.read_facts(content.facts.get().as_bytes()) else { return };
+    let Some(facts) = node.read_all_facts(content.facts.get().as_bytes()) else { return };
     let (items, revision) = (facts.len(), content.revision);
     node.follow_registry(content.registry);
     let proved_at = relayed_proof(sent_at, Duration::from_millis(age));
