--- a/crates/core/src/forwarding/document.rs
+++ b/crates/core/src/forwarding/document.rs
@@ -98,6 +98,12 @@
     pub copies: bool,
     /// The capacity of the cache, in tokens.
     pub cache_tokens: u64,
+    /// The size of a cached token, in bytes; 0 if not stated.
+    #[serde(default)]
+    pub bytes_per_token: u64,
+    /// The bandwidth of an engine's link for transfers of cached tokens, in Mbit/s; 0 if not stated.
+    #[serde(default)]
+    pub link_mbps: f64,
     pub models: Vec<ModelId>,
 }
 
@@ -107,6 +113,9 @@
     /// Where it listens.
     pub address: SocketAddr,
     pub zone: ZoneId,
+    /// The bandwidth of its link, in Mbit/s; 0 if not stated.
+    #[serde(default)]
+    pub link_mbps: f64,
 }
 
 /// Ingress limits on what callers may send.
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -223,6 +223,8 @@
             spending: state.quotas.report(now),
             leaving: state.backends.announcements.pending_draining_gossip(now),
             limits: state.backends.announcements.pending_limit_gossip(now),
+            performance: Vec::new(),
+            demand: Vec::new(),
             offered_load,
             cache_updates: if log == NO_LOG { Vec::new() } else { peers.gossip.next_batch() },
             log,
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -158,6 +158,8 @@
         refer,
         leaving: state.backends.announcements.pending_draining_gossip(now),
         limits: state.backends.announcements.limit_grants_for(&child, now),
+        performance: Vec::new(),
+        demand: Vec::new(),
         log: peers.gossip.id(),
         cursor,
         nodes: peers.fleet.node_count(now),
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -6,7 +6,10 @@
 use paddlemount_protocol::identity::{NodeId, ZoneId};
 use serde::Deserialize;
 
+pub use load::LoadSettings;
+
 mod figures;
+mod load;
 
 /// Settings of a forwarding node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -25,6 +28,9 @@
     /// What the node may use.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// How the node places and admits requests under load.
+    #[serde(default)]
+    pub load: LoadSettings,
 }
 
 /// The addresses on which the node listens.
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    identity::{EngineId, ModelId, NodeId, Revision, TenantId, WeightsVersion, ZoneId},
+    identity::{EngineId, ModelId, NodeId, Revision, ServiceId, TenantId, WeightsVersion, ZoneId},
     quarantine::{QuarantineDigest, RunReport},
 };
 
@@ -101,6 +101,83 @@
     }
 }
 
+/// Whether an engine process answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EngineCondition {
+    /// It answers. Unknown conditions of later versions are treated alike.
+    #[default]
+    Responsive,
+    /// It has sent nothing to a node for longer than its answers take.
+    Silent,
+    /// It refuses requests because it is full.
+    Full,
+}
+
+impl From<u8> for EngineCondition {
+    fn from(code: u8) -> Self {
+        match code {
+            1 => Self::Silent,
+            2 => Self::Full,
+            _ => Self::Responsive,
+        }
+    }
+}
+
+impl From<EngineCondition> for u8 {
+    fn from(condition: EngineCondition) -> Self {
+        match condition {
+            EngineCondition::Responsive => 0,
+            EngineCondition::Silent => 1,
+            EngineCondition::Full => 2,
+        }
+    }
+}
+
+/// The performance of one engine process, as measured by some nodes. Serialised as an array, as a message
+/// holds hundreds of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "EnginePerformanceRow", into = "EnginePerformanceRow")]
+pub struct EnginePerformance {
+    pub process: BackendProcess,
+    pub condition: EngineCondition,
+    /// The number of measurements behind `slowness_per_mille`, weighted by their age.
+    pub samples: u32,
+    /// Measured times to the first event relative to those forecast for an engine of typical speed, in
+    /// thousandths.
+    pub slowness_per_mille: u32,
+    /// Milliseconds since the newest observation, when the message was written.
+    pub age_ms: u64,
+}
+
+/// The serialised form of an [`EnginePerformance`].
+type EnginePerformanceRow = (BackendProcess, u8, u32, u32, u64);
+
+impl From<EnginePerformanceRow> for EnginePerformance {
+    fn from((process, condition, samples, slowness_per_mille, age_ms): EnginePerformanceRow) -> Self {
+        Self { process, condition: condition.into(), samples, slowness_per_mille, age_ms }
+    }
+}
+
+impl From<EnginePerformance> for EnginePerformanceRow {
+    fn from(performance: EnginePerformance) -> Self {
+        let EnginePerformance { process, condition, samples, slowness_per_mille, age_ms } = performance;
+        (process, condition.into(), samples, slowness_per_mille, age_ms)
+    }
+}
+
+/// The demand of some nodes' callers for the engines of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    #[serde(rename = "p")]
+    pub service: ServiceId,
+    /// Engine slots that the requests of these callers would occupy if all were admitted.
+    #[serde(rename = "s")]
+    pub slots: f64,
+    /// Prompt tokens per second of requests with long prompts.
+    #[serde(rename = "t")]
+    pub long_prompt_tokens: f64,
+}
+
 /// What a subtree has granted of a tenant's quota, and the demand there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantSpending {
@@ -308,6 +385,12 @@
     /// Limits that the sender knows and did not receive from its parent.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitGossip>,
+    /// What the subtree has measured of engines since the last answered report.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub performance: Vec<EnginePerformance>,
+    /// The demand of the subtree's callers, by service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<PoolDemand>,
     /// Requests a second that callers send to the subtree.
     #[serde(rename = "asked", default)]
     pub offered_load: f64,
@@ -345,6 +428,12 @@
     /// Limits of back ends, with the receiver's share.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitGrant>,
+    /// What nodes outside the receiver's subtree have measured of engines, where it has changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub performance: Vec<EnginePerformance>,
+    /// The demand of all nodes' callers, by service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<PoolDemand>,
     /// The log of cache updates that `cursor` belongs to.
     #[serde(default)]
     pub log: u64,
