Transfers: cached tokens are moved only where that takes less time than prefilling them

Cause: a link carries one transfer after another and each occupies both ends for its set-up; prefixes of 92 tokens, prefilled in 2 ms, were imported, saved and copied by every request. Change: core::forwarding::transfers weighs imports, saves and copies by the operator's rates and this node's queues of links; switch load.weigh_transfers. Without the switch, or without stated rates, everything is transferred as before.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -40,6 +40,7 @@
     load::{BackendLoad, Loads, MIN_SLOWNESS},
     prefixes::{CachedSegment, PrefixIndex, ScopeHash},
     prompt::{CacheScope, Prompt, SegmentId},
+    transfers::{LinkQueues, RequestTransfers, TransferRates},
 };
 
 /// The cost of a back end in another zone, in requests, for services without prompts.
@@ -87,6 +88,8 @@
     pub sample_size: Option<usize>,
     /// Whether the run's memory is copied to another back end as it grows.
     pub replicate: bool,
+    /// The rates by which transfers are weighed; `None` to transfer whatever can be.
+    pub transfers: Option<TransferRates<'a>>,
     /// When it is placed: measured latencies decay with time.
     pub now: Timestamp,
 }
@@ -106,6 +109,8 @@
     pub save_to: Option<StoreEndpoint>,
     /// The back end that receives a copy of the run's memory as it grows.
     pub copy_to: Option<CopyHolder>,
+    /// The weighed transfers, requested or not.
+    pub transfers: RequestTransfers,
     /// Tokens that the back end is expected to prefill, including the cost of imports.
     pub expected_tokens: u64,
     /// Tokens of the prefix that the back end is believed to have cached.
@@ -143,6 +148,8 @@
     pub prefixes: PrefixIndex,
     /// Times to the first event of answers with an imported prefix.
     pub source_times: SourceTimes,
+    /// Transfers that this node has requested.
+    pub links: LinkQueues,
 }
 
 impl Chooser {
@@ -197,6 +204,20 @@
         }
     }
 
+    /// Records that the transfers of a choice were requested.
+    pub fn record_transfers(&mut self, choice: &Choice, now: Timestamp) {
+        let RequestTransfers { import, save, copy } = choice.transfers;
+        let save_to = choice.save_to.as_ref().map(|store| store.address);
+        let copy_to = choice.copy_to.as_ref().map(|holder| holder.address);
+        // An import without a believed source only guards against a wrong belief.
+        let import_from = choice.import_from.filter(|_| choice.import_source.is_some());
+        for (other, weighed) in [(import_from, import), (save_to, save), (copy_to, copy)] {
+            if let Some(other) = other {
+                self.links.record([choice.address, other], weighed.occupies, now);
+            }
+        }
+    }
+
     /// Chooses among the back ends of `pool`.
     pub fn choose(&self, placement: Placement<'_>, pool: &dyn CandidatePool) -> Option<Choice> {
         match placement.prompt {
@@ -229,6 +250,7 @@
             import_source: None,
             save_to: None,
             copy_to: None,
+            transfers: RequestTransfers::default(),
             expected_tokens: 0,
             cached_tokens: 0,
             uncached_tokens: 0,
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -13,6 +13,7 @@
     load::TYPICAL_SLOWNESS,
     prefixes::ScopeHash,
     prompt::{CacheScope, Prompt},
+    transfers::{RequestTransfers, Verdict, Weighed},
 };
 
 /// The cost of importing a token, in thousandths of the cost of prefilling it.
@@ -90,10 +91,11 @@
         if choice.import_from.is_none() {
             let weights = choice.scope.as_ref().map(|scope| scope.weights);
             let group = groups.iter().find(|group| Some(group.weights) == weights)?;
-            choice.import_from = Self::fallback_source(&choice, placement, group);
+            let zone = candidates.iter().find(|candidate| *candidate.id == choice.backend)?.zone;
+            choice.import_from = Self::fallback_source(&choice, zone, placement, group);
         }
         if placement.replicate {
-            choice.copy_to = self.copy_holder(&choice, placement, &candidates);
+            (choice.copy_to, choice.transfers.copy) = self.copy_holder(&choice, placement, &candidates);
         }
         Some(choice)
     }
@@ -174,10 +176,10 @@
         let shared_tokens = prompt.shared_tokens();
         let unshared = u64::from(prompt.prompt_tokens.saturating_sub(shared_tokens));
         let cached = self.prefixes.cached_tokens(candidate.id, group.hash, shared);
-        let source = (cached + MIN_IMPORT_TOKENS <= shared_tokens)
-            .then(|| self.source(candidate, group, placement, prompt))
-            .flatten()
-            .filter(|source| source.cached_tokens >= cached + MIN_IMPORT_TOKENS);
+        let (source, import) = match cached + MIN_IMPORT_TOKENS <= shared_tokens {
+            true => self.source(candidate, cached, group, placement, prompt),
+            false => (None, Weighed::default()),
+        };
         let imported_tokens = source.map_or(0, |source| u64::from(source.cached_tokens - cached));
         let prefill = u64::from(shared_tokens - cached) - imported_tokens;
         let is_preferred = group.preferred.is_none() || group.is_preferred(candidate.id);
@@ -186,7 +188,15 @@
             Some(_) if !group.is_preferred(candidate.id) => IMPORT_NOT_PREFERRED_PER_MILLE,
             _ => IMPORT_PER_MILLE,
         };
-        let import_cost = source.map_or(0, |_| IMPORT_FIXED_TOKENS + imported_tokens * per_mille / 1_000);
+        let import_cost = source.map_or(0, |_| match placement.transfers {
+            Some(rates) if import.verdict == Verdict::Pays => {
+                let eviction = imported_tokens * (per_mille - IMPORT_PER_MILLE) / 1_000;
+                rates.tokens_in(import.occupies) + eviction
+            }
+            _ => IMPORT_FIXED_TOKENS + imported_tokens * per_mille / 1_000,
+        });
+        let save = self.weigh_store(candidate, group.uncached_tokens, placement);
+        let fetch = self.weigh_store(candidate, shared_tokens - cached, placement);
         let store = placement.store;
         Choice {
             backend: candidate.id.clone(),
@@ -194,12 +204,13 @@
             scope: Some(group.scope.clone()),
             // Feeds lag: the store may hold segments not yet reported as cached, and a miss costs next to
             // nothing.
-            import_from: source
-                .map(|source| source.address)
-                .or(store.filter(|_| cached < shared_tokens).map(|store| store.address)),
+            import_from: source.map(|source| source.address).or(store
+                .filter(|_| cached < shared_tokens && fetch.verdict.is_allowed())
+                .map(|store| store.address)),
             import_source: source.map(|source| source.kind),
-            save_to: store.filter(|_| group.uncached_tokens > 0).cloned(),
+            save_to: store.filter(|_| group.uncached_tokens > 0 && save.verdict.is_allowed()).cloned(),
             copy_to: None,
+            transfers: RequestTransfers { import, save, copy: Weighed::default() },
             expected_tokens: unshared + prefill + import_cost,
             cached_tokens: cached,
             uncached_tokens: group.uncached_tokens,
@@ -209,4 +220,20 @@
             eligible: 0,
         }
     }
+    /// Weighs a transfer of `tokens` between a back end and the cache store of the request.
+    pub(super) fn weigh_store(
+        &self,
+        candidate: &Candidate<'_>,
+        tokens: u32,
+        placement: Placement<'_>,
+    ) -> Weighed {
+        let (Some(rates), Some(store)) = (placement.transfers, placement.store) else {
+            return Weighed::default();
+        };
+        if tokens == 0 {
+            return Weighed::default();
+        }
+        let queued = self.links.queued([candidate.address, store.address], placement.now);
+        rates.with_store(tokens, candidate.zone, queued)
+    }
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 //! | [`choice`] | which back end gets a request, and from where it imports a cached prefix |
 //! | [`load`], [`prefixes`] | requests in flight, and cached segments of prompts |
 //! | [`prompt`] | the segments of a prompt |
+//! | [`transfers`] | whether a transfer of cached tokens takes less time than prefilling them |
 //! | [`attempt`] | what follows a failed attempt |
 //! | [`budget`] | whether a request may be retried |
 //! | [`refusals`] | whether a refused request is retried, and when its caller may come back |
@@ -59,4 +60,5 @@
 pub mod rollout;
 pub mod table;
 pub mod target_versions;
+pub mod transfers;
 pub mod uplink;
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -52,6 +52,7 @@
             store: None,
             sample_size: None,
             replicate: false,
+            transfers: None,
             now: Timestamp::ZERO,
         }
     }
@@ -186,6 +187,7 @@
         store: None,
         sample_size: None,
         replicate: false,
+        transfers: None,
         now: Timestamp::ZERO,
     };
     chooser.loads.record_start(&fixture.ids[0], 0, Timestamp::ZERO);
--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -124,6 +124,7 @@
             store: None,
             sample_size: Some(6),
             replicate: false,
+            transfers: None,
             now: Timestamp::ZERO,
         };
         let choice: Choice = chooser.choose(placement, &all).expect("a choice");
@@ -154,6 +155,7 @@
             store: None,
             sample_size: Some(6),
             replicate: false,
+            transfers: None,
             now: Timestamp::ZERO,
         };
         let choice = Chooser::default().choose(placement, &all).expect("a choice");
--- a/crates/forward/src/access_log.rs
+++ b/crates/forward/src/access_log.rs
@@ -111,6 +111,9 @@
                 .and_then(|choice| choice.last_shared_segment)
                 .map(|segment| format!("{:x}", segment.0)),
             at_home: choice.is_some_and(|choice| choice.is_preferred),
+            import: choice.and_then(|choice| choice.transfers.import.verdict.label()),
+            save: choice.and_then(|choice| choice.transfers.save.verdict.label()),
+            copy: choice.and_then(|choice| choice.transfers.copy.verdict.label()),
             imported: choice.is_some_and(|choice| choice.import_from.is_some()),
             weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
             first_ms: self.first_chunk_at.map(since),
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -18,7 +18,10 @@
     time::Timestamp,
 };
 
-use crate::node_state::{FULL_SCAN_MAX_NODES, NodeCount, NodeState};
+use crate::{
+    node_state::{FULL_SCAN_MAX_NODES, NodeCount, NodeState},
+    settings::LoadSettings,
+};
 
 /// The minimum number of connections per back end that a node may use while the number of nodes is unknown.
 const MIN_CONNECTIONS_UNCOUNTED: u32 = 6;
@@ -73,6 +76,7 @@
         request: RouteRequest<'_>,
         zone: &ZoneId,
         nodes: NodeCount,
+        load: LoadSettings,
         now: Timestamp,
     ) -> Option<Choice> {
         let pool = self.backends.pool(request.service)?;
@@ -85,6 +89,10 @@
             store: store.as_ref(),
             sample_size: sample_size(pool.len(), nodes),
             replicate: request.copied && self.can_copy(request.service, now),
+            transfers: load
+                .weigh_transfers
+                .then(|| self.transfer_rates(request.service, store.as_ref()))
+                .flatten(),
             now,
         };
         let healthy_view = self.view(pool, request, nodes, now);
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -13,6 +13,7 @@
         backends::BackendId,
         choice::Choice,
         document::{Route, RouteKind},
+        transfers::RequestTransfers,
     },
     limits::ledger::QuotaGrant,
 };
@@ -194,6 +195,7 @@
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
         }
+        self.node.record_transfers(choice);
         self.sent_at = Some(now);
         let request = self.request(choice, &resume, now);
         let attempt_deadline = self.attempt_deadline(choice, now);
@@ -263,6 +265,7 @@
             import_source: None,
             save_to: None,
             copy_to: None,
+            transfers: RequestTransfers::default(),
             ..choice.clone()
         };
         let run = CopiedRun { address: choice.address, request_id: self.id().to_owned() };
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -209,6 +209,12 @@
     pub subject: Option<String>,
     /// Whether the back end is the preferred engine of that segment.
     pub at_home: bool,
+    /// Whether an import of the prefix was forecast to pay, and why not.
+    pub import: Option<&'static str>,
+    /// Likewise, saving it to the cache store.
+    pub save: Option<&'static str>,
+    /// Likewise, copying the run.
+    pub copy: Option<&'static str>,
     /// Whether the prefix was to be imported from another back end or a store.
     pub imported: bool,
     /// The requested version of the weights.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`node`], [`node_state`] | a node and its state |
 //! | [`fact_updates`], `backend_updates` | applies facts of the store, and what is observed of back ends |
 //! | [`candidates`] | describes back ends to the chooser |
+//! | `transfers` | the rates by which transfers of cached tokens are weighed |
 //! | [`announcements`] | draining, back-off and limits that back ends announce in their answers |
 //! | `limits` | advertised limits, divided among all nodes |
 //! | `unknown_headers`, [`logged_once`] | logs unknown headers of back ends' answers, once each |
@@ -79,4 +80,5 @@
 pub mod store_feed;
 pub mod store_restore;
 mod target_record;
+mod transfers;
 mod unknown_headers;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -46,6 +46,8 @@
     Connections,
     /// Requests with a prefix to import.
     Imports,
+    /// Weighed transfers of cached tokens, requested or not, by kind and verdict.
+    Transfers { kind: &'static str, verdict: &'static str },
     /// Ignored entries of reports on quotas, with unknown tenants or impossible numbers.
     QuotaReportsIgnored,
     /// Runs of this node's requests during which back ends crashed.
@@ -79,6 +81,7 @@
             Self::StoreRestores => "paddlemount_forward_store_restores_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
             Self::Imports => "paddlemount_forward_imports_total",
+            Self::Transfers { .. } => "paddlemount_forward_transfers_weighed_total",
             Self::QuotaReportsIgnored => "paddlemount_forward_spending_passed_over_total",
             Self::RunsCrashed => "paddlemount_forward_runs_crashed_total",
             Self::RunsCleared => "paddlemount_forward_runs_cleared_total",
@@ -94,6 +97,7 @@
             Self::StoreCalls { purpose, outcome } => {
                 format!("{{purpose=\"{purpose}\",outcome=\"{outcome}\"}}")
             }
+            Self::Transfers { kind, verdict } => format!("{{kind=\"{kind}\",verdict=\"{verdict}\"}}"),
             Self::Orders(outcome) | Self::PeerCalls(outcome) => {
                 format!("{{outcome=\"{outcome}\"}}")
             }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -306,7 +306,7 @@
     pub fn choose_backend(&self, request: RouteRequest<'_>) -> Option<Choice> {
         let settings = self.settings();
         let nodes = self.nodes();
-        self.state.borrow().choose_backend(request, &settings.zone, nodes, self.now())
+        self.state.borrow().choose_backend(request, &settings.zone, nodes, settings.load, self.now())
     }
 
     /// Removes expired state.
