Admission of requests to engines by the room of their pool

core::admission serves two users: its limit is adaptive or given, its queue is ordered by ranks before fairness between tenants. A forwarding node divides the room of a pool by the demand of all nodes, which passes through the tree of reports, and rejects what cannot begin in time. Not measured yet.

--- a/crates/bench/src/experiment/overload.rs
+++ b/crates/bench/src/experiment/overload.rs
@@ -74,10 +74,13 @@
             pool: PoolId::from(POOL),
             tenant: self.workload.tenants[open.workload.tenant].tenant.clone(),
             weight: self.scenario.tenants[open.group].weight,
+            rank: 0,
+            slots: 1,
             priority: Priority::Normal,
             cost: (prefill_ms + decode_ms) as u32,
             predicted_start: Duration::ZERO,
             deadline: None,
+            due: None,
         };
         self.apply_admission(node, AdmissionEvent::Submit(submit), now);
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,12 +1,14 @@
 //! Admission control: decides which requests run now, which wait and which are refused immediately.
 //!
-//! Each pool has an adaptive limit on requests in flight ([`concurrency`]) and a short fair queue
-//! ([`queue`]). A request is refused as not run, with a retry hint, as soon as it cannot start in time: on
+//! Each pool has a limit on requests in flight, adaptive ([`concurrency`]) or given, and a short queue in order
+//! of urgency ([`ranked`]), then fair between tenants ([`queue`]). A request is refused as not run, with a retry hint, as soon as it cannot start in time: on
 //! arrival if the predicted wait is too long, or while it waits.
 
 pub mod concurrency;
+mod limit;
 mod pool;
 pub mod queue;
+pub mod ranked;
 pub mod share;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -19,8 +21,9 @@
 };
 
 use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+use limit::PoolLimit;
 use pool::{PoolState, Running};
-use queue::{FairQueue, Waiting};
+use queue::Waiting;
 
 /// Settings of [`Admission`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,6 +35,9 @@
     /// Fraction of the limit reserved for tenants below their fair share, from 0.0 to 1.0.
     pub reserved_fraction: f64,
     pub concurrency: ConcurrencySettings,
+    /// Whether waiting requests are refused as soon as they are predicted to start too late, instead of when
+    /// it is too late.
+    pub refuse_early: bool,
 }
 
 impl Default for AdmissionSettings {
@@ -41,6 +47,7 @@
             max_wait: Duration::from_secs(2),
             reserved_fraction: 0.1,
             concurrency: ConcurrencySettings::default(),
+            refuse_early: false,
         }
     }
 }
@@ -53,14 +60,21 @@
     pub tenant: TenantId,
     /// The tenant's weight in a contended pool, relative to others.
     pub weight: u32,
+    /// Its urgency among all tenants' requests, 0 being the highest.
+    pub rank: u8,
     /// Its priority among the tenant's requests.
     pub priority: Priority,
+    /// Batch slots that it holds while it runs, at least 1.
+    pub slots: u32,
     /// Estimated cost in milliseconds of one batch slot.
     pub cost: u32,
     /// Predicted time from dispatch to the first token at the best engine.
     pub predicted_start: Duration,
     /// Deadline for the first token, if the caller set one.
     pub deadline: Option<Timestamp>,
+    /// Its place among the tenant's requests of equal rank and priority, the earliest first; `None` for the
+    /// order of arrival.
+    pub due: Option<Timestamp>,
 }
 
 /// An input to [`Admission::apply`].
@@ -74,6 +88,11 @@
         /// Nodes that send requests to it.
         nodes: u32,
     },
+    /// A pool was added, or the slots that this node's requests may hold in it changed.
+    Limit {
+        pool: PoolId,
+        slots: u32,
+    },
     /// A request arrived.
     Submit(AdmissionRequest),
     FirstToken {
@@ -112,12 +131,15 @@
 }
 
 /// The state of a pool, for operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolView {
-    /// Maximum requests in flight from this node.
+    /// Maximum batch slots that this node's requests may hold.
     pub limit: u32,
+    /// Batch slots that they hold.
     pub in_flight: u32,
     pub waiting: usize,
+    /// Batch slots that they release per second while the limit is used up.
+    pub slots_per_second: f64,
 }
 
 /// Admission control of one node over all pools.
@@ -141,6 +163,7 @@
             AdmissionEvent::Pool { pool, slots, nodes } => {
                 self.set_pool(pool, slots, nodes, now, &mut actions)
             }
+            AdmissionEvent::Limit { pool, slots } => self.set_limit(pool, slots, now, &mut actions),
             AdmissionEvent::Submit(request) => self.submit(request, now, &mut actions),
             AdmissionEvent::FirstToken { ticket, queueing } => {
                 self.first_token(&ticket, queueing, now, &mut actions)
@@ -161,7 +184,12 @@
     /// Returns a pool's current state.
     pub fn view(&self, pool: &PoolId) -> Option<PoolView> {
         let state = self.pools.get(pool)?;
-        Some(PoolView { limit: state.limit.limit(), in_flight: state.in_flight, waiting: state.queue.len() })
+        Some(PoolView {
+            limit: state.limit.slots(),
+            in_flight: state.in_flight,
+            waiting: state.queue.len(),
+            slots_per_second: state.slots_per_second(),
+        })
     }
 
     fn set_pool(
@@ -173,14 +201,20 @@
         actions: &mut Vec<AdmissionAction>,
     ) {
         let concurrency = self.settings.concurrency;
-        let state = self.pools.entry(pool.clone()).or_insert_with(|| PoolState {
-            limit: ConcurrencyLimit::new(concurrency, slots, nodes, now),
-            queue: FairQueue::default(),
-            in_flight: 0,
-            by_tenant: BTreeMap::new(),
-            service_seconds: 0.0,
-        });
-        state.limit.set_slots(slots);
+        let limit = || PoolLimit::Adaptive(ConcurrencyLimit::new(concurrency, slots, nodes, now));
+        let state = self.pools.entry(pool.clone()).or_insert_with(|| PoolState::new(limit()));
+        state.limit.set_pool_slots(slots);
+        self.dispatch(&pool, now, actions);
+    }
+
+    fn set_limit(&mut self, pool: PoolId, slots: u32, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
+        let limit = PoolLimit::Given(slots);
+        match self.pools.get_mut(&pool) {
+            Some(state) => state.limit = limit,
+            None => {
+                self.pools.insert(pool.clone(), PoolState::new(limit));
+            }
+        }
         self.dispatch(&pool, now, actions);
     }
 
@@ -192,14 +226,14 @@
             return;
         };
         let (latest_start, by_deadline) = latest_start(&request, self.settings.max_wait, now);
-        let predicted = state.predicted_wait(&request.tenant, request.weight);
+        let predicted = state.predicted_wait(request.rank, &request.tenant, request.weight);
         if now + predicted > latest_start || latest_start < now {
             let refusal = state.refusal(by_deadline, "it could not begin in time");
             actions.push(AdmissionAction::Refuse { ticket: request.ticket, refusal });
             return;
         }
         if state.queue.len() >= self.settings.queue_length {
-            let Some(victim) = state.queue.evict_for(&request.tenant, request.weight) else {
+            let Some(victim) = state.queue.evict_for(request.rank, &request.tenant, request.weight) else {
                 let refusal = state.refusal(false, "the queue is full");
                 actions.push(AdmissionAction::Refuse { ticket: request.ticket, refusal });
                 return;
@@ -209,7 +243,10 @@
         }
         let waiting = Waiting {
             ticket: request.ticket,
+            rank: request.rank,
             priority: request.priority,
+            slots: request.slots.max(1),
+            due: request.due.unwrap_or(now),
             cost: request.cost,
             arrived: now,
             latest_start,
@@ -255,10 +292,21 @@
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
         let pools: Vec<PoolId> = self.pools.keys().cloned().collect();
         for pool in pools {
+            if self.settings.refuse_early {
+                self.refuse_hopeless(&pool, now, actions);
+            }
             self.dispatch(&pool, now, actions);
         }
     }
 
+    fn refuse_hopeless(&mut self, pool: &PoolId, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
+        let Some(state) = self.pools.get_mut(pool) else { return };
+        for late in state.remove_hopeless(now) {
+            let refusal = state.refusal(late.by_deadline, "it could not begin in time");
+            actions.push(AdmissionAction::Refuse { ticket: late.ticket, refusal });
+        }
+    }
+
     /// Refuses expired requests, then runs requests up to the limit.
     fn dispatch(&mut self, pool: &PoolId, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
         let Some(state) = self.pools.get_mut(pool) else { return };
@@ -267,9 +315,9 @@
             actions.push(AdmissionAction::Refuse { ticket: late.ticket, refusal });
         }
         while let Some((tenant, waiting)) = state.next(self.settings.reserved_fraction) {
-            let is_over_share = state.started(&tenant, self.settings.reserved_fraction);
+            let is_over_share = state.started(&tenant, &waiting, self.settings.reserved_fraction);
             let priority = if is_over_share { Priority::Low } else { waiting.priority };
-            let running = Running { pool: pool.clone(), tenant, since: now };
+            let running = Running { pool: pool.clone(), tenant, slots: waiting.slots, since: now };
             self.running.insert(waiting.ticket.clone(), running);
             let waited = now.saturating_since(waiting.arrived);
             actions.push(AdmissionAction::Run { ticket: waiting.ticket, waited, priority });
--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -3,20 +3,26 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use paddlemount_protocol::{
-    identity::{PoolId, TenantId},
+    identity::{PoolId, RequestId, TenantId},
     refusal::{Refusal, RefusalCode},
     time::Timestamp,
 };
 
 use super::{
-    concurrency::ConcurrencyLimit,
-    queue::{FairQueue, Waiting},
+    limit::PoolLimit,
+    queue::{FairQueue, Position, Waiting},
+    ranked::RankedQueue,
     share,
 };
 
 /// Multiple of its even share above which a tenant's requests are sent with low priority. With 1.0, random
 /// peaks of small tenants would be demoted too.
 const DEMOTION_FACTOR: f64 = 2.0;
+/// How far a predicted wait must exceed the time left for a waiting request to be refused early: predictions
+/// err, and a request that is kept may still start or expire.
+const HOPELESS_FACTOR: f64 = 1.5;
+/// The duration of a request assumed at the least, so that rates stay finite.
+const MIN_SERVICE_SECONDS: f64 = 0.001;
 /// Weight of the latest request in the exponentially smoothed duration.
 const SERVICE_SMOOTHING: f64 = 0.05;
 /// Bounds of the retry hint.
@@ -29,25 +35,30 @@
 pub(super) struct Running {
     pub(super) pool: PoolId,
     pub(super) tenant: TenantId,
+    /// Batch slots that it holds.
+    pub(super) slots: u32,
     pub(super) since: Timestamp,
 }
 
 /// One tenant's requests in flight.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct TenantInFlight {
-    requests: u32,
+    slots: u32,
     weight: u32,
 }
 
 /// One node's requests to one pool.
 #[derive(Clone, Debug)]
 pub(super) struct PoolState {
-    pub(super) limit: ConcurrencyLimit,
-    pub(super) queue: FairQueue,
+    pub(super) limit: PoolLimit,
+    pub(super) queue: RankedQueue,
+    /// Batch slots that running requests hold.
     pub(super) in_flight: u32,
     pub(super) by_tenant: BTreeMap<TenantId, TenantInFlight>,
     /// Smoothed duration of a request in seconds; 0 before the first has ended.
     pub(super) service_seconds: f64,
+    /// Smoothed number of slots that a request holds.
+    pub(super) request_slots: f64,
 }
 
 fn below_level(
@@ -56,26 +67,39 @@
     weight: u32,
     level: f64,
 ) -> bool {
-    let in_flight = by_tenant.get(tenant).map_or(0, |in_flight| in_flight.requests);
+    let in_flight = by_tenant.get(tenant).map_or(0, |in_flight| in_flight.slots);
     f64::from(in_flight) < level * f64::from(weight)
 }
 
 impl PoolState {
+    /// A pool without requests.
+    pub(super) const fn new(limit: PoolLimit) -> Self {
+        Self {
+            limit,
+            queue: RankedQueue::new(),
+            in_flight: 0,
+            by_tenant: BTreeMap::new(),
+            service_seconds: 0.0,
+            request_slots: 1.0,
+        }
+    }
+
     /// Removes the next request that may run from the queue.
     pub(super) fn next(&mut self, reserved_fraction: f64) -> Option<(TenantId, Waiting)> {
-        let limit = self.limit.limit();
-        if self.queue.is_empty() || self.in_flight >= limit {
+        if self.queue.is_empty() || self.in_flight >= self.limit.slots() {
             return None;
         }
+        if f64::from(self.in_flight) < self.unreserved_limit(reserved_fraction) {
+            return self.queue.pop(|_, _| true);
+        }
         let level = self.fair_level(reserved_fraction);
-        let within_unreserved = f64::from(self.in_flight) < self.unreserved_limit(reserved_fraction);
         let by_tenant = &self.by_tenant;
-        self.queue.pop(|tenant, weight| within_unreserved || below_level(by_tenant, tenant, weight, level))
+        self.queue.pop(|tenant, weight| below_level(by_tenant, tenant, weight, level))
     }
 
     /// Returns the part of the limit that all tenants may use, whatever their share.
     fn unreserved_limit(&self, reserved_fraction: f64) -> f64 {
-        let limit = f64::from(self.limit.limit());
+        let limit = f64::from(self.limit.slots());
         limit - (limit * reserved_fraction).floor()
     }
 
@@ -83,7 +107,7 @@
     /// limit is used up if each tenant gets what it wants, up to its weight times the level.
     fn fair_level(&self, reserved_fraction: f64) -> f64 {
         let in_flight = self.by_tenant.iter().map(|(tenant, in_flight)| {
-            let wanted = in_flight.requests as usize + self.queue.len_of(tenant);
+            let wanted = in_flight.slots as usize + self.queue.len_of(tenant);
             (wanted as f64, f64::from(in_flight.weight))
         });
         let only_waiting = self.queue.backlogs().filter(|(tenant, ..)| !self.by_tenant.contains_key(*tenant));
@@ -99,38 +123,79 @@
     }
 
     /// Counts a started request. Returns whether its tenant is far above its even share.
-    pub(super) fn started(&mut self, tenant: &TenantId, reserved_fraction: f64) -> bool {
-        let weight = self.queue.weight_of(tenant);
+    pub(super) fn started(&mut self, tenant: &TenantId, request: &Waiting, reserved_fraction: f64) -> bool {
+        let weight = self.queue.rank(request.rank).map_or(1, |queue| queue.weight_of(tenant));
         let demotion = DEMOTION_FACTOR * self.even_level(tenant, weight, reserved_fraction);
         let is_over_share = !below_level(&self.by_tenant, tenant, weight, demotion);
-        self.in_flight += 1;
+        self.in_flight += request.slots;
         let in_flight = self.by_tenant.entry(tenant.clone()).or_default();
-        in_flight.requests += 1;
+        in_flight.slots += request.slots;
         in_flight.weight = weight;
         is_over_share
     }
 
-    /// Predicts the wait of another request of `tenant` from the fair order and the smoothed duration.
-    pub(super) fn predicted_wait(&self, tenant: &TenantId, weight: u32) -> Duration {
-        let limit = self.limit.limit();
-        if self.queue.is_empty() && self.in_flight < limit {
+    /// Predicts the wait of another request from the order of the queue and the smoothed duration.
+    pub(super) fn predicted_wait(&self, rank: u8, tenant: &TenantId, weight: u32) -> Duration {
+        if self.queue.is_empty() && self.in_flight < self.limit.slots() {
             return Duration::ZERO;
         }
-        let own = self.queue.len_of(tenant) as f64;
+        let own = self.queue.rank(rank).map_or(0, |queue| queue.len_of(tenant));
+        self.predicted_wait_behind(rank, tenant, weight, own)
+    }
+
+    /// Predicts the wait of a request of which `own` of its tenant's are ahead in the same rank.
+    pub(super) fn predicted_wait_behind(
+        &self,
+        rank: u8,
+        tenant: &TenantId,
+        weight: u32,
+        own: usize,
+    ) -> Duration {
+        let own = own as f64;
         let per_weight = (own + 1.0) / f64::from(weight.max(1));
-        let others = self.queue.backlogs().filter(|(other, _, _)| *other != tenant);
+        let backlogs = self.queue.rank(rank).into_iter().flat_map(FairQueue::backlogs);
+        let others = backlogs.filter(|(other, _, _)| *other != tenant);
         let ahead: f64 =
             others.map(|(_, other, waiting)| (per_weight * f64::from(other)).min(waiting as f64)).sum();
-        let requests = own + ahead + 1.0;
-        Duration::from_secs_f64(requests * self.service_seconds / f64::from(limit))
+        let requests = own + ahead + 1.0 + self.queue.len_above(rank) as f64;
+        self.time_to_free(requests * self.request_slots)
+    }
+
+    /// The time until running requests have released `slots`, and what exceeds the limit.
+    fn time_to_free(&self, slots: f64) -> Duration {
+        let slots = slots + f64::from(self.limit.excess(self.in_flight));
+        Duration::from_secs_f64(slots * self.service_seconds / f64::from(self.limit.slots()))
+    }
+
+    /// Removes the waiting requests that cannot start in time, as predicted now.
+    pub(super) fn remove_hopeless(&mut self, now: Timestamp) -> Vec<Waiting> {
+        let hopeless: Vec<RequestId> = self
+            .queue
+            .positions()
+            .filter(|position| self.is_hopeless(position, now))
+            .map(|position| position.request.ticket.clone())
+            .collect();
+        hopeless.iter().filter_map(|ticket| self.queue.remove(ticket)).collect()
+    }
+
+    fn is_hopeless(&self, position: &Position<'_>, now: Timestamp) -> bool {
+        let Position { tenant, weight, request, ahead } = position;
+        let predicted = self.predicted_wait_behind(request.rank, tenant, *weight, *ahead);
+        let left = request.latest_start.saturating_since(now);
+        predicted > left.mul_f64(HOPELESS_FACTOR)
+    }
+
+    /// The slots that running requests release per second while the limit is used up.
+    pub(super) fn slots_per_second(&self) -> f64 {
+        f64::from(self.limit.slots()) / self.service_seconds.max(MIN_SERVICE_SECONDS)
     }
 
     /// Counts an ended request.
     pub(super) fn ended(&mut self, running: &Running, now: Timestamp) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.in_flight = self.in_flight.saturating_sub(running.slots);
         if let Some(in_flight) = self.by_tenant.get_mut(&running.tenant) {
-            in_flight.requests = in_flight.requests.saturating_sub(1);
-            if in_flight.requests == 0 {
+            in_flight.slots = in_flight.slots.saturating_sub(running.slots);
+            if in_flight.slots == 0 {
                 self.by_tenant.remove(&running.tenant);
             }
         }
@@ -138,13 +203,14 @@
         let first = self.service_seconds == 0.0;
         let smoothing = if first { 1.0 } else { SERVICE_SMOOTHING };
         self.service_seconds += (seconds - self.service_seconds) * smoothing;
+        self.request_slots += (f64::from(running.slots) - self.request_slots) * smoothing;
     }
 
     /// Returns the refusal of a request that has not run.
     pub(super) fn refusal(&self, by_deadline: bool, reason: &str) -> Refusal {
         let code = if by_deadline { RefusalCode::DeadlineExceeded } else { RefusalCode::Overloaded };
-        let drained = self.queue.len() as f64 * self.service_seconds / f64::from(self.limit.limit());
-        let after = Duration::from_secs_f64(drained).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        let drained = self.time_to_free(self.queue.len() as f64 * self.request_slots);
+        let after = drained.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Refusal::not_run(code, format!("the request was not run: {reason}")).with_retry_after(after)
     }
 }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -23,8 +23,14 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waiting {
     pub ticket: RequestId,
+    /// Its urgency among all tenants' requests, 0 being the highest.
+    pub rank: u8,
     /// Its priority among the tenant's requests.
     pub priority: Priority,
+    /// Batch slots that it holds while it runs.
+    pub slots: u32,
+    /// Its place among the tenant's requests of equal priority, the earliest first.
+    pub due: Timestamp,
     /// Estimated cost in milliseconds of one batch slot.
     pub cost: u32,
     pub arrived: Timestamp,
@@ -34,6 +40,16 @@
     pub by_deadline: bool,
 }
 
+/// A waiting request and its place.
+#[derive(Clone, Copy, Debug)]
+pub struct Position<'a> {
+    pub tenant: &'a TenantId,
+    pub weight: u32,
+    pub request: &'a Waiting,
+    /// Requests of the tenant that run before it.
+    pub ahead: usize,
+}
+
 #[derive(Clone, Debug)]
 struct TenantQueue {
     weight: u32,
@@ -56,6 +72,11 @@
     }
 }
 
+/// The waiting requests of a tenant per unit of its weight.
+fn load(waiting: usize, weight: u32) -> f64 {
+    waiting as f64 / f64::from(weight.max(1))
+}
+
 const fn class(priority: Priority) -> usize {
     match priority {
         Priority::Low => 0,
@@ -111,7 +132,9 @@
             queue.virtual_start = queue.virtual_start.max(virtual_time);
         }
         queue.weight = weight.max(1);
-        queue.waiting[class(request.priority)].push_back(request);
+        let class = &mut queue.waiting[class(request.priority)];
+        let position = class.partition_point(|waiting| waiting.due <= request.due);
+        class.insert(position, request);
         self.len += 1;
     }
 
@@ -144,21 +167,37 @@
     /// Removes the newest request of the tenant with the most waiting requests per weight, if that is more
     /// than `tenant` would have with one more.
     pub fn evict_for(&mut self, tenant: &TenantId, weight: u32) -> Option<Waiting> {
-        let load = |waiting: usize, weight: u32| waiting as f64 / f64::from(weight.max(1));
-        let fullest = self.tenants.iter().filter(|(_, queue)| queue.len() > 0);
-        let fullest = fullest.max_by(|(_, left), (_, right)| {
-            load(left.len(), left.weight).total_cmp(&load(right.len(), right.weight))
-        });
-        let (victim, queue) = fullest?;
+        let (_, queue) = self.fullest()?;
         if load(queue.len(), queue.weight) <= load(self.len_of(tenant) + 1, weight) {
             return None;
         }
-        let victim = victim.clone();
+        self.evict_fullest()
+    }
+
+    /// Removes the newest request of the tenant with the most waiting requests per weight.
+    pub fn evict_fullest(&mut self) -> Option<Waiting> {
+        let victim = self.fullest()?.0.clone();
         let removed = self.tenants.get_mut(&victim)?.waiting.iter_mut().find_map(VecDeque::pop_back);
         self.len -= usize::from(removed.is_some());
         removed
     }
 
+    fn fullest(&self) -> Option<(&TenantId, &TenantQueue)> {
+        let waiting = self.tenants.iter().filter(|(_, queue)| queue.len() > 0);
+        waiting.max_by(|(_, left), (_, right)| {
+            load(left.len(), left.weight).total_cmp(&load(right.len(), right.weight))
+        })
+    }
+
+    /// The waiting requests, each with its place in its tenant's order.
+    pub fn positions(&self) -> impl Iterator<Item = Position<'_>> {
+        self.tenants.iter().flat_map(|(tenant, queue)| {
+            let ordered = queue.waiting.iter().rev().flatten().enumerate();
+            let weight = queue.weight;
+            ordered.map(move |(ahead, request)| Position { tenant, weight, request, ahead })
+        })
+    }
+
     /// Removes all requests that can no longer start in time.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Waiting> {
         let mut expired = Vec::new();
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -23,6 +23,8 @@
 //! | [`caller_connection`] | when a caller's connection closes |
 //! | [`planned_stop`] | what a stopping node still begins |
 //! | [`fleet`] | the number of nodes, and what they have in flight |
+//! | [`demand`] | the demand of all nodes' callers for engines |
+//! | [`room`] | the room of a pool, and the part of it that one node may use |
 //! | [`even_share`] | a node's share of what all nodes share |
 //! | [`uplink`], [`children`] | to which parent a node reports, and which children it accepts |
 //! | [`gossip`] | updates about the caches of engines, exchanged between nodes |
@@ -40,6 +42,7 @@
 pub mod change_log;
 pub mod children;
 pub mod choice;
+pub mod demand;
 pub mod document;
 pub mod even_share;
 pub mod events;
@@ -57,6 +60,7 @@
 pub mod registry;
 pub mod replacement;
 pub mod rollout;
+pub mod room;
 pub mod table;
 pub mod target_versions;
 pub mod uplink;
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -33,10 +33,13 @@
         pool: PoolId::from("pool"),
         tenant: TenantId::from(tenant),
         weight: 1,
+        rank: 0,
+        slots: 1,
         priority: Priority::Normal,
         cost: 100,
         predicted_start: Duration::from_millis(200),
         deadline: None,
+        due: None,
     }
 }
 
@@ -160,7 +163,10 @@
             let tenant = usize::from(tenant % 3);
             let waiting = Waiting {
                 ticket: RequestId::from(index.to_string()),
+                rank: 0,
                 priority: Priority::Normal,
+                slots: 1,
+                due: START,
                 cost: cost(*size),
                 arrived: START,
                 latest_start: START,
--- a/crates/core/tests/admission_shared_engines.rs
+++ b/crates/core/tests/admission_shared_engines.rs
@@ -93,10 +93,13 @@
             pool: PoolId::from("pool"),
             tenant: TenantId::from(format!("tenant-{tenant}")),
             weight: 1,
+            rank: 0,
+            slots: 1,
             priority: Priority::Normal,
             cost: 1_000,
             predicted_start: Duration::ZERO,
             deadline: None,
+            due: None,
         };
         let node = self.random.random_range(0..self.nodes.len());
         self.apply(node, AdmissionEvent::Submit(request));
--- a/crates/forward/src/access_log.rs
+++ b/crates/forward/src/access_log.rs
@@ -48,6 +48,8 @@
     pub(crate) configuration: Option<u64>,
     pub(crate) configuration_age: Option<Duration>,
     pub(crate) choice: Option<Choice>,
+    /// How long the request waited for room at engines.
+    pub(crate) waited: Option<Duration>,
     pub(crate) first_chunk_at: Option<Timestamp>,
     pub(crate) last_chunk_at: Option<Timestamp>,
     pub(crate) longest_gap: Duration,
@@ -113,6 +115,7 @@
             at_home: choice.is_some_and(|choice| choice.is_preferred),
             imported: choice.is_some_and(|choice| choice.import_from.is_some()),
             weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
+            waited_ms: self.waited.map(|waited| waited.as_millis() as u64),
             first_ms: self.first_chunk_at.map(since),
             longest_gap_ms: self.longest_gap.as_millis() as u64,
             total_ms: since(node.now()),
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -47,6 +47,10 @@
     BackendsRest,
     /// All eligible back ends are limited, and the limits are used up.
     BackendsLimited,
+    /// The engines have no room for the request early enough.
+    NoRoomInTime,
+    /// Too many requests wait for the engines.
+    PoolFull,
     /// No back end accepted the request.
     NotTaken,
     /// The node is stopping, and answers of this route take longer than it has left.
@@ -71,6 +75,8 @@
             | Self::OlderWeights
             | Self::BackendsRest
             | Self::BackendsLimited
+            | Self::NoRoomInTime
+            | Self::PoolFull
             | Self::NotTaken
             | Self::Stopping
             | Self::HeldBack
@@ -95,7 +101,9 @@
             // By then an engine may have loaded the target version.
             Self::OlderWeights => Some(TYPICAL_LOAD_TIME),
             Self::ConfigurationTooOld => Some(Duration::from_millis(300)),
-            Self::NotTaken | Self::QuotaExceeded => Some(Duration::from_millis(150)),
+            Self::NoRoomInTime | Self::PoolFull | Self::NotTaken | Self::QuotaExceeded => {
+                Some(Duration::from_millis(150))
+            }
             // Another node can serve the caller at once.
             Self::TimeUpBeforeSending | Self::Stopping => Some(Duration::from_millis(50)),
             Self::HeldBack => Some(QUARANTINE_DURATION),
@@ -121,6 +129,8 @@
             Self::BackendsLimited => {
                 "all back ends take fewer requests than are asked for; the request was not run"
             }
+            Self::NoRoomInTime => "the engines have no room in time; the request was not run",
+            Self::PoolFull => "too many requests wait for the engines; the request was not run",
             Self::NotTaken => "no back end took the request; it was not run",
             Self::Stopping => "this node is stopping; the request was not run, another node serves it",
             Self::HeldBack => {
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -29,6 +29,7 @@
     node::Node,
     ports::{CopiedRun, RequestHead},
     relay::Relay,
+    room_permit::RoomPermit,
 };
 
 /// How much earlier than the caller's deadline the node answers.
@@ -55,6 +56,8 @@
     pub(crate) body: Bytes,
     pub(crate) service: ServiceId,
     grant: Option<QuotaGrant>,
+    /// The room that the request holds in its pool of engines until it ends.
+    pub(crate) permit: Option<RoomPermit>,
     tried: Vec<BackendId>,
     draw: u64,
     /// When the retry budget for misdirected requests was drawn on for the next attempt, if it was.
@@ -102,6 +105,7 @@
         body: Bytes::new(),
         service,
         grant,
+        permit: None,
         tried: Vec::new(),
         draw: rand::random(),
         misdirected_retry: None,
@@ -129,6 +133,9 @@
     }
 
     async fn run(mut self) -> Response<AnswerBody> {
+        if let Err(rejection) = self.enter_room().await {
+            return self.abandon(rejection);
+        }
         loop {
             if let Some(quarantined_for) = self.quarantined_for() {
                 return self.refuse_quarantined(quarantined_for);
@@ -323,6 +330,7 @@
             self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
         }
         self.record_source_time(choice, now);
+        self.record_start_time(now);
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut updates =
                 self.node.state.borrow_mut().chooser.record_prefill(&choice.backend, scope, prompt, now);
@@ -387,6 +395,7 @@
                 self.record.first_chunk_at.map_or(total, |at| at.saturating_since(self.arrived));
             let time = AnswerTime { first_chunk, total, estimated_tokens: self.record.estimated_tokens };
             self.node.answer_times.borrow_mut().record(&self.route.name, time, now);
+            self.record_duration(now);
         }
         self.record.log(&self.node, self.arrived, self.history);
     }
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -91,6 +91,16 @@
     BackendLimited { backend: &'a str, per_second: f64, own_per_second: f64, heard: &'static str },
     /// A back end is no longer limited.
     BackendUnlimited { backend: &'a str, heard: &'static str },
+    /// Requests wait for the room of a pool of engines, or were rejected; logged once a second at most.
+    PoolContended {
+        service: &'a str,
+        limit: u32,
+        share: f64,
+        held: u32,
+        waiting: usize,
+        contention: Option<f64>,
+        rejected: u64,
+    },
     /// A back end advertised a limit that cannot be parsed; the previous one stays in force.
     LimitUnreadable { backend: &'a str, value: &'a str },
     /// Answers of back ends carry an unknown header; logged once per name.
@@ -213,6 +223,8 @@
     pub imported: bool,
     /// The requested version of the weights.
     pub weights: Option<u64>,
+    /// Milliseconds for which the request waited for room at the engines; `None` if it did not ask for room.
+    pub waited_ms: Option<u64>,
     /// Milliseconds to the first byte of the answer's body.
     pub first_ms: Option<u64>,
     /// The longest gap between two parts of a stream, in milliseconds.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -27,6 +27,7 @@
 //! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: accepted, served, closed |
 //! | [`ingress`] | listeners, readiness and metrics |
 //! | [`exchange`], [`dispatch`], [`attempts`], [`outcomes`], [`relay`] | sends, retries and relays requests |
+//! | [`room`], `room_permit` | whether the engines of a service have room for a request |
 //! | `retries` | retry budgets |
 //! | [`response_wait`] | ends waits at back ends whose weights have become outdated |
 //! | [`quarantine`], `runs` | which broken runs were crashes, and which requests are quarantined for them |
@@ -74,6 +75,8 @@
 mod replica;
 pub mod response_wait;
 mod retries;
+pub mod room;
+mod room_permit;
 mod runs;
 pub mod settings;
 pub mod store_feed;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -22,6 +22,8 @@
     BackOffsRequested,
     /// Requests refused because all eligible back ends are limited.
     RefusedForLimits,
+    /// Requests rejected because the engines have no room, by reason.
+    RejectedForRoom(&'static str),
     /// Requests not sent to the chosen back end because its limit was used up meanwhile.
     DeferredForLimits,
     /// Facts from other nodes that this version does not know.
@@ -67,6 +69,7 @@
             Self::Misdirected => "paddlemount_forward_misdirected_total",
             Self::BackOffsRequested => "paddlemount_forward_rests_asked_total",
             Self::RefusedForLimits => "paddlemount_forward_refused_for_limits_total",
+            Self::RejectedForRoom(_) => "paddlemount_forward_room_rejected_total",
             Self::DeferredForLimits => "paddlemount_forward_deferred_for_limits_total",
             Self::UnknownFacts => "paddlemount_forward_unknown_facts_total",
             Self::UnknownAnswerHeaders => "paddlemount_forward_unknown_answer_headers_total",
@@ -90,6 +93,7 @@
     fn labels(self) -> String {
         match self {
             Self::Requests { kind, outcome } => format!("{{kind=\"{kind}\",outcome=\"{outcome}\"}}"),
+            Self::RejectedForRoom(reason) => format!("{{reason=\"{reason}\"}}"),
             Self::Attempts(end) => format!("{{end=\"{end}\"}}"),
             Self::StoreCalls { purpose, outcome } => {
                 format!("{{purpose=\"{purpose}\",outcome=\"{outcome}\"}}")
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -35,6 +35,7 @@
     pool::Pool,
     ports::Platform,
     quarantine::PendingWork,
+    room::EngineAdmission,
     settings::ForwardSettings,
 };
 
@@ -61,6 +62,8 @@
     pub planned_stop: Cell<Option<PlannedStop>>,
     /// Recent answer times by route.
     pub answer_times: RefCell<AnswerTimes>,
+    /// Admission to the pools of engines.
+    pub rooms: RefCell<EngineAdmission>,
     /// Whether the grace period of a planned stop has ended.
     pub grace_elapsed: Cell<bool>,
     /// The number of requests in progress.
@@ -130,6 +133,7 @@
             store,
             planned_stop: Cell::new(None),
             answer_times: RefCell::default(),
+            rooms: RefCell::default(),
             grace_elapsed: Cell::new(false),
             running: Cell::new(0),
             loading: Cell::new(0),
@@ -356,7 +360,7 @@
             gauge("paddlemount_forward_named_age_seconds", target_age(&state, self.now())),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
-        gauges.into_iter().chain(self.announcement_gauges()).collect()
+        gauges.into_iter().chain(self.announcement_gauges()).chain(self.room_gauges()).collect()
     }
 }
 
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -9,6 +9,7 @@
         budget::{WindowBudget, WindowBudgetSettings, node_reserve},
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
+        demand::Demand,
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
@@ -46,6 +47,8 @@
     pub backends: Backends,
     /// Loads and cached prefixes of back ends.
     pub chooser: Chooser,
+    /// The demand of callers for engines.
+    pub demand: Demand,
     pub health: Health,
     /// The target versions of weights.
     pub rollout: Rollout,
@@ -143,6 +146,7 @@
             freshness: Freshness::default(),
             backends: Backends::default(),
             chooser: Chooser::default(),
+            demand: Demand::default(),
             health: Health::new(health_settings()),
             rollout,
             leader: None,
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -48,6 +48,7 @@
         let now = node.now();
         let leads = node.token().is_some();
         peers.borrow_mut().fleet.tick(leads, now);
+        node.state.borrow_mut().demand.tick(leads, now);
         node.tick_quotas();
         node.divide_limits();
         let before = std::mem::replace(&mut counted, node.counted_nodes());
@@ -224,7 +225,7 @@
             leaving: state.backends.announcements.pending_draining_gossip(now),
             limits: state.backends.announcements.pending_limit_gossip(now),
             performance: Vec::new(),
-            demand: Vec::new(),
+            demand: state.demand.subtree(now),
             offered_load,
             cache_updates: if log == NO_LOG { Vec::new() } else { peers.gossip.next_batch() },
             log,
--- a/crates/forward/src/peers/digest_updates.rs
+++ b/crates/forward/src/peers/digest_updates.rs
@@ -26,6 +26,7 @@
                 state.chooser.apply_gossip(update, now);
             }
             state.chooser.loads.set_others(digest.work.clone());
+            state.demand.record_total(digest.demand, sent_at);
             match &digest.quotas {
                 Some(quotas) => state.quotas.report_answered(quotas, sent_at, now),
                 None => state.quotas.report_failed(),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -143,6 +143,7 @@
         peers.gossip.enqueue(update.clone());
     }
     let child = report.sender.node;
+    state.demand.record_report(child.clone(), report.demand, now);
     let ignored = state.quotas.receive_report(child.clone(), report.reporting_nodes, report.spending, now);
     if ignored > 0 {
         node.metrics.add(Counter::QuotaReportsIgnored, ignored as u64);
@@ -159,7 +160,7 @@
         leaving: state.backends.announcements.pending_draining_gossip(now),
         limits: state.backends.announcements.limit_grants_for(&child, now),
         performance: Vec::new(),
-        demand: Vec::new(),
+        demand: state.demand.totals(now),
         log: peers.gossip.id(),
         cursor,
         nodes: peers.fleet.node_count(now),
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -18,7 +18,7 @@
     node::Node,
     peers,
     ports::Platform,
-    quarantine,
+    quarantine, room,
     settings::{ForwardSettings, SettingsError},
     store_feed, target_record,
 };
@@ -82,6 +82,7 @@
     tokio::task::spawn_local(cache_feed::run(Rc::clone(&node)));
     tokio::task::spawn_local(quarantine::run(Rc::clone(&node)));
     tokio::task::spawn_local(target_record::run(Rc::clone(&node)));
+    tokio::task::spawn_local(room::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping(Rc::clone(&node), path, hangup));
     let leadership_task = tokio::task::spawn_local(leadership::run(Rc::clone(&node)));
     tokio::task::spawn_local(caller_server.clone().serve(callers));
--- a/crates/forward/src/settings/load.rs
+++ b/crates/forward/src/settings/load.rs
@@ -18,3 +18,10 @@
     /// Whether silent engines are avoided by all nodes, and streams leave them.
     pub leave_silent: bool,
 }
+
+impl LoadSettings {
+    /// Whether the demand of callers for engines is measured and shared.
+    pub const fn tracks_demand(&self) -> bool {
+        self.admission || self.forecast
+    }
+}
--- a/crates/node/src/overload/permit.rs
+++ b/crates/node/src/overload/permit.rs
@@ -199,10 +199,13 @@
         pool: spec.pool.clone(),
         tenant: spec.tenant.clone(),
         weight: tenant.map_or(1, |tenant| tenant.weight),
+        rank: 0,
+        slots: 1,
         priority: spec.priority,
         cost: u32::try_from(work.as_millis()).unwrap_or(u32::MAX),
         predicted_start,
         deadline: Some(spec.deadline),
+        due: None,
     };
     inner.apply(AdmissionEvent::Submit(request), now);
     Some(receiver)
