A request that is late in any case may wait for a quarter of its target

Its first event was expected after its target even without a wait, so any wait rejected it, although its turn came within a tenth of a second.

--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -21,6 +21,9 @@
 const TIME_WEIGHT: f64 = 0.1;
 /// Mean deviations above the mean within which a first event is expected, as in retransmission timeouts.
 const EXPECTED_DEVIATIONS: f64 = 2.0;
+/// The part of its target latency for which a request may wait even if its first event is expected too late:
+/// the wait is not what makes it late, and a caller that is rejected then still has time for a second attempt.
+const MIN_WAIT_SHARE: f64 = 0.25;
 /// The part of its remaining time that a caller waits at most before it comes back.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 /// The maximum jitter of a retry time, relative to that time.
@@ -132,6 +135,31 @@
     }
 }
 
+/// The time of its route's target latency for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    pub arrived: Timestamp,
+    /// The target latency of its route.
+    pub latency: Duration,
+    /// When its caller gives up.
+    pub deadline: Timestamp,
+}
+
+impl Target {
+    /// Bounds the expected time to the first event, so that a request starts if there is room, however long
+    /// its first event is expected to take.
+    pub fn bounded(&self, expected: Duration, now: Timestamp) -> Duration {
+        expected.min(self.latency).min(self.deadline.saturating_since(now))
+    }
+
+    /// Until when the first event of a request may come that takes `expected` to it, to be worth waiting for.
+    pub fn first_event_by(&self, expected: Duration, now: Timestamp) -> Timestamp {
+        let in_time = self.arrived + self.latency;
+        let after_wait = now + expected + self.latency.mul_f64(MIN_WAIT_SHARE);
+        in_time.max(after_wait).min(self.deadline)
+    }
+}
+
 /// When a rejected caller should come back: at `turn`, when there will be room for it, with jitter by `draw`
 /// from 0 to 1, but early enough that the caller, who has `time_left`, can still be served.
 pub fn retry_after(turn: Duration, time_left: Duration, draw: f64) -> Duration {
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -13,7 +13,7 @@
     },
     forwarding::{
         demand::Demand,
-        room::{self, Contention, DemandShare, request_slots, retry_after},
+        room::{self, Contention, DemandShare, Target, request_slots, retry_after},
     },
 };
 use paddlemount_protocol::{
@@ -310,6 +310,16 @@
     assert!(draws[0] > draws[1] && draws[1] > draws[2]);
 }
 
+#[test]
+fn a_request_that_is_late_anyway_may_wait_for_a_quarter_of_its_target() {
+    let target = Target { arrived: START, latency: Duration::from_millis(800), deadline: at(10_000) };
+    let by = |expected: u64, now| target.first_event_by(Duration::from_millis(expected), now);
+    assert_eq!(by(300, START), at(800), "in time");
+    assert_eq!(by(800, START), at(1_000), "late in any case");
+    assert_eq!(by(800, at(9_900)), at(10_000), "never past its deadline");
+    assert_eq!(target.bounded(Duration::from_secs(20), at(9_900)), Duration::from_millis(100));
+}
+
 fn demand(slots: f64) -> Vec<PoolDemand> {
     vec![PoolDemand { service: service(), slots, long_prompt_tokens: 0.0 }]
 }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use paddlemount_core::{
     forwarding::{
-        answer_times::AnswerTime,
         attempt::{AttemptEnd, AttemptHistory},
         backends::BackendId,
         choice::Choice,
@@ -388,15 +387,7 @@
         if let Some(drawn_at) = self.misdirected_retry.take() {
             self.node.settle_misdirected_retry(Some(drawn_at), None);
         }
-        if self.record.is_served() {
-            let now = self.node.now();
-            let total = now.saturating_since(self.arrived);
-            let first_chunk =
-                self.record.first_chunk_at.map_or(total, |at| at.saturating_since(self.arrived));
-            let time = AnswerTime { first_chunk, total, estimated_tokens: self.record.estimated_tokens };
-            self.node.answer_times.borrow_mut().record(&self.route.name, time, now);
-            self.record_duration(now);
-        }
+        self.record_times();
         self.record.log(&self.node, self.arrived, self.history);
     }
 }
--- a/crates/forward/src/outcomes.rs
+++ b/crates/forward/src/outcomes.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use paddlemount_core::forwarding::{
     announcements::limits::Opening,
+    answer_times::AnswerTime,
     attempt::{self, AttemptEnd, NextAction},
     backends::BackendId,
     choice::Choice,
@@ -150,6 +151,19 @@
         self.refuse(refusal)
     }
 
+    /// Records how long a served request took.
+    pub(crate) fn record_times(&self) {
+        if !self.record.is_served() {
+            return;
+        }
+        let now = self.node.now();
+        let total = now.saturating_since(self.arrived);
+        let first_chunk = self.record.first_chunk_at.map_or(total, |at| at.saturating_since(self.arrived));
+        let time = AnswerTime { first_chunk, total, estimated_tokens: self.record.estimated_tokens };
+        self.node.answer_times.borrow_mut().record(&self.route.name, time, now);
+        self.record_duration(now);
+    }
+
     /// Answers with an error response.
     pub(crate) fn refuse(&mut self, refusal: impl Into<Refusal>) -> Response<AnswerBody> {
         let refusal = refusal.into();
--- a/crates/forward/src/room_permit.rs
+++ b/crates/forward/src/room_permit.rs
@@ -6,7 +6,7 @@
     admission::{AdmissionEvent, AdmissionRequest},
     forwarding::{
         document::rank,
-        room::{request_slots, retry_after},
+        room::{Target, request_slots, retry_after},
     },
 };
 use paddlemount_protocol::{
@@ -113,10 +113,9 @@
         let ticket = RequestId::from(rooms.last_ticket.to_string());
         rooms.waiting.insert(ticket.clone(), sender);
         let times = rooms.times.get(&self.route.name).copied().unwrap_or_default();
-        // Bounded so that a request starts if there is room, however long its first event is expected to take.
-        let target = self.route.target_latency;
-        let longest = target.min(self.deadline.saturating_since(now));
-        let predicted_start = times.first_event.expected().unwrap_or_default().min(longest);
+        let latency = self.route.target_latency;
+        let target = Target { arrived: self.arrived, latency, deadline: self.deadline };
+        let predicted_start = target.bounded(times.first_event.expected().unwrap_or_default(), now);
         let tenant = self.record.tenant.as_ref();
         let request = AdmissionRequest {
             ticket: ticket.clone(),
@@ -128,7 +127,7 @@
             slots,
             cost: slots,
             predicted_start,
-            deadline: Some((self.arrived + target).max(now + predicted_start).min(self.deadline)),
+            deadline: Some(target.first_event_by(predicted_start, now)),
             due: Some(self.deadline),
         };
         rooms.apply(AdmissionEvent::Submit(request), now);
