Revert the wait of requests that are late in any case

The bound of the expected time, by which a request starts where there is room, stays, as a type with its test. The test of the wait is replaced by one of the rule that holds again.

--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -21,9 +21,6 @@
 const TIME_WEIGHT: f64 = 0.1;
 /// Mean deviations above the mean within which a first event is expected, as in retransmission timeouts.
 const EXPECTED_DEVIATIONS: f64 = 2.0;
-/// The part of its target latency for which a request may wait even if its first event is expected too late:
-/// the wait is not what makes it late, and a caller that is rejected then still has time for a second attempt.
-const MIN_WAIT_SHARE: f64 = 0.25;
 /// The part of its remaining time that a caller waits at most before it comes back.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 /// The maximum jitter of a retry time, relative to that time.
@@ -152,11 +149,10 @@
         expected.min(self.latency).min(self.deadline.saturating_since(now))
     }
 
-    /// Until when the first event of a request may come that takes `expected` to it, to be worth waiting for.
+    /// Until when the first event of a request may come that takes `expected` to it, for the request to wait.
     pub fn first_event_by(&self, expected: Duration, now: Timestamp) -> Timestamp {
         let in_time = self.arrived + self.latency;
-        let after_wait = now + expected + self.latency.mul_f64(MIN_WAIT_SHARE);
-        in_time.max(after_wait).min(self.deadline)
+        in_time.max(now + expected).min(self.deadline)
     }
 }
 
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -311,11 +311,12 @@
 }
 
 #[test]
-fn a_request_that_is_late_anyway_may_wait_for_a_quarter_of_its_target() {
+fn a_request_that_is_late_anyway_starts_if_there_is_room_and_does_not_wait() {
     let target = Target { arrived: START, latency: Duration::from_millis(800), deadline: at(10_000) };
     let by = |expected: u64, now| target.first_event_by(Duration::from_millis(expected), now);
     assert_eq!(by(300, START), at(800), "in time");
-    assert_eq!(by(800, START), at(1_000), "late in any case");
+    assert_eq!(by(800, START), at(800), "just in time without a wait");
+    assert_eq!(by(800, at(100)), at(900), "late in any case: now or not at all");
     assert_eq!(by(800, at(9_900)), at(10_000), "never past its deadline");
     assert_eq!(target.bounded(Duration::from_secs(20), at(9_900)), Duration::from_millis(100));
 }
