--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -132,6 +132,30 @@
     }
 }
 
+/// The time of its route's target latency for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    pub arrived: Timestamp,
+    /// The target latency of its route.
+    pub latency: Duration,
+    /// When its caller gives up.
+    pub deadline: Timestamp,
+}
+
+impl Target {
+    /// Bounds the expected time to the first event, so that a request starts if there is room, however long
+    /// its first event is expected to take.
+    pub fn bounded(&self, expected: Duration, now: Timestamp) -> Duration {
+        expected.min(self.latency).min(self.deadline.saturating_since(now))
+    }
+
+    /// Until when the first event of a request may come that takes `expected` to it, for the request to wait.
+    pub fn first_event_by(&self, expected: Duration, now: Timestamp) -> Timestamp {
+        let in_time = self.arrived + self.latency;
+        in_time.max(now + expected).min(self.deadline)
+    }
+}
+
 /// When a rejected caller should come back: at `turn`, when there will be room for it, with jitter by `draw`
 /// from 0 to 1, but early enough that the caller, who has `time_left`, can still be served.
 pub fn retry_after(turn: Duration, time_left: Duration, draw: f64) -> Duration {
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -13,7 +13,7 @@
     },
     forwarding::{
         demand::Demand,
-        room::{self, Contention, DemandShare, request_slots, retry_after},
+        room::{self, Contention, DemandShare, Target, request_slots, retry_after},
     },
 };
 use paddlemount_protocol::{
@@ -310,6 +310,17 @@
     assert!(draws[0] > draws[1] && draws[1] > draws[2]);
 }
 
+#[test]
+fn a_request_that_is_late_anyway_starts_if_there_is_room_and_does_not_wait() {
+    let target = Target { arrived: START, latency: Duration::from_millis(800), deadline: at(10_000) };
+    let by = |expected: u64, now| target.first_event_by(Duration::from_millis(expected), now);
+    assert_eq!(by(300, START), at(800), "in time");
+    assert_eq!(by(800, START), at(800), "just in time without a wait");
+    assert_eq!(by(800, at(100)), at(900), "late in any case: now or not at all");
+    assert_eq!(by(800, at(9_900)), at(10_000), "never past its deadline");
+    assert_eq!(target.bounded(Duration::from_secs(20), at(9_900)), Duration::from_millis(100));
+}
+
 fn demand(slots: f64) -> Vec<PoolDemand> {
     vec![PoolDemand { service: service(), slots, long_prompt_tokens: 0.0 }]
 }
