Forecast of the time to the first event, and placement by it

Cause: engines are chosen by tokens with fixed penalties, so a long prompt's prefix is read at any of 72 engines, and short prompts wait behind long ones on all of them. Change: core::forwarding::forecast fits a service's rates to this node's fastest outcomes, judges forecasts by their outcomes and decides which share of the engines is preferred for long prompts. choice::by_time places by forecast where it may be trusted; the choice by tokens holds otherwise. The switch is load.forecast.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -11,18 +11,20 @@
 //! | module | responsibility |
 //! |---|---|
 //! | `candidate_pool` | the back ends of a pool, and the sample that a choice evaluates |
-//! | `prompts` | the cost of each back end for a prompt |
+//! | `prompts` | the cost of each back end for a prompt, as work in tokens |
+//! | `by_time` | the same as time, where forecasts may be trusted |
 //! | `source_times` | whether cache stores or engines are currently the faster sources |
 //! | `shards` | which of several cache stores a prompt's segments belong to |
 //! | `sources` | the source to import a prefix from, and the back end that receives a copy of a run |
 
+mod by_time;
 mod candidate_pool;
 mod prompts;
 mod shards;
 mod source_times;
 mod sources;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use paddlemount_protocol::{
     fleet::CachedSegmentUpdate,
@@ -37,6 +39,7 @@
 
 use super::{
     backends::BackendId,
+    forecast::{EngineWorkload, RequestWork, Timing},
     load::{BackendLoad, Loads, MIN_SLOWNESS},
     prefixes::{CachedSegment, PrefixIndex, ScopeHash},
     prompt::{CacheScope, Prompt, SegmentId},
@@ -89,6 +92,8 @@
     pub replicate: bool,
     /// When it is placed: measured latencies decay with time.
     pub now: Timestamp,
+    /// Chooses by forecast times if set, and otherwise by work in tokens.
+    pub timing: Option<Timing>,
 }
 
 /// The chosen back end, and what is expected of it.
@@ -119,6 +124,12 @@
     pub cost: u64,
     /// The number of eligible candidates.
     pub eligible: usize,
+    /// The work at the back end as known when it was chosen, if the request has a prompt.
+    pub workload: EngineWorkload,
+    /// What the request adds to it, if it has a prompt.
+    pub work: RequestWork,
+    /// The time until the first event as forecast, if there are rates for a forecast.
+    pub forecast: Option<Duration>,
 }
 
 /// The kind of process that a prefix is imported from.
@@ -236,6 +247,9 @@
             is_preferred: false,
             cost: cost(best),
             eligible: count,
+            workload: EngineWorkload::default(),
+            work: RequestWork::default(),
+            forecast: None,
         })
     }
 }
--- a/crates/core/src/forwarding/choice/candidate_pool.rs
+++ b/crates/core/src/forwarding/choice/candidate_pool.rs
@@ -3,7 +3,7 @@
 //! A pool may have thousands of back ends of which a request evaluates a few, so candidates are described
 //! only on demand.
 
-use paddlemount_protocol::identity::WeightsVersion;
+use paddlemount_protocol::identity::{WeightsVersion, ZoneId};
 
 use super::{Candidate, Placement};
 use crate::forwarding::{
@@ -18,6 +18,10 @@
 /// three primes, and one that always works.
 const STRIDES: [usize; 4] = [7_919, 104_729, 15_485_863, 1];
 
+/// The number of back ends described for each one of a sample by zone: bounds the time of a choice where few
+/// are eligible.
+const MAX_DRAWS_PER_CANDIDATE: usize = 8;
+
 /// The back ends of a pool, described on demand.
 pub trait CandidatePool {
     /// The number of back ends.
@@ -65,19 +69,42 @@
     }
 }
 
-/// Draws a sample of eligible back ends, by a stride that visits each back end once.
+/// Draws a sample of eligible back ends.
 fn draw_sample(pool: &dyn CandidatePool, seed: u64, sample_size: usize) -> Vec<Candidate<'_>> {
-    let count = pool.len();
-    let start = (rank_for(seed, 0) % count as u64) as usize;
-    let seeded_stride = (rank_for(seed, 1) % count as u64) as usize;
+    let drawn = drawn_order(pool.len(), seed).filter_map(|index| pool.candidate(index));
+    drawn.filter(|candidate| candidate.eligible).take(sample_size).collect()
+}
+
+/// Draws up to `sample_size` eligible back ends in `zone`, and as many in others.
+pub(super) fn draw_by_zone<'a>(
+    pool: &'a dyn CandidatePool,
+    seed: u64,
+    sample_size: usize,
+    zone: &ZoneId,
+) -> Vec<Candidate<'a>> {
+    let (mut own, mut others) = (Vec::new(), Vec::new());
+    let drawn = drawn_order(pool.len(), seed).take(sample_size * MAX_DRAWS_PER_CANDIDATE);
+    for candidate in drawn.filter_map(|index| pool.candidate(index)).filter(|candidate| candidate.eligible) {
+        let list = if candidate.zone == zone { &mut own } else { &mut others };
+        if list.len() < sample_size {
+            list.push(candidate);
+        }
+        if own.len() == sample_size && others.len() == sample_size {
+            break;
+        }
+    }
+    own.extend(others);
+    own
+}
+
+/// All indices of a pool in a drawn order, by a stride that visits each once.
+fn drawn_order(count: usize, seed: u64) -> impl Iterator<Item = usize> {
+    let size = count.max(1);
+    let start = (rank_for(seed, 0) % size as u64) as usize;
+    let seeded_stride = (rank_for(seed, 1) % size as u64) as usize;
     let strides = std::iter::once(seeded_stride.max(1)).chain(STRIDES);
-    let stride = strides.map(|stride| stride % count).find(|stride| coprime(*stride, count)).unwrap_or(1);
-    let order = (0..count).map(|step| (start + step * stride) % count);
-    order
-        .filter_map(|index| pool.candidate(index))
-        .filter(|candidate| candidate.eligible)
-        .take(sample_size)
-        .collect()
+    let stride = strides.map(|stride| stride % size).find(|stride| coprime(*stride, size)).unwrap_or(1);
+    (0..count).map(move |step| (start + step * stride) % size)
 }
 
 const fn coprime(mut left: usize, mut right: usize) -> bool {
@@ -94,10 +121,22 @@
     key: u64,
     weights: WeightsVersion,
 ) -> Option<Candidate<'_>> {
+    preferred_within(pool, key, weights, u64::MAX).next()
+}
+
+/// The preferred back ends for a segment among those of a rank up to `max_rank`, best first.
+pub(super) fn preferred_within(
+    pool: &dyn CandidatePool,
+    key: u64,
+    weights: WeightsVersion,
+    max_rank: u64,
+) -> impl Iterator<Item = Candidate<'_>> {
     let mut top: Vec<(u64, usize)> = Vec::with_capacity(MAX_PREFERRED_CANDIDATES + 1);
     for index in 0..pool.len() {
-        let entry = (rank_for(pool.rank(index), key), index);
-        if top.len() == MAX_PREFERRED_CANDIDATES && top.last().is_some_and(|last| *last >= entry) {
+        let rank = pool.rank(index);
+        let entry = (rank_for(rank, key), index);
+        let is_worse = top.len() == MAX_PREFERRED_CANDIDATES && top.last().is_some_and(|last| *last >= entry);
+        if rank > max_rank || is_worse {
             continue;
         }
         let place = top.partition_point(|known| *known > entry);
@@ -106,5 +145,5 @@
     }
     top.into_iter()
         .filter_map(|(_, index)| pool.candidate(index))
-        .find(|candidate| candidate.eligible && candidate.weights == Some(weights))
+        .filter(move |candidate| candidate.eligible && candidate.weights == Some(weights))
 }
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -1,5 +1,7 @@
 //! The cost of each back end for a prompt, as work in tokens.
 
+use std::time::Duration;
+
 use paddlemount_protocol::identity::WeightsVersion;
 
 use super::{
@@ -10,6 +12,7 @@
 };
 use crate::forwarding::{
     backends::BackendId,
+    forecast::{EngineWorkload, RequestWork},
     load::TYPICAL_SLOWNESS,
     prefixes::ScopeHash,
     prompt::{CacheScope, Prompt},
@@ -60,6 +63,11 @@
         prompt: &Prompt,
         pool: &dyn CandidatePool,
     ) -> Option<Choice> {
+        if let Some(choice) =
+            placement.timing.and_then(|timing| self.choose_by_time(placement, &timing, prompt, pool))
+        {
+            return Some(choice);
+        }
         let mut candidates = candidate_pool::sample(pool, placement);
         candidates.retain(|candidate| candidate.eligible && candidate.weights.is_some());
         let median_ms = self.loads.median_ms(candidates.iter().map(|candidate| candidate.id));
@@ -82,20 +90,33 @@
             let mut choice = self.evaluate(candidate, group, placement, prompt);
             choice.cost = self.total_cost(candidate, choice.cost, placement, median_ms);
             choice.eligible = candidates.len();
+            choice.workload = self.workload(candidate);
+            choice.work = RequestWork { prefill_tokens: choice.expected_tokens, transfer: Duration::ZERO };
             if best.as_ref().is_none_or(|(cost, order, _)| (choice.cost, tie) < (*cost, *order)) {
                 best = Some((choice.cost, tie, choice));
             }
         }
         let (_, _, mut choice) = best?;
-        if choice.import_from.is_none() {
-            let weights = choice.scope.as_ref().map(|scope| scope.weights);
-            let group = groups.iter().find(|group| Some(group.weights) == weights)?;
-            choice.import_from = Self::fallback_source(&choice, placement, group);
+        self.add_sources(&mut choice, placement, &groups, &candidates);
+        Some(choice)
+    }
+
+    /// Completes a choice by the source of a prefix that may be missing, and the back end for a copy.
+    pub(super) fn add_sources(
+        &self,
+        choice: &mut Choice,
+        placement: Placement<'_>,
+        groups: &[WeightsGroup<'_>],
+        candidates: &[Candidate<'_>],
+    ) {
+        let weights = choice.scope.as_ref().map(|scope| scope.weights);
+        let group = groups.iter().find(|group| Some(group.weights) == weights);
+        if let (None, Some(group)) = (choice.import_from, group) {
+            choice.import_from = Self::fallback_source(choice, placement, group);
         }
         if placement.replicate {
-            choice.copy_to = self.copy_holder(&choice, placement, &candidates);
+            choice.copy_to = self.copy_holder(choice, placement, candidates);
         }
-        Some(choice)
     }
 
     /// The total cost of a request that prefills `prefill` tokens at a back end: includes queued work,
@@ -136,7 +157,7 @@
         u64::from(requests.saturating_sub(candidate.slots.max(1))) * QUEUED_REQUEST_TOKENS
     }
 
-    fn group<'a>(
+    pub(super) fn group<'a>(
         &self,
         placement: Placement<'_>,
         prompt: &Prompt,
@@ -163,7 +184,7 @@
     }
 
     /// The cost of the request at `candidate` alone, and the source of its prefix.
-    fn evaluate(
+    pub(super) fn evaluate(
         &self,
         candidate: &Candidate<'_>,
         group: &WeightsGroup<'_>,
@@ -207,6 +228,9 @@
             is_preferred: group.is_preferred(candidate.id),
             cost: unshared + prefill * factor + import_cost,
             eligible: 0,
+            workload: EngineWorkload::default(),
+            work: RequestWork::default(),
+            forecast: None,
         }
     }
 }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 //! | [`pool`], [`ranks`] | the back ends of a service, in an order that all nodes share |
 //! | [`choice`] | which back end gets a request, and from where it imports a cached prefix |
 //! | [`load`], [`prefixes`] | requests in flight, and cached segments of prompts |
+//! | [`forecast`] | the time until the first event of a request at an engine |
 //! | [`prompt`] | the segments of a prompt |
 //! | [`attempt`] | what follows a failed attempt |
 //! | [`budget`] | whether a request may be retried |
@@ -45,6 +46,7 @@
 pub mod events;
 pub mod feed_selection;
 pub mod fleet;
+pub mod forecast;
 pub mod freshness;
 pub mod gossip;
 pub mod load;
--- a/crates/core/src/forwarding/table.rs
+++ b/crates/core/src/forwarding/table.rs
@@ -1,6 +1,6 @@
 //! Matches requests to routes and tenants.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use paddlemount_protocol::identity::{ServiceId, TenantId};
 
@@ -73,6 +73,12 @@
         self.document.services.iter()
     }
 
+    /// The tightest target latency among the routes that use a service.
+    pub fn tightest_target(&self, service: &ServiceId) -> Option<Duration> {
+        let uses = |route: &&Route| route.split.iter().any(|share| share.service == *service);
+        self.document.routes.iter().filter(uses).map(|route| route.target_latency).min()
+    }
+
     /// The number of routes.
     pub fn route_count(&self) -> usize {
         self.by_host.values().map(Vec::len).sum()
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -53,6 +53,7 @@
             sample_size: None,
             replicate: false,
             now: Timestamp::ZERO,
+            timing: None,
         }
     }
 }
@@ -187,6 +188,7 @@
         sample_size: None,
         replicate: false,
         now: Timestamp::ZERO,
+        timing: None,
     };
     chooser.loads.record_start(&fixture.ids[0], 0, Timestamp::ZERO);
     chooser.loads.record_start(&fixture.ids[1], 0, Timestamp::ZERO);
--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -125,6 +125,7 @@
             sample_size: Some(6),
             replicate: false,
             now: Timestamp::ZERO,
+            timing: None,
         };
         let choice: Choice = chooser.choose(placement, &all).expect("a choice");
         let weights = choice.scope.as_ref().expect("a scope").weights;
@@ -155,6 +156,7 @@
             sample_size: Some(6),
             replicate: false,
             now: Timestamp::ZERO,
+            timing: None,
         };
         let choice = Chooser::default().choose(placement, &all).expect("a choice");
         assert_eq!(choice.backend, ids[500]);
--- a/crates/forward/src/access_log.rs
+++ b/crates/forward/src/access_log.rs
@@ -113,6 +113,9 @@
             at_home: choice.is_some_and(|choice| choice.is_preferred),
             imported: choice.is_some_and(|choice| choice.import_from.is_some()),
             weights: choice.and_then(|choice| choice.scope.as_ref()).map(|scope| scope.weights.0),
+            forecast_ms: choice
+                .and_then(|choice| choice.forecast)
+                .map(|forecast| forecast.as_millis() as u64),
             first_ms: self.first_chunk_at.map(since),
             longest_gap_ms: self.longest_gap.as_millis() as u64,
             total_ms: since(node.now()),
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -1,5 +1,7 @@
 //! Describes the back ends of a service to the chooser, as candidates for a request.
 
+use std::time::Duration;
+
 use paddlemount_core::{
     forwarding::{
         announcements::limits::Opening,
@@ -41,6 +43,8 @@
     pub healthy_only: bool,
     /// Back ends that were tried already.
     pub tried: &'a [BackendId],
+    /// The time within which the answer should start.
+    pub target_latency: Duration,
     /// A random number drawn for the request.
     pub draw: u64,
 }
@@ -67,13 +71,24 @@
 }
 
 impl NodeState {
-    /// Chooses the back end for a request.
+    /// Chooses the back end for a request, and forecasts when its answer begins.
     pub(crate) fn choose_backend(
         &self,
         request: RouteRequest<'_>,
         zone: &ZoneId,
         nodes: NodeCount,
         now: Timestamp,
+    ) -> Option<Choice> {
+        let choice = self.choose_without_forecast(request, zone, nodes, now)?;
+        Some(Choice { forecast: self.forecast(request.service, &choice, now), ..choice })
+    }
+
+    fn choose_without_forecast(
+        &self,
+        request: RouteRequest<'_>,
+        zone: &ZoneId,
+        nodes: NodeCount,
+        now: Timestamp,
     ) -> Option<Choice> {
         let pool = self.backends.pool(request.service)?;
         let store = request.prompt.and_then(|prompt| shard_of(prompt, self.stores()));
@@ -86,6 +101,10 @@
             sample_size: sample_size(pool.len(), nodes),
             replicate: request.copied && self.can_copy(request.service, now),
             now,
+            timing: self
+                .forecasters
+                .get(request.service)
+                .and_then(|forecaster| forecaster.timing(request.target_latency, now)),
         };
         let healthy_view = self.view(pool, request, nodes, now);
         let is_of_service = |id: &&BackendId| {
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -170,6 +170,7 @@
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
             healthy_only: self.history.misdirected > 0,
+            target_latency: self.route.target_latency,
             tried: &self.tried,
             draw: self.draw,
         };
@@ -190,6 +191,9 @@
             // Recorded on the first send, once per request: recorded when answers end, the credit of requests
             // that an engine kept waiting would all fall into one budget window.
             self.node.record_first_attempt(&self.service);
+            if let Some(prompt) = &self.head.prompt {
+                self.node.record_offered_prompt(&self.service, prompt.prompt_tokens);
+            }
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
@@ -323,6 +327,11 @@
             self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
         }
         self.record_source_time(choice, now);
+        if let (Some(sent_at), 0) = (self.sent_at, self.record.resumed) {
+            let measured = now.saturating_since(sent_at);
+            let target = self.route.target_latency;
+            self.node.record_forecast_outcome(&self.service, choice, measured, target);
+        }
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut updates =
                 self.node.state.borrow_mut().chooser.record_prefill(&choice.backend, scope, prompt, now);
--- /dev/null
+++ b/crates/forward/src/forecasts.rs
@@ -0,0 +1,104 @@
+//! Records outcomes for forecasts of the time to the first event, and reports whether these are in use.
+
+use std::time::Duration;
+
+use paddlemount_core::forwarding::{
+    choice::Choice,
+    forecast::{Forecaster, NEUTRAL_SLOWNESS, Outcome, time_to_first_event},
+};
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
+
+use crate::{
+    journal::Event,
+    metrics::{Distribution, Gauge},
+    node::Node,
+    node_state::NodeState,
+};
+
+/// The shortest outcome and forecast that are compared as a ratio.
+const MIN_COMPARED: Duration = Duration::from_millis(1);
+
+impl Node {
+    /// Records a request with a prompt that is sent to an engine for the first time.
+    pub(crate) fn record_offered_prompt(&self, service: &ServiceId, prompt_tokens: u32) {
+        if !self.settings().load.forecast {
+            return;
+        }
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        state.forecasters.entry(service.clone()).or_default().record_offered(prompt_tokens, now);
+    }
+
+    /// Records the time until the first event of an answer.
+    pub(crate) fn record_forecast_outcome(
+        &self,
+        service: &ServiceId,
+        choice: &Choice,
+        measured: Duration,
+        target: Duration,
+    ) {
+        if let Some(forecast) = choice.forecast {
+            let ratio = measured.max(MIN_COMPARED).as_secs_f64() / forecast.max(MIN_COMPARED).as_secs_f64();
+            self.metrics.observe_value(Distribution::ForecastRatio, ratio);
+        }
+        let outcome = Outcome {
+            workload: choice.workload,
+            work: choice.work,
+            forecast: choice.forecast,
+            measured,
+            target,
+        };
+        let now = self.now();
+        if let Some(forecaster) = self.state.borrow_mut().forecasters.get_mut(service) {
+            forecaster.record(&outcome, now);
+        }
+    }
+
+    /// Updates the forecasters, and logs those that came into use, are no longer used, or prefer other engines
+    /// for long prompts.
+    pub(crate) fn update_forecasts(&self) {
+        let now = self.now();
+        let nodes = self.nodes().known().unwrap_or(1);
+        let mut state = self.state.borrow_mut();
+        if !self.settings().load.forecast {
+            state.forecasters.clear();
+            return;
+        }
+        let NodeState { forecasters, table, backends, .. } = &mut *state;
+        for (service, forecaster) in forecasters {
+            let target = table.as_ref().and_then(|table| table.tightest_target(service));
+            let (Some(target), Some(pool)) = (target, backends.pool(service)) else { continue };
+            let before = (forecaster.is_trusted(now), share(forecaster));
+            forecaster.update(target, pool.len(), nodes, now);
+            let trusted = forecaster.is_trusted(now);
+            if before != (trusted, share(forecaster)) {
+                self.journal.log(&Event::ForecastChanged {
+                    service: service.as_str(),
+                    trusted,
+                    long_tokens: forecaster.long_prompts().map(|long| long.min_tokens),
+                    long_share: share(forecaster),
+                });
+            }
+        }
+    }
+
+    /// The number of services whose engines are chosen by forecasts.
+    pub(crate) fn forecast_gauge(&self, state: &NodeState) -> Gauge {
+        let now = self.now();
+        let trusted = state.forecasters.values().filter(|forecaster| forecaster.is_trusted(now)).count();
+        Gauge { name: "paddlemount_forward_forecasts_trusted", value: trusted as f64 }
+    }
+}
+
+impl NodeState {
+    /// The forecast for a choice; `None` without a prompt or without rates.
+    pub(crate) fn forecast(&self, service: &ServiceId, choice: &Choice, now: Timestamp) -> Option<Duration> {
+        choice.scope.as_ref()?;
+        let rates = self.forecasters.get(service)?.measured_rates(now)?;
+        Some(time_to_first_event(&rates, NEUTRAL_SLOWNESS, choice.workload, choice.work))
+    }
+}
+
+fn share(forecaster: &Forecaster) -> Option<f64> {
+    forecaster.long_prompts().map(|long| long.share)
+}
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -95,6 +95,9 @@
     LimitUnreadable { backend: &'a str, value: &'a str },
     /// Answers of back ends carry an unknown header; logged once per name.
     AnswerHeaderUnknown { name: &'a str, backend: &'a str },
+    /// Forecasts for a service came into use or are no longer used, or another share of its engines is
+    /// preferred for prompts of `long_tokens` or more.
+    ForecastChanged { service: &'a str, trusted: bool, long_tokens: Option<u32>, long_share: Option<f64> },
     /// A cache feed is followed, or no longer.
     FeedChanged { backend: &'a str, change: &'static str, detail: String },
     /// A target version was announced, at most `at_most_ms` ago if known.
@@ -213,6 +216,8 @@
     pub imported: bool,
     /// The requested version of the weights.
     pub weights: Option<u64>,
+    /// The forecast time from sending to the first event, in milliseconds.
+    pub forecast_ms: Option<u64>,
     /// Milliseconds to the first byte of the answer's body.
     pub first_ms: Option<u64>,
     /// The longest gap between two parts of a stream, in milliseconds.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`node`], [`node_state`] | a node and its state |
 //! | [`fact_updates`], `backend_updates` | applies facts of the store, and what is observed of back ends |
 //! | [`candidates`] | describes back ends to the chooser |
+//! | `forecasts` | outcomes for forecasts of the time to the first event |
 //! | [`announcements`] | draining, back-off and limits that back ends announce in their answers |
 //! | `limits` | advertised limits, divided among all nodes |
 //! | `unknown_headers`, [`logged_once`] | logs unknown headers of back ends' answers, once each |
@@ -54,6 +55,7 @@
 pub mod exchange;
 pub mod fact_updates;
 pub mod facts;
+mod forecasts;
 pub mod ingress;
 pub mod journal;
 pub mod leadership;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -129,6 +129,8 @@
     StoreCall,
     /// A report to the parent.
     PeerCall,
+    /// The time until a first event as a multiple of its forecast; its bounds are multiples, not seconds.
+    ForecastRatio,
 }
 
 impl Distribution {
@@ -138,13 +140,14 @@
             Self::RoutingDelay => "paddlemount_forward_added_seconds",
             Self::StoreCall => "paddlemount_forward_store_call_seconds",
             Self::PeerCall => "paddlemount_forward_peer_call_seconds",
+            Self::ForecastRatio => "paddlemount_forward_forecast_ratio",
         }
     }
 
     fn labels(self) -> String {
         match self {
             Self::FirstByte(kind) => format!("kind=\"{kind}\","),
-            Self::RoutingDelay | Self::StoreCall | Self::PeerCall => String::new(),
+            Self::RoutingDelay | Self::StoreCall | Self::PeerCall | Self::ForecastRatio => String::new(),
         }
     }
 }
@@ -183,13 +186,17 @@
 
     /// Records a duration.
     pub fn observe(&self, distribution: Distribution, time: std::time::Duration) {
-        let seconds = time.as_secs_f64();
+        self.observe_value(distribution, time.as_secs_f64());
+    }
+
+    /// Records a value in the unit of the distribution.
+    pub fn observe_value(&self, distribution: Distribution, value: f64) {
         let mut histograms = self.histograms.borrow_mut();
         let histogram = histograms.entry(distribution).or_default();
         histogram.count += 1;
-        histogram.sum += seconds;
+        histogram.sum += value;
         for (bucket, bound) in histogram.buckets.iter_mut().zip(TIME_BUCKETS) {
-            *bucket += u64::from(seconds <= bound);
+            *bucket += u64::from(value <= bound);
         }
     }
 
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -326,6 +326,7 @@
         self.track_reactivated(&mut state);
         state.refused_until.retain(|_, until| now < *until);
         drop(state);
+        self.update_forecasts();
         self.expire_announcements();
         self.sweep_quarantine();
     }
@@ -354,6 +355,7 @@
                 self.oldest_quarantine(self.now()).as_secs_f64(),
             ),
             gauge("paddlemount_forward_named_age_seconds", target_age(&state, self.now())),
+            self.forecast_gauge(&state),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
         gauges.into_iter().chain(self.announcement_gauges()).collect()
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -9,6 +9,7 @@
         budget::{WindowBudget, WindowBudgetSettings, node_reserve},
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
+        forecast::Forecaster,
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
@@ -46,6 +47,8 @@
     pub backends: Backends,
     /// Loads and cached prefixes of back ends.
     pub chooser: Chooser,
+    /// Forecasts of the time to the first event, by service.
+    pub(crate) forecasters: BTreeMap<ServiceId, Forecaster>,
     pub health: Health,
     /// The target versions of weights.
     pub rollout: Rollout,
@@ -143,6 +146,7 @@
             freshness: Freshness::default(),
             backends: Backends::default(),
             chooser: Chooser::default(),
+            forecasters: BTreeMap::new(),
             health: Health::new(health_settings()),
             rollout,
             leader: None,
