Forecast: the engines for long prompts need the demand of all nodes; trust by the target

Change: all engines are preferred without the demand of all nodes; a forecast that lies within the target like its outcome is close; the judgement changes once a second; slow engines are forecast by this node's latencies, until engine performance is shared.

--- a/crates/core/src/forwarding/choice/by_time.rs
+++ b/crates/core/src/forwarding/choice/by_time.rs
@@ -16,7 +16,8 @@
     tie,
 };
 use crate::forwarding::{
-    forecast::{EngineWorkload, NEUTRAL_SLOWNESS, RequestWork, Timing, time_to_first_event},
+    forecast::{EngineWorkload, RequestWork, Timing, time_to_first_event},
+    load::TYPICAL_SLOWNESS,
     prompt::Prompt,
     ranks::{rank, rank_for},
 };
@@ -64,6 +65,8 @@
     placement: Placement<'a>,
     timing: &'a Timing,
     prompt: &'a Prompt,
+    /// The median latency of the compared engines, in milliseconds.
+    median_ms: f64,
 }
 
 impl Chooser {
@@ -75,18 +78,24 @@
         prompt: &Prompt,
         pool: &dyn CandidatePool,
     ) -> Option<Choice> {
-        let request = Request { placement, timing, prompt };
+        let sampled = sample(pool, placement);
+        let median_ms = self.loads.median_ms(sampled.iter().map(|candidate| candidate.id));
+        let request = Request { placement, timing, prompt, median_ms };
         let evaluated = match timing.is_long(prompt) {
-            true => self.choose_for_long(request, pool),
-            false => self.choose_for_short(request, pool),
+            true => self.choose_for_long(request, &sampled, pool),
+            false => self.choose_for_short(request, &sampled, pool),
         };
         evaluated.map(|evaluated| evaluated.choice)
     }
 
-    fn choose_for_long(&self, request: Request<'_>, pool: &dyn CandidatePool) -> Option<Evaluated> {
-        let Request { placement, timing, prompt } = request;
-        let sampled = sample(pool, placement);
-        let mut groups = self.groups(request, &sampled, pool);
+    fn choose_for_long(
+        &self,
+        request: Request<'_>,
+        sampled: &[Candidate<'_>],
+        pool: &dyn CandidatePool,
+    ) -> Option<Evaluated> {
+        let Request { placement, timing, prompt, .. } = request;
+        let mut groups = self.groups(request, sampled, pool);
         // Requests prefer the newest weights, unless a rollout makes the older ones equal.
         groups.sort_by_key(|group| std::cmp::Reverse(group.weights));
         let key = prompt.shared().last().map(|segment| segment.id.0);
@@ -102,7 +111,7 @@
         let in_time = |home: &Evaluated| !home.outdated && home.forecast <= accepted_start;
         if let Some(home) = all.iter().position(in_time) {
             let mut home = all.swap_remove(home);
-            self.complete(&mut home, request, &groups, &sampled);
+            self.complete(&mut home, request, &groups, sampled);
             return Some(home);
         }
         let holders = groups.iter().flat_map(|group| &group.holders);
@@ -111,14 +120,18 @@
         others.extend(sampled.iter().cloned());
         all.extend(self.evaluate_all(request, &others, &groups));
         let mut best = cheapest(all, placement.seed)?;
-        self.complete(&mut best, request, &groups, &sampled);
+        self.complete(&mut best, request, &groups, sampled);
         Some(best)
     }
 
-    fn choose_for_short(&self, request: Request<'_>, pool: &dyn CandidatePool) -> Option<Evaluated> {
-        let Request { placement, timing, prompt } = request;
-        let sampled = sample(pool, placement);
-        let groups = self.groups(request, &sampled, pool);
+    fn choose_for_short(
+        &self,
+        request: Request<'_>,
+        sampled: &[Candidate<'_>],
+        pool: &dyn CandidatePool,
+    ) -> Option<Evaluated> {
+        let Request { placement, timing, prompt, .. } = request;
+        let groups = self.groups(request, sampled, pool);
         let (own_zone, other_zones): (Vec<_>, Vec<_>) =
             sampled.iter().cloned().partition(|candidate| candidate.zone == placement.zone);
         let mut nearest = if own_zone.is_empty() { other_zones.clone() } else { own_zone };
@@ -132,7 +145,7 @@
             all.extend(self.evaluate_all(request, &other_zones, &groups));
         }
         let mut best = cheapest(all, placement.seed)?;
-        self.complete(&mut best, request, &groups, &sampled);
+        self.complete(&mut best, request, &groups, sampled);
         Some(best)
     }
 
@@ -171,12 +184,13 @@
         group: &WeightsGroup<'_>,
         eligible: usize,
     ) -> Evaluated {
-        let Request { placement, timing, prompt } = request;
+        let Request { placement, timing, prompt, median_ms } = request;
         let mut choice = self.evaluate(candidate, group, placement, prompt);
         choice.workload = self.workload(candidate);
         choice.work = RequestWork { prefill_tokens: choice.expected_tokens, transfer: Duration::ZERO };
         choice.eligible = eligible;
-        let forecast = time_to_first_event(&timing.rates, NEUTRAL_SLOWNESS, choice.workload, choice.work);
+        let slowness = self.loads.slowness(candidate.id, median_ms, TYPICAL_SLOWNESS, placement.now);
+        let forecast = time_to_first_event(&timing.rates, slowness, choice.workload, choice.work);
         let late = forecast.saturating_sub(timing.target).as_secs_f64();
         let delayed = 1.0 + WAITING_SHARE * f64::from(choice.workload.requests);
         let work = timing.rates.reading(choice.work.prefill_tokens).as_secs_f64() * delayed;
--- a/crates/core/src/forwarding/forecast/error.rs
+++ b/crates/core/src/forwarding/forecast/error.rs
@@ -34,13 +34,13 @@
 }
 
 impl ForecastError {
-    /// Records an outcome.
+    /// Records an outcome. It is close to its forecast if both are within the target, or not far apart.
     pub fn record(&mut self, forecast: Duration, measured: Duration, target: Duration, now: Timestamp) {
-        let is_close = forecast.abs_diff(measured) <= target / TOLERATED_PART_OF_TARGET
+        let is_close = forecast.max(measured) <= target
+            || forecast.abs_diff(measured) <= target / TOLERATED_PART_OF_TARGET
             || (measured <= forecast * TOLERATED_FACTOR && forecast <= measured * TOLERATED_FACTOR);
         self.all.add(1.0, now);
         self.close.add(f64::from(u8::from(is_close)), now);
-        self.update(now);
     }
 
     /// Updates the judgement: outcomes age without newer ones.
--- a/crates/core/src/forwarding/forecast/mod.rs
+++ b/crates/core/src/forwarding/forecast/mod.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Records a request that is sent for the first time.
-    pub fn record_offered(&mut self, prompt_tokens: u32, now: Timestamp) {
-        self.long_prompts.record(prompt_tokens, now);
-    }
-
     /// The rates as measured, whether or not forecasts by them may be trusted.
     pub fn measured_rates(&self, now: Timestamp) -> Option<Rates> {
         self.estimator.rates(now)
@@ -116,12 +111,13 @@
         self.measured_rates(now).filter(|_| self.error.is_trusted(now))
     }
 
-    /// Updates the preference for long prompts, in a pool of `engines` and a fleet of `nodes`.
-    /// `tightest_target` is the tightest target latency of the service's routes.
-    pub fn update(&mut self, tightest_target: Duration, engines: usize, nodes: u32, now: Timestamp) {
+    /// Updates the preference for long prompts in a pool of `engines`. `tightest_target` is the tightest target
+    /// latency of the service's routes; `demand` counts the tokens a second of long prompts at all nodes, if
+    /// known.
+    pub fn update(&mut self, tightest_target: Duration, engines: usize, demand: Option<f64>, now: Timestamp) {
         self.error.update(now);
         if let Some(rates) = self.measured_rates(now) {
-            self.long_prompts.update(&rates, tightest_target, engines, nodes, now);
+            self.long_prompts.update(&rates, tightest_target, engines, demand, now);
         }
     }
 
--- a/crates/core/src/forwarding/forecast/rates.rs
+++ b/crates/core/src/forwarding/forecast/rates.rs
@@ -114,7 +114,11 @@
         let large = classes.next_back()?;
         let (smallest, largest) = (fastest(small.iter())?, fastest(large.iter())?);
         let slope = (largest.seconds - smallest.seconds) / (largest.tokens - smallest.tokens);
-        let per_token = slope.max(0.0);
+        // The larger prompts waited less than the smaller ones: nothing can be told apart.
+        if !slope.is_finite() || slope <= 0.0 {
+            return None;
+        }
+        let per_token = slope;
         let start = (smallest.seconds - per_token * smallest.tokens).max(0.0);
         let per_request = delay_per_request(small).clamp(0.0, start / smallest.requests.max(1.0));
         let duration = |seconds: f64| Duration::try_from_secs_f64(seconds).unwrap_or_default();
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -191,9 +191,6 @@
             // Recorded on the first send, once per request: recorded when answers end, the credit of requests
             // that an engine kept waiting would all fall into one budget window.
             self.node.record_first_attempt(&self.service);
-            if let Some(prompt) = &self.head.prompt {
-                self.node.record_offered_prompt(&self.service, prompt.prompt_tokens);
-            }
         }
         if choice.import_from.is_some() {
             self.node.metrics.count(Counter::Imports);
--- a/crates/forward/src/forecasts.rs
+++ b/crates/forward/src/forecasts.rs
@@ -19,16 +19,6 @@
 const MIN_COMPARED: Duration = Duration::from_millis(1);
 
 impl Node {
-    /// Records a request with a prompt that is sent to an engine for the first time.
-    pub(crate) fn record_offered_prompt(&self, service: &ServiceId, prompt_tokens: u32) {
-        if !self.settings().load.forecast {
-            return;
-        }
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        state.forecasters.entry(service.clone()).or_default().record_offered(prompt_tokens, now);
-    }
-
     /// Records the time until the first event of an answer.
     pub(crate) fn record_forecast_outcome(
         &self,
@@ -37,6 +27,9 @@
         measured: Duration,
         target: Duration,
     ) {
+        if choice.scope.is_none() || !self.settings().load.forecast {
+            return;
+        }
         if let Some(forecast) = choice.forecast {
             let ratio = measured.max(MIN_COMPARED).as_secs_f64() / forecast.max(MIN_COMPARED).as_secs_f64();
             self.metrics.observe_value(Distribution::ForecastRatio, ratio);
@@ -49,16 +42,14 @@
             target,
         };
         let now = self.now();
-        if let Some(forecaster) = self.state.borrow_mut().forecasters.get_mut(service) {
-            forecaster.record(&outcome, now);
-        }
+        let mut state = self.state.borrow_mut();
+        state.forecasters.entry(service.clone()).or_default().record(&outcome, now);
     }
 
     /// Updates the forecasters, and logs those that came into use, are no longer used, or prefer other engines
     /// for long prompts.
     pub(crate) fn update_forecasts(&self) {
         let now = self.now();
-        let nodes = self.nodes().known().unwrap_or(1);
         let mut state = self.state.borrow_mut();
         if !self.settings().load.forecast {
             state.forecasters.clear();
@@ -69,7 +60,7 @@
             let target = table.as_ref().and_then(|table| table.tightest_target(service));
             let (Some(target), Some(pool)) = (target, backends.pool(service)) else { continue };
             let before = (forecaster.is_trusted(now), share(forecaster));
-            forecaster.update(target, pool.len(), nodes, now);
+            forecaster.update(target, pool.len(), None, now);
             let trusted = forecaster.is_trusted(now);
             if before != (trusted, share(forecaster)) {
                 self.journal.log(&Event::ForecastChanged {
