--- a/crates/core/src/forwarding/choice/by_time.rs
+++ b/crates/core/src/forwarding/choice/by_time.rs
@@ -16,8 +16,7 @@
     tie,
 };
 use crate::forwarding::{
-    forecast::{EngineWorkload, RequestWork, Timing, time_to_first_event},
-    load::TYPICAL_SLOWNESS,
+    forecast::{EngineWorkload, NEUTRAL_SLOWNESS, RequestWork, Timing, time_to_first_event},
     prompt::Prompt,
     ranks::{rank, rank_for},
 };
@@ -65,8 +64,6 @@
     placement: Placement<'a>,
     timing: &'a Timing,
     prompt: &'a Prompt,
-    /// The median latency of the compared engines, in milliseconds.
-    median_ms: f64,
 }
 
 impl Chooser {
@@ -79,8 +76,7 @@
         pool: &dyn CandidatePool,
     ) -> Option<Choice> {
         let sampled = sample(pool, placement);
-        let median_ms = self.loads.median_ms(sampled.iter().map(|candidate| candidate.id));
-        let request = Request { placement, timing, prompt, median_ms };
+        let request = Request { placement, timing, prompt };
         let evaluated = match timing.is_long(prompt) {
             true => self.choose_for_long(request, &sampled, pool),
             false => self.choose_for_short(request, &sampled, pool),
@@ -94,7 +90,7 @@
         sampled: &[Candidate<'_>],
         pool: &dyn CandidatePool,
     ) -> Option<Evaluated> {
-        let Request { placement, timing, prompt, .. } = request;
+        let Request { placement, timing, prompt } = request;
         let mut groups = self.groups(request, sampled, pool);
         // Requests prefer the newest weights, unless a rollout makes the older ones equal.
         groups.sort_by_key(|group| std::cmp::Reverse(group.weights));
@@ -130,7 +126,7 @@
         sampled: &[Candidate<'_>],
         pool: &dyn CandidatePool,
     ) -> Option<Evaluated> {
-        let Request { placement, timing, prompt, .. } = request;
+        let Request { placement, timing, prompt } = request;
         let groups = self.groups(request, sampled, pool);
         let (own_zone, other_zones): (Vec<_>, Vec<_>) =
             sampled.iter().cloned().partition(|candidate| candidate.zone == placement.zone);
@@ -184,13 +180,12 @@
         group: &WeightsGroup<'_>,
         eligible: usize,
     ) -> Evaluated {
-        let Request { placement, timing, prompt, median_ms } = request;
+        let Request { placement, timing, prompt } = request;
         let mut choice = self.evaluate(candidate, group, placement, prompt);
         choice.workload = self.workload(candidate);
         choice.work = RequestWork { prefill_tokens: choice.expected_tokens, transfer: Duration::ZERO };
         choice.eligible = eligible;
-        let slowness = self.loads.slowness(candidate.id, median_ms, TYPICAL_SLOWNESS, placement.now);
-        let forecast = time_to_first_event(&timing.rates, slowness, choice.workload, choice.work);
+        let forecast = time_to_first_event(&timing.rates, NEUTRAL_SLOWNESS, choice.workload, choice.work);
         let late = forecast.saturating_sub(timing.target).as_secs_f64();
         let delayed = 1.0 + WAITING_SHARE * f64::from(choice.workload.requests);
         let work = timing.rates.reading(choice.work.prefill_tokens).as_secs_f64() * delayed;
