--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -324,11 +324,7 @@
             self.node.metrics.observe(Distribution::FirstByte(kind), now.saturating_since(self.arrived));
         }
         self.record_source_time(choice, now);
-        if let (Some(sent_at), 0) = (self.sent_at, self.record.resumed) {
-            let measured = now.saturating_since(sent_at);
-            let target = self.route.target_latency;
-            self.node.record_forecast_outcome(&self.service, choice, measured, target);
-        }
+        self.record_forecast_outcome(choice, now);
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut updates =
                 self.node.state.borrow_mut().chooser.record_prefill(&choice.backend, scope, prompt, now);
--- a/crates/forward/src/forecasts.rs
+++ b/crates/forward/src/forecasts.rs
@@ -9,6 +9,7 @@
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
+    exchange::Exchange,
     journal::Event,
     metrics::{Distribution, Gauge},
     node::Node,
@@ -81,6 +82,15 @@
     }
 }
 
+impl Exchange {
+    /// Records the time until the first event of a run that began here.
+    pub(crate) fn record_forecast_outcome(&self, choice: &Choice, now: Timestamp) {
+        let Some(sent_at) = self.sent_at.filter(|_| self.record.resumed == 0) else { return };
+        let measured = now.saturating_since(sent_at);
+        self.node.record_forecast_outcome(&self.service, choice, measured, self.route.target_latency);
+    }
+}
+
 impl NodeState {
     /// The forecast for a choice; `None` without a prompt or without rates.
     pub(crate) fn forecast(&self, service: &ServiceId, choice: &Choice, now: Timestamp) -> Option<Duration> {
