--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -54,6 +54,7 @@
             replicate: false,
             transfers: None,
             now: Timestamp::ZERO,
+            timing: None,
         }
     }
 }
@@ -189,6 +190,7 @@
         replicate: false,
         transfers: None,
         now: Timestamp::ZERO,
+        timing: None,
     };
     chooser.loads.record_start(&fixture.ids[0], 0, Timestamp::ZERO);
     chooser.loads.record_start(&fixture.ids[1], 0, Timestamp::ZERO);
--- a/crates/core/tests/forwarding_transfers.rs
+++ b/crates/core/tests/forwarding_transfers.rs
@@ -94,6 +94,7 @@
             replicate,
             transfers,
             now: Timestamp::ZERO,
+            timing: None,
         };
         self.chooser.choose(placement, &vec![candidate(0), candidate(1)]).expect("a back end")
     }
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -177,6 +177,7 @@
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
             healthy_only: self.history.misdirected > 0,
+            target_latency: self.route.target_latency,
             tried: &self.tried,
             draw: self.draw,
         };
@@ -333,6 +334,7 @@
         }
         self.record_source_time(choice, now);
         self.record_start_time(now);
+        self.record_forecast_outcome(choice, now);
         if let (Some(prompt), Some(scope)) = (&self.head.prompt, &choice.scope) {
             let mut updates =
                 self.node.state.borrow_mut().chooser.record_prefill(&choice.backend, scope, prompt, now);
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -10,6 +10,7 @@
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
         demand::Demand,
+        forecast::Forecaster,
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
@@ -49,6 +50,8 @@
     pub chooser: Chooser,
     /// The demand of callers for engines.
     pub demand: Demand,
+    /// Forecasts of the time to the first event, by service.
+    pub(crate) forecasters: BTreeMap<ServiceId, Forecaster>,
     pub health: Health,
     /// The target versions of weights.
     pub rollout: Rollout,
@@ -147,6 +150,7 @@
             backends: Backends::default(),
             chooser: Chooser::default(),
             demand: Demand::default(),
+            forecasters: BTreeMap::new(),
             health: Health::new(health_settings()),
             rollout,
             leader: None,
