Engine performance: speed and condition of engines, shared by all nodes

Cause: each of many nodes meets an engine every few seconds, so nobody has a fresh measurement of its speed, or knows that it went silent or is full.

Change: decaying sums of measurements and conditions go up the tree in reports and down in digests, changes only. Choices leave out silent engines but for single probes, return to them one after another, and use the shared speed. EnginePerformance rows get the number of observers, and samples in thousandths.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -38,6 +38,7 @@
 use super::{
     backends::BackendId,
     load::{BackendLoad, Loads, MIN_SLOWNESS},
+    performance::EngineProfile,
     prefixes::{CachedSegment, PrefixIndex, ScopeHash},
     prompt::{CacheScope, Prompt, SegmentId},
 };
@@ -59,6 +60,8 @@
     pub eligible: bool,
     /// Whether its weights are older than the version preferred for new requests.
     pub outdated: bool,
+    /// What all nodes know of it, if they share that.
+    pub profile: Option<EngineProfile>,
 }
 
 /// A cache store.
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -34,6 +34,9 @@
 /// The cost of a back end in another zone, in prefilled tokens.
 const OTHER_ZONE_TOKENS: u64 = 120;
 
+/// The number of measurements of all nodes below which this node goes by its own.
+const MIN_SHARED_SAMPLES: f64 = 3.0;
+
 /// The properties shared by all candidates with the same weights.
 pub(super) struct WeightsGroup<'a> {
     pub(super) weights: WeightsVersion,
@@ -111,7 +114,11 @@
         let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
         // Unlike other requests, prompts reach every back end by its cached segments, so that one without
         // recent measurements needs no preference.
-        let slowness = self.loads.slowness(candidate.id, median_ms, TYPICAL_SLOWNESS, placement.now);
+        let shared = candidate.profile.filter(|profile| profile.samples >= MIN_SHARED_SAMPLES);
+        let slowness = shared.map_or_else(
+            || self.loads.slowness(candidate.id, median_ms, TYPICAL_SLOWNESS, placement.now),
+            |profile| profile.slowness,
+        );
         let work = (pending + prefill) as f64 * slowness;
         let outdated = if candidate.outdated { OUTDATED_TOKENS } else { 0 };
         work as u64 + distance + outdated
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -184,6 +184,11 @@
         now.saturating_since(*oldest) >= timeout
     }
 
+    /// The back ends that are suspect.
+    pub fn suspects(&self, now: Timestamp) -> impl Iterator<Item = &BackendId> {
+        self.unanswered.keys().filter(move |backend| self.is_suspect(backend, now))
+    }
+
     /// Removes a back end.
     pub fn forget(&mut self, backend: &BackendId) {
         self.by_backend.remove(backend);
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 //! | [`pool`], [`ranks`] | the back ends of a service, in an order that all nodes share |
 //! | [`choice`] | which back end gets a request, and from where it imports a cached prefix |
 //! | [`load`], [`prefixes`] | requests in flight, and cached segments of prompts |
+//! | [`performance`] | the speed and the condition of engines, as measured by all nodes |
 //! | [`prompt`] | the segments of a prompt |
 //! | [`attempt`] | what follows a failed attempt |
 //! | [`budget`] | whether a request may be retried |
@@ -48,6 +49,7 @@
 pub mod freshness;
 pub mod gossip;
 pub mod load;
+pub mod performance;
 pub mod planned_stop;
 pub mod pool;
 pub mod prefixes;
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -39,6 +39,7 @@
             slots: 8,
             eligible: true,
             outdated: false,
+            profile: None,
         };
         self.ids.iter().enumerate().map(candidate).collect()
     }
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -66,6 +66,8 @@
         runs: RunReport::default(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        performance: Vec::new(),
+        demand: Vec::new(),
         offered_load: 0.0,
         cache_updates: Vec::new(),
         log: 0,
--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -100,6 +100,7 @@
         slots: 8,
         eligible: number % 5 != 0,
         outdated: false,
+        profile: None,
     };
     ids.iter().enumerate().map(candidate).collect()
 }
--- a/crates/core/tests/tree_support/mod.rs
+++ b/crates/core/tests/tree_support/mod.rs
@@ -272,6 +272,8 @@
     Report {
         leaving: Vec::new(),
         limits: Vec::new(),
+        performance: Vec::new(),
+        demand: Vec::new(),
         offered_load: 0.0,
         sender: fleet.local_member().clone(),
         join_capacity: fleet.children.join_capacity(now),
--- a/crates/forward/src/announcements.rs
+++ b/crates/forward/src/announcements.rs
@@ -114,7 +114,7 @@
             DrainingEffect::Known => return,
             DrainingEffect::Leaves => {}
             DrainingEffect::Dropped => {
-                state.forget(&process.id);
+                state.forget(&process.id, self.now());
                 self.pool.borrow_mut().close(&process.id);
             }
         }
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -10,7 +10,7 @@
     forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice},
     health::HealthEvent,
 };
-use paddlemount_protocol::time::Timestamp;
+use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
 
 use crate::{
     connection::{Connection, ConnectionError},
@@ -20,6 +20,9 @@
     response_wait::{OUTDATED, Waited},
 };
 
+/// The minimum time without an answer after which an engine is suspected of being silent. Attempts that end
+/// earlier had little time left.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The largest body that is read into memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -107,6 +110,8 @@
 pub struct LoadGuard {
     node: Rc<Node>,
     pub backend: BackendId,
+    /// The engine process, if its performance is recorded.
+    pub process: Option<BackendProcess>,
     began: Timestamp,
     pending_prefill_tokens: Option<u64>,
 }
@@ -125,6 +130,7 @@
         Self {
             node: Rc::clone(node),
             backend: choice.backend.clone(),
+            process: node.recorded_engine(choice),
             began,
             pending_prefill_tokens: Some(choice.expected_tokens),
         }
@@ -138,6 +144,10 @@
             let mut state = self.node.state.borrow_mut();
             state.chooser.loads.record_first_event(&self.backend, tokens, self.began);
             state.chooser.loads.record_latency(&self.backend, milliseconds, now);
+            drop(state);
+            if let Some(process) = &self.process {
+                self.node.record_engine_first_event(process, tokens, now.saturating_since(self.began));
+            }
         }
     }
 }
@@ -182,6 +192,7 @@
     }
     let sent_at = node.now();
     node.acquire_permit(&choice.backend);
+    node.record_engine_sent(load.process.as_ref());
     let waiting = connection.send(request);
     let answer = match node.wait(starting_at, deadline, waiting).await {
         Waited::Done(Ok(answer)) => answer,
@@ -197,10 +208,14 @@
             return Err(AttemptFailure { reused, ..AttemptFailure::unclear(OUTDATED.into()) });
         }
         Waited::TimeUp => {
+            if node.now().saturating_since(sent_at) >= MIN_SILENCE {
+                node.record_engine_silence(load.process.as_ref());
+            }
             node.record_health(&choice.backend, HealthEvent::Failed, false);
             return Err(AttemptFailure { reused, ..AttemptFailure::unclear("no answer in time".into()) });
         }
     };
+    node.record_engine_contact(load.process.as_ref());
     let (head, body) = answer.into_parts();
     let parsed = node.platform.read_answer(head.status, &head.headers);
     connection.keep_alive = keep_alive(&head.headers);
@@ -332,6 +347,7 @@
     }
     if !parsed.misdirected {
         node.record_backend_refusal(&choice.backend);
+        node.record_engine_refusal(node.recorded_engine(choice).as_ref());
     }
     AttemptEnd::NotRun
 }
--- a/crates/forward/src/backend_updates.rs
+++ b/crates/forward/src/backend_updates.rs
@@ -19,7 +19,7 @@
         let AppliedEntry { change, replaced } = state.backends.apply_entry(entry, source);
         if change == EntryChange::Restarted {
             // The known process has ended, with its connections and its cache.
-            state.forget(&id);
+            state.forget(&id, self.now());
             self.pool.borrow_mut().close(&id);
         }
         self.track_health(&mut state, &id);
@@ -61,7 +61,7 @@
 
     /// Drops the state of a back end whose address belongs to another process.
     fn drop_replaced(&self, state: &mut NodeState, replacement: &Replacement, shown_by: &'static str) {
-        state.forget(&replacement.backend);
+        state.forget(&replacement.backend, self.now());
         self.pool.borrow_mut().close(&replacement.backend);
         self.journal.log(&Event::BackendReplaced {
             backend: replacement.backend.as_str(),
@@ -78,7 +78,7 @@
         let change = state.backends.remove(id, now);
         self.track_reactivated(&mut state);
         if let (EntryChange::Removed, Some(service)) = (change, service) {
-            state.forget(id);
+            state.forget(id, now);
             self.pool.borrow_mut().close(id);
             let event = Event::BackendChanged {
                 backend: id.as_str(),
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -14,6 +14,7 @@
     health::Availability,
 };
 use paddlemount_protocol::{
+    fleet::EngineCondition,
     identity::{ModelId, ServiceId, TenantId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
@@ -45,6 +46,15 @@
     pub draw: u64,
 }
 
+/// Engines that are left out by what all nodes know of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Avoided {
+    None,
+    Silent,
+    /// Silent and full ones, and those to which this node does not return yet.
+    All,
+}
+
 /// The back ends of a service, as seen by one request.
 #[derive(Clone, Copy)]
 struct View<'a> {
@@ -56,6 +66,8 @@
     probed: Option<&'a BackendId>,
     /// Whether only healthy back ends are eligible.
     healthy_only: bool,
+    /// Which engines are left out by what all nodes know of them.
+    avoided: Avoided,
     /// The oldest version of the weights that the request may start on.
     required: Option<WeightsVersion>,
     /// The oldest version that the request prefers.
@@ -100,11 +112,18 @@
         if let Some(choice) = self.chooser.choose(placement, &healthy_view) {
             return Some(choice);
         }
+        // Without this, the last engines of a pool would be hidden while all are full.
+        if healthy_view.avoided == Avoided::All {
+            let view = View { avoided: Avoided::Silent, ..healthy_view };
+            if let Some(choice) = self.chooser.choose(placement, &view) {
+                return Some(choice);
+            }
+        }
         if request.healthy_only {
             return None;
         }
         // Back ends that may be unhealthy are better than none, but not those that were tried.
-        self.chooser.choose(placement, &View { healthy_only: false, ..healthy_view })
+        self.chooser.choose(placement, &View { healthy_only: false, avoided: Avoided::None, ..healthy_view })
     }
 
     fn view<'a>(
@@ -122,6 +141,11 @@
             now,
             probed: None,
             healthy_only: true,
+            avoided: if self.engines.are_shared && request.prompt.is_some() {
+                Avoided::All
+            } else {
+                Avoided::None
+            },
             required,
             preferred: request.prompt.and_then(|prompt| self.preferred(request, prompt, now)),
             max_connections: self.max_connections(request.service),
@@ -205,6 +229,7 @@
             slots: entry.slots,
             eligible: self.is_eligible(backend, weights),
             outdated: weights < self.preferred,
+            profile: (self.avoided != Avoided::None).then(|| self.state.profile(&entry.id, self.now)),
         }
     }
 
@@ -216,6 +241,22 @@
             && (!self.healthy_only || self.is_healthy(backend))
             && self.state.takes_requests(backend, self.now)
             && self.has_room(id)
+            && !self.avoids(id)
+    }
+
+    /// Whether a back end is left out by what all nodes know of it. A probe of a silent engine is a request
+    /// that can be sent to another one later.
+    fn avoids(&self, id: &BackendId) -> bool {
+        if self.avoided == Avoided::None {
+            return false;
+        }
+        let performances = &self.state.engines.performances;
+        let process = self.state.backends.process_of(id);
+        let is_silent = || performances.profile(&process, self.now).condition == EngineCondition::Silent;
+        if self.avoided == Avoided::Silent || self.request.copied {
+            return is_silent();
+        }
+        !performances.may_send(&process, self.state.draw_for(id), self.now)
     }
 
     /// Whether a back end is ready, and neither loading, refusing, ejected nor suspect.
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -87,6 +87,8 @@
     BackendRested { backend: &'a str },
     /// A back end asked for a back-off in a form that cannot be parsed; it is ignored.
     RestUnreadable { backend: &'a str, value: &'a str },
+    /// An engine that several nodes suspect sends nothing, so this node avoids it; or it answers again.
+    EngineSilent { backend: &'a str, silent: bool },
     /// A back end advertised a limit over all nodes; `own_per_second` is this node's current share.
     BackendLimited { backend: &'a str, per_second: f64, own_per_second: f64, heard: &'static str },
     /// A back end is no longer limited.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod orders;
 pub mod outcomes;
 pub mod peers;
+pub mod performance;
 pub mod pool;
 pub mod ports;
 pub mod process;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -42,6 +42,10 @@
     SnapshotsReceived,
     /// Restores of the store from a backup.
     StoreRestores,
+    /// Observations of this node that an engine is silent or full.
+    EngineConditions(&'static str),
+    /// Entries on engines' performance in reports to the parent or in answers to children.
+    PerformanceEntries(&'static str),
     /// New connections to back ends.
     Connections,
     /// Requests with a prefix to import.
@@ -77,6 +81,8 @@
             Self::SnapshotsServed => "paddlemount_forward_snapshots_given_total",
             Self::SnapshotsReceived => "paddlemount_forward_snapshots_taken_total",
             Self::StoreRestores => "paddlemount_forward_store_restores_total",
+            Self::EngineConditions(_) => "paddlemount_forward_engine_conditions_total",
+            Self::PerformanceEntries(_) => "paddlemount_forward_performance_entries_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
             Self::Imports => "paddlemount_forward_imports_total",
             Self::QuotaReportsIgnored => "paddlemount_forward_spending_passed_over_total",
@@ -90,6 +96,8 @@
     fn labels(self) -> String {
         match self {
             Self::Requests { kind, outcome } => format!("{{kind=\"{kind}\",outcome=\"{outcome}\"}}"),
+            Self::EngineConditions(condition) => format!("{{condition=\"{condition}\"}}"),
+            Self::PerformanceEntries(message) => format!("{{message=\"{message}\"}}"),
             Self::Attempts(end) => format!("{{end=\"{end}\"}}"),
             Self::StoreCalls { purpose, outcome } => {
                 format!("{{purpose=\"{purpose}\",outcome=\"{outcome}\"}}")
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -83,6 +83,8 @@
     /// Notified when the known leader may have changed, and when the next report to the parent should not
     /// wait.
     pub leader_known: Notify,
+    /// Whether the next report is sent even if it is not due yet.
+    pub(crate) early_report: Cell<bool>,
     /// Notified when a target version is announced, because waiting requests may have to be withdrawn.
     pub target_announced: Notify,
     /// Notified when an order to an engine has ended.
@@ -140,6 +142,7 @@
             store_known: Notify::new(),
             feeds_known: Notify::new(),
             leader_known: Notify::new(),
+            early_report: Cell::new(false),
             target_announced: Notify::new(),
             order_ended: Notify::new(),
             unknown_headers: LoggedOnce::default(),
@@ -318,10 +321,11 @@
             self.tick_quotas();
             self.divide_limits();
             self.conclude_quarantine();
+            self.tick_performance();
         }
         let mut state = self.state.borrow_mut();
         for id in state.backends.expire(now) {
-            state.forget(&id);
+            state.forget(&id, now);
         }
         self.track_reactivated(&mut state);
         state.refused_until.retain(|_, until| now < *until);
@@ -356,7 +360,7 @@
             gauge("paddlemount_forward_named_age_seconds", target_age(&state, self.now())),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
-        gauges.into_iter().chain(self.announcement_gauges()).collect()
+        gauges.into_iter().chain(self.announcement_gauges()).chain(self.performance_gauges()).collect()
     }
 }
 
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -26,7 +26,7 @@
     time::Timestamp,
 };
 
-use crate::settings::ForwardSettings;
+use crate::{performance::EngineRecords, settings::ForwardSettings};
 
 /// Up to this number of nodes, each sees enough of the load to compare all back ends of a pool.
 pub(crate) const FULL_SCAN_MAX_NODES: usize = 8;
@@ -63,6 +63,8 @@
     pub quotas: QuotaLedger,
     /// Requests under which back ends crashed.
     pub quarantine: Quarantine,
+    /// What all nodes have measured of engines.
+    pub(crate) engines: EngineRecords,
     /// Quarantined requests as stored, or as this node has written them to the store.
     pub(crate) quarantined_requests: BTreeMap<RequestFingerprint, QuarantinedRequest>,
     pub(crate) round_robin: WeightedRoundRobin,
@@ -156,6 +158,7 @@
                 settings.limits.assumed_nodes,
             ),
             quarantine: Quarantine::default(),
+            engines: EngineRecords::default(),
             quarantined_requests: BTreeMap::new(),
             round_robin: WeightedRoundRobin::default(),
             budgets: BTreeMap::new(),
@@ -205,10 +208,11 @@
     }
 
     /// Removes all state of a back end that is gone.
-    pub(crate) fn forget(&mut self, id: &BackendId) {
+    pub(crate) fn forget(&mut self, id: &BackendId, now: Timestamp) {
         self.chooser.forget(id);
         self.health.apply(id, HealthEvent::Removed, Timestamp::ZERO);
         self.refused_until.remove(id);
+        self.engines.performances.forget(id, now);
     }
 
     /// The retry budget of a service.
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -25,7 +25,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// The log id before the first answer of a parent. That first report is short, because all nodes may send
 /// theirs at once.
-const NO_LOG: u64 = 0;
+pub(super) const NO_LOG: u64 = 0;
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long another node may take to admit or refer this one; all nodes may ask the root at once.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -50,6 +50,7 @@
         peers.borrow_mut().fleet.tick(leads, now);
         node.tick_quotas();
         node.divide_limits();
+        node.tick_performance();
         let before = std::mem::replace(&mut counted, node.counted_nodes());
         if counted != before {
             node.journal.log(&Event::NodesCounted { nodes: counted, before });
@@ -59,6 +60,7 @@
         match step {
             NextStep::Wait => {
                 link = None;
+                node.reset_parent_performance();
                 step_without_parent(&node, leads, now);
             }
             NextStep::Join(_) if !has_delayed_join => {
@@ -68,12 +70,14 @@
             }
             NextStep::Join(contact) => {
                 link = None;
+                node.reset_parent_performance();
                 join(&node, contact).await;
             }
             NextStep::Report(parent) => {
                 if link.as_ref().is_none_or(|link| link.parent != parent) {
                     let level = peers.borrow().fleet.uplink.depth();
                     node.journal.log(&Event::ParentChanged { parent: parent.node.as_str(), level });
+                    node.reset_parent_performance();
                     link = Some(Link::new(parent, &node));
                 }
                 if let Some(link) = link.as_ref().filter(|link| link.is_due(&node, now)) {
@@ -179,7 +183,8 @@
         let needs_snapshot = node.state.borrow().revision.is_none() || node.history_lost.get();
         let busy = was_busy || node.running.get() > 0;
         let idle = now.saturating_since(sent_at) < node.settings().bounds.idle_report_interval();
-        has_updates || needs_snapshot || busy || !idle
+        let is_early = node.early_report.take();
+        is_early || has_updates || needs_snapshot || busy || !idle
     }
 
     async fn exchange(&self, node: &Node) {
@@ -208,6 +213,7 @@
     fn build_report(&self, node: &Node) -> Option<(Report, u64)> {
         let now = node.now();
         let offered_load = node.subtree_offered_load();
+        let performance = node.performance_report();
         let newer_facts =
             self.parent_versions.get().map(|theirs| node.newer_facts_for(theirs)).unwrap_or_default();
         let mut state = node.state.borrow_mut();
@@ -223,7 +229,7 @@
             spending: state.quotas.report(now),
             leaving: state.backends.announcements.pending_draining_gossip(now),
             limits: state.backends.announcements.pending_limit_gossip(now),
-            performance: Vec::new(),
+            performance,
             demand: Vec::new(),
             offered_load,
             cache_updates: if log == NO_LOG { Vec::new() } else { peers.gossip.next_batch() },
--- a/crates/forward/src/peers/digest_updates.rs
+++ b/crates/forward/src/peers/digest_updates.rs
@@ -39,6 +39,7 @@
         }
         self.merge_draining_gossip(&digest.leaving);
         self.apply_limit_grants(&digest.limits, sent_at);
+        self.apply_performance(&digest.performance, sent_at);
         self.apply_quarantine_digest(digest.quarantine);
         if let Some(relay) = digest.store {
             self.apply_relay(relay, revision, sent_at);
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -18,7 +18,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Peers, snapshot};
+use super::{Peers, client::NO_LOG, snapshot};
 use crate::{
     answers::{AnswerBody, full_body},
     journal::Event,
@@ -136,6 +136,8 @@
     node.receive_run_report(report.runs);
     node.merge_draining_gossip(&report.leaving);
     node.merge_limit_gossip(&report.limits);
+    let is_first = report.log == NO_LOG;
+    let performance = node.receive_performance(&report.sender.node, is_first, &report.performance);
     let newer_facts = node.newer_facts_for(report.applied);
     let mut state = node.state.borrow_mut();
     for update in &report.cache_updates {
@@ -158,7 +160,7 @@
         refer,
         leaving: state.backends.announcements.pending_draining_gossip(now),
         limits: state.backends.announcements.limit_grants_for(&child, now),
-        performance: Vec::new(),
+        performance,
         demand: Vec::new(),
         log: peers.gossip.id(),
         cursor,
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -144,6 +144,9 @@
             match self.receive().await {
                 Received::Data(data) => {
                     self.received_at = self.exchange.node.now();
+                    if let Some(upstream) = &self.upstream {
+                        self.exchange.node.record_engine_contact(upstream.load.process.as_ref());
+                    }
                     let events = self.splitter.push(&data);
                     if !events.is_empty() {
                         self.exchange.record_chunk();
@@ -200,7 +203,10 @@
             Waited::Done(Some(Err(error))) => Received::Broken(error.to_string()),
             Waited::Done(None) => Received::End,
             Waited::Outdated => Received::Outdated,
-            Waited::TimeUp if stalled_at.is_some_and(|at| at <= until) => Received::Stalled,
+            Waited::TimeUp if stalled_at.is_some_and(|at| at <= until) => {
+                node.record_engine_silence(upstream.load.process.as_ref());
+                Received::Stalled
+            }
             Waited::TimeUp if until < deadline => Received::Slow,
             Waited::TimeUp => Received::TimeUp,
         }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -140,28 +140,40 @@
 pub struct EnginePerformance {
     pub process: BackendProcess,
     pub condition: EngineCondition,
-    /// The number of measurements behind `slowness_per_mille`, weighted by their age.
-    pub samples: u32,
+    /// The number of measurements behind `slowness_per_mille`, weighted by their age, in thousandths.
+    pub samples_per_mille: u32,
     /// Measured times to the first event relative to those forecast for an engine of typical speed, in
     /// thousandths.
     pub slowness_per_mille: u32,
-    /// Milliseconds since the newest observation, when the message was written.
+    /// Milliseconds since the silence began, the last refusal or the last byte of an answer, by `condition`,
+    /// when the message was written.
     pub age_ms: u64,
+    /// The number of nodes that suspect a silent process.
+    pub observers: u32,
 }
 
 /// The serialised form of an [`EnginePerformance`].
-type EnginePerformanceRow = (BackendProcess, u8, u32, u32, u64);
+type EnginePerformanceRow = (BackendProcess, u8, u32, u32, u64, u32);
 
 impl From<EnginePerformanceRow> for EnginePerformance {
-    fn from((process, condition, samples, slowness_per_mille, age_ms): EnginePerformanceRow) -> Self {
-        Self { process, condition: condition.into(), samples, slowness_per_mille, age_ms }
+    fn from(row: EnginePerformanceRow) -> Self {
+        let (process, condition, samples_per_mille, slowness_per_mille, age_ms, observers) = row;
+        let condition = condition.into();
+        Self { process, condition, samples_per_mille, slowness_per_mille, age_ms, observers }
     }
 }
 
 impl From<EnginePerformance> for EnginePerformanceRow {
     fn from(performance: EnginePerformance) -> Self {
-        let EnginePerformance { process, condition, samples, slowness_per_mille, age_ms } = performance;
-        (process, condition.into(), samples, slowness_per_mille, age_ms)
+        let EnginePerformance {
+            process,
+            condition,
+            samples_per_mille,
+            slowness_per_mille,
+            age_ms,
+            observers,
+        } = performance;
+        (process, condition.into(), samples_per_mille, slowness_per_mille, age_ms, observers)
     }
 }
 
