--- a/crates/core/src/forwarding/performance/condition.rs
+++ b/crates/core/src/forwarding/performance/condition.rs
@@ -13,8 +13,12 @@
 /// How long the suspicion of a single node must stay without a contact of any node. The suspicion and the
 /// contacts cross a tree of four levels in this time.
 const CONFIRMATION_ALONE: Duration = Duration::from_millis(900);
-/// The same if several nodes suspect the engine: one round of reports.
-const CONFIRMATION_TOGETHER: Duration = Duration::from_millis(200);
+/// The same if several nodes suspect the engine: a wrong suspicion is still contradicted from most of the tree
+/// in this time.
+const CONFIRMATION_TOGETHER: Duration = Duration::from_millis(500);
+/// The minimum time without a contact of any node. Under load some requests wait for longer than others are
+/// answered, so that nodes suspect a busy engine again and again.
+const MIN_FLEET_SILENCE: Duration = Duration::from_millis(700);
 /// How long a refusal is significant. The share of nodes that avoid the engine falls to none in this time, as
 /// slots become free one by one.
 const FULL_PERIOD: Duration = Duration::from_millis(800);
@@ -92,7 +96,8 @@
 
     /// Whether the engine is certainly enough silent to be avoided.
     pub(super) fn is_silent(&self, now: Timestamp) -> bool {
-        self.open_silence().is_some_and(|silence| now >= silence.confirmed_at())
+        let is_answering = self.contact_at.is_some_and(|at| now.saturating_since(at) < MIN_FLEET_SILENCE);
+        !is_answering && self.open_silence().is_some_and(|silence| now >= silence.confirmed_at())
     }
 
     /// The fraction of nodes that avoid the engine because it is full.
--- a/crates/core/src/forwarding/performance/exchange.rs
+++ b/crates/core/src/forwarding/performance/exchange.rs
@@ -141,7 +141,10 @@
 /// Replaces what a neighbour has sent of these engines before.
 fn receive(neighbour: &mut Neighbour, entries: &[EnginePerformance], written_at: Timestamp) {
     for entry in entries {
-        let observations = Observations::from_message(entry, written_at);
+        let mut observations = Observations::from_message(entry, written_at);
+        // The entry of a silent engine has no contact; the last one known still contradicts new suspicions.
+        let known = neighbour.received.get(&entry.process).map(|known| known.signs.contact_at);
+        observations.signs.contact_at = observations.signs.contact_at.max(known.flatten());
         neighbour.received.insert(entry.process.clone(), observations);
     }
 }
--- a/crates/core/tests/forwarding_performance.rs
+++ b/crates/core/tests/forwarding_performance.rs
@@ -174,6 +174,21 @@
     }
 }
 
+#[test]
+fn a_busy_engine_that_lets_some_nodes_wait_while_it_answers_others_is_not_silent() {
+    let mut tree = Tree::new(75, 8);
+    for round in 0..50 {
+        tree.measure(1 + round % 30, &engine(1), 4.0);
+        // Nodes that are new to an engine know of no contact that contradicts a suspicion.
+        for waiting in [40, 50, 60, 70].into_iter().filter(|_| round >= 10) {
+            tree.nodes[waiting + round % 5].record_silence(&engine(1), tree.now);
+        }
+        tree.rounds(1);
+        let avoiding = 75 - tree.senders(&engine(1));
+        assert_eq!(avoiding, 0, "in round {round}");
+    }
+}
+
 #[test]
 fn one_suspicion_without_any_contact_since_is_enough() {
     let mut tree = Tree::new(75, 8);
