--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -41,6 +41,7 @@
     backends::BackendId,
     forecast::{EngineWorkload, RequestWork, Timing},
     load::{BackendLoad, Loads, MIN_SLOWNESS},
+    performance::EngineProfile,
     prefixes::{CachedSegment, PrefixIndex, ScopeHash},
     prompt::{CacheScope, Prompt, SegmentId},
     transfers::{LinkQueues, RequestTransfers, TransferRates},
@@ -63,6 +64,8 @@
     pub eligible: bool,
     /// Whether its weights are older than the version preferred for new requests.
     pub outdated: bool,
+    /// What all nodes know of it, if they share that.
+    pub profile: Option<EngineProfile>,
 }
 
 /// A cache store.
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 //! | [`choice`] | which back end gets a request, and from where it imports a cached prefix |
 //! | [`load`], [`prefixes`] | requests in flight, and cached segments of prompts |
 //! | [`forecast`] | the time until the first event of a request at an engine |
+//! | [`performance`] | the speed and the condition of engines, as measured by all nodes |
 //! | [`prompt`] | the segments of a prompt |
 //! | [`transfers`] | whether a transfer of cached tokens takes less time than prefilling them |
 //! | [`attempt`] | what follows a failed attempt |
@@ -54,6 +55,7 @@
 pub mod freshness;
 pub mod gossip;
 pub mod load;
+pub mod performance;
 pub mod planned_stop;
 pub mod pool;
 pub mod prefixes;
--- a/crates/core/tests/forwarding_transfers.rs
+++ b/crates/core/tests/forwarding_transfers.rs
@@ -83,6 +83,7 @@
             slots: 16,
             eligible: number == 0 || replicate,
             outdated: false,
+            profile: None,
         };
         let placement = Placement {
             prompt: Some(prompt),
