--- a/crates/core/tests/forwarding_performance.rs
+++ b/crates/core/tests/forwarding_performance.rs
@@ -314,6 +314,8 @@
             sample_size: Some(6),
             replicate: false,
             now: START,
+            timing: None,
+            transfers: None,
         };
         let choice = chooser.choose(placement, &candidates).expect("a choice");
         let number = ids.iter().position(|id| *id == choice.backend).expect("an engine");
