Silent engines: recognised, avoided and left; requests that must not run twice use no rested connection

Cause: an engine that sends nothing more without closing its connections keeps its requests until their deadline, and a request written to a connection that has rested is lost when its engine is gone: nodes outnumber engines, so most connections rest for seconds between two requests.

Change: a state machine concludes from quiet requests, connections that are not established in time and reports of other nodes whether an engine is suspect or silent. Requests that must not run twice take a rested connection only if their engine was heard within a second. The time-out of connections follows the slowest recent one. Requests and streams leave a silent engine: elsewhere where they may run again, from their copy, or at once as one that may have run. A second choice after a refusal takes only healthy back ends.

--- a/crates/core/src/forwarding/attempt.rs
+++ b/crates/core/src/forwarding/attempt.rs
@@ -16,6 +16,8 @@
     Misdirected,
     /// The request was sent, and the back end may have run it.
     Unclear,
+    /// The request was sent, and the back end has gone silent: it may have run it, and no answer is expected.
+    Silent,
     /// The back end sent a complete answer that reports a failure.
     FailedAnswer,
     /// The attempt broke off, and another back end holds a copy of its state, with which it continues the
@@ -78,10 +80,12 @@
         AttemptEnd::NotRun => without_retry,
         AttemptEnd::Misdirected if history.misdirected < MAX_MISDIRECTED && budget() => NextAction::Retry,
         AttemptEnd::Misdirected => without_retry,
-        AttemptEnd::Unclear if kind.is_idempotent() && history.sent < attempts && budget() => {
+        AttemptEnd::Unclear | AttemptEnd::Silent
+            if kind.is_idempotent() && history.sent < attempts && budget() =>
+        {
             NextAction::Retry
         }
-        AttemptEnd::Unclear => NextAction::Fail,
+        AttemptEnd::Unclear | AttemptEnd::Silent => NextAction::Fail,
         AttemptEnd::FailedAnswer if kind == RouteKind::Repeatable && history.sent < attempts && budget() => {
             NextAction::Retry
         }
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -16,6 +16,7 @@
 //! | [`load`], [`prefixes`] | requests in flight, and cached segments of prompts |
 //! | [`prompt`] | the segments of a prompt |
 //! | [`attempt`] | what follows a failed attempt |
+//! | [`silence`], [`connect_times`] | which engines send nothing more, and how long a connection may take |
 //! | [`budget`] | whether a request may be retried |
 //! | [`refusals`] | whether a refused request is retried, and when its caller may come back |
 //! | [`answer_times`] | how long recent answers took |
@@ -40,6 +41,7 @@
 pub mod change_log;
 pub mod children;
 pub mod choice;
+pub mod connect_times;
 pub mod document;
 pub mod even_share;
 pub mod events;
@@ -57,6 +59,7 @@
 pub mod registry;
 pub mod replacement;
 pub mod rollout;
+pub mod silence;
 pub mod table;
 pub mod target_versions;
 pub mod uplink;
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -21,11 +21,12 @@
     RouteKind::Stream { resumable: false },
     RouteKind::Stream { resumable: true },
 ];
-const ENDS: [AttemptEnd; 5] = [
+const ENDS: [AttemptEnd; 6] = [
     AttemptEnd::NotSent,
     AttemptEnd::NotRun,
     AttemptEnd::Misdirected,
     AttemptEnd::Unclear,
+    AttemptEnd::Silent,
     AttemptEnd::FailedAnswer,
 ];
 
@@ -39,7 +40,8 @@
                 for (time_left, budget, earlier) in
                     (0..8).map(|bits| (bits & 1 == 1, bits & 2 == 2, bits & 4 == 4))
                 {
-                    let unclear = matches!(end, AttemptEnd::Unclear | AttemptEnd::FailedAnswer);
+                    let unclear =
+                        matches!(end, AttemptEnd::Unclear | AttemptEnd::Silent | AttemptEnd::FailedAnswer);
                     // After an unclear end, a request is sent again only if its kind allows it.
                     let may_have_run = unclear || (earlier && kind.is_idempotent());
                     let history =
@@ -78,7 +80,7 @@
 #[test]
 fn no_more_back_ends_run_a_request_than_its_route_allows() {
     all_cases(|_, end, history, attempts, next| {
-        let ran = matches!(end, AttemptEnd::Unclear | AttemptEnd::FailedAnswer);
+        let ran = matches!(end, AttemptEnd::Unclear | AttemptEnd::Silent | AttemptEnd::FailedAnswer);
         if next == NextAction::Retry && ran {
             assert!(history.sent < attempts);
         }
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -14,13 +14,13 @@
 
 use crate::{
     connection::{Connection, ConnectionError},
+    engine_contact::EngineContact,
     metrics::Counter,
     node::Node,
     ports::AnswerHead,
     response_wait::{OUTDATED, Waited},
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The largest body that is read into memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// How long the body of a refusal may take before its connection is closed.
@@ -28,6 +28,8 @@
 
 /// The detail of an attempt whose back end has begun to drain or to back off.
 const NOT_ACCEPTING: &str = "the back end no longer accepts requests";
+/// The detail of an attempt whose back end has gone silent.
+pub(crate) const SILENT: &str = "the back end sends nothing";
 /// The detail of an attempt whose back end's limit was used up after it was chosen.
 const LIMIT_USED_UP: &str = "the back end's limit is used up";
 
@@ -46,8 +48,10 @@
 /// What an attempt asks its back end to run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunKind {
-    /// A new run.
+    /// A new run of a request that must not run twice.
     New,
+    /// A new run of a request that may run again.
+    Repeatable,
     /// A run that another back end began, continued from a copy of its memory.
     Continued,
 }
@@ -86,6 +90,11 @@
     pub fn broken(detail: String) -> Self {
         Self { connection_lost: true, ..Self::unclear(detail) }
     }
+
+    /// The same, when the back end has gone silent.
+    pub fn silent() -> Self {
+        Self { end: AttemptEnd::Silent, ..Self::unclear(SILENT.into()) }
+    }
 }
 
 /// An answer whose head has arrived.
@@ -109,6 +118,8 @@
     pub backend: BackendId,
     began: Timestamp,
     pending_prefill_tokens: Option<u64>,
+    /// Watches whether the back end answers, once the request was sent.
+    pub(crate) contact: Option<EngineContact>,
 }
 
 impl std::fmt::Debug for LoadGuard {
@@ -127,6 +138,7 @@
             backend: choice.backend.clone(),
             began,
             pending_prefill_tokens: Some(choice.expected_tokens),
+            contact: None,
         }
     }
 
@@ -161,15 +173,15 @@
     run: RunKind,
     deadline: Timestamp,
 ) -> Result<AttemptAnswer, AttemptFailure> {
-    let load = LoadGuard::begin(node, choice);
+    let mut load = LoadGuard::begin(node, choice);
     // A continued run does not start, so the age of its weights no longer matters.
-    let starting_at = (run == RunKind::New).then_some(choice);
+    let starting_at = (run != RunKind::Continued).then_some(choice);
     // Checked before the pool is used, because a connection that is taken and not used is closed.
     if let Some(why) = blocked_reason(node, choice, starting_at) {
         return Err(not_sent(node, choice, why));
     }
     let process = node.process_of(&choice.backend);
-    let pooled = node.pool.borrow_mut().take(&choice.backend, node.now());
+    let pooled = node.take_idle_connection(choice, run);
     let reused = pooled.is_some();
     let mut connection = match pooled {
         Some(connection) => connection,
@@ -182,8 +194,9 @@
     }
     let sent_at = node.now();
     node.acquire_permit(&choice.backend);
+    load.contact = EngineContact::begin(node, choice);
     let waiting = connection.send(request);
-    let answer = match node.wait(starting_at, deadline, waiting).await {
+    let answer = match node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting).await {
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(error)) => {
             if error.is_before_sending() {
@@ -196,11 +209,18 @@
             node.record_health(&choice.backend, HealthEvent::Inconclusive, false);
             return Err(AttemptFailure { reused, ..AttemptFailure::unclear(OUTDATED.into()) });
         }
+        Waited::Silent => {
+            node.record_health(&choice.backend, HealthEvent::Failed, false);
+            return Err(AttemptFailure { reused, ..AttemptFailure::silent() });
+        }
         Waited::TimeUp => {
             node.record_health(&choice.backend, HealthEvent::Failed, false);
             return Err(AttemptFailure { reused, ..AttemptFailure::unclear("no answer in time".into()) });
         }
     };
+    if let Some(contact) = &load.contact {
+        contact.record_head();
+    }
     let (head, body) = answer.into_parts();
     let parsed = node.platform.read_answer(head.status, &head.headers);
     connection.keep_alive = keep_alive(&head.headers);
@@ -244,10 +264,11 @@
 ) -> Result<Connection, AttemptFailure> {
     node.metrics.count(Counter::Connections);
     let now = node.now();
-    let timeout = CONNECT_TIMEOUT.min(deadline.saturating_since(now));
-    Connection::open(choice.address, timeout, now)
-        .await
-        .map_err(|error| connection_failure(node, choice, &error, false))
+    let timeout = node.connect_timeout().min(deadline.saturating_since(now));
+    let process = node.process_of(&choice.backend);
+    let result = Connection::open(choice.address, timeout, now).await;
+    node.record_connect(&process, now, &result);
+    result.map_err(|error| connection_failure(node, choice, &error, false))
 }
 
 fn connection_failure(
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -228,6 +228,7 @@
             && !refused
             && !matches!(state.health.availability(id, 0.0, now), Availability::Ejected { .. })
             && !state.chooser.loads.is_suspect(id, now)
+            && !state.is_silent(id, now)
     }
 
     /// Whether this node has connections left of its share for a back end.
--- a/crates/forward/src/dispatch.rs
+++ b/crates/forward/src/dispatch.rs
@@ -7,7 +7,7 @@
 use paddlemount_protocol::time::Timestamp;
 
 use crate::{
-    attempts::strip_connection_headers,
+    attempts::{RunKind, strip_connection_headers},
     exchange::Exchange,
     ports::{CopiedRun, Dispatch},
 };
@@ -22,6 +22,15 @@
 }
 
 impl Exchange {
+    /// Whether an attempt may be lost without harm.
+    pub(crate) fn run_kind(&self, resume: &Resume) -> RunKind {
+        match self.route.kind {
+            _ if resume.continues.is_some() => RunKind::Continued,
+            kind if kind.is_idempotent() => RunKind::Repeatable,
+            _ => RunKind::New,
+        }
+    }
+
     /// The caller's request, with the platform's headers for the chosen back end.
     pub(crate) fn request(&self, choice: &Choice, resume: &Resume, now: Timestamp) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -22,12 +22,12 @@
     access_log::{ANSWERED, QUARANTINED, REFUSED, RequestRecord},
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, error_answer},
-    attempts::{self, AttemptAnswer, AttemptFailure, RunKind, read_full_answer, strip_connection_headers},
+    attempts::{self, AttemptAnswer, AttemptFailure, read_full_answer, strip_connection_headers},
     candidates::RouteRequest,
     dispatch::Resume,
     metrics::{Counter, Distribution, kind_label},
     node::Node,
-    ports::{CopiedRun, RequestHead},
+    ports::RequestHead,
     relay::Relay,
 };
 
@@ -56,6 +56,8 @@
     pub(crate) service: ServiceId,
     grant: Option<QuotaGrant>,
     tried: Vec<BackendId>,
+    /// Whether a back end has refused the request, so that others that refuse are not asked.
+    avoids_refusing: bool,
     draw: u64,
     /// When the retry budget for misdirected requests was drawn on for the next attempt, if it was.
     pub(crate) misdirected_retry: Option<Timestamp>,
@@ -103,6 +105,7 @@
         service,
         grant,
         tried: Vec::new(),
+        avoids_refusing: false,
         draw: rand::random(),
         misdirected_retry: None,
         sent_at: None,
@@ -169,7 +172,7 @@
             prompt: self.head.prompt.as_ref(),
             isolated,
             copied: self.route.kind == RouteKind::Stream { resumable: false },
-            healthy_only: self.history.misdirected > 0,
+            healthy_only: self.history.misdirected > 0 || self.avoids_refusing,
             tried: &self.tried,
             draw: self.draw,
         };
@@ -198,7 +201,7 @@
         let request = self.request(choice, &resume, now);
         let attempt_deadline = self.attempt_deadline(choice, now);
         let node = Rc::clone(&self.node);
-        let run = if resume.continues.is_some() { RunKind::Continued } else { RunKind::New };
+        let run = self.run_kind(&resume);
         let result =
             attempts::send(&node, choice, self.head.id.as_deref(), request, run, attempt_deadline).await;
         let end = result.as_ref().err().map(|failure| failure.end);
@@ -218,10 +221,11 @@
                 self.tried.push(choice.backend.clone());
             }
         }
-        if let Err(AttemptFailure { end: AttemptEnd::Misdirected, .. }) = &result {
+        if end == Some(AttemptEnd::Misdirected) {
             self.history.misdirected += 1;
         }
-        if let Err(AttemptFailure { end: AttemptEnd::Unclear | AttemptEnd::FailedAnswer, .. }) = &result {
+        self.avoids_refusing |= end == Some(AttemptEnd::NotRun) && self.node.leaves_silent_engines();
+        if matches!(end, Some(AttemptEnd::Unclear | AttemptEnd::Silent | AttemptEnd::FailedAnswer)) {
             self.history.may_have_run = true;
         }
         result
@@ -244,44 +248,6 @@
         attempts_left && self.route.kind.is_idempotent() && self.node.retries_left(&self.service) > 0
     }
 
-    /// The back end that holds a copy of the run's memory, from which a broken stream can continue. It must
-    /// still have the weights of the run, and the back end that broke off must not have changed its own.
-    pub fn copy_of(&self, choice: &Choice) -> Option<(Choice, CopiedRun)> {
-        let (holder, scope) = (choice.copy_to.as_ref()?, choice.scope.as_ref()?);
-        let state = self.node.state.borrow();
-        let changed = state
-            .backends
-            .get(&choice.backend)
-            .is_some_and(|backend| backend.entry.weights.get(&scope.model) != Some(&scope.weights));
-        if changed || !state.has_weights(&holder.backend, &scope.model, scope.weights) {
-            return None;
-        }
-        let next = Choice {
-            backend: holder.backend.clone(),
-            address: holder.address,
-            import_from: None,
-            import_source: None,
-            save_to: None,
-            copy_to: None,
-            ..choice.clone()
-        };
-        let run = CopiedRun { address: choice.address, request_id: self.id().to_owned() };
-        Some((next, run))
-    }
-
-    /// Whether another back end could take the stream over now.
-    pub fn has_alternative(&mut self) -> bool {
-        let has_budget = self.node.retries_left(&self.service) > 0;
-        if let Some(choice) = self.record.choice.clone().filter(|_| !is_resumable(self.route.kind)) {
-            return has_budget && self.copy_of(&choice).is_some();
-        }
-        let allowed = self.history.sent < self.route.attempts && has_budget;
-        let known = self.record.choice.clone();
-        let is_found = allowed && self.choose_backend().is_some();
-        self.record.choice = known;
-        is_found
-    }
-
     async fn finish_answer(&mut self, upstream: AttemptAnswer) -> Result<Response<Bytes>, AttemptFailure> {
         match self.node.clock.timeout_at(self.deadline, read_full_answer(&self.node, upstream)).await {
             Some(Ok(answer)) => Ok(answer),
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -152,6 +152,15 @@
         answered_by: Option<&'a str>,
         budget_left: u64,
     },
+    /// An engine has gone silent, or is heard again; `quiet_ms` is the time without a byte.
+    EngineSilence {
+        backend: &'a str,
+        is_silent: bool,
+        quiet_ms: u64,
+        waiting: usize,
+        unanswered_connects: u32,
+        reported: bool,
+    },
     /// A back end crashed while it ran a request.
     RunCrashed { fingerprint: String, route: &'a str, tenant: Option<&'a str>, backend: &'a str, ran_ms: u64 },
     /// A run of a suspect request completed, as reported by a child.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -38,7 +38,8 @@
 
 pub mod access_log;
 pub mod admission;
-pub mod announcements;
+pub mod alternatives;
+mod announcements;
 pub mod answers;
 pub mod attempts;
 mod backend_updates;
@@ -51,6 +52,7 @@
 pub mod clock;
 pub mod connection;
 pub mod dispatch;
+mod engine_contact;
 pub mod exchange;
 pub mod fact_updates;
 pub mod facts;
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -44,6 +44,15 @@
     StoreRestores,
     /// New connections to back ends.
     Connections,
+    /// Idle connections that were replaced, as the request must not run twice and the engine had not been
+    /// heard lately.
+    ConnectionsRenewed,
+    /// Engines that this node recognised as silent.
+    EnginesSilent,
+    /// Silent engines that sent something again.
+    EnginesHeardAgain,
+    /// Streams that left a silent engine.
+    StreamsLeft,
     /// Requests with a prefix to import.
     Imports,
     /// Ignored entries of reports on quotas, with unknown tenants or impossible numbers.
@@ -78,6 +87,10 @@
             Self::SnapshotsReceived => "paddlemount_forward_snapshots_taken_total",
             Self::StoreRestores => "paddlemount_forward_store_restores_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
+            Self::ConnectionsRenewed => "paddlemount_forward_connections_renewed_total",
+            Self::EnginesSilent => "paddlemount_forward_engines_silent_total",
+            Self::EnginesHeardAgain => "paddlemount_forward_engines_heard_again_total",
+            Self::StreamsLeft => "paddlemount_forward_streams_left_total",
             Self::Imports => "paddlemount_forward_imports_total",
             Self::QuotaReportsIgnored => "paddlemount_forward_spending_passed_over_total",
             Self::RunsCrashed => "paddlemount_forward_runs_crashed_total",
@@ -109,6 +122,10 @@
             | Self::Resumed
             | Self::StoreRestores
             | Self::Connections
+            | Self::ConnectionsRenewed
+            | Self::EnginesSilent
+            | Self::EnginesHeardAgain
+            | Self::StreamsLeft
             | Self::Imports
             | Self::QuotaReportsIgnored
             | Self::RunsCrashed
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -9,9 +9,11 @@
         budget::{WindowBudget, WindowBudgetSettings, node_reserve},
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
+        connect_times::ConnectTimes,
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
+        silence::Silences,
         table::{RouteTable, WeightedRoundRobin},
     },
     health::{Health, HealthEvent, HealthSettings},
@@ -47,6 +49,9 @@
     /// Loads and cached prefixes of back ends.
     pub chooser: Chooser,
     pub health: Health,
+    /// When engines were heard last.
+    pub silences: Silences,
+    pub connect_times: ConnectTimes,
     /// The target versions of weights.
     pub rollout: Rollout,
     /// The leader, if one is known.
@@ -144,6 +149,8 @@
             backends: Backends::default(),
             chooser: Chooser::default(),
             health: Health::new(health_settings()),
+            silences: Silences::default(),
+            connect_times: ConnectTimes::default(),
             rollout,
             leader: None,
             leader_checked: false,
--- a/crates/forward/src/outcomes.rs
+++ b/crates/forward/src/outcomes.rs
@@ -193,6 +193,7 @@
         AttemptEnd::NotRun => "not_run",
         AttemptEnd::Misdirected => "misdirected",
         AttemptEnd::Unclear => "unclear",
+        AttemptEnd::Silent => "silent",
         AttemptEnd::FailedAnswer => "failed_answer",
         AttemptEnd::Copied => "broken_with_copy",
     }
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -1,6 +1,8 @@
 //! Relays a stream of events and resumes it at another back end if the route allows that.
 
-use std::{rc::Rc, time::Duration};
+mod stalls;
+
+use std::rc::Rc;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -20,16 +22,10 @@
     attempts::{AttemptAnswer, AttemptFailure},
     dispatch::Resume,
     exchange::{Exchange, is_resumable},
+    metrics::Counter,
     response_wait::{OUTDATED, Waited},
 };
 
-/// How long a resumable stream may stall, in multiples of its route's target gap.
-const STALL_GAPS: u32 = 5;
-/// The same for routes without a target gap.
-const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How long a resumable stream may take to its first event, in multiples of its route's target latency.
-const FIRST_EVENT_TARGETS: u32 = 2;
-
 /// Why a stream ends early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RelayError {
@@ -72,6 +68,8 @@
     Slow,
     /// The back end's weights are outdated, and the request has not started.
     Outdated,
+    /// The back end sends nothing more.
+    Silent,
     TimeUp,
 }
 
@@ -148,6 +146,9 @@
                     if !events.is_empty() {
                         self.exchange.record_chunk();
                         self.record_first_event();
+                    }
+                    self.record_contact();
+                    if !events.is_empty() {
                         return Some(Ok(events));
                     }
                 }
@@ -180,6 +181,14 @@
                         return Some(Err(self.abandon("stream_broken", RelayError::Broken)));
                     }
                 }
+                Received::Silent => {
+                    let node = Rc::clone(&self.exchange.node);
+                    node.metrics.count(Counter::StreamsLeft);
+                    // Closed first, as the silent run may still go on.
+                    if !self.resume_without_run(AttemptFailure::silent()).await {
+                        return Some(Err(self.abandon("stream_left", RelayError::Broken)));
+                    }
+                }
                 Received::TimeUp => return Some(Err(self.abandon("time_up", RelayError::TimeUp))),
             }
         }
@@ -195,39 +204,19 @@
         let until = recheck_at.map_or(until, |at| at.min(until));
         let Some(upstream) = &mut self.upstream else { return Received::Broken("no run in progress".into()) };
         let starting_at = (!self.has_event).then_some(&self.choice);
-        match node.wait(starting_at, until, upstream.body.frame()).await {
+        let contact = upstream.load.contact.as_ref();
+        match node.wait_for_engine(contact, starting_at, until, upstream.body.frame()).await {
             Waited::Done(Some(Ok(frame))) => Received::Data(frame.into_data().unwrap_or_default()),
             Waited::Done(Some(Err(error))) => Received::Broken(error.to_string()),
             Waited::Done(None) => Received::End,
             Waited::Outdated => Received::Outdated,
+            Waited::Silent => Received::Silent,
             Waited::TimeUp if stalled_at.is_some_and(|at| at <= until) => Received::Stalled,
             Waited::TimeUp if until < deadline => Received::Slow,
             Waited::TimeUp => Received::TimeUp,
         }
     }
 
-    /// When the stream counts as stalled, if another back end could take it over.
-    fn stalled_at(&self) -> Option<Timestamp> {
-        let route = &self.exchange.route;
-        let resumable = is_resumable(route.kind) && self.exchange.history.sent < route.attempts;
-        let copied = self.has_event && self.choice.copy_to.is_some();
-        if self.waits_until_deadline || !(resumable || copied) {
-            return None;
-        }
-        let stall_timeout = if self.has_event {
-            route.target_gap.map_or(STALL_TIMEOUT, |gap| gap * STALL_GAPS)
-        } else {
-            let slow_answer_time = self.exchange.node.slow_latency(&self.choice.backend) * 3 / 2;
-            (route.target_latency * FIRST_EVENT_TARGETS).max(slow_answer_time)
-        };
-        Some(self.received_at + stall_timeout)
-    }
-
-    /// The target gap plus some slack.
-    fn slow_after(&self) -> Duration {
-        self.exchange.route.target_gap.unwrap_or(STALL_TIMEOUT / STALL_GAPS) * 6 / 5
-    }
-
     fn record_first_event(&mut self) {
         if self.has_event {
             return;
@@ -240,6 +229,16 @@
         self.exchange.record_first_chunk(&self.choice);
     }
 
+    /// Records that the back end has sent something.
+    fn record_contact(&self) {
+        let contact = self.upstream.as_ref().and_then(|upstream| upstream.load.contact.as_ref());
+        match contact {
+            Some(contact) if self.has_event => contact.record_event(self.exchange.route.target_gap),
+            Some(contact) => contact.record_head(),
+            None => {}
+        }
+    }
+
     /// Handles the end of the body. Returns `None` if the stream was cut off.
     fn end(&mut self) -> Option<Option<Result<Bytes, RelayError>>> {
         let upstream = self.upstream.take()?;
--- a/crates/forward/src/response_wait.rs
+++ b/crates/forward/src/response_wait.rs
@@ -20,6 +20,8 @@
     Done(T),
     /// The back end's weights are outdated, and the request has not started.
     Outdated,
+    /// The engine sends nothing more, and no answer is expected.
+    Silent,
     TimeUp,
 }
 
--- a/crates/forward/src/retries.rs
+++ b/crates/forward/src/retries.rs
@@ -43,7 +43,11 @@
             Some(AttemptEnd::NotRun) => refusals.record_refusal(now),
             None | Some(AttemptEnd::FailedAnswer) => refusals.record_acceptance(),
             Some(
-                AttemptEnd::NotSent | AttemptEnd::Misdirected | AttemptEnd::Unclear | AttemptEnd::Copied,
+                AttemptEnd::NotSent
+                | AttemptEnd::Misdirected
+                | AttemptEnd::Unclear
+                | AttemptEnd::Silent
+                | AttemptEnd::Copied,
             ) => {}
         }
     }
