--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -19,6 +19,7 @@
 //! | [`prompt`] | the segments of a prompt |
 //! | [`transfers`] | whether a transfer of cached tokens takes less time than prefilling them |
 //! | [`attempt`] | what follows a failed attempt |
+//! | [`silence`], [`connect_times`] | which engines send nothing more, and how long a connection may take |
 //! | [`budget`] | whether a request may be retried |
 //! | [`refusals`] | whether a refused request is retried, and when its caller may come back |
 //! | [`answer_times`] | how long recent answers took |
@@ -45,6 +46,7 @@
 pub mod change_log;
 pub mod children;
 pub mod choice;
+pub mod connect_times;
 pub mod demand;
 pub mod document;
 pub mod even_share;
@@ -66,6 +68,7 @@
 pub mod replacement;
 pub mod rollout;
 pub mod room;
+pub mod silence;
 pub mod table;
 pub mod target_versions;
 pub mod transfers;
--- a/crates/core/tests/forwarding_forecast.rs
+++ b/crates/core/tests/forwarding_forecast.rs
@@ -59,6 +59,7 @@
             slots: 16,
             eligible: true,
             outdated: false,
+            profile: None,
         };
         self.ids.iter().enumerate().map(candidate).collect()
     }
@@ -74,6 +75,7 @@
             replicate: false,
             now: Timestamp::ZERO,
             timing: Some(timing()),
+            transfers: None,
         };
         chooser.choose(placement, &self.pool()).expect("an engine")
     }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -50,6 +50,15 @@
     PerformanceEntries(&'static str),
     /// New connections to back ends.
     Connections,
+    /// Idle connections that were replaced, as the request must not run twice and the engine had not been
+    /// heard lately.
+    ConnectionsRenewed,
+    /// Engines that this node recognised as silent.
+    EnginesSilent,
+    /// Silent engines that sent something again.
+    EnginesHeardAgain,
+    /// Streams that left a silent engine.
+    StreamsLeft,
     /// Requests with a prefix to import.
     Imports,
     /// Weighed transfers of cached tokens, requested or not, by kind and verdict.
@@ -89,6 +98,10 @@
             Self::EngineConditions(_) => "paddlemount_forward_engine_conditions_total",
             Self::PerformanceEntries(_) => "paddlemount_forward_performance_entries_total",
             Self::Connections => "paddlemount_forward_connections_opened_total",
+            Self::ConnectionsRenewed => "paddlemount_forward_connections_renewed_total",
+            Self::EnginesSilent => "paddlemount_forward_engines_silent_total",
+            Self::EnginesHeardAgain => "paddlemount_forward_engines_heard_again_total",
+            Self::StreamsLeft => "paddlemount_forward_streams_left_total",
             Self::Imports => "paddlemount_forward_imports_total",
             Self::Transfers { .. } => "paddlemount_forward_transfers_weighed_total",
             Self::QuotaReportsIgnored => "paddlemount_forward_spending_passed_over_total",
@@ -125,6 +138,10 @@
             | Self::Resumed
             | Self::StoreRestores
             | Self::Connections
+            | Self::ConnectionsRenewed
+            | Self::EnginesSilent
+            | Self::EnginesHeardAgain
+            | Self::StreamsLeft
             | Self::Imports
             | Self::QuotaReportsIgnored
             | Self::RunsCrashed
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -9,11 +9,13 @@
         budget::{WindowBudget, WindowBudgetSettings, node_reserve},
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
+        connect_times::ConnectTimes,
         demand::Demand,
         forecast::Forecaster,
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
+        silence::Silences,
         table::{RouteTable, WeightedRoundRobin},
     },
     health::{Health, HealthEvent, HealthSettings},
@@ -53,6 +55,9 @@
     /// Forecasts of the time to the first event, by service.
     pub(crate) forecasters: BTreeMap<ServiceId, Forecaster>,
     pub health: Health,
+    /// When engines were heard last.
+    pub silences: Silences,
+    pub connect_times: ConnectTimes,
     /// The target versions of weights.
     pub rollout: Rollout,
     /// The leader, if one is known.
@@ -154,6 +159,8 @@
             demand: Demand::default(),
             forecasters: BTreeMap::new(),
             health: Health::new(health_settings()),
+            silences: Silences::default(),
+            connect_times: ConnectTimes::default(),
             rollout,
             leader: None,
             leader_checked: false,
