Gossip: evictions of segments that no other node knows of are not published

Ruled out: the index is not full, and the same engine is chosen each time. Change: the index remembers what was gossiped; a prefix that only the own feed had shown is published when a request uses it.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -208,7 +208,7 @@
             segment: SegmentId(update.segment),
             tokens: update.tokens,
         };
-        self.prefixes.set(&update.engine, &cached, now);
+        self.prefixes.set_gossiped(&update.engine, &cached, now);
     }
 
     /// Applies entries of a back end's feed.
--- a/crates/core/src/forwarding/prefixes.rs
+++ b/crates/core/src/forwarding/prefixes.rs
@@ -50,12 +50,27 @@
     pub tokens: u32,
 }
 
+/// A back end that has some of a segment cached.
+#[derive(Debug)]
+struct Holder {
+    backend: BackendId,
+    tokens: u32,
+    /// Whether other nodes have been told, or have told this one.
+    gossiped: bool,
+}
+
 #[derive(Debug, Default)]
 struct Holders {
-    by_backend: Vec<(BackendId, u32)>,
+    by_backend: Vec<Holder>,
     used_at: Timestamp,
 }
 
+impl Holders {
+    fn of(&self, backend: &BackendId) -> Option<&Holder> {
+        self.by_backend.iter().find(|holder| holder.backend == *backend)
+    }
+}
+
 /// The segments that back ends are believed to have cached.
 #[derive(Debug, Default)]
 pub struct PrefixIndex {
@@ -94,11 +109,13 @@
         }
         let holders = self.holders.entry(key).or_default();
         holders.used_at = now;
-        let known =
-            holders.by_backend.iter().find(|(holder, _)| holder == backend).map_or(0, |(_, tokens)| *tokens);
-        match holders.by_backend.iter_mut().find(|(holder, _)| holder == backend) {
-            Some((_, tokens)) => *tokens = cached.tokens,
-            None => holders.by_backend.push((backend.clone(), cached.tokens)),
+        let known = holders.of(backend).map_or(0, |holder| holder.tokens);
+        match holders.by_backend.iter_mut().find(|holder| holder.backend == *backend) {
+            Some(holder) => holder.tokens = cached.tokens,
+            None => {
+                let (backend, tokens) = (backend.clone(), cached.tokens);
+                holders.by_backend.push(Holder { backend, tokens, gossiped: false });
+            }
         }
         self.count_added(cached.tokens.saturating_sub(known), now);
         if self.holders.len() > MAX_SEGMENTS {
@@ -106,6 +123,17 @@
         }
     }
 
+    /// Sets how much of a segment a back end has cached, as other nodes know or will be told.
+    pub fn set_gossiped(&mut self, backend: &BackendId, cached: &CachedSegment, now: Timestamp) {
+        self.set(backend, cached, now);
+        let holders = self.holders.get_mut(&(cached.scope, cached.segment));
+        let holder = holders
+            .and_then(|holders| holders.by_backend.iter_mut().find(|holder| holder.backend == *backend));
+        if let Some(holder) = holder {
+            holder.gossiped = true;
+        }
+    }
+
     fn count_added(&mut self, tokens: u32, now: Timestamp) {
         self.added = self.decayed_added(now) + f64::from(tokens);
         self.added_at = now;
@@ -140,28 +168,31 @@
 
     /// Records that a back end has a segment cached. Returns whether to gossip it.
     fn record_segment(&mut self, backend: &BackendId, segment: &CachedSegment, now: Timestamp) -> bool {
-        let known = self.is_cached(backend, segment);
-        self.set(backend, segment, now);
-        !known && segment.tokens >= MIN_GOSSIP_TOKENS
+        if segment.tokens < MIN_GOSSIP_TOKENS {
+            self.set(backend, segment, now);
+            return false;
+        }
+        let is_known = self
+            .holder(backend, segment.scope, segment.segment)
+            .is_some_and(|holder| holder.gossiped && holder.tokens >= segment.tokens);
+        self.set_gossiped(backend, segment, now);
+        !is_known
     }
 
-    /// Whether a back end is believed to have at least this much of a segment cached.
-    pub fn is_cached(&self, backend: &BackendId, segment: &CachedSegment) -> bool {
-        let holders = self.holders.get(&(segment.scope, segment.segment));
-        holders.is_some_and(|holders| {
-            holders.by_backend.iter().any(|(holder, tokens)| holder == backend && *tokens >= segment.tokens)
-        })
+    fn holder(&self, backend: &BackendId, scope: ScopeHash, segment: SegmentId) -> Option<&Holder> {
+        self.holders.get(&(scope, segment))?.of(backend)
     }
 
-    /// Whether a back end is believed to have any of a segment cached.
-    pub fn is_partly_cached(&self, backend: &BackendId, scope: ScopeHash, segment: SegmentId) -> bool {
-        self.is_cached(backend, &CachedSegment { scope, segment, tokens: 1 })
+    /// Whether other nodes believe a back end to have some of a segment cached, so that they must learn of its
+    /// eviction. Most evicted segments belong to single requests, and no other node knows of them.
+    pub fn is_gossiped(&self, backend: &BackendId, scope: ScopeHash, segment: SegmentId) -> bool {
+        self.holder(backend, scope, segment).is_some_and(|holder| holder.gossiped)
     }
 
     /// Removes a back end.
     pub fn forget(&mut self, backend: &BackendId) {
         for holders in self.holders.values_mut() {
-            holders.by_backend.retain(|(holder, _)| holder != backend);
+            holders.by_backend.retain(|holder| holder.backend != *backend);
         }
         self.holders.retain(|_, holders| !holders.by_backend.is_empty());
     }
@@ -171,9 +202,8 @@
         let mut sum = 0;
         for segment in segments {
             let holders = self.holders.get(&(scope, segment.id));
-            let of_backend =
-                holders.and_then(|holders| holders.by_backend.iter().find(|(holder, _)| holder == backend));
-            let tokens = of_backend.map_or(0, |(_, tokens)| (*tokens).min(segment.tokens));
+            let of_backend = holders.and_then(|holders| holders.of(backend));
+            let tokens = of_backend.map_or(0, |holder| holder.tokens.min(segment.tokens));
             if tokens + BLOCK_TOKENS <= segment.tokens {
                 return sum + tokens;
             }
@@ -187,12 +217,12 @@
         let mut found: Vec<&BackendId> = Vec::new();
         for segment in segments.iter().rev() {
             let holders = self.holders.get(&(scope, segment.id));
-            for (holder, _) in holders.into_iter().flat_map(|holders| &holders.by_backend) {
+            for holder in holders.into_iter().flat_map(|holders| &holders.by_backend) {
                 if found.len() >= limit {
                     return found;
                 }
-                if !found.contains(&holder) {
-                    found.push(holder);
+                if !found.contains(&&holder.backend) {
+                    found.push(&holder.backend);
                 }
             }
         }
@@ -204,7 +234,7 @@
         segments.iter().find(|segment| {
             let holders = self.holders.get(&(scope, segment.id));
             !holders.is_some_and(|holders| {
-                holders.by_backend.iter().any(|(_, tokens)| *tokens + BLOCK_TOKENS > segment.tokens)
+                holders.by_backend.iter().any(|holder| holder.tokens + BLOCK_TOKENS > segment.tokens)
             })
         })
     }
@@ -221,7 +251,7 @@
 
     fn remove_holder(&mut self, key: (ScopeHash, SegmentId), backend: &BackendId) {
         let Some(holders) = self.holders.get_mut(&key) else { return };
-        holders.by_backend.retain(|(holder, _)| holder != backend);
+        holders.by_backend.retain(|holder| holder.backend != *backend);
         if holders.by_backend.is_empty() {
             self.holders.remove(&key);
         }
--- a/crates/forward/src/cache_feed.rs
+++ b/crates/forward/src/cache_feed.rs
@@ -201,7 +201,7 @@
         let mut state = self.node.state.borrow_mut();
         let prefixes = &state.chooser.prefixes;
         let evicted = page.segments.iter().filter(|segment| {
-            segment.tokens == 0 && prefixes.is_partly_cached(&self.backend, segment.scope, segment.segment)
+            segment.tokens == 0 && prefixes.is_gossiped(&self.backend, segment.scope, segment.segment)
         });
         let updates = evicted.map(|segment| CachedSegmentUpdate {
             engine: self.backend.clone(),
