Let contacts travel with suspicions of silence

A suspicion was sent without the age of the newest contact, and contacts only when they closed a suspicion the neighbour was known to hold. Nodes with no contact of their own therefore held a busy engine for silent while others got answers from it.

Contacts are passed on while an engine is suspected, and count for 0.9 s, the time they need to the lowest of four levels.

--- a/crates/core/src/forwarding/performance/condition.rs
+++ b/crates/core/src/forwarding/performance/condition.rs
@@ -17,8 +17,9 @@
 /// in this time.
 const CONFIRMATION_TOGETHER: Duration = Duration::from_millis(500);
 /// The minimum time without a contact of any node. Under load some requests wait for longer than others are
-/// answered, so that nodes suspect a busy engine again and again.
-const MIN_FLEET_SILENCE: Duration = Duration::from_millis(700);
+/// answered, so that nodes suspect a busy engine again and again. A contact is up to this old when the lowest
+/// of four levels gets it.
+pub(super) const MIN_FLEET_SILENCE: Duration = Duration::from_millis(900);
 /// How long a refusal is significant. The share of nodes that avoid the engine falls to none in this time, as
 /// slots become free one by one.
 const FULL_PERIOD: Duration = Duration::from_millis(800);
--- a/crates/core/src/forwarding/performance/exchange.rs
+++ b/crates/core/src/forwarding/performance/exchange.rs
@@ -115,7 +115,7 @@
             // A suspicion that this node can contradict must not spread further.
             self.is_urgent |= before.silence != after.silence && after.open_silence().is_none();
             if before.silence != after.silence
-                || before.contact_at != after.contact_at && after.silence.is_some()
+                || before.contact_at != after.contact_at && after.silence.or(before.silence).is_some()
                 || before.refused_at != after.refused_at
             {
                 self.mark_condition(engine, Some(from));
--- a/crates/core/src/forwarding/performance/outbox.rs
+++ b/crates/core/src/forwarding/performance/outbox.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Observations,
-    condition::{Signs, Silence},
+    condition::{MIN_FLEET_SILENCE, Signs, Silence},
     speed::Speed,
 };
 
@@ -31,6 +31,9 @@
 const MIN_REFUSAL_ADVANCE: Duration = Duration::from_millis(250);
 /// The minimum change of the start of a silence that is worth sending.
 const MIN_SILENCE_ADVANCE: Duration = Duration::from_millis(100);
+/// The minimum time by which a contact with a suspected engine must be newer than the one sent: short enough
+/// that a contact crosses the tree while it still contradicts suspicions.
+const MIN_CONTACT_ADVANCE: Duration = Duration::from_millis(100);
 
 /// What a neighbour knows by the last message.
 #[derive(Clone, Copy, Debug)]
@@ -77,7 +80,7 @@
             self.mark_expiring(now);
             engines.extend(self.due_speeds(&observed, now));
         }
-        engines.into_iter().map(|engine| self.send(engine, &observed, now)).collect()
+        engines.into_iter().flat_map(|engine| self.send(engine, &observed, now)).collect()
     }
 
     fn send(
@@ -85,12 +88,12 @@
         engine: BackendProcess,
         observed: &impl Fn(&BackendProcess) -> Observations,
         now: Timestamp,
-    ) -> EnginePerformance {
+    ) -> Vec<EnginePerformance> {
         let observations = observed(&engine);
         self.changed_conditions.remove(&engine);
         self.changed_speeds.remove(&engine);
         self.sent.insert(engine.clone(), Sent { observations, at: now });
-        observations.to_message(engine, now)
+        observations.to_messages(&engine, now)
     }
 
     /// Engines whose condition the neighbour has to know, as many as a message holds. Those it need not know are
@@ -153,10 +156,16 @@
 
 /// Whether a neighbour that knows `known` and itself reports `suspected` has to learn of `signs`.
 fn differs(signs: &Signs, known: &Signs, suspected: Option<Silence>, now: Timestamp) -> bool {
+    let is_disputed = signs.silence.or(known.silence).or(suspected).is_some();
+    let is_contact_news = is_disputed
+        && signs.contact_at.is_some_and(|at| {
+            at.saturating_since(known.contact_at.unwrap_or_default()) >= MIN_CONTACT_ADVANCE
+        });
     match (signs.open_silence(), known.open_silence()) {
         (Some(silence), Some(sent)) => {
             return silence.nodes.min(2) != sent.nodes.min(2)
-                || silence.since.saturating_since(sent.since) >= MIN_SILENCE_ADVANCE;
+                || silence.since.saturating_since(sent.since) >= MIN_SILENCE_ADVANCE
+                || is_contact_news;
         }
         (Some(_), None) | (None, Some(_)) => return true,
         (None, None) => {}
@@ -168,26 +177,46 @@
     let refused_before = known.refused_at.unwrap_or_default();
     let is_refused = signs.fullness(now) > 0.0
         && signs.refused_at.is_some_and(|at| at.saturating_since(refused_before) >= MIN_REFUSAL_ADVANCE);
-    contradicts || is_refused
+    contradicts || is_contact_news || is_refused
 }
 
 impl Observations {
-    /// The entry of a message.
-    fn to_message(self, process: BackendProcess, now: Timestamp) -> EnginePerformance {
-        let silence = self.signs.open_silence();
-        let (condition, since) = match silence {
-            Some(silence) => (EngineCondition::Silent, Some(silence.since)),
-            None if self.signs.fullness(now) > 0.0 => (EngineCondition::Full, self.signs.refused_at),
-            None => (EngineCondition::Responsive, self.signs.contact_at),
+    /// The entries of a message. That of a suspicion follows one with the newest contact, which readers keep: a
+    /// node that does not know it would hold an engine for silent that answers others.
+    fn to_messages(self, process: &BackendProcess, now: Timestamp) -> Vec<EnginePerformance> {
+        let Some(silence) = self.signs.open_silence() else {
+            return vec![self.without_silence(process, now)];
         };
+        let is_recent = |at: &Timestamp| now.saturating_since(*at) < MIN_FLEET_SILENCE;
+        let contact = self.signs.contact_at.filter(is_recent);
+        let contact = contact.map(|at| self.entry(process, EngineCondition::Responsive, Some(at), 0, now));
+        let silent = self.entry(process, EngineCondition::Silent, Some(silence.since), silence.nodes, now);
+        contact.into_iter().chain([silent]).collect()
+    }
+
+    fn without_silence(self, process: &BackendProcess, now: Timestamp) -> EnginePerformance {
+        if self.signs.fullness(now) > 0.0 {
+            return self.entry(process, EngineCondition::Full, self.signs.refused_at, 0, now);
+        }
+        self.entry(process, EngineCondition::Responsive, self.signs.contact_at, 0, now)
+    }
+
+    fn entry(
+        self,
+        process: &BackendProcess,
+        condition: EngineCondition,
+        since: Option<Timestamp>,
+        observers: u32,
+        now: Timestamp,
+    ) -> EnginePerformance {
         let speed = self.speed.decayed(now);
         EnginePerformance {
-            process,
+            process: process.clone(),
             condition,
             samples_per_mille: (speed.samples(now) * 1_000.0) as u32,
             slowness_per_mille: (speed.mean_ratio() * 1_000.0) as u32,
             age_ms: now.saturating_since(since.unwrap_or_default()).as_millis() as u64,
-            observers: silence.map_or(0, |silence| silence.nodes),
+            observers,
         }
     }
 
