Make one knowledge of silent engines, and renew connections on evidence only

Two recognitions stood side by side: each node's own (Silences) and that of all nodes (Performances), fed from different places. With leave_silent, Silences is now the only source of what Performances shares: overdue engines and bytes. What other nodes have sent, without the node's own suspicion, comes back to Silences as a report. Choice and room ask one function. The gauge of silent engines was written twice; it is written once.

Rested connections were always renewed for requests that must not run twice. They are now only for 4 s after evidence of an unreachable back end of the service: keep-alive probes close dead connections within 3 s, and news takes up to 1 s.

The switch stays off in the template.

--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -20,6 +20,7 @@
 //! | [`transfers`] | whether a transfer of cached tokens takes less time than prefilling them |
 //! | [`attempt`] | what follows a failed attempt |
 //! | [`silence`], [`connect_times`] | which engines send nothing more, and how long a connection may take |
+//! | [`doubts`] | whether pooled connections to a service's back ends may be dead |
 //! | [`budget`] | whether a request may be retried |
 //! | [`refusals`] | whether a refused request is retried, and when its caller may come back |
 //! | [`answer_times`] | how long recent answers took |
@@ -49,6 +50,7 @@
 pub mod connect_times;
 pub mod demand;
 pub mod document;
+pub mod doubts;
 pub mod even_share;
 pub mod events;
 pub mod feed_selection;
--- a/crates/core/src/forwarding/performance/mod.rs
+++ b/crates/core/src/forwarding/performance/mod.rs
@@ -227,6 +227,28 @@
             .map(|(engine, _)| engine)
     }
 
+    /// The engine processes that are silent by what other nodes have observed, with the start of their silence.
+    /// This node's own suspicion does not count, so that it never confirms itself.
+    pub fn reported_silent(&self, now: Timestamp) -> impl Iterator<Item = (&BackendProcess, Timestamp)> {
+        let silent = self.known.iter().filter(move |(_, known)| known.observations.signs.is_silent(now));
+        silent.filter_map(move |(engine, known)| {
+            let mut signs = self.received_signs(engine);
+            signs.contact_at = known.observations.signs.contact_at;
+            let silence = signs.open_silence().filter(|_| signs.is_silent(now))?;
+            Some((engine, silence.since))
+        })
+    }
+
+    /// What the neighbours have sent of an engine's condition.
+    fn received_signs(&self, engine: &BackendProcess) -> Signs {
+        let neighbours = self.parent.iter().chain(self.children.values());
+        let received = neighbours.filter_map(|neighbour| neighbour.received.get(engine));
+        received.fold(Signs::default(), |mut signs, observations| {
+            signs.add(&observations.signs);
+            signs
+        })
+    }
+
     /// Drops what this node has observed of a back end that is gone or has restarted.
     pub fn forget(&mut self, engine: &EngineId, now: Timestamp) {
         let is_gone = |process: &&BackendProcess| process.id == *engine;
--- a/crates/core/src/forwarding/silence.rs
+++ b/crates/core/src/forwarding/silence.rs
@@ -172,6 +172,13 @@
         }
     }
 
+    /// Whether other nodes should know that the engine sends nothing: a request is overdue for so long that one
+    /// more proves little. Their contacts tell a silent engine from a slow one.
+    fn is_overdue(&self, now: Timestamp) -> bool {
+        let waits = self.wait_evidence(true, now) >= MAX_EVIDENCE_OF_ONE;
+        waits || self.counts(self.unanswered_at, now) && self.contact(now) != Contact::Responsive
+    }
+
     fn is_expired(&self, now: Timestamp) -> bool {
         let heard_lately = self.heard_at.is_some_and(|at| now.saturating_since(at) < RETENTION);
         let is_held = self.silent_until.is_some_and(|until| now < until + RETENTION);
@@ -268,6 +275,11 @@
         self.by_process.get(process).map_or(Contact::Responsive, |watch| watch.contact(now))
     }
 
+    /// The engines that this node itself has found to send nothing, whatever others report.
+    pub fn overdue(&self, now: Timestamp) -> impl Iterator<Item = &BackendProcess> {
+        self.by_process.iter().filter(move |(_, watch)| watch.is_overdue(now)).map(|(process, _)| process)
+    }
+
     /// Concludes whether the engine is silent, and whether this request should leave it. It stays while its
     /// own wait is short: an engine that was silent may be back.
     pub fn should_leave(&mut self, process: &BackendProcess, id: WaitId, now: Timestamp) -> bool {
--- a/crates/core/tests/forwarding_performance.rs
+++ b/crates/core/tests/forwarding_performance.rs
@@ -199,6 +199,18 @@
     assert_eq!(tree.condition(20, &engine(1)), EngineCondition::Silent);
 }
 
+#[test]
+fn the_own_suspicion_of_a_node_is_not_reported_back_to_it() {
+    let mut tree = Tree::new(75, 8);
+    tree.nodes[70].record_silence(&engine(1), tree.now);
+    tree.rounds(10);
+    let reported = |tree: &Tree, node: usize| tree.nodes[node].reported_silent(tree.now).count();
+    assert_eq!((reported(&tree, 70), reported(&tree, 20), reported(&tree, 0)), (0, 1, 1));
+    tree.nodes[30].record_silence(&engine(1), tree.now);
+    tree.rounds(10);
+    assert_eq!((reported(&tree, 70), reported(&tree, 30)), (1, 1));
+}
+
 #[test]
 fn probes_of_a_silent_engine_get_rarer_and_go_on_while_they_fail() {
     let mut tree = Tree::new(75, 8);
--- a/crates/core/tests/forwarding_silence.rs
+++ b/crates/core/tests/forwarding_silence.rs
@@ -4,9 +4,14 @@
 
 use paddlemount_core::forwarding::{
     connect_times::ConnectTimes,
+    doubts::Doubts,
     silence::{Contact, Silences, WaitId},
 };
-use paddlemount_protocol::{fleet::BackendProcess, identity::EngineId, time::Timestamp};
+use paddlemount_protocol::{
+    fleet::BackendProcess,
+    identity::{EngineId, ServiceId},
+    time::Timestamp,
+};
 
 /// A gap target of callers: a pause above it is noticed.
 const GAP: Duration = Duration::from_millis(400);
@@ -163,3 +168,34 @@
     times.record(Duration::from_millis(60));
     assert_eq!(times.timeout(), Duration::from_millis(240));
 }
+
+#[test]
+fn connections_are_in_doubt_until_keep_alive_has_closed_dead_ones() {
+    let (service, other) = (ServiceId::from("a"), ServiceId::from("b"));
+    let mut doubts = Doubts::default();
+    assert!(!doubts.contains(&service, at(0)));
+    doubts.record(&service, at(1_000));
+    // Late news of the same failure takes nothing back.
+    doubts.record(&service, at(500));
+    // Dead peers are noticed within three seconds after each node knows of the first one.
+    assert!(doubts.contains(&service, at(4_999)) && !doubts.contains(&other, at(4_999)));
+    assert!(!doubts.contains(&service, at(5_000)));
+}
+
+#[test]
+fn other_nodes_learn_of_an_overdue_engine_and_not_of_a_report_that_comes_back() {
+    let (mut silences, waits) = streams(1);
+    let is_overdue = |silences: &Silences, ms| silences.overdue(at(ms)).count() > 0;
+    // A stream may miss its target once without being proof of anything.
+    assert!(!is_overdue(&silences, 599));
+    assert!(is_overdue(&silences, 601));
+    silences.record_byte(&engine(), waits[0], Some(GAP), at(700));
+    assert!(!is_overdue(&silences, 700));
+    silences.record_report(&engine(), at(800));
+    assert!(!is_overdue(&silences, 900));
+    // With a report, a stream that is as overdue leaves, though the engine may be reachable: after a gap of
+    // 700 ms it is due within 1.4 s, and overdue after 2.1 s.
+    silences.record_report(&engine(), at(2_700));
+    assert!(!silences.should_leave(&engine(), waits[0], at(2_790)));
+    assert!(silences.should_leave(&engine(), waits[0], at(2_801)));
+}
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -287,7 +287,7 @@
         !performances.may_send(&process, self.state.draw_for(id), self.now)
     }
 
-    /// Whether a back end is ready, and neither loading, refusing, ejected nor suspect.
+    /// Whether a back end is ready, and neither loading, refusing, ejected nor unresponsive.
     fn is_healthy(&self, backend: &Backend) -> bool {
         let (state, now, id) = (self.state, self.now, &backend.entry.id);
         let loading = self.request.prompt.is_some() && backend.is_loading(now);
@@ -296,8 +296,7 @@
             && !loading
             && !refused
             && !matches!(state.health.availability(id, 0.0, now), Availability::Ejected { .. })
-            && !state.chooser.loads.is_suspect(id, now)
-            && !state.is_silent(id, now)
+            && !state.is_unresponsive(id, now)
     }
 
     /// Whether this node has connections left of its share for a back end.
--- a/crates/forward/src/engine_contact.rs
+++ b/crates/forward/src/engine_contact.rs
@@ -32,6 +32,8 @@
     process: BackendProcess,
     address: SocketAddr,
     wait: WaitId,
+    /// Whether other nodes learn of the engine's contacts.
+    is_shared: bool,
 }
 
 impl EngineContact {
@@ -47,7 +49,8 @@
         let slowest = (loads.of(&choice.backend).slowest(now) * SLOWEST_FACTOR).max(loads.slowest(now));
         let wait = state.silences.begin_wait(&process, slowest.max(MIN_USUAL_FIRST_BYTE), now);
         drop(state);
-        Some(Self { node: Rc::clone(node), process, address: choice.address, wait })
+        let is_shared = node.recorded_engine(choice).is_some();
+        Some(Self { node: Rc::clone(node), process, address: choice.address, wait, is_shared })
     }
 
     /// Records that bytes arrived before the first event.
@@ -63,6 +66,9 @@
     fn record_byte(&self, target_gap: Option<Duration>) {
         let now = self.node.now();
         self.node.state.borrow_mut().silences.record_byte(&self.process, self.wait, target_gap, now);
+        if self.is_shared {
+            self.node.share_contact(&self.process);
+        }
         self.node.log_silences();
     }
 
@@ -75,7 +81,7 @@
         let now = self.node.now();
         let mut state = self.node.state.borrow_mut();
         // Engines that load weights may pause their runs.
-        if state.backends.get(&self.process.id).is_some_and(|backend| backend.is_loading(now)) {
+        if state.may_pause(&self.process.id, now) {
             return false;
         }
         let leaves = state.silences.should_leave(&self.process, self.wait, now);
@@ -102,14 +108,17 @@
         self.settings.borrow().load.leave_silent
     }
 
-    /// Takes an idle connection. None is taken for a request that must not run twice if the engine has not been
-    /// heard lately: written to a connection whose peer is gone, it would be lost.
+    /// Takes an idle connection. None is taken for a request that must not run twice if back ends of the service
+    /// may be unreachable and this one has not been heard lately: written to a connection whose peer is gone, it
+    /// would be lost.
     pub(crate) fn take_idle_connection(&self, choice: &Choice, run: RunKind) -> Option<Connection> {
         let now = self.now();
         let connection = self.pool.borrow_mut().take(&choice.backend, now)?;
-        let must_be_fresh = run != RunKind::Repeatable && self.leaves_silent_engines();
+        if run == RunKind::Repeatable || !self.leaves_silent_engines() {
+            return Some(connection);
+        }
         let process = self.process_of(&choice.backend);
-        if must_be_fresh && !self.state.borrow().silences.is_fresh(&process, now) {
+        if self.state.borrow().may_be_dead(&process, now) {
             self.metrics.count(Counter::ConnectionsRenewed);
             return None;
         }
@@ -138,7 +147,10 @@
                 state.connect_times.record(now.saturating_since(began));
                 state.silences.record_reachable(process, now);
             }
-            Err(ConnectionError::ConnectTimeout) => state.silences.record_unanswered_connect(process, now),
+            Err(ConnectionError::ConnectTimeout) => {
+                state.silences.record_unanswered_connect(process, now);
+                state.record_doubt(process, now);
+            }
             Err(_) => state.silences.record_reachable(process, now),
         }
     }
@@ -185,6 +197,8 @@
 
     fn log_silence(&self, change: &SilenceChange) {
         if change.is_silent {
+            let now = self.now();
+            self.state.borrow_mut().record_doubt(&change.process, now);
             self.pool.borrow_mut().close(&change.process.id);
         }
         let counter = if change.is_silent { Counter::EnginesSilent } else { Counter::EnginesHeardAgain };
@@ -201,9 +215,28 @@
 }
 
 impl NodeState {
-    /// Whether an engine is suspect or silent.
-    pub(crate) fn is_silent(&self, id: &BackendId, now: Timestamp) -> bool {
+    /// Whether a back end leaves requests unanswered, by this node's evidence and what other nodes report.
+    pub(crate) fn is_unresponsive(&self, id: &BackendId, now: Timestamp) -> bool {
         let process = self.backends.process_of(id);
-        self.silences.contact(&process, now) != Contact::Responsive
+        self.chooser.loads.is_suspect(id, now) || self.silences.contact(&process, now) != Contact::Responsive
+    }
+
+    /// Whether a pooled connection to a back end may have lost its peer.
+    fn may_be_dead(&self, process: &BackendProcess, now: Timestamp) -> bool {
+        let service = self.backends.get(&process.id).map(|backend| &backend.entry.service);
+        service.is_none_or(|service| self.doubts.contains(service, now))
+            && !self.silences.is_fresh(process, now)
+    }
+
+    /// Records evidence of `at` that a back end cannot be reached.
+    pub(crate) fn record_doubt(&mut self, process: &BackendProcess, at: Timestamp) {
+        if let Some(backend) = self.backends.get(&process.id) {
+            self.doubts.record(&backend.entry.service, at);
+        }
+    }
+
+    /// Whether an engine may pause its runs because it loads weights.
+    pub(crate) fn may_pause(&self, id: &BackendId, now: Timestamp) -> bool {
+        self.backends.get(id).is_some_and(|backend| backend.is_loading(now))
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -334,6 +334,7 @@
         self.track_reactivated(&mut state);
         state.refused_until.retain(|_, until| now < *until);
         state.silences.sweep(now);
+        state.doubts.sweep(now);
         drop(state);
         self.update_forecasts();
         self.expire_announcements();
@@ -356,7 +357,6 @@
             gauge("paddlemount_forward_root_age_seconds", self.root_age()),
             gauge("paddlemount_forward_running", self.running.get() as f64),
             gauge("paddlemount_forward_idle_connections", self.pool.borrow().idle() as f64),
-            gauge("paddlemount_forward_engines_silent", state.silences.silent_engines(self.now()) as f64),
             gauge("paddlemount_forward_leads", f64::from(u8::from(self.token().is_some()))),
             gauge("paddlemount_forward_held_requests", quarantine.count_quarantined() as f64),
             gauge("paddlemount_forward_suspected_requests", quarantine.count_suspected() as f64),
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -11,6 +11,7 @@
         choice::{Chooser, StoreEndpoint},
         connect_times::ConnectTimes,
         demand::Demand,
+        doubts::Doubts,
         forecast::Forecaster,
         freshness::Freshness,
         refusals::Refusals,
@@ -57,6 +58,8 @@
     pub health: Health,
     /// When engines were heard last.
     pub silences: Silences,
+    /// Services whose back ends may be unreachable.
+    pub doubts: Doubts,
     pub connect_times: ConnectTimes,
     /// The target versions of weights.
     pub rollout: Rollout,
@@ -160,6 +163,7 @@
             forecasters: BTreeMap::new(),
             health: Health::new(health_settings()),
             silences: Silences::default(),
+            doubts: Doubts::default(),
             connect_times: ConnectTimes::default(),
             rollout,
             leader: None,
--- a/crates/forward/src/performance.rs
+++ b/crates/forward/src/performance.rs
@@ -93,6 +93,37 @@
         1.0 / (1.0 + f64::from(waiting))
     }
 
+    /// Engines that this node suspects by its requests without an answer.
+    fn suspected_engines(&self, now: Timestamp) -> Vec<BackendProcess> {
+        let suspects = self.chooser.loads.suspects(now).filter(|id| self.is_engine(id));
+        suspects.map(|id| self.backends.process_of(id)).collect()
+    }
+
+    /// Engines that this node suspects by all that it waits for, and that do not load weights.
+    fn overdue_engines(&mut self, now: Timestamp) -> Vec<BackendProcess> {
+        let overdue = self.silences.overdue(now);
+        let judged =
+            overdue.filter(|process| self.is_engine(&process.id) && !self.may_pause(&process.id, now));
+        let engines: Vec<BackendProcess> = judged.cloned().collect();
+        engines.iter().for_each(|process| self.record_doubt(process, now));
+        engines
+    }
+
+    /// Takes over which engines are silent by what other nodes report.
+    fn receive_silences(&mut self, now: Timestamp) {
+        let reported = self.engines.performances.reported_silent(now);
+        let reported: Vec<(BackendProcess, Timestamp)> =
+            reported.map(|(process, since)| (process.clone(), since)).collect();
+        for (process, since) in reported {
+            self.silences.record_report(&process, now);
+            self.record_doubt(&process, since);
+        }
+    }
+
+    fn is_engine(&self, id: &BackendId) -> bool {
+        self.backends.get(id).is_some_and(|backend| !backend.entry.weights.is_empty())
+    }
+
     /// The time to the first event that an engine of typical speed would need.
     fn expected_first_event(&self, service: &ServiceId, tokens: u64) -> Option<Duration> {
         self.engines.recent.get(service)?.forecast(tokens)
@@ -145,17 +176,29 @@
         self.state.borrow_mut().record_first_event(process, tokens, measured, now);
     }
 
-    /// Records that a part of an answer arrived.
+    /// Records that a part of an answer arrived. Watched requests record it themselves.
     pub(crate) fn record_engine_contact(&self, process: Option<&BackendProcess>) {
-        let Some(process) = process else { return };
+        if let Some(process) = process.filter(|_| !self.leaves_silent_engines()) {
+            self.share_contact(process);
+        }
+    }
+
+    /// Lets other nodes know that an engine sends.
+    pub(crate) fn share_contact(&self, process: &BackendProcess) {
         let now = self.now();
         self.state.borrow_mut().engines.performances.record_contact(process, now);
         self.report_urgent_conditions();
     }
 
-    /// Records that an engine sends nothing.
+    /// Records that an engine sends nothing. Watched requests are looked at by [`Node::tick_performance`].
     pub(crate) fn record_engine_silence(&self, process: Option<&BackendProcess>) {
-        let Some(process) = process else { return };
+        if let Some(process) = process.filter(|_| !self.leaves_silent_engines()) {
+            self.share_silence(process);
+        }
+    }
+
+    /// Lets other nodes know that an engine sends nothing.
+    fn share_silence(&self, process: &BackendProcess) {
         self.metrics.count(Counter::EngineConditions("silent"));
         let now = self.now();
         self.state.borrow_mut().engines.performances.record_silence(process, now);
@@ -189,16 +232,18 @@
             return;
         }
         let (now, nodes) = (self.now(), self.nodes().upper_bound());
-        let suspects: Vec<BackendProcess> = {
+        let leaves_silent = self.leaves_silent_engines();
+        let suspects = {
             let mut state = self.state.borrow_mut();
             state.engines.performances.tick(nodes, now);
-            let is_engine = |id: &&BackendId| {
-                state.backends.get(id).is_some_and(|backend| !backend.entry.weights.is_empty())
-            };
-            let suspects = state.chooser.loads.suspects(now).filter(is_engine);
-            suspects.map(|id| state.backends.process_of(id)).collect()
+            if leaves_silent {
+                state.receive_silences(now);
+                state.overdue_engines(now)
+            } else {
+                state.suspected_engines(now)
+            }
         };
-        suspects.iter().for_each(|process| self.record_engine_silence(Some(process)));
+        suspects.iter().for_each(|process| self.share_silence(process));
         self.log_silent_engines();
     }
 
@@ -266,7 +311,9 @@
 
     /// The gauges of engines' conditions.
     pub(crate) fn performance_gauges(&self) -> [Gauge; 2] {
-        let (silent, full) = self.state.borrow().engines.performances.count_conditions(self.now());
+        let (now, state) = (self.now(), self.state.borrow());
+        let (known, full) = state.engines.performances.count_conditions(now);
+        let silent = if state.engines.are_shared { known } else { state.silences.silent_engines(now) };
         [
             Gauge { name: "paddlemount_forward_engines_silent", value: silent as f64 },
             Gauge { name: "paddlemount_forward_engines_full", value: full as f64 },
--- a/crates/forward/src/room.rs
+++ b/crates/forward/src/room.rs
@@ -143,7 +143,7 @@
         engine.state == BackendState::Ready
             && !engine.is_loading(now)
             && !matches!(self.health.availability(id, 0.0, now), Availability::Ejected { .. })
-            && !self.chooser.loads.is_suspect(id, now)
+            && !self.is_unresponsive(id, now)
     }
 
     /// The services whose back ends are engines.
