Keep requests away from an engine until its ordered load ends

The mark of an ordered load now lasts until the order ends, whatever versions are seen; marks that other nodes announce still end with newer weights.

--- a/crates/core/src/forwarding/backends.rs
+++ b/crates/core/src/forwarding/backends.rs
@@ -99,6 +99,9 @@
     pub state: BackendState,
     /// The latest time until which it loads new weights.
     pub loading_until: Option<Timestamp>,
+    /// Whether this node has ordered that load. It ends with its order: the engine may show a version that it
+    /// has loaded before, while it loads a newer one.
+    is_load_ordered: bool,
     /// Whether an answer or a report has shown newer weights than the entry.
     pub weights_observed: bool,
 }
@@ -108,6 +111,13 @@
     pub fn is_loading(&self, now: Timestamp) -> bool {
         self.loading_until.is_some_and(|until| now < until)
     }
+
+    /// Ends a load that another node has announced, as other weights were seen.
+    fn end_announced_load(&mut self) {
+        if !self.is_load_ordered {
+            self.loading_until = None;
+        }
+    }
 }
 
 /// All known back ends.
@@ -148,8 +158,13 @@
     pub fn put(&mut self, entry: BackendEntry) -> EntryChange {
         let state = self.state_with(&entry);
         let Some(known) = self.by_id.get_mut(&entry.id) else {
-            let backend =
-                Backend { entry: entry.clone(), state, loading_until: None, weights_observed: false };
+            let backend = Backend {
+                entry: entry.clone(),
+                state,
+                loading_until: None,
+                is_load_ordered: false,
+                weights_observed: false,
+            };
             self.pools.entry(entry.service.clone()).or_default().insert(&backend);
             self.addresses.insert(&entry);
             self.by_id.insert(entry.id, backend);
@@ -175,7 +190,7 @@
             _ => EntryChange::Updated,
         };
         if known.entry.weights != entry.weights {
-            known.loading_until = None;
+            known.end_announced_load();
         }
         if change != EntryChange::None {
             let old_address = known.entry.address;
@@ -266,30 +281,35 @@
         pool.remove(known);
         known.entry.weights.insert(model.clone(), version);
         known.weights_observed = true;
-        known.loading_until = None;
+        known.end_announced_load();
         pool.insert(known);
     }
 
-    /// Sets until when a back end loads new weights, at the latest; none when it has finished.
-    pub fn set_loading_until(&mut self, id: &BackendId, until: Option<Timestamp>) {
+    /// Sets until when a back end loads new weights by this node's order, at the latest; none when the order has
+    /// ended.
+    pub fn set_load_ordered_until(&mut self, id: &BackendId, until: Option<Timestamp>) {
+        self.set_loading_until(id, until, until.is_some());
+    }
+
+    /// Marks exactly `loading` as loading new weights by the orders of other nodes, until `until` at the latest.
+    pub fn set_loading(&mut self, loading: &[BackendId], until: Timestamp) {
+        let is_announced =
+            |id: &&BackendId| self.by_id.get(*id).is_some_and(|backend| !backend.is_load_ordered);
+        let before: Vec<BackendId> = self.loading.iter().filter(is_announced).cloned().collect();
+        let after: Vec<BackendId> = loading.iter().filter(is_announced).cloned().collect();
+        before.iter().for_each(|id| self.set_loading_until(id, None, false));
+        after.iter().for_each(|id| self.set_loading_until(id, Some(until), false));
+    }
+
+    fn set_loading_until(&mut self, id: &BackendId, until: Option<Timestamp>, is_ordered: bool) {
         let Some(known) = self.by_id.get_mut(id) else { return };
-        known.loading_until = until;
+        (known.loading_until, known.is_load_ordered) = (until, is_ordered);
         match until {
             Some(_) => self.loading.insert(id.clone()),
             None => self.loading.remove(id),
         };
     }
 
-    /// Marks exactly `loading` as loading new weights, until `until` at the latest.
-    pub fn set_loading(&mut self, loading: &[BackendId], until: Timestamp) {
-        for id in std::mem::take(&mut self.loading) {
-            self.set_loading_until(&id, None);
-        }
-        for id in loading {
-            self.set_loading_until(id, Some(until));
-        }
-    }
-
     /// The back ends that are loading new weights.
     pub fn loading(&self, now: Timestamp) -> Vec<BackendId> {
         let loads = |id: &&BackendId| self.get(id).is_some_and(|backend| backend.is_loading(now));
--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -83,6 +83,9 @@
                 5 => backends.registry.answered(at(now)),
                 6 => backends.observe_weights(&id, &model(), WeightsVersion(u64::from(version % 5))),
                 _ if version.is_multiple_of(3) => drop(backends.expire(at(now))),
+                _ if number.is_multiple_of(5) => {
+                    backends.set_load_ordered_until(&id, version.is_multiple_of(2).then(|| at(now + 250)));
+                }
                 _ => backends.set_loading(&[id], at(now + 250)),
             }
             check(&backends, at(now));
@@ -90,6 +93,27 @@
     });
 }
 
+#[test]
+fn an_ordered_load_lasts_until_its_order_ends_whatever_versions_are_seen() {
+    let mut backends = Backends::default();
+    let (id, now) = (entry(1, 0, false).id, at(1_000));
+    backends.put(entry(1, 0, false));
+    // The first version is seen while the engine already loads the second: without the mark all nodes would be
+    // refused until that has ended.
+    backends.set_load_ordered_until(&id, Some(at(9_000)));
+    backends.observe_weights(&id, &model(), WeightsVersion(1));
+    backends.put(entry(1, 2, false));
+    backends.set_loading(&[], at(2_500));
+    assert_eq!(backends.loading(now), [id.clone()]);
+    backends.set_load_ordered_until(&id, None);
+    assert!(backends.loading(now).is_empty());
+    // Other nodes use an engine as soon as it shows newer weights.
+    backends.set_loading(&[id.clone()], at(2_500));
+    assert_eq!(backends.loading(now), [id.clone()]);
+    backends.observe_weights(&id, &model(), WeightsVersion(3));
+    assert!(backends.loading(now).is_empty());
+}
+
 /// Candidates of which some are ineligible or have other weights.
 fn candidates<'a>(ids: &'a [BackendId], zone: &'a ZoneId) -> Vec<Candidate<'a>> {
     let candidate = |(number, id): (usize, &'a BackendId)| Candidate {
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -46,7 +46,7 @@
     // engines.
     let until = node.now() + MAX_UPDATE_TIME;
     for target in &targets {
-        node.state.borrow_mut().backends.set_loading_until(&target.backend, Some(until));
+        node.state.borrow_mut().backends.set_load_ordered_until(&target.backend, Some(until));
     }
     for mut target in targets {
         let node = Rc::clone(node);
@@ -68,14 +68,14 @@
     let now = node.now();
     let mut state = node.state.borrow_mut();
     state.rollout.postpone(id, now);
-    state.backends.set_loading_until(id, Some(now + UPDATE_RETRY_INTERVAL));
+    state.backends.set_load_ordered_until(id, Some(now + UPDATE_RETRY_INTERVAL));
 }
 
 fn release(node: &Node, targets: &[Target]) {
     let mut state = node.state.borrow_mut();
     for target in targets {
         state.rollout.ended(&target.backend);
-        state.backends.set_loading_until(&target.backend, None);
+        state.backends.set_load_ordered_until(&target.backend, None);
     }
 }
 
