--- a/crates/core/tests/forwarding_pool.rs
+++ b/crates/core/tests/forwarding_pool.rs
@@ -97,6 +97,7 @@
 fn an_ordered_load_lasts_until_its_order_ends_whatever_versions_are_seen() {
     let mut backends = Backends::default();
     let (id, now) = (entry(1, 0, false).id, at(1_000));
+    let loading = vec![id.clone()];
     backends.put(entry(1, 0, false));
     // The first version is seen while the engine already loads the second: without the mark all nodes would be
     // refused until that has ended.
@@ -104,12 +105,12 @@
     backends.observe_weights(&id, &model(), WeightsVersion(1));
     backends.put(entry(1, 2, false));
     backends.set_loading(&[], at(2_500));
-    assert_eq!(backends.loading(now), [id.clone()]);
+    assert_eq!(backends.loading(now), loading);
     backends.set_load_ordered_until(&id, None);
     assert!(backends.loading(now).is_empty());
     // Other nodes use an engine as soon as it shows newer weights.
-    backends.set_loading(&[id.clone()], at(2_500));
-    assert_eq!(backends.loading(now), [id.clone()]);
+    backends.set_loading(&loading, at(2_500));
+    assert_eq!(backends.loading(now), loading);
     backends.observe_weights(&id, &model(), WeightsVersion(3));
     assert!(backends.loading(now).is_empty());
 }
