Admission: a caller that came back waits to start late, below an overload

Second rejections are final for callers. Requests at engines that other nodes know to be silent counted as use of the room.

Change: a request may wait if its mean and one deviation fit its target. A caller that came back (less time left than usual), or one that was held for a quarter of its target, waits behind all that can be in time, for half of its time at most, while the demand of all callers is within the room. Engines silent to the fleet are no room. Retry-After goes by the part of the rate that the demand leaves.

--- a/crates/bench/src/experiment/overload.rs
+++ b/crates/bench/src/experiment/overload.rs
@@ -81,6 +81,7 @@
             predicted_start: Duration::ZERO,
             deadline: None,
             due: None,
+            late: None,
         };
         self.apply_admission(node, AdmissionEvent::Submit(submit), now);
     }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -23,7 +23,7 @@
 use concurrency::{ConcurrencyLimit, ConcurrencySettings};
 use limit::PoolLimit;
 use pool::{PoolState, Running};
-use queue::Waiting;
+use queue::{LateStart, Removed, Waiting};
 
 /// Settings of [`Admission`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -75,6 +75,8 @@
     /// Its place among the tenant's requests of equal rank and priority, the earliest first; `None` for the
     /// order of arrival.
     pub due: Option<Timestamp>,
+    /// When it may start late, behind all requests that can be in time; `None` if it is refused instead.
+    pub late: Option<LateStart>,
 }
 
 /// An input to [`Admission::apply`].
@@ -226,21 +228,6 @@
             return;
         };
         let (latest_start, by_deadline) = latest_start(&request, self.settings.max_wait, now);
-        let predicted = state.predicted_wait(request.rank, &request.tenant, request.weight);
-        if now + predicted > latest_start || latest_start < now {
-            let refusal = state.refusal(by_deadline, "it could not begin in time");
-            actions.push(AdmissionAction::Refuse { ticket: request.ticket, refusal });
-            return;
-        }
-        if state.queue.len() >= self.settings.queue_length {
-            let Some(victim) = state.queue.evict_for(request.rank, &request.tenant, request.weight) else {
-                let refusal = state.refusal(false, "the queue is full");
-                actions.push(AdmissionAction::Refuse { ticket: request.ticket, refusal });
-                return;
-            };
-            let refusal = state.refusal(false, "the queue is full and the tenant holds the most of it");
-            actions.push(AdmissionAction::Refuse { ticket: victim.ticket, refusal });
-        }
         let waiting = Waiting {
             ticket: request.ticket,
             rank: request.rank,
@@ -251,8 +238,23 @@
             arrived: now,
             latest_start,
             by_deadline,
+            late: request.late,
+        };
+        let arriving = Removed { tenant: request.tenant, weight: request.weight, request: waiting };
+        let Removed { tenant, weight, request: waiting } = match state.place(arriving, now) {
+            Ok(placed) => placed,
+            Err(refused) => return actions.push(refuse_late(state, refused)),
         };
-        state.queue.push(&request.tenant, request.weight, waiting);
+        if state.queue.len() >= self.settings.queue_length {
+            let Some(victim) = state.queue.evict_for(waiting.rank, &tenant, weight) else {
+                let refusal = state.refusal(false, "the queue is full");
+                actions.push(AdmissionAction::Refuse { ticket: waiting.ticket, refusal });
+                return;
+            };
+            let refusal = state.refusal(false, "the queue is full and the tenant holds the most of it");
+            actions.push(AdmissionAction::Refuse { ticket: victim.ticket, refusal });
+        }
+        state.queue.push(&tenant, weight, waiting);
         self.dispatch(&request.pool, now, actions);
     }
 
@@ -302,8 +304,10 @@
     fn refuse_hopeless(&mut self, pool: &PoolId, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
         let Some(state) = self.pools.get_mut(pool) else { return };
         for late in state.remove_hopeless(now) {
-            let refusal = state.refusal(late.by_deadline, "it could not begin in time");
-            actions.push(AdmissionAction::Refuse { ticket: late.ticket, refusal });
+            match state.place_late(late, now) {
+                Ok(Removed { tenant, weight, request }) => state.queue.push(&tenant, weight, request),
+                Err(refused) => actions.push(refuse_late(state, refused)),
+            }
         }
     }
 
@@ -311,8 +315,10 @@
     fn dispatch(&mut self, pool: &PoolId, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
         let Some(state) = self.pools.get_mut(pool) else { return };
         for late in state.queue.expire(now) {
-            let refusal = state.refusal(late.by_deadline, "it could not begin in time");
-            actions.push(AdmissionAction::Refuse { ticket: late.ticket, refusal });
+            match state.place_late(late, now) {
+                Ok(Removed { tenant, weight, request }) => state.queue.push(&tenant, weight, request),
+                Err(refused) => actions.push(refuse_late(state, refused)),
+            }
         }
         while let Some((tenant, waiting)) = state.next(self.settings.reserved_fraction) {
             let is_over_share = state.started(&tenant, &waiting, self.settings.reserved_fraction);
@@ -328,6 +334,11 @@
     }
 }
 
+fn refuse_late(state: &PoolState, refused: Waiting) -> AdmissionAction {
+    let refusal = state.refusal(refused.by_deadline, "it could not begin in time");
+    AdmissionAction::Refuse { ticket: refused.ticket, refusal }
+}
+
 fn latest_start(request: &AdmissionRequest, max_wait: Duration, now: Timestamp) -> (Timestamp, bool) {
     let by_wait = now + max_wait;
     match request.deadline.map(|deadline| deadline - request.predicted_start) {
--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -10,8 +10,8 @@
 
 use super::{
     limit::PoolLimit,
-    queue::{FairQueue, Position, Waiting},
-    ranked::RankedQueue,
+    queue::{FairQueue, Position, Removed, Waiting},
+    ranked::{RankedQueue, is_late_rank, late_rank},
     share,
 };
 
@@ -21,6 +21,11 @@
 /// How far a predicted wait must exceed the time left for a waiting request to be refused early: predictions
 /// err, and a request that is kept may still start or expire.
 const HOPELESS_FACTOR: f64 = 1.5;
+/// The part of the limit that is left to requests that can be in time. A pool's room has a tenth more than the
+/// slots of its engines for requests on their way: late ones start into free slots only.
+const LATE_RESERVE: f64 = 0.1;
+/// The starts of requests that can be in time, for each of a late one while both wait.
+const STARTS_PER_LATE: f64 = 20.0;
 /// The duration of a request assumed at the least, so that rates stay finite.
 const MIN_SERVICE_SECONDS: f64 = 0.001;
 /// Weight of the latest request in the exponentially smoothed duration.
@@ -86,7 +91,7 @@
 
     /// Removes the next request that may run from the queue.
     pub(super) fn next(&mut self, reserved_fraction: f64) -> Option<(TenantId, Waiting)> {
-        if self.queue.is_empty() || self.in_flight >= self.limit.slots() {
+        if self.queue.is_empty() || self.in_flight >= self.startable_slots() {
             return None;
         }
         if f64::from(self.in_flight) < self.unreserved_limit(reserved_fraction) {
@@ -97,6 +102,15 @@
         self.queue.pop(|tenant, weight| below_level(by_tenant, tenant, weight, level))
     }
 
+    /// The slots below which the next request may start. Requests that will be late leave some for those that
+    /// are about to arrive and can be in time.
+    fn startable_slots(&self) -> u32 {
+        let limit = self.limit.slots();
+        let is_late = self.queue.first_rank().is_some_and(is_late_rank);
+        let left = if is_late { f64::from(limit) * LATE_RESERVE } else { 0.0 };
+        limit.saturating_sub(left as u32).max(1)
+    }
+
     /// Returns the part of the limit that all tenants may use, whatever their share.
     fn unreserved_limit(&self, reserved_fraction: f64) -> f64 {
         let limit = f64::from(self.limit.slots());
@@ -157,8 +171,35 @@
         let others = backlogs.filter(|(other, _, _)| *other != tenant);
         let ahead: f64 =
             others.map(|(_, other, waiting)| (per_weight * f64::from(other)).min(waiting as f64)).sum();
-        let requests = own + ahead + 1.0 + self.queue.len_above(rank) as f64;
-        self.time_to_free(requests * self.request_slots)
+        let above = self.queue.len_above(rank);
+        let requests = own + ahead + 1.0;
+        // Further requests that can be in time arrive while these are served.
+        let interval = if is_late_rank(rank) && above > 0 { STARTS_PER_LATE } else { 1.0 };
+        self.time_to_free((requests * interval + above as f64) * self.request_slots)
+    }
+
+    /// The place of a request in the queue, or the request if it can start neither in time nor late.
+    pub(super) fn place(&self, arriving: Removed, now: Timestamp) -> Result<Removed, Waiting> {
+        let Removed { tenant, weight, request } = &arriving;
+        let predicted = self.predicted_wait(request.rank, tenant, *weight);
+        let is_in_time = now + predicted <= request.latest_start && request.latest_start >= now;
+        if is_in_time { Ok(arriving) } else { self.place_late(arriving, now) }
+    }
+
+    /// The place of a request that cannot start in time, behind all that can, or the request if it must be
+    /// refused.
+    pub(super) fn place_late(&self, removed: Removed, now: Timestamp) -> Result<Removed, Waiting> {
+        let Removed { tenant, weight, mut request } = removed;
+        let Some(late) = request.late.filter(|late| late.is_open(now) && !is_late_rank(request.rank)) else {
+            return Err(request);
+        };
+        let rank = late_rank(request.rank);
+        if now + self.predicted_wait(rank, &tenant, weight) > late.until {
+            return Err(request);
+        }
+        request.rank = rank;
+        request.latest_start = late.until;
+        Ok(Removed { tenant, weight, request })
     }
 
     /// The time until running requests have released `slots`, and what exceeds the limit.
@@ -168,7 +209,7 @@
     }
 
     /// Removes the waiting requests that cannot start in time, as predicted now.
-    pub(super) fn remove_hopeless(&mut self, now: Timestamp) -> Vec<Waiting> {
+    pub(super) fn remove_hopeless(&mut self, now: Timestamp) -> Vec<Removed> {
         let hopeless: Vec<RequestId> = self
             .queue
             .positions()
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -38,6 +38,32 @@
     pub latest_start: Timestamp,
     /// Whether `latest_start` derives from the caller's deadline instead of the maximum wait.
     pub by_deadline: bool,
+    /// When it may still start late; `None` if it is refused instead.
+    pub late: Option<LateStart>,
+}
+
+/// The time in which a request may start although its first event will be late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LateStart {
+    /// Before this the request is refused instead, as its caller can still come back in time.
+    pub from: Timestamp,
+    /// After this the request is refused.
+    pub until: Timestamp,
+}
+
+impl LateStart {
+    /// Whether a request that cannot start in time goes on waiting at `now`.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.from <= now && now <= self.until
+    }
+}
+
+/// A request outside the queue: not yet in it, or taken out without starting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Removed {
+    pub tenant: TenantId,
+    pub weight: u32,
+    pub request: Waiting,
 }
 
 /// A waiting request and its place.
@@ -154,11 +180,13 @@
     }
 
     /// Removes an abandoned request.
-    pub fn remove(&mut self, ticket: &RequestId) -> Option<Waiting> {
-        let queues = self.tenants.values_mut().flat_map(|queue| &mut queue.waiting);
-        let removed = queues.into_iter().find_map(|queue| {
-            let position = queue.iter().position(|waiting| waiting.ticket == *ticket)?;
-            queue.remove(position)
+    pub fn remove(&mut self, ticket: &RequestId) -> Option<Removed> {
+        let removed = self.tenants.iter_mut().find_map(|(tenant, queue)| {
+            let request = queue.waiting.iter_mut().find_map(|class| {
+                let position = class.iter().position(|waiting| waiting.ticket == *ticket)?;
+                class.remove(position)
+            })?;
+            Some(Removed { tenant: tenant.clone(), weight: queue.weight, request })
         });
         self.len -= usize::from(removed.is_some());
         removed
@@ -199,15 +227,20 @@
     }
 
     /// Removes all requests that can no longer start in time.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Waiting> {
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Removed> {
         let mut expired = Vec::new();
-        for queue in self.tenants.values_mut().flat_map(|queue| &mut queue.waiting) {
-            if queue.iter().all(|waiting| waiting.latest_start >= now) {
-                continue;
+        for (tenant, queue) in &mut self.tenants {
+            let weight = queue.weight;
+            for class in &mut queue.waiting {
+                if class.iter().all(|waiting| waiting.latest_start >= now) {
+                    continue;
+                }
+                let (late, in_time): (VecDeque<_>, _) =
+                    class.drain(..).partition(|waiting: &Waiting| waiting.latest_start < now);
+                *class = in_time;
+                let removed = |request| Removed { tenant: tenant.clone(), weight, request };
+                expired.extend(late.into_iter().map(removed));
             }
-            let (late, in_time) = queue.drain(..).partition(|waiting: &Waiting| waiting.latest_start < now);
-            *queue = in_time;
-            expired.extend(Vec::from(late));
         }
         self.len -= expired.len();
         expired
--- a/crates/core/src/admission/ranked.rs
+++ b/crates/core/src/admission/ranked.rs
@@ -1,7 +1,8 @@
 //! Fair queues of one pool, one for each rank of urgency.
 //!
 //! A more urgent rank goes first. A rank that is passed over still gets one in [`FLOOR_INTERVAL`] starts, so
-//! that steady urgent load does not starve it.
+//! that steady urgent load does not starve it. Requests that will be late are no rank in this sense: they start
+//! only when none waits that can be in time.
 
 use std::collections::BTreeMap;
 
@@ -10,12 +11,26 @@
     time::Timestamp,
 };
 
-use super::queue::{FairQueue, Position, Waiting};
+use super::queue::{FairQueue, Position, Removed, Waiting};
 
 /// Starts of more urgent ranks after which a waiting rank gets one: 5 % keep a class from starving, and delay
 /// urgent requests by less than one request in twenty.
 pub const FLOOR_INTERVAL: u32 = 20;
 
+/// The first rank of requests that will be late. They wait behind all that can be in time, in the order of
+/// their original ranks.
+pub const FIRST_LATE_RANK: u8 = 128;
+
+/// The rank in which a request of `rank` waits once it will be late.
+pub fn late_rank(rank: u8) -> u8 {
+    rank.saturating_add(FIRST_LATE_RANK)
+}
+
+/// Whether requests of a rank will be late.
+pub const fn is_late_rank(rank: u8) -> bool {
+    rank >= FIRST_LATE_RANK
+}
+
 /// The queue of one rank.
 #[derive(Clone, Debug, Default)]
 struct RankQueue {
@@ -88,7 +103,7 @@
     }
 
     /// Removes an abandoned request.
-    pub fn remove(&mut self, ticket: &RequestId) -> Option<Waiting> {
+    pub fn remove(&mut self, ticket: &RequestId) -> Option<Removed> {
         self.queues_mut().find_map(|queue| queue.remove(ticket))
     }
 
@@ -104,8 +119,8 @@
         self.by_rank.get_mut(&rank)?.queue.evict_for(tenant, weight)
     }
 
-    /// Removes all requests that can no longer start in time.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Waiting> {
+    /// Removes all requests that can no longer start in time, each with its tenant and the tenant's weight.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Removed> {
         self.queues_mut().flat_map(|queue| queue.expire(now)).collect()
     }
 
@@ -119,11 +134,17 @@
         self.queues().filter_map(FairQueue::next_expiry).min()
     }
 
+    /// The most urgent rank that has requests waiting.
+    pub fn first_rank(&self) -> Option<u8> {
+        self.by_rank.iter().find(|(_, entry)| !entry.queue.is_empty()).map(|(rank, _)| *rank)
+    }
+
     /// Counts a start of `rank` for the less urgent ranks that have requests waiting.
     fn pass_over(&mut self, rank: u8) {
-        for (_, entry) in self.by_rank.iter_mut().filter(|(other, _)| **other > rank) {
+        for (other, entry) in self.by_rank.iter_mut().filter(|(other, _)| **other > rank) {
             let waits = !entry.queue.is_empty();
-            entry.passed_over = if waits { entry.passed_over.saturating_add(1) } else { 0 };
+            let counts = waits && !is_late_rank(*other);
+            entry.passed_over = if counts { entry.passed_over.saturating_add(1) } else { 0 };
         }
     }
 
--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
-use paddlemount_protocol::time::Timestamp;
+use paddlemount_protocol::{fleet::EngineCondition, time::Timestamp};
+
+use crate::admission::queue::LateStart;
 
 /// Requests per slot beyond a full batch, so that an engine has a next request while one is on its way.
 const ON_THE_WAY_SHARE: f64 = 0.1;
@@ -21,6 +23,20 @@
 const TIME_WEIGHT: f64 = 0.1;
 /// Mean deviations above the mean within which a first event is expected, as in retransmission timeouts.
 const EXPECTED_DEVIATIONS: f64 = 2.0;
+/// The part of the target latency after which a rejected caller has lost too much time to be served as well
+/// when it comes back: from then on a request waits although it will be late.
+const EARLY_REJECTION_SHARE: f64 = 0.25;
+/// The part of the caller's time that a request waits at most: a caller that has waited longer for nothing is
+/// left without time for anything else.
+const MAX_LATE_WAIT_SHARE: f64 = 0.5;
+/// The part of the usual time of a route's callers below which a caller has spent the rest on an earlier
+/// attempt. A caller with little time for other reasons could not come back either.
+const RETURNED_TIME_SHARE: f64 = 0.95;
+/// How long the longest time of a route's callers is remembered.
+const CALLER_TIME_TTL: Duration = Duration::from_secs(60);
+/// The least part of a pool's rate that is assumed to be left to callers who come back, so that their times
+/// stay finite while the demand exceeds the room.
+const MIN_SPARE_RATE: f64 = 0.1;
 /// The part of its remaining time that a caller waits at most before it comes back.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 /// The maximum jitter of a retry time, relative to that time.
@@ -38,6 +54,51 @@
     (slots.round() as u32).clamp(1, engine_slots.max(1))
 }
 
+/// What a node knows of an engine of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineState {
+    pub slots: u32,
+    /// Requests in flight there, of all nodes and of this one.
+    pub in_flight: u32,
+    pub own: u32,
+    /// Whether it is ready, and neither loading, ejected nor suspect to this node.
+    pub is_usable: bool,
+    /// What all nodes know of it.
+    pub condition: EngineCondition,
+}
+
+/// The engines of a pool that can take requests, and the requests there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolWork {
+    pub slots: u64,
+    /// Requests in flight of all nodes.
+    pub in_flight: u64,
+    /// Requests in flight of this node.
+    pub own: u32,
+}
+
+impl PoolWork {
+    /// Adds an engine. One that takes no requests is no room, and the requests that wait there use none.
+    pub fn add(&mut self, engine: EngineState) {
+        if !engine.is_usable || engine.condition == EngineCondition::Silent {
+            return;
+        }
+        self.slots += u64::from(engine.slots);
+        self.in_flight += u64::from(engine.in_flight);
+        self.own += engine.own;
+    }
+
+    /// The part of the room that is in use.
+    pub fn measured_contention(&self) -> f64 {
+        self.in_flight as f64 / room(self.slots)
+    }
+
+    /// A limit that leaves out those of this node's permits whose requests wait at engines outside the room.
+    pub const fn without_stuck(&self, limit: u32, permits: u32) -> u32 {
+        limit.saturating_add(permits.saturating_sub(self.own))
+    }
+}
+
 /// The room of engines that have `slots` batch slots together.
 pub fn room(slots: u64) -> f64 {
     slots as f64 * (1.0 + ON_THE_WAY_SHARE)
@@ -126,9 +187,30 @@
         Some(Duration::from_secs_f64(self.mean_seconds?))
     }
 
-    /// A time that most stay within; `None` without measurements.
-    pub fn expected(&self) -> Option<Duration> {
-        Some(Duration::from_secs_f64(self.mean_seconds? + EXPECTED_DEVIATIONS * self.deviation_seconds))
+    /// The time to allow for, so that nearly all events come within `target`, or at least most of them where
+    /// that leaves no time to wait; `None` without measurements.
+    pub fn expected(&self, target: Duration) -> Option<Duration> {
+        let mean = self.mean_seconds?;
+        let most = Duration::from_secs_f64(mean + self.deviation_seconds);
+        let nearly_all = Duration::from_secs_f64(mean + EXPECTED_DEVIATIONS * self.deviation_seconds);
+        Some(if nearly_all <= target { nearly_all } else { most })
+    }
+}
+
+/// The time that callers of a route usually have, by which those are recognised that come back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallerTime {
+    longest: Duration,
+    at: Timestamp,
+}
+
+impl CallerTime {
+    /// Records the time of a caller. Returns whether it has come back after a rejection.
+    pub fn record(&mut self, time_left: Duration, now: Timestamp) -> bool {
+        if time_left >= self.longest || now.saturating_since(self.at) >= CALLER_TIME_TTL {
+            *self = Self { longest: time_left, at: now };
+        }
+        time_left < self.longest.mul_f64(RETURNED_TIME_SHARE)
     }
 }
 
@@ -140,6 +222,8 @@
     pub latency: Duration,
     /// When its caller gives up.
     pub deadline: Timestamp,
+    /// Whether its caller has been rejected before, and will not come back again.
+    pub has_returned: bool,
 }
 
 impl Target {
@@ -149,6 +233,19 @@
         expected.min(self.latency).min(self.deadline.saturating_since(now))
     }
 
+    /// The time in which the request may start late, rather than be rejected; `None` while the `total_demand`
+    /// of callers exceeds the `room`, as each late start then keeps a request of another caller from being in
+    /// time.
+    pub fn late_start(&self, total_demand: f64, room: f64) -> Option<LateStart> {
+        if total_demand > room {
+            return None;
+        }
+        let early =
+            if self.has_returned { Duration::ZERO } else { self.latency.mul_f64(EARLY_REJECTION_SHARE) };
+        let wait = self.deadline.saturating_since(self.arrived).mul_f64(MAX_LATE_WAIT_SHARE);
+        Some(LateStart { from: self.arrived + early, until: self.arrived + wait })
+    }
+
     /// Until when the first event of a request may come that takes `expected` to it, for the request to wait.
     pub fn first_event_by(&self, expected: Duration, now: Timestamp) -> Timestamp {
         let in_time = self.arrived + self.latency;
@@ -156,6 +253,13 @@
     }
 }
 
+/// The rate at which a pool has turns for callers that come back, of its rate in full use: what callers who
+/// come for the first time leave.
+pub fn spare_rate(per_second: f64, room: f64, total_demand: f64) -> f64 {
+    let spare = if room > 0.0 { 1.0 - total_demand / room } else { 0.0 };
+    per_second * spare.clamp(MIN_SPARE_RATE, 1.0)
+}
+
 /// When a rejected caller should come back: at `turn`, when there will be room for it, with jitter by `draw`
 /// from 0 to 1, but early enough that the caller, who has `time_left`, can still be served.
 pub fn retry_after(turn: Duration, time_left: Duration, draw: f64) -> Duration {
--- a/crates/core/tests/admission_queue.rs
+++ b/crates/core/tests/admission_queue.rs
@@ -40,6 +40,7 @@
         predicted_start: Duration::from_millis(200),
         deadline: None,
         due: None,
+        late: None,
     }
 }
 
@@ -171,6 +172,7 @@
                 arrived: START,
                 latest_start: START,
                 by_deadline: false,
+                late: None,
             };
             queue.push(&tenants[tenant], weights[tenant], waiting);
         }
--- a/crates/core/tests/admission_shared_engines.rs
+++ b/crates/core/tests/admission_shared_engines.rs
@@ -100,6 +100,7 @@
             predicted_start: Duration::ZERO,
             deadline: None,
             due: None,
+            late: None,
         };
         let node = self.random.random_range(0..self.nodes.len());
         self.apply(node, AdmissionEvent::Submit(request));
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -58,6 +58,7 @@
         predicted_start: Duration::from_millis(100),
         deadline: Some(arrived + Duration::from_millis(1_000)),
         due: Some(arrived + Duration::from_secs(5)),
+        late: None,
     }
 }
 
@@ -312,7 +313,12 @@
 
 #[test]
 fn a_request_that_is_late_anyway_starts_if_there_is_room_and_does_not_wait() {
-    let target = Target { arrived: START, latency: Duration::from_millis(800), deadline: at(10_000) };
+    let target = Target {
+        arrived: START,
+        latency: Duration::from_millis(800),
+        deadline: at(10_000),
+        has_returned: false,
+    };
     let by = |expected: u64, now| target.first_event_by(Duration::from_millis(expected), now);
     assert_eq!(by(300, START), at(800), "in time");
     assert_eq!(by(800, START), at(800), "just in time without a wait");
--- a/crates/forward/src/room.rs
+++ b/crates/forward/src/room.rs
@@ -7,7 +7,7 @@
     back_off::RetryAfterSchedule,
     forwarding::{
         backends::{Backend, BackendState},
-        room::{self, Contention, DemandShare, RecentTime},
+        room::{self, CallerTime, Contention, DemandShare, EngineState, PoolWork, RecentTime},
     },
     health::Availability,
 };
@@ -42,6 +42,9 @@
     pub(crate) schedule: RetryAfterSchedule,
     contention: Option<Contention>,
     share: f64,
+    /// Batch slots of the pool, and those that all nodes' callers demand; 0 while they are unknown.
+    pub(crate) room: f64,
+    pub(crate) total_demand: f64,
     /// Requests rejected since the last log line.
     pub(crate) rejected: u64,
     logged_at: Timestamp,
@@ -54,6 +57,7 @@
     pub(crate) first_event: RecentTime,
     /// From sending a request to its end.
     pub(crate) total: RecentTime,
+    pub(crate) callers: CallerTime,
 }
 
 /// Admission of a node's requests to pools of engines.
@@ -112,38 +116,28 @@
     PoolId::from(service.as_str())
 }
 
-/// The engines of a pool that can take requests, and their requests.
-#[derive(Clone, Copy, Debug, Default)]
-struct PoolWork {
-    /// Batch slots of usable engines.
-    slots: u64,
-    /// Requests in flight of all nodes there.
-    in_flight: u64,
-    /// Requests in flight of this node there.
-    own: u32,
-}
-
 impl NodeState {
     fn pool_work(&self, service: &ServiceId, now: Timestamp) -> PoolWork {
         let mut work = PoolWork::default();
         let Some(pool) = self.backends.pool(service) else { return work };
         let engines = pool.usable().filter_map(|ranked| self.backends.get(&ranked.id));
-        for engine in engines.filter(|engine| self.has_room(engine, now)) {
-            let id = &engine.entry.id;
-            work.slots += u64::from(engine.entry.slots);
-            work.in_flight += u64::from(self.chooser.loads.total_requests(id));
-            work.own += self.chooser.loads.of(id).requests;
-        }
+        engines.for_each(|engine| work.add(self.engine_state(engine, now)));
         work
     }
 
-    /// Whether an engine counts for the room of its pool: ready, and neither loading, ejected nor silent.
-    fn has_room(&self, engine: &Backend, now: Timestamp) -> bool {
+    fn engine_state(&self, engine: &Backend, now: Timestamp) -> EngineState {
         let id = &engine.entry.id;
-        engine.state == BackendState::Ready
+        let is_usable = engine.state == BackendState::Ready
             && !engine.is_loading(now)
             && !matches!(self.health.availability(id, 0.0, now), Availability::Ejected { .. })
-            && !self.chooser.loads.is_suspect(id, now)
+            && !self.chooser.loads.is_suspect(id, now);
+        EngineState {
+            slots: engine.entry.slots,
+            in_flight: self.chooser.loads.total_requests(id),
+            own: self.chooser.loads.of(id).requests,
+            is_usable,
+            condition: self.profile(id, now).condition,
+        }
     }
 
     /// The services whose back ends are engines.
@@ -227,13 +221,14 @@
         }
         let room = room::room(work.slots);
         self.share = room::share(room, demand, nodes);
-        let measured = work.in_flight as f64 / room;
+        self.room = room;
+        self.total_demand = demand.map_or(0.0, |demand| demand.total);
+        let measured = work.measured_contention();
         let contention = self.contention.get_or_insert(Contention::new(measured, now));
         contention.record(measured, now);
         // Without a recent total, the requests of others are not known either.
         let limit = room::limit(self.share, demand.map(|_| contention.value()));
-        // Requests that wait at engines outside the room take nothing from it.
-        limit.saturating_add(self.permits.saturating_sub(work.own))
+        work.without_stuck(limit, self.permits)
     }
 }
 
--- a/crates/forward/src/room_permit.rs
+++ b/crates/forward/src/room_permit.rs
@@ -6,7 +6,7 @@
     admission::{AdmissionEvent, AdmissionRequest},
     forwarding::{
         document::rank,
-        room::{Target, request_slots, retry_after},
+        room::{Target, request_slots, retry_after, spare_rate},
     },
 };
 use paddlemount_protocol::{
@@ -112,10 +112,14 @@
         rooms.last_ticket += 1;
         let ticket = RequestId::from(rooms.last_ticket.to_string());
         rooms.waiting.insert(ticket.clone(), sender);
-        let times = rooms.times.get(&self.route.name).copied().unwrap_or_default();
+        let pool = rooms.pools.entry(self.service.clone()).or_default();
+        let (total_demand, room) = (pool.total_demand, pool.room);
+        let times = rooms.times.entry(self.route.name.clone()).or_default();
+        let has_returned = times.callers.record(self.deadline.saturating_since(self.arrived), now);
+        let times = *times;
         let latency = self.route.target_latency;
-        let target = Target { arrived: self.arrived, latency, deadline: self.deadline };
-        let predicted_start = target.bounded(times.first_event.expected().unwrap_or_default(), now);
+        let target = Target { arrived: self.arrived, latency, deadline: self.deadline, has_returned };
+        let predicted_start = target.bounded(times.first_event.expected(latency).unwrap_or_default(), now);
         let tenant = self.record.tenant.as_ref();
         let request = AdmissionRequest {
             ticket: ticket.clone(),
@@ -129,6 +133,7 @@
             predicted_start,
             deadline: Some(target.first_event_by(predicted_start, now)),
             due: Some(self.deadline),
+            late: target.late_start(total_demand, room),
         };
         rooms.apply(AdmissionEvent::Submit(request), now);
         let service = self.service.clone();
@@ -153,6 +158,7 @@
         pool.rejected += 1;
         let opens_at = now + Duration::from_millis(refusal.retry_after_ms.unwrap_or_default());
         let per_second = view.map_or(1.0, |view| view.slots_per_second);
+        let per_second = spare_rate(per_second, pool.room, pool.total_demand);
         let turn = pool.schedule.next(opens_at, per_second, now);
         let time_left = self.deadline.saturating_since(now);
         Refusal { reason, retry_after: Some(retry_after(turn, time_left, rand::random())) }
--- a/crates/node/src/overload/permit.rs
+++ b/crates/node/src/overload/permit.rs
@@ -206,6 +206,7 @@
         predicted_start,
         deadline: Some(spec.deadline),
         due: None,
+        late: None,
     };
     inner.apply(AdmissionEvent::Submit(request), now);
     Some(receiver)
