Admission: shared segments take no slots

Cause: a long prompt held two or three slots for tokens that an engine stores once for all requests with its prefix, while contention counts requests. Change: slots follow the tokens that are not shared; both count the same.

--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -8,6 +8,7 @@
 
 use paddlemount_protocol::{fleet::EngineCondition, time::Timestamp};
 
+use super::prompt::Prompt;
 use crate::admission::queue::LateStart;
 
 /// Requests per slot beyond a full batch, so that an engine has a next request while one is on its way.
@@ -44,6 +45,12 @@
 /// The part of the longest useful retry time over which callers are spread whose turn would be later.
 const LATE_RETRY_SPREAD: f64 = 0.5;
 
+/// The tokens that a request takes of an engine's cache. Shared segments are stored once for all requests of an
+/// engine.
+pub fn request_tokens(prompt: &Prompt) -> u64 {
+    u64::from(prompt.prompt_tokens.saturating_sub(prompt.shared_tokens())) + u64::from(prompt.output_tokens)
+}
+
 /// The batch slots that a request occupies: one, or more if its tokens take more of the cache than a slot's
 /// part.
 pub fn request_slots(tokens: u64, engine_slots: u32, cache_tokens: u64) -> u32 {
--- a/crates/forward/src/room_permit.rs
+++ b/crates/forward/src/room_permit.rs
@@ -6,7 +6,7 @@
     admission::{AdmissionEvent, AdmissionRequest},
     forwarding::{
         document::rank,
-        room::{Target, request_slots, retry_after, spare_rate},
+        room::{Target, request_slots, request_tokens, retry_after, spare_rate},
     },
 };
 use paddlemount_protocol::{
@@ -87,11 +87,7 @@
     fn engine_slots(&self) -> Option<u32> {
         let state = self.node.state.borrow();
         let engine = state.table.as_ref()?.service(&self.service)?.engine.as_ref()?;
-        let tokens = self
-            .head
-            .prompt
-            .as_ref()
-            .map_or(0, |prompt| u64::from(prompt.prompt_tokens) + u64::from(prompt.output_tokens));
+        let tokens = self.head.prompt.as_ref().map_or(0, request_tokens);
         Some(request_slots(tokens, engine.slots, engine.cache_tokens))
     }
 
