--- a/crates/core/tests/forwarding_late_requests.rs
+++ b/crates/core/tests/forwarding_late_requests.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use paddlemount_core::forwarding::prompt::{Prompt, Segment, SegmentId};
 use paddlemount_core::{
     admission::{
         Admission, AdmissionAction, AdmissionEvent, AdmissionRequest, AdmissionSettings, queue::LateStart,
@@ -12,7 +13,7 @@
 use paddlemount_protocol::{
     engine::Priority,
     fleet::EngineCondition,
-    identity::{PoolId, RequestId, TenantId},
+    identity::{ModelId, PoolId, RequestId, TenantId},
     time::Timestamp,
 };
 
@@ -185,3 +186,17 @@
     let limit = room::limit(12.0, Some(contention));
     assert_eq!(work.without_stuck(limit, 18), limit + 18);
 }
+
+/// A long prompt that others share must not take the room of several short requests.
+#[test]
+fn shared_segments_take_no_slots() {
+    let segment = |id, tokens| Segment { id: SegmentId(id), tokens };
+    let prompt = Prompt {
+        model: ModelId::from("model"),
+        prompt_tokens: 17_020,
+        output_tokens: 24,
+        segments: vec![segment(1, 13_300), segment(2, 3_720)],
+    };
+    assert_eq!(room::request_tokens(&prompt), 3_744);
+    assert_eq!(room::request_slots(room::request_tokens(&prompt), 32, 166_704), 1);
+}
