Forecasts by the outcomes of all nodes

Each of many nodes learned the rates alone, for ten seconds and differently. Outcomes are now histograms that nodes add up the tree, and the sums of all come down; rates and trust are fitted to these, and equal at all nodes within two seconds of traffic. Engine slowness scales the forecasts and is measured against them, the measured rate replaces the fallback in weighing transfers, and work that others report is reduced by what the engine has read since.

--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -39,7 +39,7 @@
 
 use super::{
     backends::BackendId,
-    forecast::{EngineWorkload, RequestWork, Timing},
+    forecast::{EngineWorkload, NEUTRAL_SLOWNESS, RequestWork, Timing},
     load::{BackendLoad, Loads, MIN_SLOWNESS},
     performance::EngineProfile,
     prefixes::{CachedSegment, PrefixIndex, ScopeHash},
@@ -68,6 +68,13 @@
     pub profile: Option<EngineProfile>,
 }
 
+impl Candidate<'_> {
+    /// Its time for the same work relative to a typical engine, if that is known well enough.
+    pub(crate) fn slowness(&self) -> f64 {
+        self.profile.map_or(NEUTRAL_SLOWNESS, EngineProfile::known_slowness)
+    }
+}
+
 /// A cache store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreEndpoint {
--- a/crates/core/src/forwarding/choice/by_time.rs
+++ b/crates/core/src/forwarding/choice/by_time.rs
@@ -16,7 +16,7 @@
     tie,
 };
 use crate::forwarding::{
-    forecast::{EngineWorkload, NEUTRAL_SLOWNESS, RequestWork, Timing, time_to_first_event},
+    forecast::{EngineWorkload, RequestWork, Timing, time_to_first_event},
     prompt::Prompt,
     ranks::{rank, rank_for},
 };
@@ -182,13 +182,14 @@
     ) -> Evaluated {
         let Request { placement, timing, prompt } = request;
         let mut choice = self.evaluate(candidate, group, placement, prompt);
-        choice.workload = self.workload(candidate);
+        choice.workload = self.workload(candidate, placement);
         choice.work = RequestWork { prefill_tokens: choice.expected_tokens, transfer: Duration::ZERO };
         choice.eligible = eligible;
-        let forecast = time_to_first_event(&timing.rates, NEUTRAL_SLOWNESS, choice.workload, choice.work);
+        let forecast = time_to_first_event(&timing.rates, candidate.slowness(), choice.workload, choice.work);
         let late = forecast.saturating_sub(timing.target).as_secs_f64();
         let delayed = 1.0 + WAITING_SHARE * f64::from(choice.workload.requests);
-        let work = timing.rates.reading(choice.work.prefill_tokens).as_secs_f64() * delayed;
+        let reading = timing.rates.reading(choice.work.prefill_tokens).as_secs_f64();
+        let work = reading * candidate.slowness() * delayed;
         let is_reserved =
             !timing.is_long(prompt) && is_for_long_prompts(candidate, timing.long_prompts.share);
         let reserved = if is_reserved { timing.long_prompts.delay } else { Duration::ZERO };
@@ -201,10 +202,11 @@
         Evaluated { choice, forecast, cost, outdated: candidate.outdated }
     }
 
-    /// The known work at an engine. What other nodes report is some hundred milliseconds old: about half of
-    /// their tokens have been prefilled since.
-    pub(super) fn workload(&self, candidate: &Candidate<'_>) -> EngineWorkload {
-        let others = self.loads.of_others(candidate.id).map_or(0, |work| work.pending_prefill_tokens / 2);
+    /// The known work at an engine. What other nodes report is some hundred milliseconds old: the engine has
+    /// prefilled a part of it since.
+    pub(super) fn workload(&self, candidate: &Candidate<'_>, placement: Placement<'_>) -> EngineWorkload {
+        let per_token = placement.timing.map(|timing| timing.rates.per_token.mul_f64(candidate.slowness()));
+        let others = self.loads.pending_of_others(candidate.id, per_token, placement.now);
         EngineWorkload {
             requests: self.loads.total_requests(candidate.id),
             slots: candidate.slots,
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -14,6 +14,7 @@
     backends::BackendId,
     forecast::{EngineWorkload, RequestWork},
     load::TYPICAL_SLOWNESS,
+    performance::EngineProfile,
     prefixes::ScopeHash,
     prompt::{CacheScope, Prompt},
     transfers::{RequestTransfers, Verdict, Weighed},
@@ -38,9 +39,6 @@
 /// The cost of a back end in another zone, in prefilled tokens.
 const OTHER_ZONE_TOKENS: u64 = 120;
 
-/// The number of measurements of all nodes below which this node goes by its own.
-const MIN_SHARED_SAMPLES: f64 = 3.0;
-
 /// The properties shared by all candidates with the same weights.
 pub(super) struct WeightsGroup<'a> {
     pub(super) weights: WeightsVersion,
@@ -94,7 +92,7 @@
             let mut choice = self.evaluate(candidate, group, placement, prompt);
             choice.cost = self.total_cost(candidate, choice.cost, placement, median_ms);
             choice.eligible = candidates.len();
-            choice.workload = self.workload(candidate);
+            choice.workload = self.workload(candidate, placement);
             choice.work = RequestWork { prefill_tokens: choice.expected_tokens, transfer: Duration::ZERO };
             if best.as_ref().is_none_or(|(cost, order, _)| (choice.cost, tie) < (*cost, *order)) {
                 best = Some((choice.cost, tie, choice));
@@ -138,7 +136,7 @@
         let distance = if candidate.zone == placement.zone { 0 } else { OTHER_ZONE_TOKENS };
         // Unlike other requests, prompts reach every back end by its cached segments, so that one without
         // recent measurements needs no preference.
-        let shared = candidate.profile.filter(|profile| profile.samples >= MIN_SHARED_SAMPLES);
+        let shared = candidate.profile.filter(EngineProfile::is_measured);
         let slowness = shared.map_or_else(
             || self.loads.slowness(candidate.id, median_ms, TYPICAL_SLOWNESS, placement.now),
             |profile| profile.slowness,
--- a/crates/core/src/forwarding/forecast/error.rs
+++ b/crates/core/src/forwarding/forecast/error.rs
@@ -24,12 +24,21 @@
 pub struct ForecastError {
     close: RecentRate,
     all: RecentRate,
+    /// The counts of all nodes, if known.
+    shared: Option<Counts>,
     trusted: bool,
 }
 
+/// The numbers of outcomes that were close to their forecasts, and of all, in the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Counts {
+    pub close: f64,
+    pub all: f64,
+}
+
 impl Default for ForecastError {
     fn default() -> Self {
-        Self { close: RecentRate::new(WINDOW), all: RecentRate::new(WINDOW), trusted: false }
+        Self { close: RecentRate::new(WINDOW), all: RecentRate::new(WINDOW), shared: None, trusted: false }
     }
 }
 
@@ -55,9 +64,20 @@
         self.trusted && self.close_share(now).is_some()
     }
 
+    /// The counts of this node, for other nodes.
+    pub fn own_counts(&self, now: Timestamp) -> Counts {
+        let count = |rate: RecentRate| rate.per_second(now) * WINDOW.as_secs_f64();
+        Counts { close: count(self.close), all: count(self.all) }
+    }
+
+    /// Judges by the counts of all nodes from now on, or by those of this node if they are unknown.
+    pub const fn use_shared(&mut self, counts: Option<Counts>) {
+        self.shared = counts;
+    }
+
     /// The share of outcomes close to their forecasts; `None` with too few of them.
     pub fn close_share(&self, now: Timestamp) -> Option<f64> {
-        let all = self.all.per_second(now);
-        (all * WINDOW.as_secs_f64() >= MIN_OUTCOMES).then(|| self.close.per_second(now) / all)
+        let counts = self.shared.unwrap_or_else(|| self.own_counts(now));
+        (counts.all >= MIN_OUTCOMES).then(|| counts.close / counts.all)
     }
 }
--- a/crates/core/src/forwarding/forecast/mod.rs
+++ b/crates/core/src/forwarding/forecast/mod.rs
@@ -2,19 +2,23 @@
 //!
 //! | module | responsibility |
 //! |---|---|
-//! | [`rates`] | the rates of a service's engines, from this node's outcomes |
+//! | [`outcomes`] | sums of outcomes, which nodes can add up |
+//! | [`rates`] | the rates of a service's engines, from these sums |
+//! | [`shared`] | the sums of all nodes |
 //! | [`error`] | how far outcomes are from their forecasts, and whether forecasts may be trusted |
 //! | [`long_prompts`] | which prompts are long, and how many engines are preferred for them |
 
 pub mod error;
 pub mod long_prompts;
+mod outcomes;
 pub mod rates;
+pub mod shared;
 
 use std::time::Duration;
 
-use paddlemount_protocol::time::Timestamp;
+use paddlemount_protocol::{fleet::PoolRates, identity::ServiceId, time::Timestamp};
 
-use error::ForecastError;
+use error::{Counts, ForecastError};
 use long_prompts::{LongPromptEngines, LongPrompts};
 use rates::{RateEstimator, Rates};
 
@@ -101,6 +105,26 @@
         }
     }
 
+    /// What this node has measured, for other nodes.
+    pub fn own_rates(&self, service: &ServiceId, now: Timestamp) -> PoolRates {
+        let counts = self.error.own_counts(now);
+        PoolRates {
+            service: service.clone(),
+            outcomes: self.estimator.own_outcomes(now),
+            judged_per_mille: (counts.all * 1e3) as u64,
+            close_per_mille: (counts.close * 1e3) as u64,
+        }
+    }
+
+    /// Uses what all nodes have measured from now on, or what this node has if that is unknown.
+    pub fn use_shared(&mut self, rates: Option<&PoolRates>, now: Timestamp) {
+        self.estimator.use_shared(rates.map(|rates| rates.outcomes.as_slice()), now);
+        self.error.use_shared(rates.map(|rates| Counts {
+            close: rates.close_per_mille as f64 / 1e3,
+            all: rates.judged_per_mille as f64 / 1e3,
+        }));
+    }
+
     /// The rates as measured, whether or not forecasts by them may be trusted.
     pub fn measured_rates(&self, now: Timestamp) -> Option<Rates> {
         self.estimator.rates(now)
--- a/crates/core/src/forwarding/load.rs
+++ b/crates/core/src/forwarding/load.rs
@@ -30,6 +30,10 @@
 /// The slowness of a back end with the median latency.
 pub const TYPICAL_SLOWNESS: f64 = 1.0;
 
+/// The mean age of reports when they are passed on: they cross two links, and wait for half of the interval of
+/// 200 ms at each.
+const REPORT_AGE: Duration = Duration::from_millis(200);
+
 /// The minimum time without a first byte after which a back end is suspect.
 const MIN_SUSPECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -96,6 +100,8 @@
     unanswered: BTreeMap<BackendId, Vec<Timestamp>>,
     /// The requests in flight at other nodes, as last reported.
     others: BTreeMap<BackendId, EngineWork>,
+    /// When that report was requested.
+    others_at: Timestamp,
 }
 
 impl Loads {
@@ -143,8 +149,9 @@
         self.by_backend.get(backend).copied().unwrap_or_default()
     }
 
-    /// Replaces the reported requests in flight at other nodes.
-    pub fn set_others(&mut self, work: Vec<EngineWork>) {
+    /// Replaces the requests in flight at other nodes, as reported at `now`.
+    pub fn set_others(&mut self, work: Vec<EngineWork>, now: Timestamp) {
+        self.others_at = now;
         self.others = work.into_iter().map(|work| (work.engine.clone(), work)).collect();
     }
 
@@ -153,6 +160,19 @@
         self.others.get(backend)
     }
 
+    /// The tokens that a back end has yet to prefill for other nodes: what they reported, less what it has read
+    /// since. With `per_token` unknown, about half of it.
+    pub fn pending_of_others(&self, backend: &BackendId, per_token: Option<Duration>, now: Timestamp) -> u64 {
+        let Some(reported) = self.of_others(backend).map(|work| work.pending_prefill_tokens) else {
+            return 0;
+        };
+        let Some(per_token) = per_token.filter(|per_token| !per_token.is_zero()) else {
+            return reported / 2;
+        };
+        let age = now.saturating_since(self.others_at) + REPORT_AGE;
+        reported.saturating_sub((age.as_nanos() / per_token.as_nanos()) as u64)
+    }
+
     /// The requests in flight at a back end, of this node and, as last reported, of others.
     pub fn total_requests(&self, backend: &BackendId) -> u32 {
         self.of(backend).requests + self.of_others(backend).map_or(0, |work| work.requests)
--- a/crates/core/src/forwarding/performance/mod.rs
+++ b/crates/core/src/forwarding/performance/mod.rs
@@ -25,12 +25,16 @@
     time::Timestamp,
 };
 
+use super::forecast::NEUTRAL_SLOWNESS;
+
 use self::{
     condition::{Return, Signs, Silence, due_probe, takes_part},
     exchange::{Neighbour, NeighbourId},
     speed::{MIN_WEIGHT, Speed},
 };
 
+/// The number of measurements of all nodes below which this node goes by its own.
+const MIN_SAMPLES: f64 = 3.0;
 /// How long the entries of a child are used after its last report.
 const CHILD_TTL: Duration = Duration::from_millis(1_500);
 /// How long an engine without further observations is remembered.
@@ -55,6 +59,18 @@
     pub condition: EngineCondition,
 }
 
+impl EngineProfile {
+    /// Whether there are enough measurements to tell the speed.
+    pub fn is_measured(&self) -> bool {
+        self.samples >= MIN_SAMPLES
+    }
+
+    /// The slowness if it is measured, and that of a typical engine otherwise.
+    pub fn known_slowness(self) -> f64 {
+        if self.is_measured() { self.slowness } else { NEUTRAL_SLOWNESS }
+    }
+}
+
 /// What some nodes have observed of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Observations {
--- a/crates/core/tests/forwarding_choice.rs
+++ b/crates/core/tests/forwarding_choice.rs
@@ -258,7 +258,7 @@
     let prompt = prompt(&[], 400);
     let work = EngineWork { engine: fixture.ids[0].clone(), requests: 8, pending_prefill_tokens: 0 };
     let light = EngineWork { engine: fixture.ids[1].clone(), requests: 2, pending_prefill_tokens: 2_500 };
-    chooser.loads.set_others(vec![work, light]);
+    chooser.loads.set_others(vec![work, light], Timestamp::ZERO);
     for seed in 0..20 {
         let chosen =
             chooser.choose(fixture.placement(&prompt, seed), &fixture.candidates()).expect("a choice");
@@ -280,11 +280,10 @@
     assert!(preferred.iter().all(|(_, is_preferred)| *is_preferred));
     let mut busy = Chooser::default();
     let preferred_id = preferred.first().expect("a preferred back end").0.clone();
-    busy.loads.set_others(vec![EngineWork {
-        engine: preferred_id.clone(),
-        requests: 40,
-        pending_prefill_tokens: 200_000,
-    }]);
+    busy.loads.set_others(
+        vec![EngineWork { engine: preferred_id.clone(), requests: 40, pending_prefill_tokens: 200_000 }],
+        Timestamp::ZERO,
+    );
     let others: BTreeSet<_> = (0..30)
         .map(|seed| busy.choose(sampled(seed), &fixture.candidates()).expect("a choice").backend)
         .collect();
--- a/crates/core/tests/forwarding_fleet.rs
+++ b/crates/core/tests/forwarding_fleet.rs
@@ -68,6 +68,7 @@
         limits: Vec::new(),
         performance: Vec::new(),
         demand: Vec::new(),
+        rates: Vec::new(),
         offered_load: 0.0,
         cache_updates: Vec::new(),
         log: 0,
--- a/crates/core/tests/forwarding_forecast.rs
+++ b/crates/core/tests/forwarding_forecast.rs
@@ -9,13 +9,14 @@
         EngineWorkload, Forecaster, Outcome, RequestWork, Timing,
         long_prompts::LongPrompts,
         rates::{RateEstimator, Rates},
+        shared::{Forecasters, SharedRates},
         time_to_first_event,
     },
     prompt::{Prompt, Segment, SegmentId},
 };
 use paddlemount_protocol::{
     fleet::EngineWork,
-    identity::{ModelId, WeightsVersion, ZoneId},
+    identity::{ModelId, NodeId, ServiceId, WeightsVersion, ZoneId},
     time::Timestamp,
 };
 
@@ -147,7 +148,7 @@
         assert_eq!(fleet.choose(&chooser, &long, seed, seed as usize % 3).backend, home);
     }
     let busy = EngineWork { engine: home.clone(), requests: 6, pending_prefill_tokens: 120_000 };
-    chooser.loads.set_others(vec![busy]);
+    chooser.loads.set_others(vec![busy], Timestamp::ZERO);
     let second = fleet.choose(&chooser, &long, 0, 0).backend;
     assert_ne!(second, home);
     for seed in 0..200 {
@@ -167,7 +168,7 @@
         requests: (number % 12) as u32,
         pending_prefill_tokens: (number % 12) as u64 * 500,
     };
-    chooser.loads.set_others(fleet.ids.iter().enumerate().map(busy).collect());
+    chooser.loads.set_others(fleet.ids.iter().enumerate().map(busy).collect(), Timestamp::ZERO);
     let short = prompt(92, 291, 3);
     let mut placed: BTreeMap<BackendId, usize> = BTreeMap::new();
     for request in 0..REQUESTS {
@@ -199,7 +200,7 @@
         requests: 40,
         pending_prefill_tokens: 160_000,
     });
-    chooser.loads.set_others(late.collect());
+    chooser.loads.set_others(late.collect(), Timestamp::ZERO);
     assert_eq!(outside(&chooser), 300);
 }
 
@@ -228,3 +229,108 @@
     let unknown = forecaster.long_prompts().map(|long| long.share);
     assert_eq!(unknown, Some(1.0), "all engines, without the demand of all nodes");
 }
+
+/// A node of a tree in which nodes 1 to 5 report to the root, and the others to these.
+#[derive(Default)]
+struct TreeNode {
+    forecasters: Forecasters,
+    shared: SharedRates,
+}
+
+/// The time between reports in milliseconds.
+const REPORT_MS: u64 = 200;
+
+fn node_id(index: usize) -> NodeId {
+    NodeId::from(format!("node-{index}"))
+}
+
+const fn parent_of(index: usize) -> usize {
+    if index <= 5 { 0 } else { 1 + index % 5 }
+}
+
+/// One round of reports and outcomes. Each node has one outcome of a short prompt, and one in five of a long one
+/// or of one that waited for half a second. `connected` tells whose reports reach their parents.
+fn play_round(nodes: &mut [TreeNode], round: u64, connected: impl Fn(usize) -> bool) {
+    let now = Timestamp::from_millis(round * REPORT_MS);
+    for (index, node) in nodes.iter_mut().enumerate() {
+        let forecaster = node.forecasters.entry(ServiceId::from("s")).or_default();
+        let draw = index as u64 + round;
+        let tokens = if draw.is_multiple_of(5) { 16_000 } else { 300 };
+        let waited = if draw.is_multiple_of(3) { 500 * MS } else { Duration::ZERO };
+        let measured = rates().overhead + rates().reading(tokens) + waited;
+        forecaster.record(&outcome(tokens, 0, measured, Some(measured)), now);
+        node.shared.tick(index == 0, now);
+    }
+    for index in (1..nodes.len()).rev().filter(|index| connected(*index)) {
+        let child = &mut nodes[index];
+        let report = child.shared.report(&child.forecasters, now);
+        let parent = &mut nodes[parent_of(index)];
+        parent.shared.record_report(node_id(index), report, now);
+        let digest = parent.shared.digest_for(&node_id(index), &parent.forecasters, now);
+        nodes[index].shared.record_total(digest, now);
+    }
+    for node in nodes {
+        let known = node.shared.known(&node.forecasters, now);
+        for forecaster in node.forecasters.values_mut() {
+            forecaster.use_shared(known.first(), now);
+            forecaster.update(TARGET, 72, None, now);
+        }
+    }
+}
+
+fn per_token(node: &TreeNode, now: Timestamp) -> Option<f64> {
+    let forecaster = node.forecasters.get(&ServiceId::from("s"))?;
+    forecaster.trusted_rates(now).map(|rates| rates.per_token.as_secs_f64())
+}
+
+/// One long prompt a second at each of 75 nodes: alone, each would know the rates after ten seconds. Two seconds
+/// after traffic starts, all forecast alike within a twentieth, so that they agree on which prompts are long.
+#[test]
+fn all_nodes_know_the_rates_within_two_seconds_of_traffic() {
+    let mut nodes: Vec<TreeNode> = (0..75).map(|_| TreeNode::default()).collect();
+    (1..=10).for_each(|round| play_round(&mut nodes, round, |_| true));
+    let now = Timestamp::from_millis(10 * REPORT_MS);
+    let expected = rates().per_token.as_secs_f64();
+    for (index, node) in nodes.iter().enumerate() {
+        let measured = per_token(node, now).unwrap_or_default();
+        assert!((measured / expected - 1.0).abs() < 0.05, "node {index}: {measured} s a token");
+    }
+}
+
+/// A node that is cut off keeps forecasting, by its own outcomes once those of the others are outdated; and a
+/// node that the others no longer hear takes none of their knowledge away.
+#[test]
+fn a_node_that_is_cut_off_uses_its_own_outcomes() {
+    let mut nodes: Vec<TreeNode> = (0..75).map(|_| TreeNode::default()).collect();
+    (1..=50).for_each(|round| play_round(&mut nodes, round, |_| true));
+    (51..=100).for_each(|round| play_round(&mut nodes, round, |index| index != 74));
+    let now = Timestamp::from_millis(100 * REPORT_MS);
+    let count = |node: &TreeNode| -> u64 {
+        let known = node.shared.known(&node.forecasters, now);
+        known.iter().flat_map(|rates| &rates.outcomes).map(|sum| sum.count_per_mille).sum()
+    };
+    let own: u64 = nodes[74]
+        .forecasters
+        .iter()
+        .map(|(service, forecaster)| {
+            forecaster.own_rates(service, now).outcomes.iter().map(|sum| sum.count_per_mille).sum::<u64>()
+        })
+        .sum();
+    assert_eq!(count(&nodes[74]), own, "only its own");
+    assert!(count(&nodes[73]) > 60 * own, "those of the others");
+    assert!(per_token(&nodes[74], now).is_some() && per_token(&nodes[73], now).is_some());
+}
+
+/// Work reported by others has partly been read: with the time to read a token known, 0.2 s of age and 0.3 s
+/// since the report are subtracted, and a queue of a second is neither doubled nor forgotten.
+#[test]
+fn reported_work_is_reduced_by_what_the_engine_has_read_since() {
+    let mut chooser = Chooser::default();
+    let id = BackendId::from("engine-0");
+    let work = EngineWork { engine: id.clone(), requests: 4, pending_prefill_tokens: 50_000 };
+    chooser.loads.set_others(vec![work], Timestamp::from_millis(1_000));
+    let pending = |per_token, at| chooser.loads.pending_of_others(&id, per_token, Timestamp::from_millis(at));
+    assert_eq!(pending(Some(MS / 50), 1_300), 25_000);
+    assert_eq!(pending(Some(MS / 50), 9_000), 0);
+    assert_eq!(pending(None, 1_300), 25_000, "half, as nothing is known of the rate");
+}
--- a/crates/core/tests/tree_support/mod.rs
+++ b/crates/core/tests/tree_support/mod.rs
@@ -274,6 +274,7 @@
         limits: Vec::new(),
         performance: Vec::new(),
         demand: Vec::new(),
+        rates: Vec::new(),
         offered_load: 0.0,
         sender: fleet.local_member().clone(),
         join_capacity: fleet.children.join_capacity(now),
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use paddlemount_core::{
-    forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice},
+    forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice, forecast::EngineWorkload},
     health::HealthEvent,
 };
 use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
@@ -122,7 +122,10 @@
     /// The engine process, if its performance is recorded.
     pub process: Option<BackendProcess>,
     began: Timestamp,
+    /// The tokens to prefill, until the first event.
     pending_prefill_tokens: Option<u64>,
+    /// The work at the back end when it was chosen.
+    workload: EngineWorkload,
     /// Watches whether the back end answers, once the request was sent.
     pub(crate) contact: Option<EngineContact>,
 }
@@ -144,6 +147,7 @@
             process: node.recorded_engine(choice),
             began,
             pending_prefill_tokens: Some(choice.expected_tokens),
+            workload: choice.workload,
             contact: None,
         }
     }
@@ -158,7 +162,8 @@
             state.chooser.loads.record_latency(&self.backend, milliseconds, now);
             drop(state);
             if let Some(process) = &self.process {
-                self.node.record_engine_first_event(process, tokens, now.saturating_since(self.began));
+                let measured = now.saturating_since(self.began);
+                self.node.record_engine_first_event(process, self.workload, tokens, measured);
             }
         }
     }
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -119,7 +119,7 @@
             replicate: request.copied && self.can_copy(request.service, now),
             transfers: load
                 .weigh_transfers
-                .then(|| self.transfer_rates(request.service, store.as_ref()))
+                .then(|| self.transfer_rates(request.service, store.as_ref(), now))
                 .flatten(),
             now,
             timing: self
--- a/crates/forward/src/forecasts.rs
+++ b/crates/forward/src/forecasts.rs
@@ -4,9 +4,13 @@
 
 use paddlemount_core::forwarding::{
     choice::Choice,
-    forecast::{Forecaster, NEUTRAL_SLOWNESS, Outcome, time_to_first_event},
+    forecast::{Forecaster, NEUTRAL_SLOWNESS, Outcome, rates::Rates, time_to_first_event},
+};
+use paddlemount_protocol::{
+    fleet::PoolRates,
+    identity::{NodeId, ServiceId},
+    time::Timestamp,
 };
-use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
     exchange::Exchange,
@@ -56,8 +60,13 @@
             state.forecasters.clear();
             return;
         }
-        let NodeState { forecasters, table, backends, demand, .. } = &mut *state;
+        let NodeState { forecasters, shared_rates, table, backends, demand, .. } = &mut *state;
+        let known = shared_rates.known(forecasters, now);
+        for rates in &known {
+            forecasters.entry(rates.service.clone()).or_default();
+        }
         for (service, forecaster) in forecasters {
+            forecaster.use_shared(known.iter().find(|rates| rates.service == *service), now);
             let target = table.as_ref().and_then(|table| table.tightest_target(service));
             let (Some(target), Some(pool)) = (target, backends.pool(service)) else { continue };
             let before = (forecaster.is_trusted(now), share(forecaster));
@@ -97,7 +106,26 @@
     pub(crate) fn forecast(&self, service: &ServiceId, choice: &Choice, now: Timestamp) -> Option<Duration> {
         choice.scope.as_ref()?;
         let rates = self.forecasters.get(service)?.measured_rates(now)?;
-        Some(time_to_first_event(&rates, NEUTRAL_SLOWNESS, choice.workload, choice.work))
+        let slowness = match self.engines.are_shared {
+            true => self.profile(&choice.backend, now).known_slowness(),
+            false => NEUTRAL_SLOWNESS,
+        };
+        Some(time_to_first_event(&rates, slowness, choice.workload, choice.work))
+    }
+
+    /// The rates of a service's engines, if forecasts by them may be trusted.
+    pub(crate) fn trusted_rates(&self, service: &ServiceId, now: Timestamp) -> Option<Rates> {
+        self.forecasters.get(service)?.trusted_rates(now)
+    }
+
+    /// The outcomes for the next report to the parent.
+    pub(crate) fn rates_report(&mut self, now: Timestamp) -> Vec<PoolRates> {
+        self.shared_rates.report(&self.forecasters, now)
+    }
+
+    /// The outcomes for the next digest to a child.
+    pub(crate) fn rates_digest(&mut self, child: &NodeId, now: Timestamp) -> Vec<PoolRates> {
+        self.shared_rates.digest_for(child, &self.forecasters, now)
     }
 }
 
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -11,7 +11,7 @@
         choice::{Chooser, StoreEndpoint},
         connect_times::ConnectTimes,
         demand::Demand,
-        forecast::Forecaster,
+        forecast::shared::{Forecasters, SharedRates},
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
@@ -53,7 +53,9 @@
     /// The demand of callers for engines.
     pub demand: Demand,
     /// Forecasts of the time to the first event, by service.
-    pub(crate) forecasters: BTreeMap<ServiceId, Forecaster>,
+    pub(crate) forecasters: Forecasters,
+    /// The outcomes that these forecasts are based on, of all nodes.
+    pub(crate) shared_rates: SharedRates,
     pub health: Health,
     /// When engines were heard last.
     pub silences: Silences,
@@ -157,7 +159,8 @@
             backends: Backends::default(),
             chooser: Chooser::default(),
             demand: Demand::default(),
-            forecasters: BTreeMap::new(),
+            forecasters: Forecasters::new(),
+            shared_rates: SharedRates::default(),
             health: Health::new(health_settings()),
             silences: Silences::default(),
             connect_times: ConnectTimes::default(),
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -49,6 +49,7 @@
         let leads = node.token().is_some();
         peers.borrow_mut().fleet.tick(leads, now);
         node.state.borrow_mut().demand.tick(leads, now);
+        node.state.borrow_mut().shared_rates.tick(leads, now);
         node.tick_quotas();
         node.divide_limits();
         node.tick_performance();
@@ -98,9 +99,9 @@
         let updates = peers.gossip.drain();
         peers.gossip.append(updates);
         let work = peers.fleet.work_of_others(now);
-        node.state.borrow_mut().chooser.loads.set_others(work);
+        node.state.borrow_mut().chooser.loads.set_others(work, now);
     } else {
-        node.state.borrow_mut().chooser.loads.set_others(Vec::new());
+        node.state.borrow_mut().chooser.loads.set_others(Vec::new(), now);
     }
     node.conclude_quarantine();
     record_fleet_size(node, leads);
@@ -232,6 +233,7 @@
             limits: state.backends.announcements.pending_limit_gossip(now),
             performance,
             demand: state.demand.subtree(now),
+            rates: state.rates_report(now),
             offered_load,
             cache_updates: if log == NO_LOG { Vec::new() } else { peers.gossip.next_batch() },
             log,
--- a/crates/forward/src/peers/digest_updates.rs
+++ b/crates/forward/src/peers/digest_updates.rs
@@ -25,8 +25,9 @@
             for update in &digest.cache_updates {
                 state.chooser.apply_gossip(update, now);
             }
-            state.chooser.loads.set_others(digest.work.clone());
+            state.chooser.loads.set_others(digest.work.clone(), sent_at);
             state.demand.record_total(digest.demand, sent_at);
+            state.shared_rates.record_total(digest.rates, sent_at);
             match &digest.quotas {
                 Some(quotas) => state.quotas.report_answered(quotas, sent_at, now),
                 None => state.quotas.report_failed(),
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -146,6 +146,7 @@
     }
     let child = report.sender.node;
     state.demand.record_report(child.clone(), report.demand, now);
+    state.shared_rates.record_report(child.clone(), report.rates, now);
     let ignored = state.quotas.receive_report(child.clone(), report.reporting_nodes, report.spending, now);
     if ignored > 0 {
         node.metrics.add(Counter::QuotaReportsIgnored, ignored as u64);
@@ -163,6 +164,7 @@
         limits: state.backends.announcements.limit_grants_for(&child, now),
         performance,
         demand: state.demand.totals(now),
+        rates: state.rates_digest(&child, now),
         log: peers.gossip.id(),
         cursor,
         nodes: peers.fleet.node_count(now),
--- a/crates/forward/src/performance.rs
+++ b/crates/forward/src/performance.rs
@@ -8,6 +8,7 @@
 use paddlemount_core::forwarding::{
     backends::BackendId,
     choice::Choice,
+    forecast::{EngineWorkload, NEUTRAL_SLOWNESS, RequestWork, time_to_first_event},
     performance::{EngineProfile, Performances},
 };
 use paddlemount_protocol::{
@@ -93,22 +94,34 @@
         1.0 / (1.0 + f64::from(waiting))
     }
 
-    /// The time to the first event that an engine of typical speed would need.
-    fn expected_first_event(&self, service: &ServiceId, tokens: u64) -> Option<Duration> {
+    /// The time to the first event that an engine of typical speed would need: by the rates that all nodes know,
+    /// or by recent answers until there are any.
+    fn expected_first_event(
+        &self,
+        service: &ServiceId,
+        workload: EngineWorkload,
+        tokens: u64,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        if let Some(rates) = self.trusted_rates(service, now) {
+            let work = RequestWork { prefill_tokens: tokens, transfer: Duration::ZERO };
+            return Some(time_to_first_event(&rates, NEUTRAL_SLOWNESS, workload, work));
+        }
         self.engines.recent.get(service)?.forecast(tokens)
     }
 
     fn record_first_event(
         &mut self,
         process: &BackendProcess,
+        workload: EngineWorkload,
         tokens: u64,
         measured: Duration,
         now: Timestamp,
     ) {
         let backend = self.backends.get(&process.id);
         let Some(service) = backend.map(|backend| backend.entry.service.clone()) else { return };
-        let (forecast, weight) =
-            (self.expected_first_event(&service, tokens), self.measurement_weight(&process.id));
+        let forecast = self.expected_first_event(&service, workload, tokens, now);
+        let weight = self.measurement_weight(&process.id);
         self.engines.recent.entry(service).or_default().record(tokens, measured);
         let performances = &mut self.engines.performances;
         match forecast {
@@ -138,11 +151,12 @@
     pub(crate) fn record_engine_first_event(
         &self,
         process: &BackendProcess,
+        workload: EngineWorkload,
         tokens: u64,
         measured: Duration,
     ) {
         let now = self.now();
-        self.state.borrow_mut().record_first_event(process, tokens, measured, now);
+        self.state.borrow_mut().record_first_event(process, workload, tokens, measured, now);
     }
 
     /// Records that a part of an answer arrived.
--- a/crates/forward/src/transfers.rs
+++ b/crates/forward/src/transfers.rs
@@ -4,7 +4,7 @@
     choice::{Choice, StoreEndpoint},
     transfers::{FALLBACK_OUTPUT_PER_TOKEN, FALLBACK_PREFILL_PER_TOKEN, Link, TransferRates},
 };
-use paddlemount_protocol::identity::ServiceId;
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{metrics::Counter, node::Node, node_state::NodeState};
 
@@ -15,6 +15,7 @@
         &self,
         service: &ServiceId,
         store: Option<&StoreEndpoint>,
+        now: Timestamp,
     ) -> Option<TransferRates<'_>> {
         let table = self.table.as_ref()?;
         let engine = table.service(service)?.engine.as_ref()?;
@@ -24,12 +25,13 @@
         let store = store
             .and_then(|store| table.service(&ServiceId::from(store.id.as_str())))
             .and_then(|service| service.cache_store.as_ref());
+        let measured = self.trusted_rates(service, now);
         Some(TransferRates {
             bytes_per_token: engine.bytes_per_token,
             engine: Link { mbps: engine.link_mbps },
             store: Link { mbps: store.map_or(0.0, |store| store.link_mbps) },
             store_zone: store.map(|store| &store.zone),
-            prefill_per_token: FALLBACK_PREFILL_PER_TOKEN,
+            prefill_per_token: measured.map_or(FALLBACK_PREFILL_PER_TOKEN, |rates| rates.per_token),
             output_per_token: FALLBACK_OUTPUT_PER_TOKEN,
         })
     }
--- a/crates/protocol/src/fleet.rs
+++ b/crates/protocol/src/fleet.rs
@@ -190,6 +190,51 @@
     pub long_prompt_tokens: f64,
 }
 
+/// Outcomes of requests that read prompts of similar length and began after a similar time. Serialised as an
+/// array, as a message holds dozens of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u8, u64, u64, u64, u64)", into = "(u8, u64, u64, u64, u64)")]
+pub struct OutcomeSum {
+    /// The prompt size, the load of the engine and the time to the first event, as one number.
+    pub cell: u8,
+    /// The number of outcomes, weighted by their age, in thousandths.
+    pub count_per_mille: u64,
+    /// The sum of tokens to prefill.
+    pub tokens: u64,
+    /// The sum of requests that ran at the engines, in thousandths.
+    pub requests_per_mille: u64,
+    /// The sum of times to the first event.
+    pub micros: u64,
+}
+
+impl From<(u8, u64, u64, u64, u64)> for OutcomeSum {
+    fn from((cell, count_per_mille, tokens, requests_per_mille, micros): (u8, u64, u64, u64, u64)) -> Self {
+        Self { cell, count_per_mille, tokens, requests_per_mille, micros }
+    }
+}
+
+impl From<OutcomeSum> for (u8, u64, u64, u64, u64) {
+    fn from(sum: OutcomeSum) -> Self {
+        (sum.cell, sum.count_per_mille, sum.tokens, sum.requests_per_mille, sum.micros)
+    }
+}
+
+/// The outcomes of some nodes' requests to the engines of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolRates {
+    #[serde(rename = "p")]
+    pub service: ServiceId,
+    /// Ordered by cell.
+    #[serde(rename = "o")]
+    pub outcomes: Vec<OutcomeSum>,
+    /// The number of forecasts compared with their outcomes, weighted by their age, in thousandths.
+    #[serde(rename = "j")]
+    pub judged_per_mille: u64,
+    /// Those that were close.
+    #[serde(rename = "c")]
+    pub close_per_mille: u64,
+}
+
 /// What a subtree has granted of a tenant's quota, and the demand there.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TenantSpending {
@@ -403,6 +448,9 @@
     /// The demand of the subtree's callers, by service.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<PoolDemand>,
+    /// The outcomes of the subtree's requests, by service; empty if unchanged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rates: Vec<PoolRates>,
     /// Requests a second that callers send to the subtree.
     #[serde(rename = "asked", default)]
     pub offered_load: f64,
@@ -446,6 +494,9 @@
     /// The demand of all nodes' callers, by service.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<PoolDemand>,
+    /// The outcomes of all nodes' requests, by service; empty if unchanged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rates: Vec<PoolRates>,
     /// The log of cache updates that `cursor` belongs to.
     #[serde(default)]
     pub log: u64,
