--- a/crates/core/src/forwarding/forecast/outcomes.rs
+++ b/crates/core/src/forwarding/forecast/outcomes.rs
@@ -83,6 +83,7 @@
 }
 
 impl Outcomes {
+    /// Records the time until the first event of a request.
     pub(super) fn record(
         &mut self,
         workload: EngineWorkload,
