--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -12,7 +12,7 @@
         connect_times::ConnectTimes,
         demand::Demand,
         doubts::Doubts,
-        forecast::Forecaster,
+        forecast::shared::{Forecasters, SharedRates},
         freshness::Freshness,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
@@ -54,7 +54,9 @@
     /// The demand of callers for engines.
     pub demand: Demand,
     /// Forecasts of the time to the first event, by service.
-    pub(crate) forecasters: BTreeMap<ServiceId, Forecaster>,
+    pub(crate) forecasters: Forecasters,
+    /// The outcomes that these forecasts are based on, of all nodes.
+    pub(crate) shared_rates: SharedRates,
     pub health: Health,
     /// When engines were heard last.
     pub silences: Silences,
@@ -160,7 +162,8 @@
             backends: Backends::default(),
             chooser: Chooser::default(),
             demand: Demand::default(),
-            forecasters: BTreeMap::new(),
+            forecasters: Forecasters::new(),
+            shared_rates: SharedRates::default(),
             health: Health::new(health_settings()),
             silences: Silences::default(),
             doubts: Doubts::default(),
