Admission: nodes are limited only while the room is used up, and once they know of others

Cause: nodes were limited from a quarter of the room on, and by an assumed number of nodes until they had been counted. Change: no limit below a contention of 1 (while a slot is free, holding a caller back helps nobody), and none while a node knows neither the demand of others nor their number.

--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -15,8 +15,9 @@
 const ON_THE_WAY_SHARE: f64 = 0.1;
 /// The part of the room that is divided evenly, so that a node with new callers can begin at once.
 const EVEN_SHARE: f64 = 0.2;
-/// The contention below which engines stand idle, and nodes are not limited.
-const IDLE_CONTENTION: f64 = 0.25;
+/// The contention below which nodes are not limited: while a slot is free somewhere, rejecting a caller or
+/// holding it back helps nobody.
+const FULL_CONTENTION: f64 = 1.0;
 /// The time constant of contention: longer than the reports take, so that a node does not act twice on
 /// requests of which it has not heard yet.
 const CONTENTION_DECAY: Duration = Duration::from_millis(600);
@@ -158,11 +159,17 @@
     }
 }
 
+/// Whether a node knows enough of the others to be limited: their demand or their number. Where it knows
+/// neither, as after the start of a fleet, a share of an assumed number would reject callers of idle engines.
+pub fn knows_fleet(demand: Option<DemandShare>, nodes: Option<u32>) -> bool {
+    demand.is_some() || nodes.is_some()
+}
+
 /// The slots that a node's requests may hold: its share, and what others leave unused. `None` stands for an
 /// unknown contention, when nothing is lent.
 pub fn limit(share: f64, contention: Option<f64>) -> u32 {
     let limit = match contention {
-        Some(contention) if contention < IDLE_CONTENTION => return u32::MAX,
+        Some(contention) if contention < FULL_CONTENTION => return u32::MAX,
         Some(contention) => share / contention,
         None => share,
     };
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -352,3 +352,11 @@
     root.record_report(NodeId::from("child"), vec![broken], at(4_100));
     assert!(root.total(&service(), at(4_100)).unwrap().slots.is_finite());
 }
+
+/// Nodes that have just started have heard of no other: engines stand idle, and nobody may be held back.
+#[test]
+fn a_node_is_limited_only_once_it_knows_of_the_fleet() {
+    assert!(!room::knows_fleet(None, None));
+    assert!(room::knows_fleet(None, Some(75)), "a node that is cut off keeps to its even share");
+    assert!(room::knows_fleet(Some(DemandShare { own: 1.0, total: 75.0 }), None));
+}
--- a/crates/forward/src/room.rs
+++ b/crates/forward/src/room.rs
@@ -18,7 +18,12 @@
 };
 use tokio::sync::oneshot;
 
-use crate::{journal::Event, metrics::Gauge, node::Node, node_state::NodeState};
+use crate::{
+    journal::Event,
+    metrics::Gauge,
+    node::Node,
+    node_state::{NodeCount, NodeState},
+};
 
 /// How often waiting requests are examined: a small part of the shortest target latency.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -151,7 +156,7 @@
     /// Updates the limit of a service's pool.
     pub(crate) fn refresh_room(&self, service: &ServiceId) {
         let now = self.now();
-        let nodes = self.nodes().upper_bound();
+        let nodes = self.nodes();
         let (work, demand) = {
             let state = self.state.borrow();
             let own = state.demand.own_slots(service, now);
@@ -214,13 +219,19 @@
 
 impl PoolRoom {
     /// Updates the contention, and returns the slots that this node's requests may hold.
-    fn limit(&mut self, work: PoolWork, demand: Option<DemandShare>, nodes: u32, now: Timestamp) -> u32 {
-        if work.slots == 0 {
-            // Without an engine, the choice of a back end refuses requests with its own reason.
+    fn limit(
+        &mut self,
+        work: PoolWork,
+        demand: Option<DemandShare>,
+        nodes: NodeCount,
+        now: Timestamp,
+    ) -> u32 {
+        // Without an engine, the choice of a back end refuses requests with its own reason.
+        if work.slots == 0 || !room::knows_fleet(demand, nodes.known()) {
             return u32::MAX;
         }
         let room = room::room(work.slots);
-        self.share = room::share(room, demand, nodes);
+        self.share = room::share(room, demand, nodes.upper_bound());
         self.room = room;
         self.total_demand = demand.map_or(0.0, |demand| demand.total);
         let measured = work.measured_contention();
