Admission: unused room is lent by the third power of contention

Change: lending is continuous again and steeper: 1.37 shares at 0.9 of the room, 2.9 at 0.7, 8 at a half.

--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -15,9 +15,11 @@
 const ON_THE_WAY_SHARE: f64 = 0.1;
 /// The part of the room that is divided evenly, so that a node with new callers can begin at once.
 const EVEN_SHARE: f64 = 0.2;
-/// The contention below which nodes are not limited: while a slot is free somewhere, rejecting a caller or
-/// holding it back helps nobody.
-const FULL_CONTENTION: f64 = 1.0;
+/// The power of the contention by which unused room is lent: callers come in bursts, and a node with a small
+/// share must not hold them back while others leave much of theirs unused.
+const LENDING_EXPONENT: i32 = 3;
+/// The contention below which no more is lent, as engines stand idle.
+const MIN_CONTENTION: f64 = 0.1;
 /// The time constant of contention: longer than the reports take, so that a node does not act twice on
 /// requests of which it has not heard yet.
 const CONTENTION_DECAY: Duration = Duration::from_millis(600);
@@ -168,12 +170,12 @@
 /// The slots that a node's requests may hold: its share, and what others leave unused. `None` stands for an
 /// unknown contention, when nothing is lent.
 pub fn limit(share: f64, contention: Option<f64>) -> u32 {
-    let limit = match contention {
-        Some(contention) if contention < FULL_CONTENTION => return u32::MAX,
-        Some(contention) => share / contention,
-        None => share,
+    let lent = match contention {
+        Some(contention) if contention < 1.0 => contention.max(MIN_CONTENTION).powi(-LENDING_EXPONENT),
+        Some(contention) => 1.0 / contention,
+        None => 1.0,
     };
-    (limit.round() as u32).max(1)
+    ((share * lent).round() as u32).max(1)
 }
 
 /// A moving average of times, with their mean deviation.
