--- a/crates/core/src/forwarding/performance/mod.rs
+++ b/crates/core/src/forwarding/performance/mod.rs
@@ -25,12 +25,16 @@
     time::Timestamp,
 };
 
+use super::forecast::NEUTRAL_SLOWNESS;
+
 use self::{
     condition::{Return, Signs, Silence, due_probe, takes_part},
     exchange::{Neighbour, NeighbourId},
     speed::{MIN_WEIGHT, Speed},
 };
 
+/// The number of measurements of all nodes below which this node goes by its own.
+const MIN_SAMPLES: f64 = 3.0;
 /// How long the entries of a child are used after its last report.
 const CHILD_TTL: Duration = Duration::from_millis(1_500);
 /// How long an engine without further observations is remembered.
@@ -55,6 +59,18 @@
     pub condition: EngineCondition,
 }
 
+impl EngineProfile {
+    /// Whether there are enough measurements to tell the speed.
+    pub fn is_measured(&self) -> bool {
+        self.samples >= MIN_SAMPLES
+    }
+
+    /// The slowness if it is measured, and that of a typical engine otherwise.
+    pub fn known_slowness(self) -> f64 {
+        if self.is_measured() { self.slowness } else { NEUTRAL_SLOWNESS }
+    }
+}
+
 /// What some nodes have observed of an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Observations {
@@ -227,6 +243,28 @@
             .map(|(engine, _)| engine)
     }
 
+    /// The engine processes that are silent by what other nodes have observed, with the start of their silence.
+    /// This node's own suspicion does not count, so that it never confirms itself.
+    pub fn reported_silent(&self, now: Timestamp) -> impl Iterator<Item = (&BackendProcess, Timestamp)> {
+        let silent = self.known.iter().filter(move |(_, known)| known.observations.signs.is_silent(now));
+        silent.filter_map(move |(engine, known)| {
+            let mut signs = self.received_signs(engine);
+            signs.contact_at = known.observations.signs.contact_at;
+            let silence = signs.open_silence().filter(|_| signs.is_silent(now))?;
+            Some((engine, silence.since))
+        })
+    }
+
+    /// What the neighbours have sent of an engine's condition.
+    fn received_signs(&self, engine: &BackendProcess) -> Signs {
+        let neighbours = self.parent.iter().chain(self.children.values());
+        let received = neighbours.filter_map(|neighbour| neighbour.received.get(engine));
+        received.fold(Signs::default(), |mut signs, observations| {
+            signs.add(&observations.signs);
+            signs
+        })
+    }
+
     /// Drops what this node has observed of a back end that is gone or has restarted.
     pub fn forget(&mut self, engine: &EngineId, now: Timestamp) {
         let is_gone = |process: &&BackendProcess| process.id == *engine;
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -58,6 +58,7 @@
         predicted_start: Duration::from_millis(100),
         deadline: Some(arrived + Duration::from_millis(1_000)),
         due: Some(arrived + Duration::from_secs(5)),
+        late: None,
     }
 }
 
@@ -312,7 +313,12 @@
 
 #[test]
 fn a_request_that_is_late_anyway_starts_if_there_is_room_and_does_not_wait() {
-    let target = Target { arrived: START, latency: Duration::from_millis(800), deadline: at(10_000) };
+    let target = Target {
+        arrived: START,
+        latency: Duration::from_millis(800),
+        deadline: at(10_000),
+        has_returned: false,
+    };
     let by = |expected: u64, now| target.first_event_by(Duration::from_millis(expected), now);
     assert_eq!(by(300, START), at(800), "in time");
     assert_eq!(by(800, START), at(800), "just in time without a wait");
@@ -346,3 +352,11 @@
     root.record_report(NodeId::from("child"), vec![broken], at(4_100));
     assert!(root.total(&service(), at(4_100)).unwrap().slots.is_finite());
 }
+
+/// Nodes that have just started have heard of no other: engines stand idle, and nobody may be held back.
+#[test]
+fn a_node_is_limited_only_once_it_knows_of_the_fleet() {
+    assert!(!room::knows_fleet(None, None));
+    assert!(room::knows_fleet(None, Some(75)), "a node that is cut off keeps to its even share");
+    assert!(room::knows_fleet(Some(DemandShare { own: 1.0, total: 75.0 }), None));
+}
