--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -7,14 +7,15 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use paddlemount_core::{
-    forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice, forecast::EngineWorkload},
+    forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice},
     health::HealthEvent,
 };
-use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
+use paddlemount_protocol::time::Timestamp;
 
 use crate::{
     connection::{Connection, ConnectionError},
     engine_contact::EngineContact,
+    load_guard::LoadGuard,
     metrics::Counter,
     node::Node,
     ports::AnswerHead,
@@ -115,70 +116,6 @@
     pub framed: bool,
 }
 
-/// Counts one request as load on a back end until it is dropped.
-pub struct LoadGuard {
-    node: Rc<Node>,
-    pub backend: BackendId,
-    /// The engine process, if its performance is recorded.
-    pub process: Option<BackendProcess>,
-    began: Timestamp,
-    /// The tokens to prefill, until the first event.
-    pending_prefill_tokens: Option<u64>,
-    /// The work at the back end when it was chosen.
-    workload: EngineWorkload,
-    /// Watches whether the back end answers, once the request was sent.
-    pub(crate) contact: Option<EngineContact>,
-}
-
-impl std::fmt::Debug for LoadGuard {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.debug_struct("LoadGuard").field("backend", &self.backend).finish_non_exhaustive()
-    }
-}
-
-impl LoadGuard {
-    fn begin(node: &Rc<Node>, choice: &Choice) -> Self {
-        let began = node.now();
-        node.state.borrow_mut().chooser.loads.record_start(&choice.backend, choice.expected_tokens, began);
-        node.record_health(&choice.backend, HealthEvent::Dispatched, false);
-        Self {
-            node: Rc::clone(node),
-            backend: choice.backend.clone(),
-            process: node.recorded_engine(choice),
-            began,
-            pending_prefill_tokens: Some(choice.expected_tokens),
-            workload: choice.workload,
-            contact: None,
-        }
-    }
-
-    /// Records that the first part of the answer arrived.
-    pub fn record_first_chunk(&mut self) {
-        if let Some(tokens) = self.pending_prefill_tokens.take() {
-            let now = self.node.now();
-            let milliseconds = now.saturating_since(self.began).as_secs_f64() * 1_000.0;
-            let mut state = self.node.state.borrow_mut();
-            state.chooser.loads.record_first_event(&self.backend, tokens, self.began);
-            state.chooser.loads.record_latency(&self.backend, milliseconds, now);
-            drop(state);
-            if let Some(process) = &self.process {
-                let measured = now.saturating_since(self.began);
-                self.node.record_engine_first_event(process, self.workload, tokens, measured);
-            }
-        }
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        let mut state = self.node.state.borrow_mut();
-        if let Some(tokens) = self.pending_prefill_tokens.take() {
-            state.chooser.loads.record_first_event(&self.backend, tokens, self.began);
-        }
-        state.chooser.loads.record_end(&self.backend);
-    }
-}
-
 /// Sends a request and waits until `deadline` for an answer that can be relayed.
 pub async fn send(
     node: &Rc<Node>,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 //! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: accepted, served, closed |
 //! | [`ingress`] | listeners, readiness and metrics |
 //! | [`exchange`], [`dispatch`], [`attempts`], [`outcomes`], [`relay`] | sends, retries and relays requests |
+//! | [`load_guard`] | counts a request as load on its back end |
 //! | [`room`], `room_permit` | whether the engines of a service have room for a request |
 //! | `retries` | retry budgets |
 //! | [`response_wait`] | ends waits at back ends whose weights have become outdated |
@@ -64,6 +65,7 @@
 pub mod journal;
 pub mod leadership;
 mod limits;
+pub mod load_guard;
 pub mod logged_once;
 pub mod metrics;
 pub mod node;
