A free address is returned once in a process

Cause: two components of a cluster could draw the same port, each free as the other had not bound it yet; one whole run of the tests failed by it (address in use), and the draw is the only source of addresses there. Ruled out: the ephemeral range, which the ports lie outside of.

--- a/crates/bench/tests/demo.rs
+++ b/crates/bench/tests/demo.rs
@@ -1,11 +1,14 @@
 //! A short run of the demo, and how its summary counts failures.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use paddlemount_bench::demo::{
-    self, Cluster, DemoSettings, Summary,
-    caller::{ChatAnswer, Ending},
-    record::{BookingRecord, ChatRecord, Records},
+use paddlemount_bench::{
+    demo::{
+        self, Cluster, DemoSettings, Summary,
+        caller::{ChatAnswer, Ending},
+        record::{BookingRecord, ChatRecord, Records},
+    },
+    free_address::free_address,
 };
 use paddlemount_protocol::{
     caller::Usage,
@@ -51,6 +54,13 @@
     assert!(ephemeral.is_empty(), "{ephemeral:?} of {addresses:?}");
 }
 
+/// Guards against two components of a cluster getting the same port, each free as the other has not bound it.
+#[test]
+fn each_free_address_is_returned_once() {
+    let addresses: BTreeSet<_> = (0..2_000).map(|_| free_address().expect("a free port")).collect();
+    assert_eq!(addresses.len(), 2_000);
+}
+
 fn entry(key: &str) -> LedgerEntry {
     LedgerEntry {
         at: Timestamp::ZERO,
