Groups of weights, jitter and received sums are written once

Cause: a read of the change found three things twice: the grouping of candidates by weights, the jitter of a retry time that back_off has, and sums of neighbours that expire. Change: both choices use one function, room uses back_off's jitter (the same factor), demand and forecasts one type. A doc comment of the cache store names whose copies are dropped.

--- a/crates/core/src/forwarding/choice/by_time.rs
+++ b/crates/core/src/forwarding/choice/by_time.rs
@@ -91,7 +91,7 @@
         pool: &dyn CandidatePool,
     ) -> Option<Evaluated> {
         let Request { placement, timing, prompt } = request;
-        let mut groups = self.groups(request, sampled, pool);
+        let mut groups = self.groups(placement, prompt, sampled, pool);
         // Requests prefer the newest weights, unless a rollout makes the older ones equal.
         groups.sort_by_key(|group| std::cmp::Reverse(group.weights));
         let key = prompt.shared().last().map(|segment| segment.id.0);
@@ -127,7 +127,7 @@
         pool: &dyn CandidatePool,
     ) -> Option<Evaluated> {
         let Request { placement, timing, prompt } = request;
-        let groups = self.groups(request, sampled, pool);
+        let groups = self.groups(placement, prompt, sampled, pool);
         let (own_zone, other_zones): (Vec<_>, Vec<_>) =
             sampled.iter().cloned().partition(|candidate| candidate.zone == placement.zone);
         let mut nearest = if own_zone.is_empty() { other_zones.clone() } else { own_zone };
@@ -145,21 +145,6 @@
         Some(best)
     }
 
-    fn groups<'a>(
-        &self,
-        request: Request<'_>,
-        sampled: &[Candidate<'_>],
-        pool: &'a dyn CandidatePool,
-    ) -> Vec<WeightsGroup<'a>> {
-        let mut groups: Vec<WeightsGroup<'a>> = Vec::new();
-        for weights in sampled.iter().filter_map(|candidate| candidate.weights) {
-            if groups.iter().all(|group| group.weights != weights) {
-                groups.push(self.group(request.placement, request.prompt, weights, pool));
-            }
-        }
-        groups
-    }
-
     fn evaluate_all(
         &self,
         request: Request<'_>,
--- a/crates/core/src/forwarding/choice/prompts.rs
+++ b/crates/core/src/forwarding/choice/prompts.rs
@@ -73,12 +73,7 @@
         let mut candidates = candidate_pool::sample(pool, placement);
         candidates.retain(|candidate| candidate.eligible && candidate.weights.is_some());
         let median_ms = self.loads.median_ms(candidates.iter().map(|candidate| candidate.id));
-        let mut groups: Vec<WeightsGroup<'_>> = Vec::new();
-        for weights in candidates.iter().filter_map(|candidate| candidate.weights) {
-            if groups.iter().all(|group| group.weights != weights) {
-                groups.push(self.group(placement, prompt, weights, pool));
-            }
-        }
+        let groups = self.groups(placement, prompt, &candidates, pool);
         for preferred in groups.iter().filter_map(|group| group.preferred.as_ref()) {
             if candidates.iter().all(|candidate| candidate.id != preferred.id) {
                 candidates.push(preferred.clone());
@@ -103,6 +98,23 @@
         Some(choice)
     }
 
+    /// The properties of the candidates' weights, once for each version.
+    pub(super) fn groups<'a>(
+        &self,
+        placement: Placement<'_>,
+        prompt: &Prompt,
+        candidates: &[Candidate<'_>],
+        pool: &'a dyn CandidatePool,
+    ) -> Vec<WeightsGroup<'a>> {
+        let mut groups: Vec<WeightsGroup<'a>> = Vec::new();
+        for weights in candidates.iter().filter_map(|candidate| candidate.weights) {
+            if groups.iter().all(|group| group.weights != weights) {
+                groups.push(self.group(placement, prompt, weights, pool));
+            }
+        }
+        groups
+    }
+
     /// Completes a choice by the source of a prefix that may be missing, and the back end for a copy.
     pub(super) fn add_sources(
         &self,
--- a/crates/core/src/forwarding/demand.rs
+++ b/crates/core/src/forwarding/demand.rs
@@ -12,6 +12,7 @@
     time::Timestamp,
 };
 
+use super::received::Received;
 use crate::recent_rate::RecentRate;
 
 /// The time constant of a demand: shorter follows single requests, longer lags behind a burst.
@@ -30,25 +31,12 @@
     long_prompt_tokens: RecentRate,
 }
 
-/// Demands as received from another node.
-#[derive(Clone, Debug)]
-struct Received {
-    demand: Vec<PoolDemand>,
-    at: Timestamp,
-}
-
-impl Received {
-    fn fresh(&self, now: Timestamp) -> Option<&[PoolDemand]> {
-        (now.saturating_since(self.at) < REPORT_TTL).then_some(&self.demand)
-    }
-}
-
 /// The demands that a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     own: BTreeMap<ServiceId, OwnDemand>,
-    children: BTreeMap<NodeId, Received>,
-    total: Option<Received>,
+    children: BTreeMap<NodeId, Received<PoolDemand>>,
+    total: Option<Received<PoolDemand>>,
     root_since: Option<Timestamp>,
 }
 
@@ -72,14 +60,14 @@
 
     /// Records the demand of a child's subtree.
     pub fn record_report(&mut self, child: NodeId, demand: Vec<PoolDemand>, now: Timestamp) {
-        self.children.insert(child, Received { demand, at: now });
+        self.children.insert(child, Received::new(demand, REPORT_TTL, now));
     }
 
     /// Records the demand of all nodes, as the parent knows it.
     pub fn record_total(&mut self, demand: Vec<PoolDemand>, now: Timestamp) {
         // A parent that knows no total sends none: the previous one expires.
         if !demand.is_empty() {
-            self.total = Some(Received { demand, at: now });
+            self.total = Some(Received::new(demand, REPORT_TTL, now));
         }
     }
 
--- a/crates/core/src/forwarding/forecast/shared.rs
+++ b/crates/core/src/forwarding/forecast/shared.rs
@@ -12,6 +12,7 @@
 };
 
 use super::Forecaster;
+use crate::forwarding::received::Received;
 
 /// How often unchanged sums are sent: they have about 2 KB.
 const SEND_INTERVAL: Duration = Duration::from_millis(900);
@@ -24,19 +25,6 @@
 /// The forecasters of a node, by service.
 pub type Forecasters = BTreeMap<ServiceId, Forecaster>;
 
-/// Sums as received from another node.
-#[derive(Clone, Debug)]
-struct Received {
-    rates: Vec<PoolRates>,
-    at: Timestamp,
-}
-
-impl Received {
-    fn fresh(&self, now: Timestamp) -> Option<&[PoolRates]> {
-        (now.saturating_since(self.at) < RECEIVED_TTL).then_some(&self.rates)
-    }
-}
-
 /// What was last sent to a neighbour.
 #[derive(Clone, Copy, Debug)]
 struct Sent {
@@ -47,8 +35,8 @@
 /// The sums that a node knows.
 #[derive(Debug, Default)]
 pub struct SharedRates {
-    children: BTreeMap<NodeId, Received>,
-    total: Option<Received>,
+    children: BTreeMap<NodeId, Received<PoolRates>>,
+    total: Option<Received<PoolRates>>,
     is_root: bool,
     sent_to_parent: Option<Sent>,
     sent_to_children: BTreeMap<NodeId, Sent>,
@@ -59,14 +47,14 @@
     /// fresh.
     pub fn record_report(&mut self, child: NodeId, rates: Vec<PoolRates>, now: Timestamp) {
         if !rates.is_empty() {
-            self.children.insert(child, Received { rates, at: now });
+            self.children.insert(child, Received::new(rates, RECEIVED_TTL, now));
         }
     }
 
     /// Records the sums of all nodes, as the parent knows them.
     pub fn record_total(&mut self, rates: Vec<PoolRates>, now: Timestamp) {
         if !rates.is_empty() {
-            self.total = Some(Received { rates, at: now });
+            self.total = Some(Received::new(rates, RECEIVED_TTL, now));
         }
     }
 
--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -22,6 +22,7 @@
 //! | [`silence`], [`connect_times`] | which engines send nothing more, and how long a connection may take |
 //! | [`doubts`] | whether pooled connections to a service's back ends may be dead |
 //! | [`budget`] | whether a request may be retried |
+//! | `received` | what neighbours in the tree have sent, until it expires |
 //! | [`refusals`] | whether a refused request is retried, and when its caller may come back |
 //! | [`answer_times`] | how long recent answers took |
 //! | [`events`] | splitting a stream into complete events |
@@ -65,6 +66,7 @@
 pub mod prefixes;
 pub mod prompt;
 pub mod ranks;
+mod received;
 pub mod refusals;
 pub mod registry;
 pub mod replacement;
--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -9,7 +9,7 @@
 use paddlemount_protocol::{fleet::EngineCondition, time::Timestamp};
 
 use super::prompt::Prompt;
-use crate::admission::queue::LateStart;
+use crate::{admission::queue::LateStart, back_off::with_jitter};
 
 /// Requests per slot beyond a full batch, so that an engine has a next request while one is on its way.
 const ON_THE_WAY_SHARE: f64 = 0.1;
@@ -43,8 +43,6 @@
 const MIN_SPARE_RATE: f64 = 0.1;
 /// The part of its remaining time that a caller waits at most before it comes back.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
-/// The maximum jitter of a retry time, relative to that time.
-const RETRY_JITTER: f64 = 0.25;
 /// The part of the longest useful retry time over which callers are spread whose turn would be later.
 const LATE_RETRY_SPREAD: f64 = 0.5;
 
@@ -280,6 +278,6 @@
 /// from 0 to 1, but early enough that the caller, who has `time_left`, can still be served.
 pub fn retry_after(turn: Duration, time_left: Duration, draw: f64) -> Duration {
     let useful = time_left.mul_f64(MAX_RETRY_SHARE);
-    let spread = turn.mul_f64(1.0 + RETRY_JITTER * draw);
+    let spread = with_jitter(turn, draw);
     if spread <= useful { spread } else { useful.mul_f64(1.0 - LATE_RETRY_SPREAD * draw) }
 }
--- a/crates/standins/src/cache_store/model.rs
+++ b/crates/standins/src/cache_store/model.rs
@@ -123,7 +123,7 @@
         Some(KvTransfer { blocks: request.blocks[..length].to_vec(), bytes, ..stored.clone() })
     }
 
-    /// Records that an incarnation has ended and drops the copies computed by it and by earlier ones.
+    /// Records that an incarnation has ended and drops the copies that it or a previous one computed.
     pub fn end(&mut self, ended: &EndedIncarnation) {
         self.origins.end(&ended.engine, ended.incarnation);
         self.drop_ended();
