--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod limit_check;
 mod limits;
+mod partitioned;
 mod planned_soak;
 mod poison;
 #[path = "../support/program.rs"]
--- /dev/null
+++ b/crates/cli/tests/forward/partitioned.rs
@@ -0,0 +1,166 @@
+//! Nodes that lose the paths to all back ends, while callers, the store and other nodes still reach them.
+
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Cluster, Cut, cluster::KEY};
+
+use crate::{
+    delivery::COMPLETE_STREAM,
+    router::{CallerResponse, Router, metric_value},
+};
+
+/// How long after a cut callers may notice it.
+const GRACE_PERIOD: Duration = Duration::from_secs(3);
+/// Time between two requests of a test's callers.
+const PAUSE: Duration = Duration::from_millis(25);
+/// Rounds of requests to each route.
+const ROUNDS: usize = 12;
+/// The share of first attempts that a cut-off node must serve, in percent of the requests.
+const MIN_SERVED_PERCENT: usize = 95;
+
+fn source(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 0, 20 + number)
+}
+
+/// Starts `count` nodes that know of each other, each with a source address of its own.
+async fn fleet(count: u8) -> (Cluster, Vec<Router>) {
+    let cluster = Cluster::start().await.expect("the cluster starts");
+    cluster.configure(1, &[KEY]);
+    let mut routers = Vec::new();
+    for number in 0..count {
+        let name = format!("node-{number}");
+        routers.push(Router::start_from(cluster.store_address, &name, source(number)).await);
+    }
+    for router in &routers {
+        let counted =
+            async || metric_value(router, "paddlemount_forward_nodes").await == Some(f64::from(count));
+        router.wait_until("counted", counted).await;
+    }
+    // Opens connections to back ends.
+    for (number, router) in routers.iter().enumerate() {
+        send_rounds(router, &format!("warm-{number}"), 2).await;
+    }
+    (cluster, routers)
+}
+
+/// Sends rounds of one request to each route, and returns the answers.
+async fn send_rounds(router: &Router, label: &str, rounds: usize) -> Vec<(String, Option<CallerResponse>)> {
+    let mut sent = Vec::new();
+    for round in 0..rounds {
+        for path in ["/chat/1", "/claim/1", "/hold/1", "/quote/1"] {
+            let id = format!("{label}-{round}{}", path.replace('/', "-"));
+            sent.push(async move {
+                let answer = router.send(path, &id).await;
+                (id, answer)
+            });
+        }
+    }
+    let spaced = sent.into_iter().enumerate().map(|(number, call)| async move {
+        tokio::time::sleep(PAUSE * number as u32).await;
+        call.await
+    });
+    futures_util::future::join_all(spaced).await
+}
+
+fn is_served(answer: &CallerResponse) -> bool {
+    let is_stream = answer.body.starts_with("id:");
+    answer.status == StatusCode::OK && answer.complete && (!is_stream || answer.body == COMPLETE_STREAM)
+}
+
+/// Asserts that nearly all requests were served.
+fn assert_served(answers: &[(String, Option<CallerResponse>)], router: &Router) {
+    let served = answers.iter().filter(|(_, answer)| answer.as_ref().is_some_and(is_served)).count();
+    let lost: Vec<_> = answers
+        .iter()
+        .filter(|(_, answer)| !answer.as_ref().is_some_and(is_served))
+        .map(|(id, answer)| (id, answer.as_ref().map(|answer| (answer.status, &answer.body))))
+        .collect();
+    let lines = router.lines();
+    let last = &lines[lines.len().saturating_sub(40)..];
+    assert!(
+        served * 100 >= answers.len() * MIN_SERVED_PERCENT,
+        "{served} of {} requests served: {lost:#?}\n{last:#?}",
+        answers.len()
+    );
+}
+
+/// Asserts that no request ran more than once that must not.
+fn assert_at_most_once(cluster: &Cluster, answers: &[(String, Option<CallerResponse>)]) {
+    for (id, _) in answers.iter().filter(|(id, _)| id.contains("-hold-")) {
+        let runs: usize = cluster.bookings.iter().map(|runner| runner.runs(id)).sum();
+        assert!(runs <= 1, "{id} ran {runs} times");
+    }
+}
+
+/// Cuts off the first of three nodes, and expects it to serve as before from the end of the grace period on.
+async fn serves_while_cut_off(cut: Cut) {
+    let (cluster, routers) = fleet(3).await;
+    cluster.partition.cut(source(0), cut);
+    let early = send_rounds(&routers[0], "early", ROUNDS);
+    let (early, ()) = tokio::join!(early, tokio::time::sleep(GRACE_PERIOD));
+    let late = send_rounds(&routers[0], "late", ROUNDS).await;
+    assert_at_most_once(&cluster, &early);
+    assert_at_most_once(&cluster, &late);
+    assert_served(&late, &routers[0]);
+    cluster.partition.heal(source(0));
+    tokio::time::sleep(GRACE_PERIOD).await;
+    assert_served(&send_rounds(&routers[0], "healed", ROUNDS).await, &routers[0]);
+}
+
+#[tokio::test]
+async fn a_node_whose_connections_to_all_back_ends_hang_serves_its_callers() {
+    serves_while_cut_off(Cut::Silent).await;
+}
+
+#[tokio::test]
+async fn a_node_whose_connections_to_all_back_ends_are_reset_serves_its_callers() {
+    serves_while_cut_off(Cut::Reset).await;
+}
+
+#[tokio::test]
+async fn a_node_that_opens_no_new_connections_to_back_ends_serves_its_callers() {
+    serves_while_cut_off(Cut::NewOnly).await;
+}
+
+#[tokio::test]
+async fn the_only_node_that_reaches_the_back_ends_serves_the_callers_of_all() {
+    let (cluster, routers) = fleet(4).await;
+    for number in 0..3 {
+        cluster.partition.cut(source(number), Cut::Silent);
+    }
+    let warm_up = routers[..3].iter().map(|router| send_rounds(router, "early", ROUNDS));
+    futures_util::future::join_all(warm_up).await;
+    tokio::time::sleep(GRACE_PERIOD).await;
+    let calls = routers.iter().enumerate().map(|(number, router)| async move {
+        (router, send_rounds(router, &format!("late-{number}"), ROUNDS).await)
+    });
+    for (router, answers) in futures_util::future::join_all(calls).await {
+        assert_at_most_once(&cluster, &answers);
+        assert_served(&answers, router);
+    }
+}
+
+/// A caller whose request cannot be served learns so at once.
+#[tokio::test]
+async fn if_no_node_reaches_the_back_ends_requests_are_refused_at_once() {
+    let (cluster, routers) = fleet(2).await;
+    for number in 0..2 {
+        cluster.partition.cut(source(number), Cut::Silent);
+    }
+    let warm_up = routers.iter().map(|router| send_rounds(router, "early", ROUNDS));
+    futures_util::future::join_all(warm_up).await;
+    tokio::time::sleep(GRACE_PERIOD).await;
+    for path in ["/chat/1", "/claim/1", "/hold/1", "/quote/1"] {
+        let began = Instant::now();
+        let answer = routers[0].send(path, &format!("none{}", path.replace('/', "-"))).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{}", answer.body);
+        assert!(answer.headers.contains_key(http::header::RETRY_AFTER));
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(500), "{path} was refused after {took:?}");
+    }
+}
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader},
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -131,6 +131,11 @@
         router
     }
 
+    /// Like [`Self::start_at`], with connections to back ends from the local address `source`.
+    pub async fn start_from(store: SocketAddr, name: &str, source: Ipv4Addr) -> Self {
+        Self::start_with(&format!("source_address = \"{source}\"\n{}", settings_at(store, name, 5_000))).await
+    }
+
     async fn start_with(text: &str) -> Self {
         let file = format!("paddlemount-forward-{}-{}.toml", std::process::id(), unique_number());
         let path = std::env::temp_dir().join(file);
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -223,7 +223,7 @@
     let now = node.now();
     let timeout = node.connect_timeout().min(deadline.saturating_since(now));
     let process = node.process_of(&choice.backend);
-    let result = Connection::open(choice.address, timeout, now).await;
+    let result = Connection::open_from(node.settings().source_address, choice.address, timeout, now).await;
     node.record_connect(&process, now, &result);
     result.map_err(|error| connection_failure(node, choice, &error, false))
 }
--- a/crates/forward/src/cache_feed.rs
+++ b/crates/forward/src/cache_feed.rs
@@ -118,7 +118,7 @@
 
 /// Follows one feed while it is selected.
 async fn follow(node: Rc<Node>, source: &Source, feeds: &RefCell<Feeds>) {
-    let client = Client::new(source.1, node.clock);
+    let client = Client::new(source.1, node.clock).with_source(node.settings().source_address);
     let mut feed = Feed {
         node,
         backend: source.0.clone(),
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -1,6 +1,10 @@
 //! HTTP calls with complete bodies: to the metadata store and to the own interfaces of engines.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -34,6 +38,8 @@
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
+    /// The local address of its connections; `None` to let the system choose.
+    source: Option<IpAddr>,
     clock: SteadyClock,
     idle: RefCell<Vec<Connection>>,
 }
@@ -41,7 +47,13 @@
 impl Client {
     /// A client for `address`.
     pub const fn new(address: SocketAddr, clock: SteadyClock) -> Self {
-        Self { address, clock, idle: RefCell::new(Vec::new()) }
+        Self { address, source: None, clock, idle: RefCell::new(Vec::new()) }
+    }
+
+    /// The same client with connections from the local address `source`, if one is given.
+    pub const fn with_source(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
     }
 
     /// Makes a call. A connection whose response was lost is not reused.
@@ -74,7 +86,7 @@
                 return Ok(connection);
             }
         }
-        Connection::open(self.address, CONNECT_TIMEOUT, self.clock.now()).await
+        Connection::open_from(self.source, self.address, CONNECT_TIMEOUT, self.clock.now()).await
     }
 
     async fn recycle(&self, mut connection: Connection) {
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -3,7 +3,10 @@
 //! A connection carries one request at a time. Dropping it closes the socket at once, which cancels the
 //! attempt: the back end sees the close and stops its work.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -11,7 +14,10 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use paddlemount_protocol::time::Timestamp;
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+};
 
 /// How long sent bytes may stay unacknowledged before the connection breaks.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -66,8 +72,17 @@
         timeout: Duration,
         now: Timestamp,
     ) -> Result<Self, ConnectionError> {
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(timeout, connecting)
+        Self::open_from(None, address, timeout, now).await
+    }
+
+    /// Like [`Self::open`], from the local address `source` if one is given.
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        timeout: Duration,
+        now: Timestamp,
+    ) -> Result<Self, ConnectionError> {
+        let stream = tokio::time::timeout(timeout, connect(source, address))
             .await
             .map_err(|_| ConnectionError::ConnectTimeout)?
             .map_err(ConnectionError::Connect)?;
@@ -112,6 +127,13 @@
     }
 }
 
+async fn connect(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets the options that detect an unresponsive peer. A system without one of them still serves.
 fn set_socket_options(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
--- a/crates/forward/src/engine_contact.rs
+++ b/crates/forward/src/engine_contact.rs
@@ -159,7 +159,9 @@
     async fn check_reachable(&self, process: BackendProcess, address: SocketAddr) {
         let began = self.now();
         self.metrics.count(Counter::Connections);
-        let result = Connection::open(address, self.connect_timeout(), began).await;
+        let result =
+            Connection::open_from(self.settings().source_address, address, self.connect_timeout(), began)
+                .await;
         self.record_connect(&process, began, &result);
         if let Ok(connection) = result {
             self.pool.borrow_mut().put(&process.id, connection, self.now());
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -224,7 +224,10 @@
 
 /// Opens a connection and returns it if it stays open.
 async fn open_probe(node: &Node, address: SocketAddr) -> Option<Connection> {
-    let connection = Connection::open(address, CONNECT_TIMEOUT, node.now()).await.ok()?;
+    let connection =
+        Connection::open_from(node.settings().source_address, address, CONNECT_TIMEOUT, node.now())
+            .await
+            .ok()?;
     tokio::time::sleep(PROBE_TIME).await;
     connection.is_ready().then_some(connection)
 }
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -1,6 +1,10 @@
 //! The settings of the process: a TOML file that is validated before anything starts.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use paddlemount_core::{forwarding::children::fan_in, limits::ledger::bucket_size::QuotaBounds};
 use paddlemount_protocol::identity::{NodeId, ZoneId};
@@ -20,6 +24,9 @@
     /// Whether all nodes start for the first time, so that no caller is waiting yet.
     #[serde(default)]
     pub first_start: bool,
+    /// The local address of connections to back ends; `None` to let the system choose.
+    #[serde(default)]
+    pub source_address: Option<IpAddr>,
     pub listen: ListenSettings,
     pub store: StoreSettings,
     /// The operator's bounds.
