--- a/crates/core/src/forwarding/mod.rs
+++ b/crates/core/src/forwarding/mod.rs
@@ -20,6 +20,7 @@
 //! | [`transfers`] | whether a transfer of cached tokens takes less time than prefilling them |
 //! | [`attempt`] | what follows a failed attempt |
 //! | [`silence`], [`connect_times`] | which engines send nothing more, and how long a connection may take |
+//! | [`reachability`] | whether this node reaches the back ends of a service at all |
 //! | [`doubts`] | whether pooled connections to a service's back ends may be dead |
 //! | [`budget`] | whether a request may be retried |
 //! | `received` | what neighbours in the tree have sent, until it expires |
@@ -66,6 +67,7 @@
 pub mod prefixes;
 pub mod prompt;
 pub mod ranks;
+pub mod reachability;
 mod received;
 pub mod refusals;
 pub mod registry;
--- /dev/null
+++ b/crates/core/tests/forwarding_reachability.rs
@@ -0,0 +1,199 @@
+//! Whether a node reaches the back ends of a service, concluded from connections, bytes and probes.
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use paddlemount_core::forwarding::{
+    backends::BackendId,
+    reachability::{PathChange, Reachability},
+};
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
+
+fn service() -> ServiceId {
+    ServiceId::from("pool")
+}
+
+fn backend(number: usize) -> BackendId {
+    BackendId::from(format!("e{number}"))
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_millis(1_000 + milliseconds)
+}
+
+/// Runs one round of probes, in which the back ends in `accepting` accept connections.
+fn probe(paths: &mut Reachability, targets: &[usize], accepting: &[usize], backends: usize, now: u64) {
+    paths.begin_probes(&service(), at(now));
+    for &target in targets {
+        if accepting.contains(&target) {
+            paths.record_accepted(&service(), &backend(target), at(now + 50));
+        } else {
+            paths.record_failed(&service(), &backend(target), at(now), at(now + 50));
+        }
+    }
+    paths.end_probes(&service(), backends, at(now + 50));
+}
+
+fn cut_off() -> Reachability {
+    let mut paths = Reachability::default();
+    paths.record_failed(&service(), &backend(0), at(0), at(0));
+    probe(&mut paths, &[1, 2, 3], &[], 18, 10);
+    assert!(paths.is_lost(&service()));
+    paths
+}
+
+#[test]
+fn a_service_is_lost_once_several_back_ends_fail_and_probes_of_others_do() {
+    let mut paths = Reachability::default();
+    paths.record_failed(&service(), &backend(0), at(0), at(300));
+    assert_eq!(paths.probes_due(&service(), at(300)), 3);
+    assert!(!paths.is_lost(&service()));
+    paths.begin_probes(&service(), at(300));
+    assert_eq!(paths.probes_due(&service(), at(310)), 0, "a round is in progress");
+    for number in 1..4 {
+        paths.record_failed(&service(), &backend(number), at(300), at(600));
+    }
+    let change = paths.end_probes(&service(), 18, at(600));
+    assert_eq!(change, Some(PathChange::Lost { failed: 4 }));
+}
+
+/// Crashed engines are no evidence about the path while others accept connections.
+#[test]
+fn a_service_of_which_some_back_ends_crash_is_not_lost() {
+    let mut paths = Reachability::default();
+    for number in 0..9 {
+        paths.record_failed(&service(), &backend(number), at(0), at(10));
+    }
+    probe(&mut paths, &[9, 10, 11], &[9, 10, 11], 18, 20);
+    assert!(!paths.is_lost(&service()));
+    assert!(!paths.has_failed(&service(), &backend(0)));
+}
+
+/// An engine may be silent for a second and go on; connections to it are accepted meanwhile.
+#[test]
+fn a_service_that_is_quiet_for_a_second_and_accepts_connections_is_not_lost() {
+    let mut paths = Reachability::default();
+    paths.begin_wait(&service(), at(0));
+    assert_eq!(paths.probes_due(&service(), at(300)), 0);
+    assert_eq!(paths.probes_due(&service(), at(400)), 1);
+    probe(&mut paths, &[0], &[0], 1, 400);
+    assert_eq!(paths.probes_due(&service(), at(1_000)), 0);
+    paths.record_bytes(&service(), &backend(0), at(0), at(1_300));
+    assert!(!paths.is_lost(&service()));
+}
+
+#[test]
+fn a_quiet_service_that_accepts_no_connection_is_lost_within_a_second() {
+    let mut paths = Reachability::default();
+    paths.begin_wait(&service(), at(0));
+    assert_eq!(paths.probes_due(&service(), at(400)), 1);
+    paths.begin_probes(&service(), at(400));
+    paths.record_failed(&service(), &backend(0), at(400), at(700));
+    paths.end_probes(&service(), 18, at(700));
+    assert_eq!(paths.probes_due(&service(), at(700)), 3);
+    paths.begin_probes(&service(), at(700));
+    for number in 1..4 {
+        paths.record_failed(&service(), &backend(number), at(700), at(1_000));
+    }
+    paths.end_probes(&service(), 18, at(1_000));
+    assert!(paths.is_lost(&service()));
+}
+
+#[test]
+fn a_small_pool_is_lost_when_all_of_it_fails() {
+    let mut paths = Reachability::default();
+    probe(&mut paths, &[0], &[], 1, 0);
+    assert!(paths.is_lost(&service()));
+    probe(&mut paths, &[0], &[0], 1, 250);
+    assert!(!paths.is_lost(&service()));
+}
+
+#[test]
+fn a_lost_service_is_probed_until_two_back_ends_accept_connections_in_succession() {
+    let mut paths = cut_off();
+    assert_eq!(paths.probes_due(&service(), at(200)), 0);
+    assert_eq!(paths.probes_due(&service(), at(260)), 2);
+    probe(&mut paths, &[4, 5], &[4], 18, 260);
+    assert!(paths.is_lost(&service()), "the link loses most packets");
+    probe(&mut paths, &[4], &[4], 18, 520);
+    assert!(paths.is_lost(&service()));
+    probe(&mut paths, &[6], &[6], 18, 780);
+    assert!(!paths.is_lost(&service()));
+}
+
+/// Connections may live on while new ones fail.
+#[test]
+fn bytes_on_an_old_connection_do_not_end_a_loss_but_show_that_its_back_end_is_live() {
+    let mut paths = cut_off();
+    for now in [100, 200, 300] {
+        paths.record_bytes(&service(), &backend(7), Timestamp::ZERO, at(now));
+    }
+    assert!(paths.is_lost(&service()));
+    assert!(paths.is_live(&service(), &backend(7), at(400)));
+    assert!(!paths.is_live(&service(), &backend(7), at(1_400)));
+    assert!(!paths.is_live(&service(), &backend(8), at(400)));
+}
+
+#[test]
+fn a_failure_that_began_before_a_back_end_accepted_a_connection_is_no_evidence() {
+    let mut paths = Reachability::default();
+    paths.record_accepted(&service(), &backend(5), at(100));
+    paths.record_failed(&service(), &backend(0), at(50), at(350));
+    assert!(!paths.has_failed(&service(), &backend(0)));
+}
+
+/// What may happen to a node.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    Wait,
+    EndWait,
+    Bytes { backend: u8, is_new: bool },
+    Fail { backend: u8, took_ms: u8 },
+    Probe,
+    Pass { milliseconds: u8 },
+}
+
+/// Whatever else happens, a node with a working path regains a lost service within two rounds of probes, and one with
+/// a cut path loses it within three.
+#[test]
+fn the_path_is_concluded_in_time_after_any_history() {
+    const BACKENDS: usize = 6;
+    bolero::check!().with_type::<(Vec<Step>, bool)>().for_each(|(steps, is_cut)| {
+        let mut paths = Reachability::default();
+        let mut now = 0;
+        for step in steps {
+            match *step {
+                Step::Wait => paths.begin_wait(&service(), at(now)),
+                Step::EndWait => paths.end_wait(&service()),
+                Step::Bytes { backend: number, is_new } => {
+                    let opened_at = if is_new { at(now) } else { Timestamp::ZERO };
+                    let number = usize::from(number) % BACKENDS;
+                    paths.record_bytes(&service(), &backend(number), opened_at, at(now));
+                }
+                Step::Fail { backend: number, took_ms } => {
+                    let began = at(now.saturating_sub(u64::from(took_ms)));
+                    paths.record_failed(&service(), &backend(usize::from(number) % BACKENDS), began, at(now));
+                }
+                Step::Probe => probe(&mut paths, &[now as usize % BACKENDS], &[], BACKENDS, now),
+                Step::Pass { milliseconds } => now += u64::from(milliseconds),
+            }
+        }
+        // A request waits without an answer from here on.
+        paths.begin_wait(&service(), at(now));
+        let began = now;
+        let all: Vec<usize> = (0..BACKENDS).collect();
+        while now < began + 2_600 {
+            now += 50;
+            let due = paths.probes_due(&service(), at(now));
+            if due > 0 {
+                let mut targets = all.clone();
+                targets.sort_by_key(|target| paths.has_failed(&service(), &backend(*target)));
+                targets.truncate(due);
+                let accepting = if *is_cut { Vec::new() } else { all.clone() };
+                probe(&mut paths, &targets, &accepting, BACKENDS, now);
+                now += 50;
+            }
+        }
+        assert_eq!(paths.is_lost(&service()), *is_cut);
+    });
+}
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -147,6 +147,7 @@
     let sent_at = node.now();
     node.acquire_permit(&choice.backend);
     node.record_engine_sent(load.process.as_ref());
+    load.begin_wait();
     load.contact = EngineContact::begin(node, choice);
     let waiting = connection.send(request);
     let answer = match node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting).await {
@@ -155,6 +156,9 @@
             if error.is_before_sending() {
                 node.release_permit(&choice.backend);
             }
+            if !reused {
+                node.record_unreached(&choice.backend, connection.opened_at);
+            }
             return Err(connection_failure(node, choice, &error, reused));
         }
         Waited::Outdated => {
@@ -175,6 +179,7 @@
         }
     };
     node.record_engine_contact(load.process.as_ref());
+    load.record_bytes(&connection);
     if let Some(contact) = &load.contact {
         contact.record_head();
     }
@@ -225,7 +230,10 @@
     let process = node.process_of(&choice.backend);
     let result = Connection::open_from(node.settings().source_address, choice.address, timeout, now).await;
     node.record_connect(&process, now, &result);
-    result.map_err(|error| connection_failure(node, choice, &error, false))
+    result.map_err(|error| {
+        node.record_unreached(&choice.backend, now);
+        connection_failure(node, choice, &error, false)
+    })
 }
 
 fn connection_failure(
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -60,6 +60,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    pub opened_at: Timestamp,
     pub used_at: Timestamp,
     /// The peer's idle timeout, if it gave one.
     pub keep_alive: Option<Duration>,
@@ -96,7 +97,7 @@
             // The error also reaches the task that waits for the answer.
             let _ = connection.await;
         });
-        Ok(Self { sender, task, used_at: now, keep_alive: None })
+        Ok(Self { sender, task, opened_at: now, used_at: now, keep_alive: None })
     }
 
     /// Whether the next request may be written.
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -176,6 +176,10 @@
         unanswered_connects: u32,
         reported: bool,
     },
+    /// This node reaches no back end of a service; `failed` of them were tried.
+    ServicePathLost { service: &'a str, failed: usize },
+    /// Back ends of a service are reached again.
+    ServicePathRegained { service: &'a str, after_ms: u64 },
     /// A back end crashed while it ran a request.
     RunCrashed { fingerprint: String, route: &'a str, tenant: Option<&'a str>, backend: &'a str, ran_ms: u64 },
     /// A run of a suspect request completed, as reported by a child.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`exchange`], [`dispatch`], [`attempts`], [`outcomes`], [`relay`] | sends, retries and relays requests |
 //! | [`load_guard`] | counts a request as load on its back end |
 //! | [`room`], `room_permit` | whether the engines of a service have room for a request |
+//! | `path_probes` | whether the back ends of a service are reached at all |
 //! | `retries` | retry budgets |
 //! | [`response_wait`] | ends waits at back ends whose weights have become outdated |
 //! | [`quarantine`], `runs` | which broken runs were crashes, and which requests are quarantined for them |
@@ -72,6 +73,7 @@
 pub mod node_state;
 pub mod orders;
 pub mod outcomes;
+mod path_probes;
 pub mod peers;
 pub mod performance;
 pub mod pool;
--- a/crates/forward/src/load_guard.rs
+++ b/crates/forward/src/load_guard.rs
@@ -6,9 +6,9 @@
     forwarding::{backends::BackendId, choice::Choice, forecast::EngineWorkload},
     health::HealthEvent,
 };
-use paddlemount_protocol::{fleet::BackendProcess, time::Timestamp};
+use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
 
-use crate::{engine_contact::EngineContact, node::Node};
+use crate::{connection::Connection, engine_contact::EngineContact, node::Node};
 
 /// Counts one request as load on a back end until it is dropped.
 pub struct LoadGuard {
@@ -23,6 +23,8 @@
     workload: EngineWorkload,
     /// Watches whether the back end answers, once the request was sent.
     pub(crate) contact: Option<EngineContact>,
+    /// The service, while the request waits for its back end's bytes.
+    awaited: Option<ServiceId>,
 }
 
 impl std::fmt::Debug for LoadGuard {
@@ -44,6 +46,24 @@
             pending_prefill_tokens: Some(choice.expected_tokens),
             workload: choice.workload,
             contact: None,
+            awaited: None,
+        }
+    }
+
+    /// Records that the request was sent and waits for the back end.
+    pub(crate) fn begin_wait(&mut self) {
+        let mut state = self.node.state.borrow_mut();
+        let service = state.backends.get(&self.backend).map(|backend| backend.entry.service.clone());
+        if let Some(service) = &service {
+            state.reachability.begin_wait(service, self.node.now());
+        }
+        self.awaited = service;
+    }
+
+    /// Records that bytes of the back end arrived on `connection`.
+    pub(crate) fn record_bytes(&self, connection: &Connection) {
+        if let Some(service) = &self.awaited {
+            self.node.record_bytes(service, &self.backend, connection);
         }
     }
 
@@ -71,5 +91,8 @@
             state.chooser.loads.record_first_event(&self.backend, tokens, self.began);
         }
         state.chooser.loads.record_end(&self.backend);
+        if let Some(service) = &self.awaited {
+            state.reachability.end_wait(service);
+        }
     }
 }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -92,6 +92,8 @@
     pub target_announced: Notify,
     /// Notified when an order to an engine has ended.
     pub order_ended: Notify,
+    /// Notified when the path to a service was lost or regained.
+    pub(crate) path_changed: Notify,
     /// Unknown headers of back ends' answers.
     pub unknown_headers: LoggedOnce,
     /// Unknown kinds of facts from other nodes.
@@ -149,6 +151,7 @@
             early_report: Cell::new(false),
             target_announced: Notify::new(),
             order_ended: Notify::new(),
+            path_changed: Notify::new(),
             unknown_headers: LoggedOnce::default(),
             unknown_facts: LoggedOnce::default(),
             unreadable_limits: LoggedOnce::default(),
@@ -335,6 +338,7 @@
         state.refused_until.retain(|_, until| now < *until);
         state.silences.sweep(now);
         state.doubts.sweep(now);
+        state.reachability.sweep(now);
         drop(state);
         self.update_forecasts();
         self.expire_announcements();
@@ -366,6 +370,7 @@
             ),
             gauge("paddlemount_forward_named_age_seconds", target_age(&state, self.now())),
             self.forecast_gauge(&state),
+            self.path_gauge(),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
         let gauges = gauges.into_iter().chain(self.announcement_gauges());
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -14,6 +14,7 @@
         doubts::Doubts,
         forecast::shared::{Forecasters, SharedRates},
         freshness::Freshness,
+        reachability::Reachability,
         refusals::Refusals,
         rollout::{Rollout, RolloutSettings},
         silence::Silences,
@@ -63,6 +64,8 @@
     /// Services whose back ends may be unreachable.
     pub doubts: Doubts,
     pub connect_times: ConnectTimes,
+    /// Whether the back ends of services are reached at all.
+    pub(crate) reachability: Reachability,
     /// The target versions of weights.
     pub rollout: Rollout,
     /// The leader, if one is known.
@@ -168,6 +171,7 @@
             silences: Silences::default(),
             doubts: Doubts::default(),
             connect_times: ConnectTimes::default(),
+            reachability: Reachability::default(),
             rollout,
             leader: None,
             leader_checked: false,
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -16,7 +16,7 @@
     journal::{Event, Journal},
     leadership,
     node::Node,
-    peers,
+    path_probes, peers,
     ports::Platform,
     quarantine, room,
     settings::{ForwardSettings, SettingsError},
@@ -83,6 +83,7 @@
     tokio::task::spawn_local(quarantine::run(Rc::clone(&node)));
     tokio::task::spawn_local(target_record::run(Rc::clone(&node)));
     tokio::task::spawn_local(room::run(Rc::clone(&node)));
+    tokio::task::spawn_local(path_probes::run(Rc::clone(&node)));
     tokio::task::spawn_local(housekeeping(Rc::clone(&node), path, hangup));
     let leadership_task = tokio::task::spawn_local(leadership::run(Rc::clone(&node)));
     tokio::task::spawn_local(caller_server.clone().serve(callers));
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -144,6 +144,7 @@
                     self.received_at = self.exchange.node.now();
                     if let Some(upstream) = &self.upstream {
                         self.exchange.node.record_engine_contact(upstream.load.process.as_ref());
+                        upstream.load.record_bytes(&upstream.connection);
                     }
                     let events = self.splitter.push(&data);
                     if !events.is_empty() {
