--- a/crates/cli/tests/forward/partitioned.rs
+++ b/crates/cli/tests/forward/partitioned.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use paddlemount_platform_standin::{
-    Cluster, Cut, Runner,
+    Behaviour, Cluster, Cut, Runner,
     cluster::{HOST, KEY},
 };
 
@@ -241,3 +241,23 @@
     let own_headers = cluster.bookings.iter().flat_map(Runner::seen).filter(|seen| seen.id == "h2").count();
     assert_eq!(own_headers, 1);
 }
+
+/// A request whose run was cut off by a partition must not count as the cause of a crash.
+#[tokio::test]
+async fn runs_that_a_partition_breaks_off_are_not_counted_as_crashes() {
+    for cut in [Cut::Silent, Cut::Reset] {
+        let (cluster, routers) = fleet(2).await;
+        for engine in &cluster.engines {
+            engine.script(&[Behaviour::Long; 4]);
+        }
+        let running =
+            [("/chat/1", "chat"), ("/claim/1", "claim")].map(|(path, id)| routers[0].send(path, id));
+        let (answers, ()) = tokio::join!(futures_util::future::join_all(running), async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            cluster.partition.cut(source(0), cut);
+        });
+        assert!(answers.iter().flatten().any(|answer| !answer.complete), "{cut:?} breaks a run off");
+        tokio::time::sleep(GRACE_PERIOD).await;
+        assert!(!routers[0].logged("run_crashed"), "{cut:?}: {:#?}", routers[0].lines());
+    }
+}
--- a/crates/forward/src/path_probes.rs
+++ b/crates/forward/src/path_probes.rs
@@ -21,6 +21,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the connection of a probe must stay open: a cut path may reset connections that were accepted.
 const PROBE_TIME: Duration = Duration::from_millis(50);
+/// How long it takes to conclude that a path is cut: two rounds of probes that all time out.
+const CONCLUSION_TIMEOUT: Duration = Duration::from_millis(900);
 /// Random draws for each back end to be probed, before a service counts as having no other.
 const DRAWS_PER_PROBE: usize = 8;
 
@@ -103,6 +105,24 @@
         }
     }
 
+    /// Whether a back end that accepts no connection is out of this node's reach together with others of its service,
+    /// as far as the next probes tell.
+    pub(crate) async fn is_path_cut(&self, backend: &BackendId) -> bool {
+        self.record_unreached(backend, self.now());
+        let service = self.state.borrow().backends.get(backend).map(|backend| backend.entry.service.clone());
+        let Some(service) = service else { return false };
+        let until_lost = async {
+            loop {
+                let changed = self.path_changed.notified();
+                if self.is_path_lost(&service) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        self.clock.timeout(CONCLUSION_TIMEOUT, until_lost).await.is_some()
+    }
+
     fn apply_path_change(&self, service: &ServiceId, change: Option<PathChange>) {
         let Some(change) = change else { return };
         let service = service.as_str();
