--- a/crates/cli/tests/forward/partitioned.rs
+++ b/crates/cli/tests/forward/partitioned.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     delivery::COMPLETE_STREAM,
-    router::{CallerResponse, Router, metric_value},
+    router::{CallerResponse, Router, WEIGHTS_BOUND, metric_value},
 };
 
 /// How long after a cut callers may notice it.
@@ -242,6 +242,27 @@
     assert_eq!(own_headers, 1);
 }
 
+/// A leader that gives no orders would keep all engines on old weights.
+#[tokio::test]
+async fn a_leader_that_reaches_no_engine_leaves_the_update_of_weights_to_another_node() {
+    let (cluster, routers) = fleet(3).await;
+    let mut leader = None;
+    for (number, router) in routers.iter().enumerate() {
+        if metric_value(router, "paddlemount_forward_leads").await == Some(1.0) {
+            leader = Some(number);
+        }
+    }
+    let leader = leader.expect("a leader");
+    cluster.partition.cut(source(leader as u8), Cut::Silent);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let named = Instant::now();
+    cluster.set_target_version(2);
+    while cluster.engines.iter().any(|engine| engine.version() < 2) {
+        assert!(named.elapsed() < WEIGHTS_BOUND, "{:#?}", routers[leader].lines());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// A request whose run was cut off by a partition must not count as the cause of a crash.
 #[tokio::test]
 async fn runs_that_a_partition_breaks_off_are_not_counted_as_crashes() {
--- a/crates/core/src/forwarding/rollout.rs
+++ b/crates/core/src/forwarding/rollout.rs
@@ -226,6 +226,11 @@
         begun
     }
 
+    /// Whether a back end has older weights than their target version.
+    pub fn is_outdated(&self, backend: &Backend) -> bool {
+        self.target(backend).is_some()
+    }
+
     /// Records that the update of a back end has ended or was abandoned.
     pub fn ended(&mut self, backend: &BackendId) {
         self.active.remove(backend);
--- a/crates/forward/src/leadership.rs
+++ b/crates/forward/src/leadership.rs
@@ -46,7 +46,7 @@
         ttl,
         lease: None,
         free_since: None,
-        partitioned_at: None,
+        yielded_at: None,
         restored_at: None,
         led_at_restore: false,
     };
@@ -64,8 +64,8 @@
     ttl: Duration,
     lease: Option<StoreLease>,
     free_since: Option<Timestamp>,
-    /// When this node last led without receiving reports.
-    partitioned_at: Option<Timestamp>,
+    /// When this node last left the lease to others.
+    yielded_at: Option<Timestamp>,
     /// The latest restore of the store that was handled.
     restored_at: Option<Timestamp>,
     /// Whether this node led at that time.
@@ -84,7 +84,11 @@
             return;
         }
         if self.is_partitioned(now) {
-            self.yield_lease(now).await;
+            self.yield_lease("no other node reports here", now).await;
+            return;
+        }
+        if self.node.token().is_some() && self.node.lacks_path_for_orders() {
+            self.yield_lease("engines to be updated are reached only by other nodes", now).await;
             return;
         }
         if self.holder.token(now).is_none() && self.has_new_leader().await {
@@ -107,10 +111,10 @@
         self.node.token().is_some() && peers.is_some_and(|peers| peers.borrow().fleet.is_partitioned(now))
     }
 
-    /// Releases the lease to nodes that the others can reach.
-    async fn yield_lease(&mut self, now: Timestamp) {
-        self.partitioned_at = Some(now);
-        self.stand_down("no other node reports here", now).await;
+    /// Releases the lease to nodes that can do what this one cannot.
+    async fn yield_lease(&mut self, why: &'static str, now: Timestamp) {
+        self.yielded_at = Some(now);
+        self.stand_down(why, now).await;
     }
 
     /// Stands down after the store was restored: it may lack this node's lease and grant it to another node.
@@ -160,7 +164,7 @@
         let is_small = self.node.settings().limits.is_small();
         let (delay, jitter) =
             if is_small { (SMALL_NODE_DELAY, SMALL_NODE_JITTER) } else { (Duration::ZERO, ACQUIRE_JITTER) };
-        let has_yielded = self.partitioned_at.is_some_and(|at| now.saturating_since(at) < YIELD_PERIOD);
+        let has_yielded = self.yielded_at.is_some_and(|at| now.saturating_since(at) < YIELD_PERIOD);
         let delay = if has_yielded { delay + YIELD_PERIOD / 2 } else { delay };
         now.saturating_since(since) >= delay + jitter.mul_f64(rand::random::<f64>())
     }
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -6,7 +6,10 @@
     backends::{Backend, BackendId, BackendState},
     rollout::{EngineReport, LoadMode, Step, Target, UPDATE_RETRY_INTERVAL, after_report},
 };
-use paddlemount_protocol::{identity::FencingToken, time::Timestamp};
+use paddlemount_protocol::{
+    identity::{FencingToken, ServiceId},
+    time::Timestamp,
+};
 
 use crate::{
     calls::Client,
@@ -63,6 +66,21 @@
     }
 }
 
+impl Node {
+    /// Whether engines have outdated weights that this node does not reach, while another one does.
+    pub(crate) fn lacks_path_for_orders(&self) -> bool {
+        let state = self.state.borrow();
+        let is_outdated = |service: &ServiceId| {
+            let backends = state.backends.usable(service);
+            backends.into_iter().any(|backend| state.rollout.is_outdated(backend))
+        };
+        state
+            .reachability
+            .lost()
+            .any(|service| is_outdated(service) && state.intermediaries.has_any(service, self.now()))
+    }
+}
+
 /// Postpones an engine that did not answer or refused; it gets no requests meanwhile either.
 fn postpone(node: &Node, id: &BackendId) {
     let now = node.now();
@@ -99,7 +117,8 @@
             target.version = newest;
         }
         let Some(report) = fetch_report(node, &client, &target.backend).await else {
-            // The engine may be dead and must not block others.
+            // The engine may be dead and must not block others; or this node's path is cut.
+            node.record_unreached(&target.backend, node.now());
             return "no report";
         };
         match after_report(target, &report, node.now().saturating_since(began)) {
