--- a/crates/cli/tests/forward/partitioned.rs
+++ b/crates/cli/tests/forward/partitioned.rs
@@ -25,6 +25,10 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// Rounds of requests to each route.
 const ROUNDS: usize = 12;
+/// Start of an engine's silence, shortly before the first keep-alive probe on a quiet connection.
+const SILENCE_START: Duration = Duration::from_millis(950);
+/// How long a sound engine may send and acknowledge nothing.
+const SILENCE: Duration = Duration::from_millis(1_300);
 /// The share of first attempts that a cut-off node must serve, in percent of the requests.
 const MIN_SERVED_PERCENT: usize = 95;
 
@@ -282,3 +286,19 @@
         assert!(!routers[0].logged("run_crashed"), "{cut:?}: {:#?}", routers[0].lines());
     }
 }
+
+/// A back end that falls silent for a second or so and goes on must not lose its streams.
+#[tokio::test]
+async fn a_stream_outlasts_a_silence_of_its_engine_that_swallows_keep_alive_probes() {
+    let (cluster, routers) = fleet(2).await;
+    for engine in &cluster.engines {
+        engine.script(&[Behaviour::FallsSilent; 2]);
+    }
+    let (answer, ()) = tokio::join!(routers[0].send("/chat/1", "silent"), async {
+        tokio::time::sleep(SILENCE_START).await;
+        cluster.partition.cut(source(0), Cut::Silent);
+        tokio::time::sleep(SILENCE).await;
+        cluster.partition.heal(source(0));
+    });
+    assert!(answer.as_ref().is_some_and(is_served), "{answer:?}\n{:#?}", routers[0].lines());
+}
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -19,12 +19,15 @@
     task::JoinHandle,
 };
 
-/// How long sent bytes may stay unacknowledged before the connection breaks.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The idle time before the first TCP keep-alive probe, and between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered probes that break the connection.
-const KEEPALIVE_PROBES: u32 = 2;
+/// How long sent bytes may stay unacknowledged before the connection breaks. Where it is supported, this also ends
+/// keep-alive probing, whatever the number of probes.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// The idle time before the first TCP keep-alive probe.
+const KEEPALIVE_IDLE_TIME: Duration = Duration::from_secs(1);
+/// The time between probes: a peer that is silent for 1.5 s at any moment still answers one of them.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Unanswered probes that break the connection, at the same moment as [`UNACKNOWLEDGED_TIMEOUT`].
+const KEEPALIVE_PROBES: u32 = 4;
 /// How far reading may run ahead of the consumer, in bytes.
 const MAX_READ_AHEAD: usize = 64 << 10;
 
@@ -141,7 +144,7 @@
     let socket = socket2::SockRef::from(stream);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
     let keepalive = socket2::TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
+        .with_time(KEEPALIVE_IDLE_TIME)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     let _ = socket.set_tcp_keepalive(&keepalive);
