--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod announced;
 mod belief;
+mod brittle;
 mod budget;
 mod delivery;
 mod ending;
--- a/crates/core/src/forwarding/announcements/mod.rs
+++ b/crates/core/src/forwarding/announcements/mod.rs
@@ -1,5 +1,5 @@
 //! What back ends announce about themselves in their answers: that they drain, that they want no requests for
-//! some time, and how many requests per second they accept.
+//! some time, how many requests per second they accept, and that they bear few rejections.
 //!
 //! An announcement takes precedence over registry entries, which may be late or missing, and outlives the
 //! entry of its process.
@@ -9,13 +9,16 @@
 //! | draining | yes | at once | never: a process that drains does not return |
 //! | back-off | no: it is meant for the node that got the answer | until the latest end that the process has requested | at that end; once a new incarnation is known, at most 3 s after it was requested |
 //! | rate limit | yes: it holds for all nodes together | by this node's share ([`rate_limit`]) | with an answer without a limit to a request that was sent after the limit was last advertised |
+//! | brittleness | no: each answer states it, and one back end speaks for its service | by even shares of the slots ([`brittleness`]) | with an answer without it to a request that was sent after it was last stated, or 5 s after that |
 //!
 //! | module | responsibility |
 //! |---|---|
 //! | [`rate_limit`] | the limit of one process and this node's share of it |
+//! | [`brittleness`] | the room of back ends that bear few rejections |
 //! | `division` | dividing a limit over the tree of nodes |
 //! | [`limits`] | merging limits and admitting requests by them |
 
+pub mod brittleness;
 mod division;
 pub mod limits;
 pub mod rate_limit;
--- a/crates/forward/src/announcements.rs
+++ b/crates/forward/src/announcements.rs
@@ -98,6 +98,7 @@
             None => {}
         }
         self.observe_limit(process, parsed.limit.as_ref(), sent_at);
+        self.observe_brittleness(process, parsed.bearable_rejections.as_ref(), sent_at);
     }
 
     /// Applies draining announcements received from other nodes.
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -318,6 +318,7 @@
     }
     if !parsed.misdirected {
         node.record_backend_refusal(&choice.backend);
+        node.record_rejection(&choice.backend);
         node.record_engine_refusal(node.recorded_engine(choice).as_ref());
     }
     AttemptEnd::NotRun
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -4,7 +4,7 @@
 
 use paddlemount_core::{
     forwarding::{
-        announcements::limits::Opening,
+        announcements::{brittleness::InFlight, limits::Opening},
         backends::{Backend, BackendId, BackendState},
         choice::{Candidate, CandidatePool, Choice, Placement, shard_of},
         even_share::even_share,
@@ -12,6 +12,7 @@
         prompt::Prompt,
         ranks::{rank, rank_for},
         rollout::prefers,
+        room::{self, DemandShare},
     },
     health::Availability,
 };
@@ -95,6 +96,8 @@
     max_connections: Option<u32>,
     /// The nodes that share them.
     nodes: NodeCount,
+    /// The fraction of the service's room that this node may use, from 0 to 1.
+    fraction: f64,
 }
 
 impl NodeState {
@@ -190,9 +193,17 @@
             preferred: request.prompt.and_then(|prompt| self.preferred(request, prompt, now)),
             max_connections: self.max_connections(request.service),
             nodes,
+            fraction: self.fraction_of_room(request.service, nodes, now),
         }
     }
 
+    /// The fraction of a service's room that this node may use, by its share of the callers' demand.
+    fn fraction_of_room(&self, service: &ServiceId, nodes: NodeCount, now: Timestamp) -> f64 {
+        let own = self.demand.own_slots(service, now);
+        let demand = self.demand.total(service, now).map(|total| DemandShare { own, total: total.slots });
+        room::share(1.0, demand, nodes.upper_bound())
+    }
+
     /// The oldest version of a model that a request may start on.
     fn required(&self, model: &ModelId, now: Timestamp) -> Option<WeightsVersion> {
         self.rollout.required(model, self.chooser.loads.slowest(now), now)
@@ -282,6 +293,7 @@
             && (!self.healthy_only || self.is_healthy(backend))
             && self.state.takes_requests(backend, self.now)
             && self.has_room(id)
+            && self.bears_another(backend)
             && !self.avoids(id)
     }
 
@@ -325,6 +337,22 @@
             && !state.is_unresponsive(id, now)
     }
 
+    /// Whether a brittle back end has room for another request of this node.
+    fn bears_another(&self, backend: &Backend) -> bool {
+        let (state, entry) = (self.state, &backend.entry);
+        if state.brittleness.stated(&entry.service, self.now).is_none() {
+            return true;
+        }
+        let in_flight = InFlight {
+            own: state.chooser.load(&entry.id).requests,
+            total: state.chooser.loads.total_requests(&entry.id),
+            slots: entry.slots,
+        };
+        let process = state.backends.process_of(&entry.id);
+        let draw = state.draw_for(&entry.id);
+        state.brittleness.allows(&entry.service, &process, in_flight, self.fraction, draw, self.now)
+    }
+
     /// Whether this node has connections left of its share for a back end.
     fn has_room(&self, id: &BackendId) -> bool {
         self.max_connections.is_none_or(|max| {
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -103,6 +103,8 @@
         contention: Option<f64>,
         rejected: u64,
     },
+    /// Back ends of a service bear only so many rejections a second; `None` if no longer.
+    ServiceBrittle { service: &'a str, bearable_rejections: Option<f64> },
     /// A back end advertised a limit that cannot be parsed; the previous one stays in force.
     LimitUnreadable { backend: &'a str, value: &'a str },
     /// Answers of back ends carry an unknown header; logged once per name.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `transfers` | the rates by which transfers of cached tokens are weighed |
 //! | `forecasts` | outcomes for forecasts of the time to the first event |
 //! | [`announcements`] | draining, back-off and limits that back ends announce in their answers |
+//! | `brittleness` | back ends that bear few rejections |
 //! | `limits` | advertised limits, divided among all nodes |
 //! | `unknown_headers`, [`logged_once`] | logs unknown headers of back ends' answers, once each |
 //! | [`store_feed`], [`store_restore`] | follows the metadata store, also when it is restored from a backup |
@@ -51,6 +52,7 @@
 pub mod answers;
 pub mod attempts;
 mod backend_updates;
+mod brittleness;
 pub mod cache_feed;
 pub mod caller_close;
 pub mod caller_stream;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -349,6 +349,7 @@
         drop(state);
         self.update_forecasts();
         self.expire_announcements();
+        self.expire_brittleness();
         self.sweep_quarantine();
     }
 
@@ -378,6 +379,7 @@
             gauge("paddlemount_forward_named_age_seconds", target_age(&state, self.now())),
             self.forecast_gauge(&state),
             self.path_gauge(),
+            self.brittleness_gauge(),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
         let gauges = gauges.into_iter().chain(self.announcement_gauges());
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -5,6 +5,7 @@
 use paddlemount_core::{
     back_off::RetryAfterSchedule,
     forwarding::{
+        announcements::brittleness::Brittleness,
         backends::{BackendId, BackendState, Backends},
         budget::{WindowBudget, WindowBudgetSettings, node_reserve},
         change_log::ChangeLog,
@@ -65,6 +66,8 @@
     /// Services whose back ends may be unreachable.
     pub doubts: Doubts,
     pub connect_times: ConnectTimes,
+    /// Services whose back ends bear few rejections.
+    pub(crate) brittleness: Brittleness,
     /// Whether the back ends of services are reached at all.
     pub(crate) reachability: Reachability,
     /// Other nodes through which services are reached.
@@ -174,6 +177,7 @@
             silences: Silences::default(),
             doubts: Doubts::default(),
             connect_times: ConnectTimes::default(),
+            brittleness: Brittleness::default(),
             reachability: Reachability::default(),
             intermediaries: Intermediaries::default(),
             rollout,
--- a/crates/forward/src/outcomes.rs
+++ b/crates/forward/src/outcomes.rs
@@ -114,6 +114,10 @@
         if model.is_some_and(|model| state.has_only_older_weights(&self.service, model, now)) {
             return Reason::OlderWeights.into();
         }
+        if state.brittleness.stated(&self.service, now).is_some() {
+            let retry_after = Reason::PoolFull.retry_after().map(with_jitter);
+            return Refusal { reason: Reason::PoolFull, retry_after };
+        }
         match state.next_opening(&self.service, model, now) {
             Some(Opening { at, per_second: Some(per_second) }) => {
                 self.node.metrics.count(Counter::RefusedForLimits);
--- a/crates/forward/src/ports/heads.rs
+++ b/crates/forward/src/ports/heads.rs
@@ -82,6 +82,9 @@
     pub back_off: Option<RequestedBackOff>,
     /// The requests per second that the back end accepts from all nodes together, if stated.
     pub limit: Option<AdvertisedLimit>,
+    /// The rejections a second for want of room that the back end bears from all nodes together, if it states to be
+    /// brittle.
+    pub bearable_rejections: Option<AdvertisedLimit>,
     /// Headers that the adapter does not know.
     pub unknown: Vec<HeaderName>,
 }
@@ -95,10 +98,10 @@
     Unreadable(String),
 }
 
-/// The rate limit that a back end advertises.
+/// A rate that a back end advertises.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AdvertisedLimit {
-    /// Requests per second, finite and at least 0.
+    /// A number per second, finite and at least 0.
     PerSecond(f64),
     /// A value that could not be parsed.
     Unreadable(String),
