--- a/crates/cli/tests/forward/fleet.rs
+++ b/crates/cli/tests/forward/fleet.rs
@@ -136,7 +136,7 @@
     cluster.configure(1, &[KEY]);
     let mut links = Vec::new();
     for runner in cluster.engines.iter().chain(&cluster.bookings) {
-        let link = Proxy::start_for_runner(runner).await.expect("a proxy starts");
+        let link = Proxy::start_for_runner(runner, &cluster.partition).await.expect("a proxy starts");
         cluster.register_at(runner, "ready", link.address);
         links.push(link);
     }
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -116,14 +116,15 @@
         router
     }
 
-    /// Like [`Self::start_at`], where other nodes reach the node only through `link`.
-    pub async fn start_behind(store: SocketAddr, name: &str, link: &Proxy) -> Self {
-        let router = Self::start_with(&settings_behind(store, name, link)).await;
+    /// Like [`Self::start_from`], where other nodes reach the node only through `link`.
+    pub async fn start_behind_from(store: SocketAddr, name: &str, link: &Proxy, source: Ipv4Addr) -> Self {
+        let text = format!("source_address = \"{source}\"\n{}", settings_behind(store, name, link));
+        let router = Self::start_with(&text).await;
         link.set_target(router.peers);
         router
     }
 
-    /// Like [`Self::start_behind`], with a lease that outlasts any test.
+    /// Like [`Self::start_at`], where other nodes reach the node only through `link` and the lease outlasts any test.
     pub async fn start_with_long_lease(store: SocketAddr, name: &str, link: &Proxy) -> Self {
         let text = settings_behind(store, name, link).replace("lease_ms = 3000", "lease_ms = 600000");
         let router = Self::start_with(&text).await;
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -11,12 +11,14 @@
 mod disturbance;
 mod faults;
 mod leaving;
+mod partitions;
 mod retries;
 mod targets;
 mod weights;
 
 use std::{
     collections::BTreeMap,
+    net::Ipv4Addr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -58,6 +60,8 @@
 /// Seeds of the scenario with all faults. Regressions: 1, requests interrupted by a poison request were
 /// quarantined with it; 108, a retry on a second engine of a lost rack counted as a crash.
 const SEEDS: [u64; 4] = [1, 2, 3, 108];
+/// Seeds of the partition scenario.
+const PARTITION_SEEDS: [u64; 2] = [1, 2];
 /// Seeds of the target version scenario.
 const TARGET_VERSION_SEEDS: [u64; 2] = [1, 2];
 
@@ -72,12 +76,14 @@
     TargetVersions,
     /// Back ends that announce draining, back-off or limits, combined with store outages and node restarts.
     Announcements,
+    /// Nodes that lose the paths to back ends, combined with restarts, freezes and new target versions.
+    Partitions,
 }
 
 impl Scenario {
     const fn ci_seconds(self) -> u64 {
         match self {
-            Self::AllFaults | Self::Announcements => CI_SECONDS,
+            Self::AllFaults | Self::Announcements | Self::Partitions => CI_SECONDS,
             Self::TargetVersions => TARGET_VERSION_CI_SECONDS,
         }
     }
@@ -85,7 +91,7 @@
     /// One request in this many must be served for a run to be meaningful.
     const fn min_served_divisor(self) -> usize {
         match self {
-            Self::AllFaults => 5,
+            Self::AllFaults | Self::Partitions => 5,
             // With some seeds all engines are down and bookings refuse everything most of the time.
             Self::TargetVersions | Self::Announcements => 50,
         }
@@ -125,7 +131,7 @@
         cluster.configure(1, &[KEY, REMOVED_KEY]);
         let mut runner_links = Vec::new();
         for runner in cluster.engines.iter().chain(&cluster.bookings) {
-            let link = Proxy::start_for_runner(runner).await.expect("a proxy starts");
+            let link = Proxy::start_for_runner(runner, &cluster.partition).await.expect("a proxy starts");
             cluster.register_at(runner, "ready", link.address);
             runner.crash_on(POISON.as_bytes());
             runner_links.push(link);
@@ -237,7 +243,7 @@
                 sent.push(poison);
                 sent
             }
-            Scenario::TargetVersions | Scenario::Announcements => {
+            Scenario::TargetVersions | Scenario::Announcements | Scenario::Partitions => {
                 let persistent_callers =
                     (0..PERSISTENT_CALLERS).map(|caller| self.call_on_one_connection(caller, seed, until));
                 let (mut sent, persistent) =
@@ -254,6 +260,7 @@
             Scenario::AllFaults => self.faults(seed, series).await,
             Scenario::TargetVersions => self.target_version_faults(seed, series).await,
             Scenario::Announcements => self.announcement_faults(seed, series).await,
+            Scenario::Partitions => self.partition_faults(seed, series).await,
         });
         futures_util::future::join_all(series).await;
     }
@@ -261,7 +268,12 @@
 
 async fn start_node(store: &Proxy, peers: &Proxy, number: usize) -> Router {
     let name = format!("node-{number}");
-    Router::start_behind(store.address, &name, peers).await
+    Router::start_behind_from(store.address, &name, peers, source(number)).await
+}
+
+/// The local address from which a node connects to back ends.
+fn source(node: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, 1 + node as u8)
 }
 
 async fn soak(scenario: Scenario, seed: u64, seconds: u64, nodes: usize) {
@@ -340,3 +352,8 @@
 async fn back_end_announcements_are_respected_during_outages_and_restarts() {
     run_seeds(Scenario::Announcements, &ANNOUNCEMENT_SEEDS).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn invariants_hold_while_nodes_are_cut_off_from_back_ends() {
+    run_seeds(Scenario::Partitions, &PARTITION_SEEDS).await;
+}
