--- a/crates/core/src/forwarding/announcements/rate_limit.rs
+++ b/crates/core/src/forwarding/announcements/rate_limit.rs
@@ -99,6 +99,8 @@
 struct Grant {
     slots: u32,
     slot_per_second: f64,
+    /// The limit that it is a share of; `None` if the parent knew none.
+    limit: Option<f64>,
     until: Timestamp,
 }
 
@@ -188,7 +190,12 @@
         self.known_to_parent = Some(reported);
         let is_valid = grant.slot_per_second.is_finite() && grant.slot_per_second >= 0.0;
         let slots = grant.slots.filter(|_| is_valid).map(|slots| slots.min(MAX_SLOTS));
-        self.grant = slots.map(|slots| Grant { slots, slot_per_second: grant.slot_per_second, until });
+        self.grant = slots.map(|slots| Grant {
+            slots,
+            slot_per_second: grant.slot_per_second,
+            limit: reported.per_second,
+            until,
+        });
     }
 
     /// The parent has sent nothing about this process.
@@ -222,15 +229,19 @@
         self.bucket.set(f64::from(slots) * slot_per_second, slots.into(), now);
     }
 
+    /// The grant in force. This node may have observed a lower limit than the one that the grant is a share of, while
+    /// the parent or the root is out of reach.
     fn granted(&self, now: Timestamp) -> Option<Grant> {
-        self.grant.filter(|grant| now < grant.until)
+        let grant = self.grant.filter(|grant| now < grant.until)?;
+        let reduction = grant.limit.map_or(1.0, |limit| (self.rate() / limit.max(MIN_RATE)).min(1.0));
+        Some(Grant { slot_per_second: grant.slot_per_second * reduction, ..grant })
     }
 
     /// The slots that the root of the tree divides.
     fn root_grant(&self, position: &TreePosition, now: Timestamp) -> Option<Grant> {
         let rate = self.rate() * position.root_share?;
         let slots = (rate as u32).saturating_add(1).min(MAX_SLOTS);
-        Some(Grant { slots, slot_per_second: rate / f64::from(slots), until: now })
+        Some(Grant { slots, slot_per_second: rate / f64::from(slots), limit: None, until: now })
     }
 
     /// The requests per second of all nodes together.
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -320,6 +320,46 @@
     });
 }
 
+#[test]
+fn a_grant_of_a_higher_limit_by_a_root_that_is_out_of_reach_is_reduced() {
+    let steps = [
+        Step::Wait { tenths: 55 },
+        Step::Partition { node: 4, tenths: 77 },
+        Step::Partition { node: 221, tenths: 80 },
+        Step::SetLimit { tenths: 56900 },
+        Step::Shift { node: 43, is_busy: false },
+        Step::Wait { tenths: 44 },
+        Step::SetLimit { tenths: 40487 },
+        Step::Partition { node: 67, tenths: 204 },
+        Step::Restart { node: 76 },
+        Step::SetLimit { tenths: 17098 },
+        Step::Shift { node: 13, is_busy: false },
+        Step::Partition { node: 149, tenths: 101 },
+        Step::Partition { node: 12, tenths: 107 },
+        Step::Restart { node: 153 },
+        Step::Restart { node: 125 },
+        Step::Restart { node: 130 },
+        Step::Wait { tenths: 193 },
+        Step::Partition { node: 42, tenths: 103 },
+        Step::Shift { node: 48, is_busy: false },
+        Step::Partition { node: 120, tenths: 50 },
+        Step::Wait { tenths: 139 },
+        Step::Restart { node: 139 },
+        Step::SetLimit { tenths: 15475 },
+        Step::Shift { node: 46, is_busy: false },
+        Step::Partition { node: 24, tenths: 141 },
+        Step::Partition { node: 87, tenths: 151 },
+        Step::Restart { node: 59 },
+        Step::SetLimit { tenths: 26878 },
+        Step::SetLimit { tenths: 33239 },
+        Step::Wait { tenths: 121 },
+        Step::Shift { node: 248, is_busy: false },
+        Step::Wait { tenths: 176 },
+    ];
+    let fleet = play(24, 1.1, &steps);
+    assert_eq!(fleet.exceeded(), None);
+}
+
 /// For limits far below, about at, and above the rate of requests before.
 #[test]
 fn a_limit_is_kept_to_and_used_by_few_and_many_nodes() {
