--- a/crates/core/src/forwarding/choice.rs
+++ b/crates/core/src/forwarding/choice.rs
@@ -150,8 +150,8 @@
 }
 
 impl Choice {
-    /// A choice for which caches are of no interest.
-    fn without_prompt(backend: BackendId, address: SocketAddr) -> Self {
+    /// The choice of the only candidate, for a request without a prompt.
+    pub fn without_prompt(backend: BackendId, address: SocketAddr) -> Self {
         Self {
             intermediary: None,
             backend,
--- a/crates/forward/src/indirect.rs
+++ b/crates/forward/src/indirect.rs
@@ -97,7 +97,10 @@
         let node = Rc::clone(&self.node);
         let (id, run) = (self.head.id.as_deref(), self.run_kind(&resume));
         let result = send_through(&node, choice, id, request, run, self.deadline).await;
-        self.tried.push(choice.backend.clone());
+        // A pooled connection that had closed says nothing about the other node.
+        if !matches!(&result, Err(AttemptFailure { end: AttemptEnd::NotSent, reused: true, .. })) {
+            self.tried.push(choice.backend.clone());
+        }
         let end = result.as_ref().err().map(|failure| failure.end);
         node.metrics.count(Counter::HandedOn(end.map_or("answered", AttemptEnd::label)));
         match end {
@@ -154,6 +157,16 @@
     if is_other {
         return Err(AttemptFailure::unclear("an answer to another request".into()));
     }
+    conclude(node, choice, outcome, upstream).await
+}
+
+/// What an answer with this outcome means for the attempt.
+async fn conclude(
+    node: &Rc<Node>,
+    choice: &Choice,
+    outcome: ForwardOutcome,
+    upstream: AttemptAnswer,
+) -> Result<AttemptAnswer, AttemptFailure> {
     match outcome {
         ForwardOutcome::Answered => Ok(upstream),
         ForwardOutcome::Unavailable => {
