--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -150,7 +150,13 @@
     load.begin_wait();
     load.contact = EngineContact::begin(node, choice);
     let waiting = connection.send(request);
-    let answer = match node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting).await {
+    let waiting = node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting);
+    let waited = tokio::select! {
+        biased;
+        waited = waiting => waited,
+        () = node.until_path_lost(&choice.backend), if run == RunKind::Repeatable => Waited::Silent,
+    };
+    let answer = match waited {
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(error)) => {
             if error.is_before_sending() {
--- a/crates/forward/src/candidates.rs
+++ b/crates/forward/src/candidates.rs
@@ -96,8 +96,8 @@
     max_connections: Option<u32>,
     /// The nodes that share them.
     nodes: NodeCount,
-    /// The fraction of the service's room that this node may use, from 0 to 1.
-    fraction: f64,
+    /// The fraction of the service's room that this node may use, from 0 to 1, if its back ends are brittle.
+    fraction: Option<f64>,
 }
 
 impl NodeState {
@@ -193,7 +193,10 @@
             preferred: request.prompt.and_then(|prompt| self.preferred(request, prompt, now)),
             max_connections: self.max_connections(request.service),
             nodes,
-            fraction: self.fraction_of_room(request.service, nodes, now),
+            fraction: self
+                .brittleness
+                .stated(request.service, now)
+                .map(|_| self.fraction_of_room(request.service, nodes, now)),
         }
     }
 
@@ -339,10 +342,8 @@
 
     /// Whether a brittle back end has room for another request of this node.
     fn bears_another(&self, backend: &Backend) -> bool {
+        let Some(fraction) = self.fraction else { return true };
         let (state, entry) = (self.state, &backend.entry);
-        if state.brittleness.stated(&entry.service, self.now).is_none() {
-            return true;
-        }
         let in_flight = InFlight {
             own: state.chooser.load(&entry.id).requests,
             total: state.chooser.loads.total_requests(&entry.id),
@@ -350,7 +351,7 @@
         };
         let process = state.backends.process_of(&entry.id);
         let draw = state.draw_for(&entry.id);
-        state.brittleness.allows(&entry.service, &process, in_flight, self.fraction, draw, self.now)
+        state.brittleness.allows(&entry.service, &process, in_flight, fraction, draw, self.now)
     }
 
     /// Whether this node has connections left of its share for a back end.
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -21,7 +21,7 @@
     access_log::{ANSWERED, QUARANTINED, REFUSED, RequestRecord},
     admission::{Admitted, admit},
     answers::{AnswerBody, Reason, error_answer},
-    attempts::{self, AttemptAnswer, AttemptFailure, RunKind, read_full_answer, strip_connection_headers},
+    attempts::{self, AttemptAnswer, AttemptFailure, read_full_answer, strip_connection_headers},
     candidates::{Reach, RouteRequest},
     dispatch::Resume,
     handoff::Handoff,
@@ -253,16 +253,8 @@
         let attempt_deadline = self.attempt_deadline(choice, now);
         let node = Rc::clone(&self.node);
         let run = self.run_kind(&resume);
-        let sending = attempts::send(&node, choice, self.head.id.as_deref(), request, run, attempt_deadline);
-        let result = if run == RunKind::Repeatable {
-            tokio::select! {
-                biased;
-                result = sending => result,
-                () = node.until_path_lost(&self.service, &choice.backend) => Err(AttemptFailure::silent()),
-            }
-        } else {
-            sending.await
-        };
+        let result =
+            attempts::send(&node, choice, self.head.id.as_deref(), request, run, attempt_deadline).await;
         let end = result.as_ref().err().map(|failure| failure.end);
         self.node.record_attempt_end(&self.service, end);
         if self.history.sent > 0 && end != Some(AttemptEnd::NotSent) {
--- a/crates/forward/src/indirect.rs
+++ b/crates/forward/src/indirect.rs
@@ -251,14 +251,16 @@
         client.call(request, ALIVE_TIMEOUT).await.is_ok()
     }
 
-    /// Waits until this node reaches no back end of the service, and `backend` has not been heard lately either.
-    pub(crate) async fn until_path_lost(&self, service: &ServiceId, backend: &BackendId) {
+    /// Waits until this node reaches no back end of `backend`'s service, and has not heard that one lately either.
+    pub(crate) async fn until_path_lost(&self, backend: &BackendId) {
+        let service = self.state.borrow().backends.get(backend).map(|known| known.entry.service.clone());
+        let Some(service) = service else { return std::future::pending().await };
         loop {
             let changed = self.path_changed.notified();
             let now = self.now();
             let (is_lost, is_live) = {
                 let paths = &self.state.borrow().reachability;
-                (paths.is_lost(service), paths.is_live(service, backend, now))
+                (paths.is_lost(&service), paths.is_live(&service, backend, now))
             };
             match (is_lost, is_live) {
                 (true, false) => return,
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -215,7 +215,7 @@
         let waited = tokio::select! {
             biased;
             waited = waiting => waited,
-            () = node.until_path_lost(&self.exchange.service, &self.choice.backend),
+            () = node.until_path_lost(&self.choice.backend),
                 if leaves && self.choice.intermediary.is_none() => Waited::Silent,
             () = node.until_unresponsive(&self.choice, run) => Waited::Silent,
         };
