--- a/crates/core/src/forwarding/reachability.rs
+++ b/crates/core/src/forwarding/reachability.rs
@@ -182,10 +182,18 @@
         path.accepted_in_round.clear();
     }
 
-    /// Concludes a round of probes of a service with `backends` back ends, after its results were recorded.
-    pub fn end_probes(&mut self, service: &ServiceId, backends: usize, now: Timestamp) -> Option<PathChange> {
+    /// Concludes a round of probes of a service with `backends` back ends, after its results were recorded. Failures of
+    /// back ends that are not `in_use` any more say nothing about the path.
+    pub fn end_probes(
+        &mut self,
+        service: &ServiceId,
+        backends: usize,
+        in_use: impl Fn(&BackendId) -> bool,
+        now: Timestamp,
+    ) -> Option<PathChange> {
         let path = self.path(service);
         path.is_probing = false;
+        path.failed.retain(|backend, _| in_use(backend));
         let failed = path.fresh_failures(now).count();
         if path.lost_at.is_some() || backends == 0 || failed < backends.min(MIN_FAILED) {
             return None;
--- a/crates/forward/src/path_probes.rs
+++ b/crates/forward/src/path_probes.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use paddlemount_core::forwarding::{
-    backends::BackendId,
+    backends::{BackendId, BackendState},
     reachability::{PathChange, Probes},
 };
 use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
@@ -21,8 +21,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long the connection of a probe must stay open: a cut path may reset connections that were accepted.
 const PROBE_TIME: Duration = Duration::from_millis(50);
-/// How long it takes to conclude that a path is cut: two rounds of probes that all time out.
-const CONCLUSION_TIMEOUT: Duration = Duration::from_millis(900);
 /// Random draws for each back end to be probed, before a service counts as having no other.
 const DRAWS_PER_PROBE: usize = 8;
 
@@ -40,8 +38,11 @@
     join_all(targets.iter().map(|(backend, address)| probe_one(&node, &service, backend, *address))).await;
     let now = node.now();
     let mut state = node.state.borrow_mut();
-    let backends = state.backends.pool(&service).map_or(0, |pool| pool.len());
-    let change = state.reachability.end_probes(&service, backends, now);
+    let NodeState { backends, reachability, .. } = &mut *state;
+    let count = backends.pool(&service).map_or(0, |pool| pool.len());
+    let in_use =
+        |id: &BackendId| backends.get(id).is_some_and(|backend| backend.state == BackendState::Ready);
+    let change = reachability.end_probes(&service, count, in_use, now);
     drop(state);
     node.apply_path_change(&service, change);
 }
@@ -105,24 +106,6 @@
         }
     }
 
-    /// Whether a back end that accepts no connection is out of this node's reach together with others of its service,
-    /// as far as the next probes tell.
-    pub(crate) async fn is_path_cut(&self, backend: &BackendId) -> bool {
-        self.record_unreached(backend, self.now());
-        let service = self.state.borrow().backends.get(backend).map(|backend| backend.entry.service.clone());
-        let Some(service) = service else { return false };
-        let until_lost = async {
-            loop {
-                let changed = self.path_changed.notified();
-                if self.is_path_lost(&service) {
-                    return;
-                }
-                changed.await;
-            }
-        };
-        self.clock.timeout(CONCLUSION_TIMEOUT, until_lost).await.is_some()
-    }
-
     fn apply_path_change(&self, service: &ServiceId, change: Option<PathChange>) {
         let Some(change) = change else { return };
         let service = service.as_str();
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -214,7 +214,6 @@
     let broken_runs = node.quarantine_work.probing.borrow_mut().remove(&backend).unwrap_or_default();
     match connection {
         Some(connection) => node.pool.borrow_mut().put(&backend, connection, node.now()),
-        None if node.is_path_cut(&backend).await => {}
         None => {
             node.record_health(&backend, HealthEvent::Failed, true);
             node.pool.borrow_mut().close(&backend);
