Tests of streams among engines of several software versions, listed as failing

Callers got answers joined from two software versions of an engine, within one answer and over their tries. The stand-in's engines now have a version of their software and write it into each event, so a test sees a joined stream in the bytes that its caller got; the expected bytes of the other tests name v1 since.

They stand in KNOWN-RED.txt until the fix.

--- a/crates/cli/tests/forward/delivery.rs
+++ b/crates/cli/tests/forward/delivery.rs
@@ -6,8 +6,9 @@
 use crate::router::Router;
 
 /// The events of a complete stream.
-pub const COMPLETE_STREAM: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n\
-                            id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n";
+pub const COMPLETE_STREAM: &str = "id: 1\ndata: piece 1 by v1\n\nid: 2\ndata: piece 2 by v1\n\n\
+                                   id: 3\ndata: piece 3 by v1\n\nid: 4\ndata: piece 4 by v1\n\n\
+                                   id: 5\ndata: piece 5 by v1\n\n";
 
 async fn cluster_and_router() -> (Cluster, Router) {
     let cluster = Cluster::start().await.expect("the cluster starts");
@@ -142,7 +143,7 @@
     script_all(&cluster.engines, &[Behaviour::BreaksInEvent]);
     let response = router.send("/chat/1", "g1").await.expect("a head");
     assert!(!response.complete, "a broken stream must not look complete");
-    assert_eq!(response.body, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n");
+    assert_eq!(response.body, "id: 1\ndata: piece 1 by v1\n\nid: 2\ndata: piece 2 by v1\n\n");
     assert_eq!(runs(&cluster.engines, "g1"), 1);
 }
 
--- a/crates/cli/tests/forward/ending.rs
+++ b/crates/cli/tests/forward/ending.rs
@@ -28,7 +28,7 @@
     });
     let response = response.expect("an answer");
     assert!(response.complete, "{response:?}");
-    assert!(response.body.ends_with("id: 5\ndata: piece 5\n\n"));
+    assert!(response.body.ends_with("id: 5\ndata: piece 5 by v1\n\n"));
     assert!(router.wait_for_exit().await, "the process exits with success");
     assert!(router.logged("stopping") && router.logged("stopped"));
 }
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -19,5 +19,6 @@
 mod restored;
 mod router;
 mod soak;
+mod software_versions;
 mod unanswered;
 mod weights_named;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -210,12 +210,52 @@
         id: &str,
         key: &str,
         body: impl Into<Bytes>,
+    ) -> Option<CallerResponse> {
+        self.send_with_headers(path, id, key, &[], body).await
+    }
+
+    /// Takes a stream up after `last_event`, naming the attempt that brought its first event if one is given.
+    pub async fn take_up(
+        &self,
+        path: &str,
+        id: &str,
+        resumes: Option<&str>,
+        last_event: u64,
+    ) -> Option<CallerResponse> {
+        self.take_up_with_key(path, id, resumes, last_event, KEY).await
+    }
+
+    /// Like [`Self::take_up`], with a key.
+    pub async fn take_up_with_key(
+        &self,
+        path: &str,
+        id: &str,
+        resumes: Option<&str>,
+        last_event: u64,
+        key: &str,
+    ) -> Option<CallerResponse> {
+        let last_event = last_event.to_string();
+        let mut headers = vec![(Cluster::LAST_EVENT, last_event.as_str())];
+        headers.extend(resumes.map(|resumes| (Cluster::RESUMES, resumes)));
+        self.send_with_headers(path, id, key, &headers, "the body").await
+    }
+
+    async fn send_with_headers(
+        &self,
+        path: &str,
+        id: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
     ) -> Option<CallerResponse> {
         let mut request = Request::post(format!("http://{}{path}", self.callers))
             .header(http::header::HOST, HOST)
             .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
             .header(Cluster::REQUEST_ID, id)
             .header(Cluster::DEADLINE, "3500");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
         if path.starts_with("/chat/") || path.starts_with("/claim/") {
             for (name, value) in Cluster::prompt_headers() {
                 request = request.header(name, value);
