Take-ups find their origin when the root of the nodes has just started; releases in the soak

Callers that took a stream up were refused at nodes in good order (`stream_unanswered`, 12 to 30 of them in a run of 12 s in which one node is killed and frozen again and again). Cause: a root that has just started lists only the nodes that have reported to it, and the others took that list over, so they told nobody of streams and asked nobody. A stream that began while no other node was known was not told later either. Nodes now count with those that were listed in the last 10 s, and tell of running streams as soon as there is somebody to tell.

The soak has releases of engines in series and overlapping, with drained and undrained ends, among kills of one and of several nodes, freezes, outages of the store and cuts; its callers take streams up at random nodes and judge the bytes that they got.

--- a/crates/cli/tests/forward/delivery.rs
+++ b/crates/cli/tests/forward/delivery.rs
@@ -10,6 +10,11 @@
                                    id: 3\ndata: piece 3 by v1\n\nid: 4\ndata: piece 4 by v1\n\n\
                                    id: 5\ndata: piece 5 by v1\n\n";
 
+/// The same from an engine with this version of the software.
+pub fn complete_stream(software: &str) -> String {
+    COMPLETE_STREAM.replace("by v1", &format!("by {software}"))
+}
+
 async fn cluster_and_router() -> (Cluster, Router) {
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
--- a/crates/cli/tests/forward/raw_caller.rs
+++ b/crates/cli/tests/forward/raw_caller.rs
@@ -174,3 +174,23 @@
         }
     }
 }
+
+/// A complete event of a stand-in engine's stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub id: u64,
+    /// The software version that wrote it.
+    pub software: String,
+    pub text: String,
+}
+
+/// The complete events of a body.
+pub fn parse_events(body: &str) -> Vec<Event> {
+    let complete = body.split_inclusive("\n\n").filter(|text| text.ends_with("\n\n"));
+    let parse = |text: &str| {
+        let id = text.strip_prefix("id: ")?.split('\n').next()?.parse().ok()?;
+        let software = text.trim_end().rsplit_once(" by ")?.1.to_owned();
+        Some(Event { id, software, text: text.to_owned() })
+    };
+    complete.filter_map(parse).collect()
+}
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -240,7 +240,8 @@
         self.send_with_headers(path, id, key, &headers, "the body").await
     }
 
-    async fn send_with_headers(
+    /// Like [`Self::send_body`], with further headers.
+    pub async fn send_with_headers(
         &self,
         path: &str,
         id: &str,
--- a/crates/cli/tests/forward/soak/callers.rs
+++ b/crates/cli/tests/forward/soak/callers.rs
@@ -84,7 +84,10 @@
             let id = format!("{caller}-{}-{:x}", sent.len(), random.next_u64());
             let body = match scenario {
                 Scenario::AllFaults => ORDINARY.to_owned(),
-                Scenario::TargetVersions | Scenario::Announcements | Scenario::Partitions => unique_body(&id),
+                Scenario::TargetVersions
+                | Scenario::Announcements
+                | Scenario::Partitions
+                | Scenario::Releases => unique_body(&id),
             };
             sent.extend(self.send(node, path, id, key, body).await);
             tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
--- a/crates/cli/tests/forward/soak/check.rs
+++ b/crates/cli/tests/forward/soak/check.rs
@@ -18,8 +18,9 @@
     weights::{LateStart, StartedRequest, late_starts},
 };
 use crate::{
-    delivery::COMPLETE_STREAM,
+    delivery::{COMPLETE_STREAM, complete_stream},
     limit_check,
+    raw_caller::parse_events,
     router::{CallerResponse, DRAIN_TIMEOUT, RETRY_PERCENT, RETRY_SLACK, RETRY_WINDOW, WEIGHTS_BOUND},
 };
 
@@ -239,7 +240,9 @@
 }
 
 fn back_end_violation(seen: &ReceivedRequest) -> Option<String> {
-    let bodies = [ORDINARY.to_owned(), POISON.to_owned(), unique_body(&seen.id)];
+    // Take-ups append their number to the id of the first attempt.
+    let first_attempt = seen.id.split('+').next().unwrap_or_default();
+    let bodies = [ORDINARY.to_owned(), POISON.to_owned(), unique_body(first_attempt)];
     let known_body = bodies.iter().any(|body| seen.body == body.as_bytes());
     if seen.had_authorization || seen.tenant != "alpha" || !known_body {
         return Some(format!("changed in flight: {seen:?}"));
@@ -258,6 +261,9 @@
     }
     let response = sent.response.as_ref()?;
     let is_stream = sent.path == "/chat/1" || sent.path == "/claim/1";
+    let first_event = parse_events(&response.body).into_iter().next();
+    let whole_stream =
+        first_event.map_or(COMPLETE_STREAM.to_owned(), |event| complete_stream(&event.software));
     if sent.body != POISON && response.body.contains("held_back") {
         return Some("an ordinary request was held back");
     }
@@ -266,10 +272,10 @@
         StatusCode::OK if !response.headers.contains_key(Cluster::SIGNATURE) => {
             Some("an answer without a back end's signature")
         }
-        StatusCode::OK if is_stream && response.complete && response.body != COMPLETE_STREAM => {
+        StatusCode::OK if is_stream && response.complete && response.body != whole_stream => {
             Some("an incomplete stream")
         }
-        StatusCode::OK if is_stream && !COMPLETE_STREAM.starts_with(&response.body) => {
+        StatusCode::OK if is_stream && !whole_stream.starts_with(&response.body) => {
             Some("a stream out of order")
         }
         StatusCode::OK if !is_stream && response.complete && response.body != "whole body" => {
--- a/crates/cli/tests/forward/soak/leaving.rs
+++ b/crates/cli/tests/forward/soak/leaving.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    async fn store_outage(&self, length: Duration) {
+    pub(super) async fn store_outage(&self, length: Duration) {
         self.log(format!("the store is down for {length:?}"));
         let from = Instant::now();
         self.cluster.store.set_fault(StoreFault::Silent);
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod leaving;
 mod partitions;
+mod releases;
 mod retries;
 mod targets;
 mod weights;
@@ -62,6 +63,8 @@
 const SEEDS: [u64; 4] = [1, 2, 3, 108];
 /// Seeds of the partition scenario.
 const PARTITION_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of the release scenario.
+const RELEASE_SEEDS: [u64; 2] = [1, 2];
 /// Seeds of the target version scenario.
 const TARGET_VERSION_SEEDS: [u64; 2] = [1, 2];
 
@@ -78,12 +81,14 @@
     Announcements,
     /// Nodes that lose the paths to back ends, combined with restarts, freezes and new target versions.
     Partitions,
+    /// Engines that are replaced by other versions of their software, combined with faults of nodes and the store.
+    Releases,
 }
 
 impl Scenario {
     const fn ci_seconds(self) -> u64 {
         match self {
-            Self::AllFaults | Self::Announcements | Self::Partitions => CI_SECONDS,
+            Self::AllFaults | Self::Announcements | Self::Partitions | Self::Releases => CI_SECONDS,
             Self::TargetVersions => TARGET_VERSION_CI_SECONDS,
         }
     }
@@ -91,7 +96,7 @@
     /// One request in this many must be served for a run to be meaningful.
     const fn min_served_divisor(self) -> usize {
         match self {
-            Self::AllFaults | Self::Partitions => 5,
+            Self::AllFaults | Self::Partitions | Self::Releases => 5,
             // With some seeds all engines are down and bookings refuse everything most of the time.
             Self::TargetVersions | Self::Announcements => 50,
         }
@@ -243,6 +248,7 @@
                 sent.push(poison);
                 sent
             }
+            Scenario::Releases => callers.await,
             Scenario::TargetVersions | Scenario::Announcements | Scenario::Partitions => {
                 let persistent_callers =
                     (0..PERSISTENT_CALLERS).map(|caller| self.call_on_one_connection(caller, seed, until));
@@ -261,6 +267,7 @@
             Scenario::TargetVersions => self.target_version_faults(seed, series).await,
             Scenario::Announcements => self.announcement_faults(seed, series).await,
             Scenario::Partitions => self.partition_faults(seed, series).await,
+            Scenario::Releases => self.release_faults(seed, series).await,
         });
         futures_util::future::join_all(series).await;
     }
@@ -277,10 +284,22 @@
 }
 
 async fn soak(scenario: Scenario, seed: u64, seconds: u64, nodes: usize) {
-    let soak = Soak::start(nodes, seconds).await;
+    let mut soak = Soak::start(nodes, seconds).await;
+    if scenario == Scenario::Releases {
+        soak.prepare_releases().await;
+        soak.began = Instant::now();
+        soak.until = soak.began + Duration::from_secs(seconds);
+    }
     let key_removed_at = soak.began + Duration::from_secs(seconds / 3);
-    let (sent, (), (), rolled_out) = tokio::join!(
+    let call_streams = async {
+        match scenario {
+            Scenario::Releases => soak.call_streams(seed).await,
+            _ => Vec::new(),
+        }
+    };
+    let (sent, streams, (), (), rolled_out) = tokio::join!(
         soak.calls(scenario, seed),
+        call_streams,
         soak.inject_faults(scenario, seed),
         soak.remove_key(key_removed_at),
         soak.heartbeats()
@@ -291,6 +310,8 @@
     // Wait for requests in flight.
     tokio::time::sleep(Duration::from_millis(500)).await;
     let mut violations = soak.violations(&sent);
+    let (stream_violations, stream_summary) = soak.stream_violations(&streams);
+    violations.extend(stream_violations);
     if !rolled_out {
         let loaded: Vec<u64> = soak.cluster.engines.iter().map(|engine| engine.version()).collect();
         violations.push(format!("engines have not loaded the last target version: {loaded:?}"));
@@ -306,7 +327,7 @@
     let tightest_margins = soak.tightest_margins(&sent);
     println!(
         "{scenario:?}, seed {seed}, {seconds} s, {nodes} nodes: {} requests, ordinary ones by status {statuses:?}, {} runs of \
-         the one that crashes, {} target versions, {} violations; {tightest_margins}",
+         the one that crashes, {} target versions, {} violations; {tightest_margins}; {stream_summary}",
         sent.len(),
         soak.poison_runs().len(),
         locked(&soak.targets).len(),
@@ -357,3 +378,8 @@
 async fn invariants_hold_while_nodes_are_cut_off_from_back_ends() {
     run_seeds(Scenario::Partitions, &PARTITION_SEEDS).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_stay_at_their_software_version_while_engines_are_released_and_nodes_are_killed() {
+    run_seeds(Scenario::Releases, &RELEASE_SEEDS).await;
+}
--- a/crates/cli/tests/forward/soak/partitions.rs
+++ b/crates/cli/tests/forward/soak/partitions.rs
@@ -30,7 +30,7 @@
     }
 
     /// Cuts off one node or several, up to all of them.
-    async fn cut_off(&self, random: &mut StdRng) {
+    pub(super) async fn cut_off(&self, random: &mut StdRng) {
         let all = [Cut::Silent, Cut::Reset, Cut::NewOnly];
         let cut = all[random.random_range(0..all.len())];
         let length = MAX_CUT.mul_f64(random.random_range(0.1..1.0));
--- a/crates/cli/tests/forward/software_versions.rs
+++ b/crates/cli/tests/forward/software_versions.rs
@@ -14,7 +14,10 @@
     proxy::{LinkFault, Proxy},
 };
 
-use crate::router::{CallerResponse, Router, metric_value};
+use crate::{
+    raw_caller::parse_events,
+    router::{CallerResponse, Router, metric_value},
+};
 
 /// Time for nodes to learn of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
@@ -62,15 +65,12 @@
 
 /// The software versions that wrote the complete events of a body.
 fn versions_in(body: &str) -> BTreeSet<String> {
-    let events = body.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
-    events.filter_map(|event| Some(event.trim_end().rsplit_once(" by ")?.1.to_owned())).collect()
+    parse_events(body).into_iter().map(|event| event.software).collect()
 }
 
 /// The id of the last complete event of a body, 0 if there is none.
 fn last_event_of(body: &str) -> u64 {
-    let events = body.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
-    let ids = events.filter_map(|event| event.strip_prefix("id: ")?.split('\n').next()?.parse().ok());
-    ids.last().unwrap_or(0)
+    parse_events(body).last().map_or(0, |event| event.id)
 }
 
 /// A stream as its caller received it, over all of its tries.
--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -12,7 +12,11 @@
     time::Timestamp,
 };
 
-use super::{children::Children, membership::Membership, uplink::Uplink};
+use super::{
+    children::Children,
+    membership::{KnownMembers, Membership},
+    uplink::Uplink,
+};
 
 /// How long a root that had children waits for reports before it considers itself partitioned.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -45,7 +49,7 @@
     /// The nodes of this subtree.
     subtree: Membership,
     /// All nodes, as the parent last listed them, or this subtree at the root.
-    all: Membership,
+    members: KnownMembers,
     counts: Vec<(Timestamp, u32)>,
     root_since: Option<Timestamp>,
 }
@@ -57,7 +61,7 @@
             children: Children::new(local.clone(), fan_in),
             uplink: Uplink::new(local.contact()),
             subtree: Membership::new(vec![local.clone()]),
-            all: Membership::new(vec![local.clone()]),
+            members: KnownMembers::default(),
             local,
             parent_update: None,
             counts: Vec::new(),
@@ -76,7 +80,9 @@
         self.children.expire(now);
         self.subtree = Membership::new(self.children.subtree_members());
         if is_root {
-            self.all.clone_from(&self.subtree);
+            self.members.set_listed(self.subtree.clone(), now);
+        } else {
+            self.members.tick(now);
         }
         self.counts.retain(|(counted_at, _)| now.saturating_since(*counted_at) < COUNT_TTL);
         // A new root has few reports yet: the count that it received before is better.
@@ -108,14 +114,14 @@
         &self.subtree
     }
 
-    /// All nodes as last listed.
-    pub const fn all(&self) -> &Membership {
-        &self.all
+    /// All known nodes.
+    pub const fn members(&self) -> &KnownMembers {
+        &self.members
     }
 
     /// Records the parent's list of all nodes.
-    pub fn set_all(&mut self, all: Membership) {
-        self.all = all;
+    pub fn set_listed(&mut self, listed: Membership, now: Timestamp) {
+        self.members.set_listed(listed, now);
     }
 
     /// The number of nodes, if known: the maximum of the recent counts.
--- a/crates/core/src/forwarding/membership.rs
+++ b/crates/core/src/forwarding/membership.rs
@@ -4,11 +4,16 @@
 //! nodes from it likewise. Lists may differ for a moment: rendezvous hashing then moves few streams, and a reader asks
 //! more nodes than a writer tells.
 
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use paddlemount_protocol::{
     fleet::{Member, StreamKey},
     identity::{NodeId, ZoneId},
+    time::Timestamp,
 };
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
@@ -17,6 +22,49 @@
 /// Nodes that are asked for a stream, as the list of the node that told them may differ.
 pub const ASKED: usize = 6;
 
+/// How long a node that is no longer listed still counts: a root that has just started lists the others only as they
+/// report to it.
+const UNLISTED_TIME: Duration = Duration::from_secs(10);
+
+/// The nodes that one node counts with: those that are listed now, and those that were until a short time ago.
+#[derive(Clone, Debug, Default)]
+pub struct KnownMembers {
+    listed: Membership,
+    unlisted: BTreeMap<NodeId, (Member, Timestamp)>,
+    all: Membership,
+}
+
+impl KnownMembers {
+    /// The nodes that are listed.
+    pub const fn listed(&self) -> &Membership {
+        &self.listed
+    }
+
+    /// All nodes that count.
+    pub const fn all(&self) -> &Membership {
+        &self.all
+    }
+
+    /// Replaces the list.
+    pub fn set_listed(&mut self, listed: Membership, now: Timestamp) {
+        if listed.hash() != self.listed.hash() {
+            for member in &self.listed.members {
+                self.unlisted.insert(member.node.clone(), (member.clone(), now));
+            }
+            self.listed = listed;
+        }
+        self.tick(now);
+    }
+
+    /// Drops nodes that were not listed for long.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.unlisted.retain(|_, (_, listed_at)| now.saturating_since(*listed_at) < UNLISTED_TIME);
+        let unlisted = self.unlisted.values().map(|(member, _)| member);
+        let unlisted = unlisted.filter(|member| !self.listed.contains(&member.node));
+        self.all = Membership::new(self.listed.members.iter().chain(unlisted).cloned().collect());
+    }
+}
+
 /// The known nodes of the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Membership {
@@ -39,6 +87,10 @@
         &self.members
     }
 
+    fn contains(&self, node: &NodeId) -> bool {
+        self.members.binary_search_by(|member| member.node.cmp(node)).is_ok()
+    }
+
     /// A hash by which two nodes compare their lists; not 0.
     pub const fn hash(&self) -> u64 {
         self.hash
--- a/crates/core/tests/forwarding_stream_records.rs
+++ b/crates/core/tests/forwarding_stream_records.rs
@@ -7,7 +7,7 @@
 
 use bolero::TypeGenerator;
 use paddlemount_core::forwarding::{
-    membership::{ASKED, Membership, REPLICAS},
+    membership::{ASKED, KnownMembers, Membership, REPLICAS},
     stream_records::{MAX_RECORDS, StreamRecords, stream_key},
 };
 use paddlemount_protocol::{
@@ -102,6 +102,24 @@
     assert!(missed <= 2, "{missed} of 250 streams were not found");
 }
 
+/// A root that has just started lists only the nodes that have reported to it.
+#[test]
+fn nodes_that_a_new_root_does_not_list_yet_still_count() {
+    let names = |known: &KnownMembers| -> Vec<String> {
+        known.all().members().iter().map(|member| member.node.to_string()).collect()
+    };
+    let mut known = KnownMembers::default();
+    known.set_listed(fleet(0..3), at(0));
+    known.set_listed(fleet(0..1), at(1_000));
+    assert_eq!(names(&known), ["n0", "n1", "n2"]);
+    assert_eq!(known.listed(), &fleet(0..1), "others are told only of what is listed");
+    known.set_listed(fleet(0..2), at(4_000));
+    known.tick(at(10_900));
+    assert_eq!(names(&known), ["n0", "n1", "n2"]);
+    known.tick(at(11_000));
+    assert_eq!(names(&known), ["n0", "n1"], "a node that is gone is forgotten");
+}
+
 #[derive(Clone, Debug, TypeGenerator)]
 enum Step {
     /// A stream begins at a node, at a version of the software.
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -99,8 +99,9 @@
     pub order_ended: Notify,
     /// Notified when the path to a service was lost or regained.
     pub(crate) path_changed: Notify,
-    /// Notified when a back end is listed with a new software version.
-    pub(crate) software_appeared: Notify,
+    /// Notified when other nodes may have to be told of running streams: a software version has appeared, or nodes
+    /// have.
+    pub(crate) origins_untold: Notify,
     /// Unknown headers of back ends' answers.
     pub unknown_headers: LoggedOnce,
     /// Unknown kinds of facts from other nodes.
@@ -161,7 +162,7 @@
             target_announced: Notify::new(),
             order_ended: Notify::new(),
             path_changed: Notify::new(),
-            software_appeared: Notify::new(),
+            origins_untold: Notify::new(),
             unknown_headers: LoggedOnce::default(),
             unknown_facts: LoggedOnce::default(),
             unreadable_limits: LoggedOnce::default(),
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -216,7 +216,8 @@
         if needs_snapshot || node.history_lost.get() {
             snapshot::fetch(node, &self.client).await;
         }
-        let known_hash = node.peers.as_ref().map_or(0, |peers| peers.borrow().fleet.all().hash());
+        let known_hash =
+            node.peers.as_ref().map_or(0, |peers| peers.borrow().fleet.members().listed().hash());
         if members_hash != 0 && members_hash != known_hash {
             node.fetch_members(&self.client).await;
         }
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -73,7 +73,7 @@
         ALIVE_PATH => status(StatusCode::OK),
         EXCHANGE_PATH => answer_to(&body, |report| receive_report(node, report)),
         JOIN_PATH => answer_to(&body, |request| Some(admit(node, &request))),
-        MEMBERS_PATH => json(&node.known_members()),
+        MEMBERS_PATH => json(&node.listed_members()),
         RECORD_STREAMS_PATH => answer_to(&body, |records| {
             node.remember_streams(records);
             Some(())
@@ -225,7 +225,7 @@
         store,
         applied: state.applied_versions(),
         newer_facts,
-        members_hash: peers.fleet.all().hash(),
+        members_hash: peers.fleet.members().listed().hash(),
         wants_members,
         software_history,
         wants_software_history,
--- a/crates/forward/src/streams/lookup.rs
+++ b/crates/forward/src/streams/lookup.rs
@@ -56,7 +56,8 @@
         let Some(peers) = &self.peers else { return answers };
         let peers = peers.borrow();
         let local = &peers.fleet.local_member().node;
-        for member in peers.fleet.all().ranked(key, local, &BTreeSet::new()).into_iter().take(ASKED) {
+        for member in peers.fleet.members().all().ranked(key, local, &BTreeSet::new()).into_iter().take(ASKED)
+        {
             let client = self.streams.borrow_mut().replication.client(self, member.address);
             answers.push(async move {
                 let body = post(&client, FIND_STREAM_PATH, &FindStream { key }, FIND_TIMEOUT).await?;
--- a/crates/forward/src/streams/messages.rs
+++ b/crates/forward/src/streams/messages.rs
@@ -30,9 +30,10 @@
         self.state.borrow().stream_records.find(message.key, self.now())
     }
 
-    /// All nodes that this one knows.
-    pub(crate) fn known_members(&self) -> Vec<Member> {
-        self.peers.as_ref().map(|peers| peers.borrow().fleet.all().members().to_vec()).unwrap_or_default()
+    /// The nodes that this one lists.
+    pub(crate) fn listed_members(&self) -> Vec<Member> {
+        let Some(peers) = &self.peers else { return Vec::new() };
+        peers.borrow().fleet.members().listed().members().to_vec()
     }
 
     /// Fetches the list of all nodes from the parent.
@@ -46,8 +47,9 @@
         let members: Result<Vec<Member>, _> = serde_json::from_slice(answer.body());
         let (Ok(members), Some(peers)) = (members, &self.peers) else { return };
         let addresses: BTreeSet<SocketAddr> = members.iter().map(|member| member.address).collect();
-        peers.borrow_mut().fleet.set_all(Membership::new(members));
+        peers.borrow_mut().fleet.set_listed(Membership::new(members), self.now());
         self.streams.borrow_mut().replication.retain_clients(&addresses);
+        self.origins_untold.notify_one();
     }
 
     /// Whether this node lacks the history of software versions that a proof needs.
--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -34,7 +34,7 @@
 /// The longest timeout that is assumed while the routes are not known.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// How often it is checked whether the proof that a service has one version still holds.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The streams that this node relays, and its work of telling others.
 #[derive(Debug, Default)]
@@ -63,12 +63,9 @@
         let now = node.now();
         let lifetime = node.stream_lifetime();
         node.state.borrow_mut().stream_records.put(key, origin.clone(), lifetime, now);
-        let is_told = node.only_software(&origin.service).is_none();
-        let running = Running { origin: origin.clone(), is_told };
-        node.streams.borrow_mut().running.insert(key, running);
-        if is_told {
-            node.tell_others(&[StreamRecord { key, origin }]);
-        }
+        let is_to_be_told = node.only_software(&origin.service).is_none();
+        let is_told = is_to_be_told && node.tell_others(&[StreamRecord { key, origin: origin.clone() }]);
+        node.streams.borrow_mut().running.insert(key, Running { origin, is_told });
         Self { node: Rc::clone(node), key }
     }
 
@@ -106,18 +103,27 @@
         self.state.borrow().backends.get(backend)?.entry.software.clone()
     }
 
-    /// Tells other nodes of running streams whose service had only one version when they began.
+    /// Tells other nodes of running streams whose service had only one version when they began, or that began while
+    /// no other node was known.
     fn tell_running_streams(self: &Rc<Self>) {
-        let mut untold = Vec::new();
+        let untold: Vec<StreamRecord> = self
+            .streams
+            .borrow()
+            .running
+            .iter()
+            .filter(|(_, running)| !running.is_told)
+            .filter(|(_, running)| self.only_software(&running.origin.service).is_none())
+            .map(|(key, running)| StreamRecord { key: *key, origin: running.origin.clone() })
+            .collect();
+        if untold.is_empty() || !self.tell_others(&untold) {
+            return;
+        }
         let mut streams = self.streams.borrow_mut();
-        for (key, running) in streams.running.iter_mut().filter(|(_, running)| !running.is_told) {
-            if self.only_software(&running.origin.service).is_none() {
+        for record in &untold {
+            if let Some(running) = streams.running.get_mut(&record.key) {
                 running.is_told = true;
-                untold.push(StreamRecord { key: *key, origin: running.origin.clone() });
             }
         }
-        drop(streams);
-        self.tell_others(&untold);
     }
 
     /// Records that a back end is listed with its software version, which may be new.
@@ -125,10 +131,15 @@
         let NodeState { software, backends, .. } = state;
         let Some(entry) = backends.get(backend).map(|known| &known.entry) else { return };
         if software.observe(&entry.service, entry.software.as_ref(), self.now()) {
-            self.software_appeared.notify_one();
+            self.origins_untold.notify_one();
         }
     }
 
+    fn count_members(&self) -> usize {
+        let Some(peers) = &self.peers else { return 0 };
+        peers.borrow().fleet.members().all().members().len()
+    }
+
     /// Looks through the registry for the history of versions, and drops what has expired.
     pub(crate) fn sweep_streams(&self) {
         let now = self.now();
@@ -140,11 +151,13 @@
         self.streams.borrow_mut().replication.sweep(now);
     }
 
-    /// The number of records, and of software versions of the service with the most.
-    pub(crate) fn stream_gauges(&self) -> [Gauge; 2] {
+    /// The numbers of records, of nodes that may remember streams, and of software versions of the service with the
+    /// most.
+    pub(crate) fn stream_gauges(&self) -> [Gauge; 3] {
         let state = self.state.borrow();
         let gauge = |name, value: usize| Gauge { name, value: value as f64 };
         [
+            gauge("paddlemount_forward_members", self.count_members()),
             gauge("paddlemount_forward_stream_records", state.stream_records.len()),
             gauge("paddlemount_forward_software_versions", state.software.count_serving(self.now())),
         ]
@@ -154,7 +167,7 @@
 /// Tells other nodes of running streams once they have to know, for the lifetime of the process.
 pub async fn run(node: Rc<Node>) {
     loop {
-        let _ = tokio::time::timeout(CHECK_INTERVAL, node.software_appeared.notified()).await;
+        let _ = tokio::time::timeout(CHECK_INTERVAL, node.origins_untold.notified()).await;
         node.tell_running_streams();
     }
 }
--- a/crates/forward/src/streams/replication.rs
+++ b/crates/forward/src/streams/replication.rs
@@ -68,8 +68,8 @@
 }
 
 impl Node {
-    /// Tells the nodes that are to remember each stream.
-    pub(crate) fn tell_others(self: &Rc<Self>, records: &[StreamRecord]) {
+    /// Tells the nodes that are to remember each stream. Returns whether there are any.
+    pub(crate) fn tell_others(self: &Rc<Self>, records: &[StreamRecord]) -> bool {
         let mut targets: BTreeMap<NodeId, (Member, Vec<StreamRecord>)> = BTreeMap::new();
         for record in records {
             for member in self.replicas_of(record) {
@@ -77,9 +77,11 @@
                 records.push(record.clone());
             }
         }
+        let has_targets = !targets.is_empty();
         for (member, records) in targets.into_values() {
             self.queue_records(member, records);
         }
+        has_targets
     }
 
     fn replicas_of(&self, record: &StreamRecord) -> Vec<Member> {
@@ -87,7 +89,7 @@
         let avoided = self.streams.borrow().replication.avoided(self.now());
         let peers = peers.borrow();
         let local = &peers.fleet.local_member().node;
-        let ranked = peers.fleet.all().ranked(record.key, local, &avoided);
+        let ranked = peers.fleet.members().all().ranked(record.key, local, &avoided);
         ranked.into_iter().take(REPLICAS).cloned().collect()
     }
 
