--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -69,13 +69,12 @@
     ConfigurationPassedOver { version: u64, in_force: u64 },
     /// An entry could not be parsed. The previous state still holds, except for a back end's entry.
     ItemUnreadable { key: &'a str, problem: &'a str },
-    /// A back end's entry changed.
+    /// A back end's entry changed; `software` is its version, if known.
     BackendChanged {
         backend: &'a str,
         service: &'a str,
         change: &'static str,
         weights: Option<u64>,
-        /// The version of its software, if known.
         software: Option<&'a str>,
         revision: u64,
     },
@@ -156,7 +155,7 @@
         outcome: &'a str,
         after_ms: u64,
     },
-    /// An attempt ended without an answer to relay.
+    /// An attempt ended without an answer to relay; `software` is the back end's version, if known.
     AttemptEnded {
         request: &'a str,
         attempt: u32,
@@ -169,7 +168,6 @@
         fingerprint: Option<String>,
         service: &'a str,
         answered_by: Option<&'a str>,
-        /// The software version of the back end, if known.
         software: Option<String>,
         budget_left: u64,
     },
