Requests caught in a lost rack are not held back where most of its back ends were idle

What callers saw: after several racks were lost in turn, ordinary requests that had run there were refused as held back.

Cause: back ends that end together have a common cause if three or more do, but only those with a run were known to have ended.

Ruled out: crashes seen at different times (all within 5 ms in the traces), wrong times of other nodes, completed runs that were not reported (none had completed).

--- a/crates/cli/tests/forward/poison.rs
+++ b/crates/cli/tests/forward/poison.rs
@@ -232,6 +232,43 @@
     }
 }
 
+/// Runs a request until the whole rack is lost, whose other engines are idle.
+async fn lose_rack_under(cluster: &Cluster, router: &Router, body: &'static str, id: &str) {
+    wait_until_running(cluster).await;
+    wait_until_serving(router, "/chat/1").await;
+    let warm_ups: Vec<String> = (0..12).map(|number| format!("warm-{id}-{number}")).collect();
+    futures_util::future::join_all(
+        warm_ups.iter().map(|id| router.send_body("/chat/1", id, KEY, id.clone())),
+    )
+    .await;
+    cluster.engines.iter().for_each(|engine| engine.script(&[Behaviour::Long]));
+    let crash_all = async {
+        let runs = async || cluster.engines.iter().any(|engine| engine.runs(id) > 0);
+        router.wait_until("running", runs).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        cluster.engines.iter().for_each(Runner::crash);
+    };
+    tokio::join!(router.send_body("/chat/1", id, KEY, body), crash_all);
+}
+
+#[tokio::test]
+async fn a_request_that_ran_alone_on_lost_racks_is_not_held_back() {
+    let (cluster, _links, routers) = fleet().await;
+    for round in 0..CRASHES_UNTIL_HELD {
+        lose_rack_under(&cluster, &routers[0], "caught", &format!("caught-{round}")).await;
+        let crashes = || routers[0].lines().iter().filter(|line| line.contains("\"run_crashed\"")).count();
+        routers[0].wait_until("crashed", async || crashes() > round).await;
+    }
+    wait_until_running(&cluster).await;
+    // Longer than a conclusion takes.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for router in &routers {
+        wait_until_serving(router, "/chat/1").await;
+        let answer = router.send_body("/chat/1", "caught-last", KEY, "caught").await;
+        assert_eq!(answer.map(|answer| answer.status), Some(StatusCode::OK));
+    }
+}
+
 #[tokio::test]
 async fn ordinary_requests_interrupted_by_a_rolling_restart_are_not_held_back() {
     let (cluster, _links, routers) = fleet().await;
--- a/crates/core/src/quarantine/ends.rs
+++ b/crates/core/src/quarantine/ends.rs
@@ -14,7 +14,7 @@
 const COMMON_CAUSE_ENDS: usize = 3;
 /// Maximum distance of simultaneous ends: a failure shows within the round trip between two zones, and
 /// reports from other nodes arrive some milliseconds late.
-const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(30);
+pub const SIMULTANEITY_WINDOW: Duration = Duration::from_millis(30);
 /// Minimum duration of a run that can have ended its engine, as an engine takes some milliseconds before it
 /// starts a run.
 const MIN_RUN_DURATION: Duration = Duration::from_millis(10);
@@ -31,16 +31,22 @@
 }
 
 impl EngineEnds {
-    /// Records the end of an engine; the first report determines the time.
-    pub fn record(&mut self, engine: &EngineId, at: Timestamp) {
+    /// Records the end of an engine; the first report determines the time. Returns whether it is new.
+    pub fn record(&mut self, engine: &EngineId, at: Timestamp) -> bool {
         if self.by_engine.contains_key(engine) {
-            return;
+            return false;
         }
         self.by_engine.insert(engine.clone(), at);
         self.by_time.insert((at, engine.clone()));
         if self.by_time.len() > MAX_ENGINES {
             self.forget_first();
         }
+        true
+    }
+
+    /// Whether the end of this engine is recorded.
+    pub fn contains(&self, engine: &EngineId) -> bool {
+        self.by_engine.contains_key(engine)
     }
 
     /// Attributes the end of an engine to the request that is quarantined for it.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -10,7 +10,8 @@
 //! store, so that it survives restarts, and is distributed down the tree.
 //!
 //! Ordinary requests that were caught in crashes are not quarantined:
-//! - Engines that end together, as in a rack without power, have a common cause and do not count.
+//! - Engines that end together, as in a rack without power, have a common cause and do not count. Those that
+//!   ran nothing are noticed by their idle connections.
 //! - A completed run clears the request; all nodes are asked for such runs before a conclusion.
 //! - An engine that ended under a quarantined request counts against no other request.
 //! - A broken connection counts only if the engine is found to have ended.
@@ -28,13 +29,14 @@
 };
 
 use paddlemount_protocol::{
-    identity::NodeId,
+    identity::{EngineId, NodeId},
     quarantine::{QuarantinedRequest, RequestFingerprint},
     time::Timestamp,
 };
 
 use completions::Completions;
 use ends::EngineEnds;
+pub use ends::SIMULTANEITY_WINDOW;
 pub use fingerprint::Origin;
 pub use suspicion::Crash;
 use suspicion::Suspicion;
@@ -94,6 +96,7 @@
 enum Event {
     Crash(Crash),
     Completed { fingerprint: RequestFingerprint, at: Timestamp },
+    IdleEnd { engine: EngineId, at: Timestamp },
 }
 
 /// Tracks at one node the requests under which engines end.
@@ -139,6 +142,20 @@
         self.evict_excess_suspicion(fingerprint);
     }
 
+    /// Records an engine that ended while this node, or the one that reports it, had no run there: others that
+    /// ended at the same time may have had the same cause.
+    pub fn record_idle_end(&mut self, engine: EngineId, at: Timestamp, now: Timestamp) {
+        let is_recent = now.saturating_since(at) < CRASH_TTL;
+        if is_recent && self.ends.record(&engine, at) {
+            self.log(Event::IdleEnd { engine, at });
+        }
+    }
+
+    /// Whether this engine is known to have ended.
+    pub fn has_ended(&self, engine: &EngineId) -> bool {
+        self.ends.contains(engine)
+    }
+
     /// Draws conclusions and returns the requests to quarantine from now on. Call several times per second
     /// at a node that receives the reports of all nodes: with partial reports, a common cause may go
     /// unnoticed.
--- a/crates/core/src/quarantine/tree.rs
+++ b/crates/core/src/quarantine/tree.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use paddlemount_protocol::{
-    quarantine::{QuarantineDigest, RequestFingerprint, RunCompleted, RunCrash, RunReport},
+    quarantine::{IdleEnd, QuarantineDigest, RequestFingerprint, RunCompleted, RunCrash, RunReport},
     time::Timestamp,
 };
 
@@ -41,6 +41,9 @@
             };
             self.record_crash(crash, now);
         }
+        for entry in report.idle_ends {
+            self.record_idle_end(entry.engine, ago(entry.ended_ms_ago), now);
+        }
         for entry in report.completed {
             let is_over = self.apply_completion(entry.fingerprint, ago(entry.ended_ms_ago), now);
             released.extend(is_over.then_some(entry.fingerprint));
@@ -69,6 +72,9 @@
                 Event::Completed { fingerprint, at } => {
                     report.completed.push(RunCompleted { fingerprint: *fingerprint, ended_ms_ago: ago(*at) });
                 }
+                Event::IdleEnd { engine, at } => {
+                    report.idle_ends.push(IdleEnd { engine: engine.clone(), ended_ms_ago: ago(*at) });
+                }
             }
         }
         ReportBatch { report, last_event }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -133,6 +133,38 @@
     }
 }
 
+#[test]
+fn racks_lost_while_most_of_their_engines_are_idle_quarantine_no_request() {
+    let (mut child, mut root) = (Quarantine::default(), Quarantine::default());
+    let mut reported = 0;
+    for rack in 0..10 {
+        let (began, ended) = (rack * 1_000, rack * 1_000 + 100);
+        root.record_crash(crash("x", &format!("x{rack}"), began, ended), at(ended));
+        root.record_idle_end(EngineId::from(format!("i{rack}-0")), at(ended + 2), at(ended + 40));
+        // Another node notices the third engine of the rack.
+        child.record_idle_end(EngineId::from(format!("i{rack}-1")), at(ended + 3), at(ended + 40));
+        let batch = child.report(reported, MAX_REPORTED_EVENTS, at(ended + 200));
+        reported = batch.last_event;
+        root.receive_report(batch.report, at(ended + 200));
+        assert_eq!(root.conclude(&NodeId::from("n"), at(ended + 800)), Vec::new(), "rack {rack}");
+    }
+}
+
+#[test]
+fn idle_engines_that_end_long_before_or_after_do_not_hide_a_crash() {
+    let mut quarantine = Quarantine::default();
+    let mut quarantined = None;
+    for number in 0..CRASH_THRESHOLD as u64 {
+        let (began, ended) = (number * 1_000, number * 1_000 + 200);
+        for (other, distance) in [-100_i64, -50, 50, 100].into_iter().enumerate() {
+            let end = at(ended.saturating_add_signed(distance));
+            quarantine.record_idle_end(EngineId::from(format!("i{number}-{other}")), end, at(ended + 150));
+        }
+        quarantined = crash_and_conclude(&mut quarantine, crash("x", &format!("e{number}"), began, ended));
+    }
+    assert!(quarantined.is_some());
+}
+
 #[test]
 fn a_lost_rack_between_successive_crashes_does_not_hide_them() {
     let mut quarantine = Quarantine::default();
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -4,8 +4,10 @@
 //! attempt: the back end sees the close and stops its work.
 
 use std::{
+    cell::Cell,
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    rc::Rc,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -67,6 +69,7 @@
     pub used_at: Timestamp,
     /// The peer's idle timeout, if it gave one.
     pub keep_alive: Option<Duration>,
+    closed_after: Rc<Cell<Option<Duration>>>,
 }
 
 impl Connection {
@@ -96,11 +99,19 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectionError::Broken)?;
+        let closed_after = Rc::new(Cell::new(None));
+        let (opened, closing) = (Instant::now(), Rc::clone(&closed_after));
         let task = tokio::task::spawn_local(async move {
             // The error also reaches the task that waits for the answer.
             let _ = connection.await;
+            closing.set(Some(opened.elapsed()));
         });
-        Ok(Self { sender, task, opened_at: now, used_at: now, keep_alive: None })
+        Ok(Self { sender, task, opened_at: now, used_at: now, keep_alive: None, closed_after })
+    }
+
+    /// When the peer closed the connection, or it broke; `None` while it is open.
+    pub fn closed_at(&self) -> Option<Timestamp> {
+        self.closed_after.get().map(|after| self.opened_at + after)
     }
 
     /// Whether the next request may be written.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod facts;
 mod forecasts;
 pub mod handoff;
+mod idle_ends;
 mod indirect;
 pub mod ingress;
 pub mod journal;
--- a/crates/forward/src/pool.rs
+++ b/crates/forward/src/pool.rs
@@ -1,6 +1,10 @@
 //! Idle connections to back ends, by the back end's id.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::RangeInclusive,
+    time::Duration,
+};
 
 use paddlemount_core::forwarding::backends::BackendId;
 use paddlemount_protocol::time::Timestamp;
@@ -13,6 +17,8 @@
 /// close.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 const MAX_IDLE_CONNECTIONS: usize = 24;
+/// The maximum number of remembered closings.
+const MAX_CLOSINGS: usize = 256;
 /// How long connections to a back end are not reused after it sent unsolicited bytes.
 const DISTRUST_TIME: Duration = Duration::from_secs(3);
 
@@ -26,12 +32,22 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     by_backend: BTreeMap<BackendId, BackendConnections>,
+    /// The last idle connections that their peers closed.
+    closings: VecDeque<Closing>,
+}
+
+/// An idle connection that its peer closed.
+#[derive(Clone, Debug)]
+struct Closing {
+    backend: BackendId,
+    at: Timestamp,
 }
 
 impl Pool {
     /// Takes the most recently used connection, if one is usable.
     pub fn take(&mut self, backend: &BackendId, now: Timestamp) -> Option<Connection> {
         let connections = self.by_backend.get_mut(backend)?;
+        note_closings(&mut self.closings, backend, &connections.idle);
         connections.idle.retain(|connection| is_usable(connection, now));
         connections.idle.pop()
     }
@@ -55,18 +71,35 @@
 
     /// Closes the connections to a back end.
     pub fn close(&mut self, backend: &BackendId) {
-        self.by_backend.remove(backend);
+        if let Some(connections) = self.by_backend.remove(backend) {
+            note_closings(&mut self.closings, backend, &connections.idle);
+        }
     }
 
     /// Closes connections that are no longer usable.
     pub fn sweep(&mut self, now: Timestamp) {
-        for connections in self.by_backend.values_mut() {
+        for (backend, connections) in &mut self.by_backend {
+            note_closings(&mut self.closings, backend, &connections.idle);
             connections.idle.retain(|connection| is_usable(connection, now));
         }
         self.by_backend
             .retain(|_, connections| !connections.idle.is_empty() || now < connections.distrusted_until);
     }
 
+    /// The back ends that closed an idle connection in `period`, with the first time of each.
+    pub fn closed_in(&self, period: RangeInclusive<Timestamp>) -> BTreeMap<BackendId, Timestamp> {
+        let mut closings = self.closings.clone();
+        for (backend, connections) in &self.by_backend {
+            note_closings(&mut closings, backend, &connections.idle);
+        }
+        let mut first = BTreeMap::new();
+        for closing in closings.into_iter().filter(|closing| period.contains(&closing.at)) {
+            let at = first.entry(closing.backend).or_insert(closing.at);
+            *at = closing.at.min(*at);
+        }
+        first
+    }
+
     /// The back ends with a usable idle connection.
     pub fn backends_with_idle(&self, now: Timestamp) -> impl Iterator<Item = &BackendId> {
         let is_idle = move |connections: &BackendConnections| {
@@ -84,6 +117,15 @@
     }
 }
 
+fn note_closings(closings: &mut VecDeque<Closing>, backend: &BackendId, idle: &[Connection]) {
+    let closed = idle.iter().filter_map(Connection::closed_at).min();
+    let Some(at) = closed else { return };
+    closings.push_back(Closing { backend: backend.clone(), at });
+    if closings.len() > MAX_CLOSINGS {
+        closings.pop_front();
+    }
+}
+
 fn is_usable(connection: &Connection, now: Timestamp) -> bool {
     let max_idle = connection.keep_alive.map_or(MAX_IDLE_TIME, |time| time.saturating_sub(KEEP_ALIVE_MARGIN));
     connection.is_ready() && now.saturating_since(connection.used_at) < max_idle
--- a/crates/forward/src/quarantine.rs
+++ b/crates/forward/src/quarantine.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     connection::Connection,
+    idle_ends,
     journal::{Event, QuarantineLine},
     metrics::Counter,
     node::Node,
@@ -54,7 +55,7 @@
 /// Pending work: probes and changes to the store.
 #[derive(Debug, Default)]
 pub struct PendingWork {
-    /// Broken runs, by the back ends that are being probed.
+    /// Broken runs, by the back ends that are being probed; none where only idle connections were closed.
     probing: RefCell<BTreeMap<BackendId, Vec<Crash>>>,
     changes: RefCell<VecDeque<Change>>,
     changed: Notify,
@@ -145,6 +146,17 @@
         }
     }
 
+    /// Handles a back end that was found to have ended.
+    fn backend_crashed(self: &Rc<Self>, backend: &BackendId, broken_runs: Vec<Crash>) {
+        self.record_health(backend, HealthEvent::Failed, true);
+        self.pool.borrow_mut().close(backend);
+        let first_end = broken_runs.iter().map(|crash| crash.ended).min();
+        broken_runs.into_iter().for_each(|crash| self.record_crash(crash));
+        if let Some(ended) = first_end {
+            tokio::task::spawn_local(idle_ends::look_around(Rc::clone(self), ended));
+        }
+    }
+
     fn record_crash(&self, crash: Crash) {
         self.metrics.count(Counter::RunsCrashed);
         self.journal.log(&Event::RunCrashed {
@@ -214,11 +226,24 @@
     let broken_runs = node.quarantine_work.probing.borrow_mut().remove(&backend).unwrap_or_default();
     match connection {
         Some(connection) => node.pool.borrow_mut().put(&backend, connection, node.now()),
-        None => {
-            node.record_health(&backend, HealthEvent::Failed, true);
-            node.pool.borrow_mut().close(&backend);
-            broken_runs.into_iter().for_each(|crash| node.record_crash(crash));
+        None => node.backend_crashed(&backend, broken_runs),
+    }
+}
+
+/// Probes a back end that closed its idle connections at `closed`.
+pub(crate) async fn probe_idle(node: Rc<Node>, backend: BackendId, address: SocketAddr, closed: Timestamp) {
+    if node.quarantine_work.probing.borrow().contains_key(&backend) {
+        return;
+    }
+    node.quarantine_work.probing.borrow_mut().insert(backend.clone(), Vec::new());
+    let connection = open_probe(&node, address).await;
+    let broken_runs = node.quarantine_work.probing.borrow_mut().remove(&backend).unwrap_or_default();
+    match connection {
+        Some(connection) => node.pool.borrow_mut().put(&backend, connection, node.now()),
+        None if broken_runs.is_empty() => {
+            node.state.borrow_mut().quarantine.record_idle_end(backend, closed, node.now());
         }
+        None => node.backend_crashed(&backend, broken_runs),
     }
 }
 
--- a/crates/protocol/src/quarantine.rs
+++ b/crates/protocol/src/quarantine.rs
@@ -102,6 +102,17 @@
     pub ended_ms_ago: u64,
 }
 
+/// An engine, or an instance of another service, that ended while the reporting node had no run there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdleEnd {
+    /// The process that ended.
+    #[serde(rename = "e")]
+    pub engine: EngineId,
+    /// Milliseconds from the end to writing this message.
+    #[serde(rename = "a")]
+    pub ended_ms_ago: u64,
+}
+
 /// What a node reports to its parent about runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunReport {
@@ -110,6 +121,9 @@
     /// Completed runs of suspected requests.
     #[serde(default)]
     pub completed: Vec<RunCompleted>,
+    /// Ends that show a common cause of crashes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub idle_ends: Vec<IdleEnd>,
 }
 
 /// What a parent sends to its children about suspected requests.
