A root that starts anew knows others within half a second, so that its streams can be taken up

Ruled out: records sent and lost (no node was known to send to), and the freeze (its streams were told after it whenever others were known).

Change: children of a root that failed ask it again after 150 ms, doubling to the 3 s of before; a new leadership ends the avoidance at once; and a node counts with those that report to it until a parent lists all, as soon as they join.

A root that stays away gets at most 8 requests of each child in 5 s.

--- a/crates/core/src/forwarding/fleet.rs
+++ b/crates/core/src/forwarding/fleet.rs
@@ -48,8 +48,10 @@
     parent_update: Option<ParentUpdate>,
     /// The nodes of this subtree.
     subtree: Membership,
-    /// All nodes, as the parent last listed them, or this subtree at the root.
+    /// All nodes, as the parent last listed them, or this subtree at the root and until a parent has.
     members: KnownMembers,
+    /// Whether a parent has listed all nodes since this one started.
+    is_listed_by_parent: bool,
     counts: Vec<(Timestamp, u32)>,
     root_since: Option<Timestamp>,
 }
@@ -62,6 +64,7 @@
             uplink: Uplink::new(local.contact()),
             subtree: Membership::new(vec![local.clone()]),
             members: KnownMembers::default(),
+            is_listed_by_parent: false,
             local,
             parent_update: None,
             counts: Vec::new(),
@@ -78,12 +81,8 @@
     pub fn tick(&mut self, is_root: bool, now: Timestamp) {
         self.root_since = is_root.then(|| self.root_since.unwrap_or(now));
         self.children.expire(now);
-        self.subtree = Membership::new(self.children.subtree_members());
-        if is_root {
-            self.members.set_listed(self.subtree.clone(), now);
-        } else {
-            self.members.tick(now);
-        }
+        self.list_subtree(is_root, now);
+        self.members.tick(now);
         self.counts.retain(|(counted_at, _)| now.saturating_since(*counted_at) < COUNT_TTL);
         // A new root has few reports yet: the count that it received before is better.
         if is_root && self.can_count(now) {
@@ -91,6 +90,18 @@
         }
     }
 
+    /// Looks through the nodes of the subtree, and counts with them if no other node lists all. Returns whether this
+    /// changes which nodes count.
+    pub fn list_subtree(&mut self, is_root: bool, now: Timestamp) -> bool {
+        self.subtree = Membership::new(self.children.subtree_members());
+        if !is_root && self.is_listed_by_parent {
+            return false;
+        }
+        let before = self.members.all().hash();
+        self.members.set_listed(self.subtree.clone(), now);
+        self.members.all().hash() != before
+    }
+
     /// Records an update of the parent: the requests in flight at all other nodes, and the number of nodes.
     pub fn record_update(&mut self, work: Vec<EngineWork>, nodes: Option<u32>, now: Timestamp) {
         self.parent_update = Some(ParentUpdate { work, received_at: now });
@@ -122,6 +133,7 @@
     /// Records the parent's list of all nodes.
     pub fn set_listed(&mut self, listed: Membership, now: Timestamp) {
         self.members.set_listed(listed, now);
+        self.is_listed_by_parent = true;
     }
 
     /// The number of nodes, if known: the maximum of the recent counts.
--- a/crates/core/src/forwarding/uplink.rs
+++ b/crates/core/src/forwarding/uplink.rs
@@ -15,6 +15,9 @@
 
 /// How long a node that did not answer, or refused, is not asked again.
 const AVOID_PERIOD: Duration = Duration::from_secs(3);
+/// The first pause after which its children ask the root again although it failed; it doubles up to [`AVOID_PERIOD`]. A
+/// root that has just started anew knows no other node until they do.
+const ROOT_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// The maximum number of successive referrals before a node starts over; far above the depth of a large tree.
 const MAX_REFERRALS: u32 = 12;
 /// How long a node stays with ancestors without contact to the root. It covers the expiry of a lease, the
@@ -33,6 +36,12 @@
     Report(Contact),
 }
 
+#[derive(Clone, Copy, Debug)]
+struct RootRetry {
+    last: Timestamp,
+    pause: Duration,
+}
+
 /// A node's place in the tree.
 #[derive(Clone, Debug)]
 pub struct Uplink {
@@ -44,6 +53,8 @@
     referred_to: Option<Contact>,
     referrals: u32,
     avoided: BTreeMap<NodeId, Timestamp>,
+    /// When this node's parent, the root, was last asked since it failed.
+    root_retry: Option<RootRetry>,
     /// When the root last reached this node through its ancestors; initially the time of joining.
     root_seen_at: Option<Timestamp>,
 }
@@ -58,6 +69,7 @@
             referred_to: None,
             referrals: 0,
             avoided: BTreeMap::new(),
+            root_retry: None,
             root_seen_at: None,
         }
     }
@@ -84,12 +96,30 @@
         }
         self.referrals = 0;
         let candidate = self.ancestors.iter().rev().chain(root).find(|contact| self.can_ask(contact));
-        candidate.map_or(NextStep::Wait, |contact| NextStep::Join(contact.clone()))
+        if let Some(contact) = candidate {
+            return NextStep::Join(contact.clone());
+        }
+        match root.filter(|root| root.node != self.local.node && self.may_retry_root(now)) {
+            Some(root) => NextStep::Join(root.clone()),
+            None => NextStep::Wait,
+        }
+    }
+
+    /// Whether a child of the root may ask it although it failed; if so, the next pause is longer.
+    fn may_retry_root(&mut self, now: Timestamp) -> bool {
+        let Some(retry) = &mut self.root_retry else { return false };
+        if now.saturating_since(retry.last) < retry.pause {
+            return false;
+        }
+        *retry = RootRetry { last: now, pause: (retry.pause * 2).min(AVOID_PERIOD) };
+        true
     }
 
     /// Records that `parent` has accepted this node.
     pub fn joined(&mut self, parent: Contact, now: Timestamp) {
         self.truncate_ancestors(&parent.node);
+        self.avoided.remove(&parent.node);
+        self.root_retry = None;
         self.ancestors.push(parent);
         self.is_joined = true;
         self.referred_to = None;
@@ -110,12 +140,20 @@
         if self.ancestors.last().is_some_and(|parent| parent.node == *node) {
             self.ancestors.pop();
             self.is_joined = false;
+            if self.ancestors.is_empty() {
+                self.root_retry = Some(RootRetry { last: now, pause: ROOT_RETRY_PAUSE });
+            }
         }
         if self.referred_to.as_ref().is_some_and(|to| to.node == *node) {
             self.referred_to = None;
         }
     }
 
+    /// Records that a node has become the leader, so that it runs and may be asked.
+    pub fn leads(&mut self, node: &NodeId) {
+        self.avoided.remove(node);
+    }
+
     /// Records the path from the root to the parent, as sent by the parent, and how long ago the parent had
     /// contact to the root. Returns false and leaves the parent if this node itself is on the path.
     pub fn update_path(&mut self, path: Vec<Contact>, root_age: Option<Duration>, now: Timestamp) -> bool {
--- a/crates/core/tests/forwarding_tree.rs
+++ b/crates/core/tests/forwarding_tree.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use paddlemount_core::forwarding::{children::fan_in, uplink::NextStep};
+use paddlemount_core::forwarding::{children::fan_in, membership::REPLICAS, uplink::NextStep};
 use paddlemount_protocol::{fleet::Contact, identity::NodeId, time::Timestamp};
 use tree_support::{Nodes, STRONG_FAN_IN, address, fleet, name};
 
@@ -95,6 +95,33 @@
     assert!(nodes.max_join_requests() <= 1_500, "{} join requests at one node", nodes.max_join_requests());
 }
 
+#[test]
+fn a_root_that_restarts_at_once_knows_enough_nodes_to_tell_of_streams_within_a_second() {
+    let mut nodes = Nodes::starting(985, 20);
+    nodes.rounds(20);
+    let root = nodes.root.clone().expect("a node leads");
+    nodes.kill(&root);
+    nodes.rounds(2);
+    nodes.restart(&root);
+    nodes.rounds(3);
+    let others = nodes.fleets[&root].members().all().members().len() - 1;
+    assert!(others >= REPLICAS, "it knows {others} others");
+}
+
+#[test]
+fn a_root_that_stays_away_is_not_asked_many_times() {
+    let mut nodes = Nodes::starting(985, 20);
+    nodes.rounds(20);
+    let root = nodes.root.clone().expect("a node leads");
+    let children = nodes.children_of(&root).len();
+    nodes.kill(&root);
+    nodes.join_requests.clear();
+    // Until their descendants, too, miss the root.
+    nodes.rounds(25);
+    let requests = nodes.join_requests[&root];
+    assert!(requests <= children * 8, "{requests} requests of {children} children in 5 s");
+}
+
 #[test]
 fn descendants_of_a_partitioned_node_leave_it() {
     let mut nodes = Nodes::starting(100, 5);
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -18,6 +18,7 @@
     journal::Event,
     metrics::{Counter, Distribution},
     node::Node,
+    node_state::Leader,
     ports::StoreCall,
     store_feed::call_store,
 };
@@ -41,6 +42,7 @@
     let Some(peers) = &node.peers else { return };
     let mut link: Option<Link> = None;
     let mut counted = None;
+    let mut known_token = None;
     let mut has_delayed_join = false;
     loop {
         let pause = REPORT_INTERVAL.mul_f64(0.9 + 0.2 * rand::random::<f64>());
@@ -57,7 +59,13 @@
         if counted != before {
             node.journal.log(&Event::NodesCounted { nodes: counted, before });
         }
-        let root = node.state.borrow().leader.as_ref().and_then(crate::node_state::Leader::contact);
+        let leader = node.state.borrow().leader.clone();
+        let root = leader.as_ref().and_then(Leader::contact);
+        let token = leader.as_ref().map(|leader| leader.token);
+        if let Some(leader) = leader.filter(|_| token != known_token) {
+            peers.borrow_mut().fleet.uplink.leads(&leader.holder);
+        }
+        known_token = token;
         let step = peers.borrow_mut().fleet.uplink.next_step(root.as_ref(), leads, now);
         match step {
             NextStep::Wait => {
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -72,7 +72,11 @@
     match path.as_str() {
         ALIVE_PATH => status(StatusCode::OK),
         EXCHANGE_PATH => answer_to(&body, |report| receive_report(node, report)),
-        JOIN_PATH => answer_to(&body, |request| Some(admit(node, &request))),
+        JOIN_PATH => answer_to(&body, |request| {
+            let answer = admit(node, &request);
+            list_subtree(node);
+            Some(answer)
+        }),
         MEMBERS_PATH => json(&node.listed_members()),
         RECORD_STREAMS_PATH => answer_to(&body, |records| {
             node.remember_streams(records);
@@ -156,6 +160,7 @@
         match admit(node, &request) {
             JoinAnswer::Accepted => {
                 peers.borrow_mut().fleet.children.record_report(&report, now);
+                list_subtree(node);
             }
             JoinAnswer::Referred { to } => refer = Some(to),
             JoinAnswer::Refused => return None,
@@ -168,12 +173,24 @@
     if let Some(to) = &refer {
         node.journal.log(&Event::ChildReferred { child: report.sender.node.as_str(), to: to.node.as_str() });
     }
+    if report.members.is_some() {
+        list_subtree(node);
+    }
     node.receive_newer_facts(&report.newer_facts);
     node.receive_intermediaries(report.intermediaries.clone(), now);
     node.merge_software_history(report.software_history.as_ref(), now - REPORT_TIMEOUT);
     Some(digest(node, &mut peers.borrow_mut(), report, refer, now))
 }
 
+/// Counts with the nodes that report here, so that others are told of streams that began while none was known.
+fn list_subtree(node: &Node) {
+    let leads = node.token().is_some();
+    let Some(peers) = &node.peers else { return };
+    if peers.borrow_mut().fleet.list_subtree(leads, node.now()) {
+        node.origins_untold.notify_one();
+    }
+}
+
 fn digest(node: &Node, peers: &mut Peers, report: Report, refer: Option<Contact>, now: Timestamp) -> Digest {
     let leads = node.token().is_some();
     node.receive_run_report(report.runs);
