Take-ups at a node that has just started wait for the history of versions; more tests of take-ups

Cause, by the refusals' times: all at a node in its first second. It joins the tree 200 ms after it knows the root and reports 200 ms later; and a neighbour's history joins its own only once the neighbour's view of the registry, up to a second old, reaches its own first reading.

Change: a node asks for its place and reports without the pauses, and a take-up that needs the proof waits for it for up to 1.5 s after the node's start, unless the parent has no history either.

Tests of processes for take-ups at the only node left, at one that has just started, at one cut off from the others alone, and where an address is reused by another version.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -19,6 +19,7 @@
 mod restored;
 mod router;
 mod soak;
+mod software_take_ups;
 mod software_versions;
 mod unanswered;
 mod weights_named;
--- a/crates/cli/tests/forward/software_versions.rs
+++ b/crates/cli/tests/forward/software_versions.rs
@@ -20,16 +20,16 @@
 };
 
 /// Time for nodes to learn of each other.
-const SETTLE_TIME: Duration = Duration::from_millis(2_500);
+pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 /// Within this time a request that cannot be served is to be refused.
-const REFUSAL_TIME: Duration = Duration::from_millis(600);
+pub const REFUSAL_TIME: Duration = Duration::from_millis(600);
 /// Streams of one test.
-const STREAMS: usize = 12;
+pub const STREAMS: usize = 12;
 /// Events of a whole stream.
 const LAST_EVENT: u64 = 5;
 
 /// Starts a cluster whose engines have these software versions.
-async fn cluster_of(versions: [&str; 3]) -> Cluster {
+pub async fn cluster_of(versions: [&str; 3]) -> Cluster {
     let cluster = Cluster::start().await.expect("the cluster starts");
     for (engine, version) in cluster.engines.iter().zip(versions) {
         engine.install_software(version);
@@ -39,12 +39,12 @@
     cluster
 }
 
-fn source(number: u8) -> Ipv4Addr {
+pub fn source(number: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 0, 2, 1 + number)
 }
 
 /// Starts nodes that know of each other.
-async fn fleet(cluster: &Cluster, count: u8) -> Vec<Router> {
+pub async fn fleet(cluster: &Cluster, count: u8) -> Vec<Router> {
     let mut routers = Vec::new();
     for number in 0..count {
         let name = format!("node-{number}");
@@ -59,7 +59,7 @@
     routers
 }
 
-fn script_all(cluster: &Cluster, behaviour: Behaviour, count: usize) {
+pub fn script_all(cluster: &Cluster, behaviour: Behaviour, count: usize) {
     cluster.engines.iter().for_each(|engine| engine.script(&vec![behaviour; count]));
 }
 
@@ -69,16 +69,16 @@
 }
 
 /// The id of the last complete event of a body, 0 if there is none.
-fn last_event_of(body: &str) -> u64 {
+pub fn last_event_of(body: &str) -> u64 {
     parse_events(body).last().map_or(0, |event| event.id)
 }
 
 /// A stream as its caller received it, over all of its tries.
 #[derive(Debug)]
-struct Stream {
-    first: CallerResponse,
+pub struct Stream {
+    pub first: CallerResponse,
     /// The answer to the take-up, if the first one broke off after an event.
-    taken_up: Option<CallerResponse>,
+    pub taken_up: Option<CallerResponse>,
 }
 
 impl Stream {
@@ -91,24 +91,24 @@
         versions_in(&self.first.body).first().is_some_and(|first| first == version)
     }
 
-    fn was_taken_up(&self) -> bool {
+    pub fn was_taken_up(&self) -> bool {
         self.taken_up.is_some()
     }
 
-    fn went_on(&self) -> bool {
+    pub fn went_on(&self) -> bool {
         let Some(taken_up) = &self.taken_up else { return false };
         taken_up.complete && last_event_of(&taken_up.body) == LAST_EVENT
     }
 }
 
-fn assert_none_mixed(streams: &[Stream]) {
+pub fn assert_none_mixed(streams: &[Stream]) {
     for stream in streams {
         assert!(stream.versions().len() <= 1, "a stream holds events of two versions: {stream:#?}");
     }
 }
 
 /// Sends streams to `first`, ends its process after `lifetime`, and takes them up at the `others` in turn at once.
-async fn take_up_after_kill(first: Router, lifetime: Duration, others: &[&Router]) -> Vec<Stream> {
+pub async fn take_up_after_kill(first: Router, lifetime: Duration, others: &[&Router]) -> Vec<Stream> {
     let callers = (0..STREAMS).map(|number| {
         let (first, id) = (&first, format!("first-{number}"));
         async move {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -50,6 +50,7 @@
     /// The adapter of the surrounding platform.
     pub platform: Box<dyn Platform>,
     pub clock: SteadyClock,
+    pub(crate) started: Timestamp,
     pub journal: Journal,
     pub metrics: Metrics,
     /// The node's view of the store, of back ends and of load.
@@ -102,6 +103,8 @@
     /// Notified when other nodes may have to be told of running streams: a software version has appeared, or nodes
     /// have.
     pub(crate) origins_untold: Notify,
+    /// Whether the parent's last message lacked the history of software versions.
+    pub(crate) parent_lacks_history: Cell<bool>,
     /// Unknown headers of back ends' answers.
     pub unknown_headers: LoggedOnce,
     /// Unknown kinds of facts from other nodes.
@@ -137,6 +140,7 @@
             settings: RefCell::new(Rc::new(settings)),
             platform,
             clock,
+            started: clock.now(),
             journal,
             metrics: Metrics::default(),
             state: RefCell::new(state),
@@ -163,6 +167,7 @@
             order_ended: Notify::new(),
             path_changed: Notify::new(),
             origins_untold: Notify::new(),
+            parent_lacks_history: Cell::new(false),
             unknown_headers: LoggedOnce::default(),
             unknown_facts: LoggedOnce::default(),
             unreadable_limits: LoggedOnce::default(),
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -77,11 +77,16 @@
                 has_delayed_join = true;
                 let recorded = node.nodes().known().unwrap_or(0);
                 tokio::time::sleep(JOIN_COST.mul_f64(f64::from(recorded) * rand::random::<f64>())).await;
+                node.leader_known.notify_one();
             }
             NextStep::Join(contact) => {
                 link = None;
                 node.reset_parent_performance();
                 join(&node, contact).await;
+                // The first report brings what a node lacks that has just started.
+                if peers.borrow().fleet.uplink.parent().is_some() {
+                    node.leader_known.notify_one();
+                }
             }
             NextStep::Report(parent) => {
                 if link.as_ref().is_none_or(|link| link.parent != parent) {
@@ -281,6 +286,7 @@
         self.members_wanted.set(digest.wants_members);
         self.software_history_wanted.set(digest.wants_software_history);
         node.merge_software_history(digest.software_history.as_ref(), sent_at);
+        node.parent_lacks_history.set(digest.software_history.is_none());
         if let Some(peers) = &node.peers {
             let mut peers = peers.borrow_mut();
             let uplink = &mut peers.fleet.uplink;
--- a/crates/forward/src/streams/mod.rs
+++ b/crates/forward/src/streams/mod.rs
@@ -36,6 +36,11 @@
 /// How often it is checked whether the proof that a service has one version still holds.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long after its start a node expects the history of versions from its neighbours: until their view of the
+/// registry, which may be a second old, reaches its own.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(1_500);
+const HISTORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The streams that this node relays, and its work of telling others.
 #[derive(Debug, Default)]
 pub struct Streams {
@@ -98,6 +103,21 @@
         state.software.only_version(service, age, lifetime, now).cloned()
     }
 
+    /// Waits until a node that has just started has the history of versions from its neighbours.
+    pub(crate) async fn wait_for_software_history(&self) {
+        while self.expects_software_history() {
+            tokio::time::sleep(HISTORY_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn expects_software_history(&self) -> bool {
+        let has_just_started = self.now().saturating_since(self.started) < HISTORY_TIMEOUT;
+        has_just_started
+            && self.peers.is_some()
+            && !self.parent_lacks_history.get()
+            && self.wants_software_history()
+    }
+
     /// The software version of a back end, as registered.
     pub(crate) fn software_of(&self, backend: &BackendId) -> Option<SoftwareVersion> {
         self.state.borrow().backends.get(backend)?.entry.software.clone()
--- a/crates/forward/src/streams/origin.rs
+++ b/crates/forward/src/streams/origin.rs
@@ -61,8 +61,8 @@
                 self.record.take_up = Some(TakeUp { after, found: at, age: Some(age) });
                 self.bind_to(origin)
             }
-            Lookup::NotFound => self.bind_to_only_version(after, Reason::StreamUnknown),
-            Lookup::Unanswered => self.bind_to_only_version(after, Reason::StreamUnanswered),
+            Lookup::NotFound => self.bind_to_only_version(after, Reason::StreamUnknown).await,
+            Lookup::Unanswered => self.bind_to_only_version(after, Reason::StreamUnanswered).await,
         };
         let outcome = if result.is_ok() { "bound" } else { "unknown" };
         self.node.metrics.count(Counter::TakeUps(outcome));
@@ -80,7 +80,8 @@
     }
 
     /// Binds the stream to the only version at which it can have begun.
-    fn bind_to_only_version(&mut self, after: u64, otherwise: Reason) -> Result<(), Reason> {
+    async fn bind_to_only_version(&mut self, after: u64, otherwise: Reason) -> Result<(), Reason> {
+        self.node.wait_for_software_history().await;
         let is_only_service = self.route.split.iter().all(|share| share.service == self.service);
         let only = self.node.only_software(&self.service).filter(|_| is_only_service);
         let found = if only.is_some() { "only_version" } else { "nowhere" };
