--- a/crates/cli/tests/forward/soak/releases.rs
+++ b/crates/cli/tests/forward/soak/releases.rs
@@ -30,6 +30,8 @@
 /// Pause after a try that failed, if the node states none.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+/// The longest pause after which a caller returns, as one that is told to stay away for minutes does not.
+const MAX_PAUSE: Duration = Duration::from_secs(6);
 /// More requests than an engine gets in any run.
 const ALL_REQUESTS: usize = 50_000;
 /// Engines of a version from which on its streams have to go on.
@@ -59,6 +61,10 @@
         is_served && !parse_events(self.body()).is_empty()
     }
 
+    fn is_held_back(&self) -> bool {
+        self.body().contains("\"held_back\"")
+    }
+
     fn is_complete(&self) -> bool {
         let response = self.response.as_ref();
         response.is_some_and(|response| response.complete && response.status == StatusCode::OK)
@@ -205,7 +211,7 @@
             let is_complete = sent.is_complete();
             let pause = sent.response.as_ref().and_then(retry_after).unwrap_or(RETRY_DELAY);
             tries.push(sent);
-            if is_complete {
+            if is_complete || pause > MAX_PAUSE {
                 break;
             }
             tokio::time::sleep(pause).await;
@@ -223,6 +229,8 @@
     /// The violations among streams that were taken up, and a summary.
     pub(super) fn stream_violations(&self, streams: &[CalledStream]) -> (Vec<String>, String) {
         let mut violations: Vec<String> = streams.iter().filter_map(CalledStream::violation).collect();
+        let held_back = streams.iter().filter(|stream| stream.tries.iter().any(Try::is_held_back));
+        violations.extend(held_back.map(|stream| format!("an ordinary stream is held back: {stream:?}")));
         // The process of another node may be disturbed, but not the store or the links.
         let is_in_touch = |sent: &&Try| {
             sent.at >= self.began + SETTLE_TIME
