--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -217,15 +217,17 @@
         self.record(f"runner {self.id} of {self.service} starts at {self.host}:{self.port}")
         return self
 
+    def entry(self):
+        return {
+            "service": self.service, "address": f"{self.host}:{self.port}", "zone": "hall-a", "version": "v1",
+            "slots": self.slots, "state": "ready", "coldRemainingMs": 0, "sequence": self.sequence,
+        }
+
     async def beat(self):
         while True:
             self.sequence += 1
             self.beat_at = NOW()
-            entry = {
-                "service": self.service, "address": f"{self.host}:{self.port}", "zone": "hall-a", "version": "v1",
-                "slots": self.slots, "state": "ready", "coldRemainingMs": 0, "sequence": self.sequence,
-            }
-            self.store.put(f"servers/{self.id}", entry)
+            self.store.put(f"servers/{self.id}", self.entry())
             await asyncio.sleep(HEARTBEAT_S)
 
     def crash(self):
@@ -292,6 +294,75 @@
         return True
 
 
+class Engine(Runner):
+    """One start of a model runner, which answers with a stream of events. It keeps no parts and takes orders."""
+
+    def __init__(self, record, store, host, service, slots=64, work_s=0.1, pieces=73, gap_s=0.04):
+        super().__init__(record, store, host, service, slots, work_s)
+        self.pieces, self.gap_s, self.version, self.orders = pieces, gap_s, 1, 0
+
+    def entry(self):
+        return {**super().entry(), "stage": "unified", "models": self.models()}
+
+    def models(self):
+        return [{"name": MODEL, "version": self.version, "adapters": []}]
+
+    async def answer(self, reader, writer, method, path, headers, body):
+        if path.startswith("/api/"):
+            return await self.own_interface(writer, path, headers, body)
+        request = headers.get("x-request-id", "")
+        base = [("X-Request-Id", request), ("X-Instance-Id", self.id), ("X-Weight-Versions", str(self.version))]
+        is_other = headers.get("x-expected-instance", self.id) != self.id
+        if is_other or headers.get("x-expected-version", str(self.version)) != str(self.version):
+            return await self.refuse(writer, 421, base)
+        if self.running >= self.slots:
+            return await self.refuse(writer, 503, base)
+        self.running += 1
+        self.ran.append((NOW(), request, method, path, headers.get("x-tenant", ""), body))
+        self.record(f"runner {self.id} runs {request}")
+        closed = asyncio.ensure_future(reader.read(1))
+        try:
+            signature = ("X-Server-Signature", f"sig.{self.id}.{request}")
+            start = [signature, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+            for piece in range(self.pieces):
+                done, _ = await asyncio.wait([closed], timeout=self.gap_s if piece else self.work_s)
+                if done:
+                    self.record(f"runner {self.id} drops {request}: its connection was closed")
+                    return False
+                event = f"id: {piece + 1}\ndata: {request} {piece + 1}\n\n".encode()
+                writer.write((b"" if piece else head(200, base + start)) + b"%x\r\n%b\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.ended.append((NOW(), request, "ok"))
+            self.record(f"runner {self.id} answers {request}")
+            return True
+        finally:
+            self.running -= 1
+            closed.cancel()
+            await asyncio.gather(closed, return_exceptions=True)
+
+    async def own_interface(self, writer, path, headers, body):
+        if path.startswith("/api/kv-events"):
+            await asyncio.sleep(float(headers.get("wait-ms", "0")) / 1000)
+        status, answer = 200, {"bootEpoch": self.port, "nextPageToken": 0, "lost": False, "events": [], "held": []}
+        if path == "/api/report":
+            answer = {
+                "stage": "unified", "models": self.models(), "busy": False, "sequence": self.orders, "queuedRequests": 0,
+                "runningRequests": self.running, "kvUsed": 0, "kvTotal": 110556, "handles": 0,
+            }
+        if path == "/api/order":
+            order, answer = json.loads(body), {}
+            status = 200 if order["version"] <= self.version else 202
+            if order.get("expectedRevision", self.orders) != self.orders:
+                status = 409
+            if status == 202:
+                self.orders, self.version = self.orders + 1, order["version"]
+        writer.write(head(status, [("Content-Type", "application/json")], json.dumps(answer).encode()))
+        await writer.drain()
+        return True
+
+
 def fill(template, values):
     """Fills a settings template as DEPLOY.md tells it, as far as deploy/settings.template.toml needs it."""
 
@@ -384,11 +455,18 @@
     return int(first.split(" ")[1]), headers, body
 
 
-async def attempt(record, node, request, method, path, seconds, key, body=b""):
+def is_whole(request, answer, pieces):
+    """Whether an answer is the runner's whole answer to this request."""
+    if not pieces:
+        return answer == f"done {request}".encode()
+    return answer == b"".join(f"id: {n}\ndata: {request} {n}\n\n".encode() for n in range(1, pieces + 1))
+
+
+async def attempt(record, node, request, method, path, seconds, key, body=b"", extra=(), pieces=0):
     """One client attempt on a new connection. Returns the status, or a word, and the headers of the answer."""
     lines = [
         f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Request-Id: {request}",
-        f"X-Request-Deadline-Ms: {int(seconds * 1000)}", f"Authorization: Bearer {key}",
+        f"X-Request-Deadline-Ms: {int(seconds * 1000)}", f"Authorization: Bearer {key}", *extra,
     ]
     if body or method == "POST":
         lines.append(f"Content-Length: {len(body)}")
@@ -399,13 +477,12 @@
         status = "cut, no answer"
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         status, headers, answer = await asyncio.wait_for(read_answer(reader), seconds)
-        is_whole = answer == f"done {request}".encode() and "x-server-signature" in headers
-        if status == 200 and not is_whole:
+        if status == 200 and not ("x-server-signature" in headers and is_whole(request, answer, pieces)):
             status = "not the runner's answer"
     except asyncio.TimeoutError:
         status = "deadline"
     except BROKEN:
-        pass
+        status = "cut in the answer" if headers else status
     finally:
         if writer:
             writer.close()
