--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod delivery;
 mod ending;
 mod endless;
+mod fixed_rate;
 mod fleet;
 mod limit_check;
 mod limits;
--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -102,6 +102,13 @@
         Self::start_with(&settings_at(store, name, 5_000)).await
     }
 
+    /// Like [`Self::start_at`], with another slack of the retry budget.
+    pub async fn start_with_retry_slack(store: SocketAddr, name: &str, slack: u64) -> Self {
+        let text = settings_at(store, name, 5_000);
+        let usual = format!("retry_slack = {RETRY_SLACK}\n");
+        Self::start_with(&text.replace(&usual, &format!("retry_slack = {slack}\n"))).await
+    }
+
     /// Like [`Self::start_at`], with another bound for requests on older weights.
     pub async fn start_with_weights_bound(store: SocketAddr, name: &str, bound_ms: u64) -> Self {
         let bound = format!("weights_ms = {bound_ms}");
@@ -293,6 +300,11 @@
         line_of(&self.lines, event).is_some()
     }
 
+    /// Kills the process, whoever else still holds this.
+    pub fn kill(&self) {
+        self.signal("-KILL");
+    }
+
     /// Requests a graceful shutdown, as the platform does.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- a/crates/cli/tests/forward/silent_servers.rs
+++ b/crates/cli/tests/forward/silent_servers.rs
@@ -5,15 +5,15 @@
     time::{Duration, Instant},
 };
 
-use futures_util::future::join_all;
-use paddlemount_platform_standin::{Behaviour, Cluster, ReceivedRequest, Runner, cluster::KEY};
+use paddlemount_platform_standin::{Behaviour, Cluster, Runner, cluster::KEY};
 
 use crate::{
+    fixed_rate::{FIXED_RATE, Fleet},
     limit_check,
-    router::{RETRY_PERCENT, RETRY_SLACK, RETRY_WINDOW, Router, metric_value},
-    soak::retries::{Arrival, Budget, Window, fullest_window},
+    router::RETRY_WINDOW,
 };
 
+const NODES: usize = 3;
 /// Time between two requests of a test's callers.
 const PAUSE: Duration = Duration::from_millis(12);
 /// Requests before the first silence fill a window of the retry budget.
@@ -35,35 +35,6 @@
 /// How long after the last request answers and late requests arrive.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Held by a test whose callers send at a fixed rate: several at once would slow down all other tests.
-pub static FIXED_RATE: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
-
-/// Starts `count` nodes that know of each other.
-async fn fleet(cluster: &Cluster, count: u8) -> Vec<Router> {
-    let mut routers = Vec::new();
-    for number in 0..count {
-        routers.push(Router::start_at(cluster.store_address, &format!("node-{number}")).await);
-    }
-    for router in &routers {
-        let counted =
-            async || metric_value(router, "paddlemount_forward_nodes").await == Some(f64::from(count));
-        router.wait_until("counted", counted).await;
-    }
-    routers
-}
-
-/// Sends requests to the nodes in turn, and returns when each was sent.
-async fn send_requests(routers: &[Router], path: &str, began: Instant, duration: Duration) -> Vec<Instant> {
-    let count = duration.as_millis() / PAUSE.as_millis();
-    let calls = (0..count as usize).map(|number| async move {
-        tokio::time::sleep_until((began + PAUSE * number as u32).into()).await;
-        let at = Instant::now();
-        let _ = routers[number % routers.len()].send(path, &format!("late-{number}")).await;
-        at
-    });
-    join_all(calls).await
-}
-
 /// Silences all `runners` for the period after `began`, and lets them fail requests afterwards.
 async fn silence_and_fail(runners: &[Runner], began: Instant, period: Range<Duration>) {
     tokio::time::sleep_until((began + period.start).into()).await;
@@ -73,30 +44,20 @@
     runners.iter().for_each(Runner::go_on);
 }
 
-/// The window in which retries at the runners came closest to the budget.
-fn fullest(runners: &[Runner], offered: &[Instant]) -> Option<Window> {
-    let seen: Vec<ReceivedRequest> = runners.iter().flat_map(Runner::seen).collect();
-    let arrivals: Vec<Arrival> = seen.iter().map(|seen| Arrival { id: &seen.id, at: seen.at }).collect();
-    let budget = Budget { percent: RETRY_PERCENT, slack: RETRY_SLACK, window: RETRY_WINDOW };
-    fullest_window(offered, &arrivals, &budget)
-}
-
 /// Attempts that servers read after a silence must not exceed the budget together with later retries.
 #[tokio::test]
 async fn late_arrivals_at_silent_servers_stay_within_the_retry_budget() {
     let _turn = FIXED_RATE.lock().await;
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
-    let routers = fleet(&cluster, 3).await;
+    let fleet = Fleet::start(&cluster, NODES).await;
     let began = Instant::now();
-    let (offered, ()) = tokio::join!(
-        send_requests(&routers, "/quote/1", began, WARM_UP + SILENCE + RETRY_WINDOW),
+    let (calls, ()) = tokio::join!(
+        fleet.send_at_rate("/quote/1", began, PAUSE, WARM_UP + SILENCE + RETRY_WINDOW),
         silence_and_fail(&cluster.bookings, began, WARM_UP..WARM_UP + SILENCE)
     );
     tokio::time::sleep(SETTLE_TIME).await;
-    let window = fullest(&cluster.bookings, &offered).expect("requests were retried");
-    let from = window.from.saturating_duration_since(began);
-    assert!(!window.is_over(), "{} retries of {} allowed from {from:?}", window.retries, window.allowed);
+    fleet.check_retries(&cluster.bookings, &calls, began);
 }
 
 /// What was sent to a silent server counts against its limit when it goes on.
@@ -105,7 +66,7 @@
     let _turn = FIXED_RATE.lock().await;
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
-    let routers = fleet(&cluster, 3).await;
+    let fleet = Fleet::start(&cluster, NODES).await;
     cluster.bookings.iter().for_each(|booking| booking.advertise_limit(LIMIT));
     let began = Instant::now();
     let silences = async {
@@ -118,7 +79,7 @@
         }
     };
     let duration = LIMIT_START + SILENCE_PERIOD * 2;
-    tokio::join!(send_requests(&routers, "/quote/1", began, duration), silences);
+    tokio::join!(fleet.send_at_rate("/quote/1", began, PAUSE, duration), silences);
     tokio::time::sleep(SETTLE_TIME).await;
     let limit: f64 = LIMIT.parse().expect("a number");
     for booking in &cluster.bookings {
@@ -140,17 +101,8 @@
 async fn served_beside_silences(path: &str, silent: impl Fn(&Cluster) -> &Runner) -> (usize, usize) {
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
-    let routers = fleet(&cluster, 3).await;
+    let fleet = Fleet::start(&cluster, NODES).await;
     let began = Instant::now();
-    let count = WARM_UP.as_millis() / PAUSE.as_millis();
-    let calls = (0..count as usize).map(|number| {
-        let router = &routers[number % routers.len()];
-        async move {
-            tokio::time::sleep_until((began + PAUSE * number as u32).into()).await;
-            let answer = router.send(path, &format!("beside-{number}")).await;
-            answer.is_some_and(|answer| answer.status == http::StatusCode::OK && answer.complete)
-        }
-    });
     let silences = async {
         for _ in 0..SHORT_SILENCES {
             tokio::time::sleep(SHORT_SILENCE_PAUSE).await;
@@ -159,8 +111,8 @@
             silent(&cluster).go_on();
         }
     };
-    let (served, ()) = tokio::join!(join_all(calls), silences);
-    (served.iter().filter(|served| **served).count(), served.len())
+    let (calls, ()) = tokio::join!(fleet.send_at_rate(path, began, PAUSE, WARM_UP), silences);
+    (calls.iter().filter(|call| call.is_served()).count(), calls.len())
 }
 
 /// Callers must not pay for the count of late arrivals.
--- a/crates/cli/tests/forward/soak/faults.rs
+++ b/crates/cli/tests/forward/soak/faults.rs
@@ -229,9 +229,3 @@
         }
     }
 }
-
-impl Router {
-    pub(super) fn kill(&self) {
-        self.signal("-KILL");
-    }
-}
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -37,8 +37,8 @@
     weights::TargetVersion,
 };
 use crate::{
+    fixed_rate::FIXED_RATE,
     router::{Router, from_environment},
-    silent_servers::FIXED_RATE,
 };
 
 const NODES: usize = 3;
