Log the reserve of the retry budget and the numbers of nodes it comes from

What a process may send besides the retries that its requests earn depends on how many nodes it knows, and neither the number nor the reserve could be read from lines or metrics after a start. `retry_reserve` is logged when the reserve is first known or changes, with the count of the root and the number in the store; `paddlemount_forward_retry_reserve` shows the present value.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -349,6 +349,7 @@
             self.divide_limits();
             self.conclude_quarantine();
             self.tick_performance();
+            self.log_retry_reserve();
         }
         let mut state = self.state.borrow_mut();
         for id in state.backends.expire(now) {
@@ -403,6 +404,7 @@
             self.forecast_gauge(&state),
             self.path_gauge(),
             self.undated_retries_gauge(),
+            self.retry_reserve_gauge(),
             self.brittleness_gauge(),
             gauge("paddlemount_forward_log_lines_dropped", self.journal.dropped() as f64),
         ];
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -118,6 +118,8 @@
     pub(crate) share_draw: f64,
     /// How long a back end that announced draining is still used if no other is left.
     pub(crate) draining_timeout: Duration,
+    /// The reserve of retries that was logged last.
+    pub(crate) logged_reserve: Option<u32>,
 }
 
 /// The node that leads.
@@ -218,6 +220,7 @@
             retry_schedules: BTreeMap::new(),
             share_draw: rand::random(),
             draining_timeout: settings.bounds.draining_timeout(),
+            logged_reserve: None,
         }
     }
 
@@ -265,6 +268,11 @@
         self.engines.performances.forget(id, now);
     }
 
+    /// The retries that this node may make to each service in a window besides the earned ones.
+    pub(crate) fn retry_reserve(&self, settings: &ForwardSettings, nodes: NodeCount) -> u32 {
+        node_reserve(settings.bounds.retry_slack, nodes.known(), nodes.assumed, self.share_draw)
+    }
+
     /// The retry budget of a service.
     pub(crate) fn budget(
         &mut self,
@@ -278,8 +286,7 @@
                 budget.record_dated(retry.at);
             }
         }
-        let reserve =
-            node_reserve(settings.bounds.retry_slack, nodes.known(), nodes.assumed, self.share_draw);
+        let reserve = self.retry_reserve(settings, nodes);
         let budget = self.budgets.entry(service.clone()).or_insert_with(|| {
             WindowBudget::new(WindowBudgetSettings {
                 share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
@@ -297,8 +304,7 @@
         settings: &ForwardSettings,
         nodes: NodeCount,
     ) -> &mut WindowBudget {
-        let reserve =
-            node_reserve(settings.bounds.retry_slack, nodes.known(), nodes.assumed, self.share_draw);
+        let reserve = self.retry_reserve(settings, nodes);
         let misdirected_budget = self.misdirected_budget.get_or_insert_with(|| {
             WindowBudget::new(WindowBudgetSettings {
                 share_per_mille: 0,
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -60,6 +60,7 @@
         if counted != before {
             node.journal.log(&Event::NodesCounted { nodes: counted, before });
         }
+        node.log_retry_reserve();
         let leader = node.state.borrow().leader.clone();
         let root = leader.as_ref().and_then(Leader::contact);
         let token = leader.as_ref().map(|leader| leader.token);
--- a/crates/forward/src/retries.rs
+++ b/crates/forward/src/retries.rs
@@ -9,9 +9,10 @@
 
 use crate::{
     exchange::Exchange,
+    journal::Event,
     metrics::{Counter, Gauge},
     node::Node,
-    node_state::NodeState,
+    node_state::{NodeCount, NodeState},
 };
 
 impl Exchange {
@@ -120,6 +121,23 @@
         Gauge { name: "paddlemount_forward_undated_retries", value: undated as f64 }
     }
 
+    /// The retries that this node may make in a window besides the earned ones.
+    pub(crate) fn retry_reserve_gauge(&self) -> Gauge {
+        let reserve = self.state.borrow().retry_reserve(&self.settings(), self.nodes());
+        Gauge { name: "paddlemount_forward_retry_reserve", value: f64::from(reserve) }
+    }
+
+    /// Logs the reserve of retries if it has changed.
+    pub(crate) fn log_retry_reserve(&self) {
+        let nodes = self.nodes();
+        let reserve = self.state.borrow().retry_reserve(&self.settings(), nodes);
+        let before = self.state.borrow_mut().logged_reserve.replace(reserve);
+        if before != Some(reserve) {
+            let NodeCount { counted, recorded, .. } = nodes;
+            self.journal.log(&Event::RetryReserve { reserve, before, counted, recorded });
+        }
+    }
+
     /// Draws on the budget of misdirected retries. Returns the time of the draw, which a refund needs.
     pub fn draw_misdirected_retry(&self) -> Option<Timestamp> {
         let settings = self.settings();
