--- a/crates/cli/tests/forward/fixed_rate.rs
+++ b/crates/cli/tests/forward/fixed_rate.rs
@@ -79,7 +79,13 @@
     }
 
     /// Sends requests with consecutive numbers to the nodes in turn.
-    pub async fn send_at_rate(&self, path: &str, began: Instant, pause: Duration, during: Duration) -> Vec<Call> {
+    pub async fn send_at_rate(
+        &self,
+        path: &str,
+        began: Instant,
+        pause: Duration,
+        during: Duration,
+    ) -> Vec<Call> {
         let count = (during.as_micros() / pause.as_micros()) as usize;
         let calls = (0..count).map(|number| async move {
             tokio::time::sleep_until((began + pause * number as u32).into()).await;
@@ -117,6 +123,7 @@
     /// Fails a test in which more retries reached the servers of one service than the budget allows.
     pub fn check_retries(&self, servers: &[Runner], calls: &[Call], began: Instant) {
         print_timeline(servers, calls, began);
+        self.print_reserves();
         let window = self.fullest_window(servers, calls).expect("requests were retried");
         let from = window.from.saturating_duration_since(began);
         let Window { retries, allowed, .. } = window;
@@ -125,6 +132,14 @@
     }
 }
 
+impl Fleet {
+    /// Prints what the running processes say of their reserves.
+    fn print_reserves(&self) {
+        let lines = (0..self.nodes.len()).flat_map(|number| self.node(number).lines());
+        lines.filter(|line| line.contains("\"retry_reserve\"")).for_each(|line| println!("{line}"));
+    }
+}
+
 fn print_timeline(servers: &[Runner], calls: &[Call], began: Instant) {
     let mut seconds: BTreeMap<u64, Second> = BTreeMap::new();
     let second_of = |at: Instant| at.saturating_duration_since(began).as_secs();
