An attempt counts as read by its own connection, not by any byte of its process

Cause: a byte of a process counted as a sign that it has read all that it was sent. With several workers, or where one connection loses packets, it says nothing of the others: the retry was dated at once, and the abandoned attempt arrived in another window. A retry that is itself delayed, at its server or at a node that stands still between draw and sending, was dated by its draw as well. The class is that of the silent servers: a bound on what others see, kept by what we do.

Change: the first attempt of a request that shows on its own connection is its first arrival, each further one dates a retry, and until then a retry counts in every window. Connections share their socket for that.

Ruled out: holding each abandoned attempt undated for a fixed time, which doubles what each retry takes from the budget where servers read at once.

Tests changed: an_attempt_that_the_process_answered_others_after_is_read stated the fault; bytes_of_the_same_process_do_not_date_an_attempt_with_a_connection_of_its_own and bytes_of_its_process_date_an_attempt_whose_connection_has_failed take its place. The property over seven nodes and six servers has single attempts that are read late, besides silent servers.

--- a/crates/core/tests/forwarding_late_arrivals.rs
+++ b/crates/core/tests/forwarding_late_arrivals.rs
@@ -8,7 +8,7 @@
 use bolero::TypeGenerator;
 use paddlemount_core::forwarding::{
     budget::{Reserve, WindowBudget, WindowBudgetSettings, node_reserve},
-    late_arrivals::{LateArrivals, RequestRetries},
+    late_arrivals::{LateArrivals, RequestRetries, RetriedRequest},
     reserve_grant::ReservePhase,
 };
 use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
@@ -54,104 +54,145 @@
         self.count_dated(now);
         let granted = self.budget.try_retry(now);
         if granted {
-            retries.record_drawn(now);
+            self.late.record_drawn(retries, &service(), &mut self.budget, now);
         }
         granted
     }
 
-    fn give_up(&mut self, retries: &mut RequestRetries, server: usize, now: Timestamp) {
-        retries.record_unread(&service(), &process(server), &mut self.budget, &mut self.late, now);
+    fn give_up(&mut self, retries: &RequestRetries, now: Timestamp) -> Option<RetriedRequest> {
+        let request = retries.request()?;
+        self.late.record_unread(request, now);
+        Some(request)
     }
 }
 
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// A node whose request was retried after an attempt that may not have been read, and that request.
+fn node_with_an_unread_attempt(reserve: u32) -> (Node, RequestRetries, RetriedRequest) {
+    let mut node = Node::new(0, Reserve::whole(reserve));
+    let mut retries = RequestRetries::default();
+    assert!(node.draw(&mut retries, at(0)));
+    let request = node.give_up(&retries, at(0)).expect("the request was retried");
+    (node, retries, request)
+}
+
 #[test]
 fn a_retry_counts_in_every_window_until_the_attempt_before_it_is_read() {
-    let mut node = Node::new(0, Reserve::whole(2));
-    let mut retries = RequestRetries::default();
-    assert!(node.draw(&mut retries, Timestamp::from_millis(0)));
-    node.give_up(&mut retries, 0, Timestamp::from_millis(0));
-    let much_later = Timestamp::from_millis(3 * WINDOW_MS);
-    assert_eq!(node.budget.remaining(much_later), 1);
-    node.late.record_heard(&process(0), much_later);
-    let after = |ms| Timestamp::from_millis(3 * WINDOW_MS + ms);
-    node.count_dated(after(1_000));
-    assert_eq!(node.budget.remaining(after(1_000)), 1, "it has just arrived");
-    assert_eq!(node.budget.remaining(after(2 * WINDOW_MS)), 2);
+    let (mut node, mut retries, request) = node_with_an_unread_attempt(2);
+    node.late.record_shown(&mut retries, at(50));
+    node.count_dated(at(3 * WINDOW_MS));
+    assert_eq!(node.budget.remaining(at(3 * WINDOW_MS)), 1);
+    node.late.record_read(request, at(3 * WINDOW_MS));
+    node.count_dated(at(3 * WINDOW_MS + 1_000));
+    assert_eq!(node.budget.remaining(at(3 * WINDOW_MS + 1_000)), 1, "it has just arrived");
+    assert_eq!(node.budget.remaining(at(5 * WINDOW_MS)), 2);
 }
 
+/// A retry may wait on a connection of its own.
 #[test]
-fn bytes_of_another_process_do_not_date_a_retry() {
+fn a_retry_counts_in_every_window_until_it_shows_itself() {
     let mut node = Node::new(0, Reserve::whole(2));
     let mut retries = RequestRetries::default();
-    assert!(node.draw(&mut retries, Timestamp::from_millis(0)));
-    node.give_up(&mut retries, 0, Timestamp::from_millis(0));
-    node.late.record_heard(&process(1), Timestamp::from_millis(10));
-    assert_eq!(node.late.take_dated(Timestamp::from_millis(5_000)).count(), 0);
+    node.late.record_shown(&mut retries, at(0));
+    assert!(node.draw(&mut retries, at(0)));
+    node.count_dated(at(2 * WINDOW_MS));
+    assert_eq!(node.budget.remaining(at(2 * WINDOW_MS)), 1);
+    node.late.record_shown(&mut retries, at(2 * WINDOW_MS));
+    node.count_dated(at(2 * WINDOW_MS));
+    assert_eq!(node.budget.remaining(at(2 * WINDOW_MS)), 1, "it has just arrived");
+    assert_eq!(node.budget.remaining(at(4 * WINDOW_MS)), 2);
 }
 
-/// Which of two late arrivals is the repeated one shows only with the second.
+/// A process with several workers serves others while one of them stands still.
 #[test]
-fn a_retry_between_two_unread_attempts_counts_with_the_last() {
-    let mut node = Node::new(0, Reserve::whole(2));
-    let mut retries = RequestRetries::default();
-    assert!(node.draw(&mut retries, Timestamp::from_millis(0)));
-    node.give_up(&mut retries, 0, Timestamp::from_millis(0));
-    node.give_up(&mut retries, 1, Timestamp::from_millis(600));
-    node.late.record_heard(&process(0), Timestamp::from_millis(2_000));
-    assert_eq!(node.late.take_dated(Timestamp::from_millis(3_000)).count(), 0);
-    node.late.record_heard(&process(1), Timestamp::from_millis(9_000));
-    assert_eq!(node.late.take_dated(Timestamp::from_millis(10_000)).count(), 1);
+fn bytes_of_the_same_process_do_not_date_an_attempt_with_a_connection_of_its_own() {
+    let (mut node, mut retries, _) = node_with_an_unread_attempt(2);
+    node.late.record_shown(&mut retries, at(50));
+    node.late.record_heard(&process(0), at(500));
+    assert_eq!(node.late.take_dated(at(5_000)).count(), 0);
+}
+
+#[test]
+fn bytes_of_its_process_date_an_attempt_whose_connection_has_failed() {
+    let (mut node, mut retries, request) = node_with_an_unread_attempt(2);
+    node.late.record_shown(&mut retries, at(50));
+    node.late.record_unobserved(request, &process(0));
+    node.late.record_heard(&process(1), at(10));
+    assert_eq!(node.late.take_dated(at(5_000)).count(), 0, "another process");
+    node.late.record_heard(&process(0), at(5_000));
+    assert_eq!(node.late.take_dated(at(6_000)).count(), 1);
 }
 
+/// Which of two late arrivals is the repeated one shows only with the second.
 #[test]
-fn an_attempt_that_the_process_answered_others_after_is_read() {
-    let mut late = LateArrivals::default();
-    let sent_at = Timestamp::from_millis(1_000);
-    assert!(late.may_be_unread(&process(0), sent_at));
-    late.record_heard(&process(0), Timestamp::from_millis(1_050));
-    assert!(late.may_be_unread(&process(0), sent_at), "these bytes may have been under way");
-    late.record_heard(&process(0), Timestamp::from_millis(1_200));
-    assert!(!late.may_be_unread(&process(0), sent_at));
+fn a_retry_between_two_unread_attempts_counts_with_the_last() {
+    let (mut node, retries, request) = node_with_an_unread_attempt(2);
+    assert_eq!(node.give_up(&retries, at(600)), Some(request));
+    node.late.record_over(&retries, at(600));
+    node.late.record_read(request, at(2_000));
+    assert_eq!(node.late.take_dated(at(3_000)).count(), 0);
+    node.late.record_read(request, at(9_000));
+    assert_eq!(node.late.take_dated(at(10_000)).count(), 1);
+    assert!(node.late.is_empty());
 }
 
 /// What a process has not read is gone with it.
 #[test]
 fn the_end_of_a_process_dates_a_retry() {
+    let (mut node, mut retries, request) = node_with_an_unread_attempt(1);
+    node.late.record_shown(&mut retries, at(50));
+    node.late.record_over(&retries, at(60));
+    node.late.record_unobserved(request, &process(0));
+    node.late.record_ended(&process(0), at(2_000));
+    node.count_dated(at(3_000));
+    assert!(node.late.is_empty());
+    assert_eq!(node.budget.remaining(at(3_000)), 0);
+    assert_eq!(node.budget.remaining(at(23_000)), 1);
+}
+
+/// A request may end after it has drawn a retry that finds no back end.
+#[test]
+fn a_retry_that_is_never_sent_counts_when_its_request_ends() {
     let mut node = Node::new(0, Reserve::whole(1));
     let mut retries = RequestRetries::default();
-    assert!(node.draw(&mut retries, Timestamp::from_millis(0)));
-    node.give_up(&mut retries, 0, Timestamp::from_millis(0));
-    node.late.record_ended(&process(0), Timestamp::from_millis(2_000));
-    node.count_dated(Timestamp::from_millis(3_000));
+    node.late.record_shown(&mut retries, at(0));
+    assert!(node.draw(&mut retries, at(0)));
+    node.late.record_over(&retries, at(100));
+    node.count_dated(at(100));
     assert!(node.late.is_empty());
-    assert_eq!(node.budget.remaining(Timestamp::from_millis(3_000)), 0);
-    assert_eq!(node.budget.remaining(Timestamp::from_millis(23_000)), 1);
+    assert_eq!(node.budget.remaining(at(100)), 0);
+    assert_eq!(node.budget.remaining(at(2 * WINDOW_MS)), 1);
 }
 
 /// A server that never goes on must not take retries from the budget for ever.
 #[test]
 fn a_process_that_stays_silent_does_not_hold_the_budget_for_ever() {
-    let mut node = Node::new(0, Reserve::whole(1));
-    let mut retries = RequestRetries::default();
-    assert!(node.draw(&mut retries, Timestamp::from_millis(0)));
-    node.give_up(&mut retries, 0, Timestamp::from_millis(0));
-    node.late.sweep(Timestamp::from_millis(29_000));
-    node.count_dated(Timestamp::from_millis(29_000));
-    assert_eq!(node.budget.remaining(Timestamp::from_millis(29_000)), 0);
-    node.late.sweep(Timestamp::from_millis(31_000));
-    node.count_dated(Timestamp::from_millis(31_000));
-    assert_eq!(node.budget.remaining(Timestamp::from_millis(80_000)), 1);
+    let (mut node, mut retries, _) = node_with_an_unread_attempt(1);
+    node.late.record_shown(&mut retries, at(0));
+    node.late.record_over(&retries, at(0));
+    node.late.sweep(at(29_000));
+    node.count_dated(at(29_000));
+    assert_eq!(node.budget.remaining(at(29_000)), 0);
+    node.late.sweep(at(31_000));
+    node.count_dated(at(31_000));
+    assert_eq!(node.budget.remaining(at(80_000)), 1);
     assert!(node.late.is_empty());
 }
 
 #[derive(Debug, TypeGenerator)]
 enum Step {
-    /// A node gets requests, which it sends to these servers in turn; those in `failing` answer with a failure.
+    /// A node gets requests, which it sends to these servers in turn; those in `failing` answer with a failure. The
+    /// attempts in `stalled` are read late, each on its own connection.
     Requests {
         node: u8,
         count: u8,
         servers: [u8; ATTEMPTS],
         failing: u8,
+        stalled: u8,
+        stall_tens_of_ms: u16,
     },
     FallSilent {
         server: u8,
@@ -164,31 +205,76 @@
     },
 }
 
-/// Servers, of which some are silent, and what has reached them.
-#[derive(Default)]
-struct Servers {
-    /// The silent ones, and since when.
+/// An attempt that a server has not read.
+#[derive(Clone, Copy)]
+struct Unread {
+    node: usize,
+    request: usize,
+    /// What the node has recorded, if it has retried the request.
+    retried: Option<RetriedRequest>,
+    due: Due,
+}
+
+/// When an attempt is read.
+#[derive(Clone, Copy, PartialEq)]
+enum Due {
+    /// When its server goes on.
+    Server(usize),
+    At(u64),
+}
+
+/// Servers, of which some are silent, the nodes before them, and what has reached the servers.
+struct World {
+    nodes: Vec<Node>,
+    /// The silent servers, and since when.
     silent: BTreeMap<usize, u64>,
-    /// What was sent to silent servers: server and request.
-    unread: Vec<(usize, usize)>,
+    unread: Vec<Unread>,
     /// When requests were read, with their number.
     arrivals: Vec<(u64, usize)>,
     requests: Vec<u64>,
 }
 
-impl Servers {
+impl World {
+    fn new(nodes: Vec<Node>) -> Self {
+        Self {
+            nodes,
+            silent: BTreeMap::new(),
+            unread: Vec::new(),
+            arrivals: Vec::new(),
+            requests: Vec::new(),
+        }
+    }
+
+    fn read(&mut self, unread: Unread, at_ms: u64) {
+        self.arrivals.push((at_ms, unread.request));
+        if let Some(retried) = unread.retried {
+            self.nodes[unread.node].late.record_read(retried, at(at_ms));
+        }
+    }
+
     fn go_on(&mut self, server: usize, now: u64) {
         self.silent.remove(&server);
-        let read: Vec<(usize, usize)> = self.unread.extract_if(.., |unread| unread.0 == server).collect();
+        let read: Vec<Unread> =
+            self.unread.extract_if(.., |unread| unread.due == Due::Server(server)).collect();
         // Read within some time, the last ones at its end.
         let count = read.len() as u64;
-        for (place, (_, request)) in read.into_iter().enumerate() {
-            self.arrivals.push((now + CATCH_UP_MS * place as u64 / count, request));
+        for (place, unread) in read.into_iter().enumerate() {
+            self.read(unread, now + CATCH_UP_MS * place as u64 / count);
         }
     }
 
-    /// Ends the silences that are over by `now`.
+    /// Ends the silences that are over by `now`, and reads what is due.
     fn advance(&mut self, now: u64) {
+        let is_due = |unread: &mut Unread| matches!(unread.due, Due::At(at) if at <= now);
+        let mut due: Vec<Unread> = self.unread.extract_if(.., is_due).collect();
+        due.sort_by_key(|unread| match unread.due {
+            Due::At(at) => at,
+            Due::Server(_) => now,
+        });
+        for unread in due {
+            let Due::At(at_ms) = unread.due else { continue };
+            self.read(unread, at_ms);
+        }
         let is_over = |since: &u64| *since + MAX_SILENCE_MS <= now;
         let over: Vec<(usize, u64)> = self
             .silent
@@ -199,34 +285,38 @@
         over.into_iter().for_each(|(server, since)| self.go_on(server, since + MAX_SILENCE_MS));
     }
 
-    /// Serves a request as a node does that leaves silent servers.
-    fn serve(&mut self, node: &mut Node, servers: &[u8; ATTEMPTS], failing: u8, now_ms: u64) {
-        let now = Timestamp::from_millis(now_ms);
-        let request = self.requests.len();
+    /// Serves a request as a node does that leaves attempts without an answer.
+    fn serve(&mut self, node: usize, servers: &[u8; ATTEMPTS], failing: u8, stalled: (u8, u64), now_ms: u64) {
+        let (now, request) = (at(now_ms), self.requests.len());
         self.requests.push(now_ms);
-        node.budget.record_request(now);
+        self.nodes[node].budget.record_request(now);
         let mut retries = RequestRetries::default();
         for (attempt, server) in servers.iter().enumerate() {
             let server = usize::from(*server) % SERVERS;
             let is_last = attempt + 1 == ATTEMPTS;
-            let is_silent = self.silent.contains_key(&server);
-            if is_silent {
-                self.unread.push((server, request));
+            let due = if self.silent.contains_key(&server) {
+                Some(Due::Server(server))
             } else {
+                (stalled.0 & (1 << attempt) != 0).then_some(Due::At(now_ms + stalled.1))
+            };
+            if due.is_none() {
                 self.arrivals.push((now_ms, request));
-                node.late.record_heard(&process(server), now);
+                self.nodes[node].late.record_shown(&mut retries, now);
+                self.nodes[node].late.record_heard(&process(server), now);
                 if failing & (1 << server) == 0 {
-                    return;
+                    break;
                 }
             }
-            let goes_on = !is_last && node.draw(&mut retries, now);
-            if is_silent {
-                node.give_up(&mut retries, server, now);
+            let goes_on = !is_last && self.nodes[node].draw(&mut retries, now);
+            if let Some(due) = due {
+                let retried = self.nodes[node].give_up(&retries, now);
+                self.unread.push(Unread { node, request, retried, due });
             }
             if !goes_on {
-                return;
+                break;
             }
         }
+        self.nodes[node].late.record_over(&retries, now);
     }
 
     /// When requests arrived that had arrived before.
@@ -254,30 +344,37 @@
 /// silent.
 fn check_all_nodes(steps: &[Step], share_per_mille: u32, slack: u32) {
     let reserve = node_reserve(slack, Some(NODES), ReservePhase::Starting, 0.5);
-    let mut nodes: Vec<Node> = (0..NODES).map(|_| Node::new(share_per_mille, reserve)).collect();
-    let (mut servers, mut now) = (Servers::default(), 0);
+    let nodes = (0..NODES).map(|_| Node::new(share_per_mille, reserve)).collect();
+    let (mut world, mut now) = (World::new(nodes), 0);
     for step in steps {
         match step {
-            Step::Requests { node, count, servers: order, failing } => {
-                let node = &mut nodes[usize::from(*node) % NODES as usize];
+            Step::Requests { node, count, servers, failing, stalled, stall_tens_of_ms } => {
+                let stall = u64::from(*stall_tens_of_ms) * 10 % MAX_SILENCE_MS;
                 for _ in 0..*count {
-                    servers.serve(node, order, *failing, now);
+                    world.serve(
+                        usize::from(*node) % NODES as usize,
+                        servers,
+                        *failing,
+                        (*stalled, stall),
+                        now,
+                    );
                 }
             }
             Step::FallSilent { server } => {
-                servers.silent.entry(usize::from(*server) % SERVERS).or_insert(now);
+                world.silent.entry(usize::from(*server) % SERVERS).or_insert(now);
             }
-            Step::GoOn { server } => servers.go_on(usize::from(*server) % SERVERS, now),
+            Step::GoOn { server } => world.go_on(usize::from(*server) % SERVERS, now),
             Step::Wait { tens_of_ms } => {
                 now += u64::from(*tens_of_ms) * 10;
-                servers.advance(now);
+                world.advance(now);
             }
         }
     }
-    (0..SERVERS).for_each(|server| servers.go_on(server, now));
-    let repeats = servers.repeats();
+    (0..SERVERS).for_each(|server| world.go_on(server, now));
+    world.advance(now + WINDOW_MS);
+    let repeats = world.repeats();
     for to in &repeats {
-        let allowed = requests_for(&servers.requests, *to) as f64 * f64::from(share_per_mille) / 1_000.0
+        let allowed = requests_for(&world.requests, *to) as f64 * f64::from(share_per_mille) / 1_000.0
             + f64::from(slack);
         let arrived = within(&repeats, to.saturating_sub(WINDOW_MS), *to);
         assert!(arrived as f64 <= allowed, "{arrived} of {allowed} until {to}");
@@ -287,7 +384,14 @@
 /// Steady requests at all nodes for so many seconds, which all fail at servers that answer.
 fn steady(seconds: u32) -> Vec<Step> {
     let second = || {
-        let at_node = |node| Step::Requests { node, count: 12, servers: [0, 1, 2], failing: 0xff };
+        let at_node = |node| Step::Requests {
+            node,
+            count: 12,
+            servers: [0, 1, 2],
+            failing: 0xff,
+            stalled: 0,
+            stall_tens_of_ms: 0,
+        };
         (0..NODES as u8).map(at_node).chain([Step::Wait { tens_of_ms: 100 }])
     };
     (0..seconds).flat_map(|_| second()).collect()
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -10,7 +10,7 @@
     forwarding::{attempt::AttemptEnd, backends::BackendId, choice::Choice},
     health::HealthEvent,
 };
-use paddlemount_protocol::{fleet::BackendProcess, identity::SoftwareVersion, time::Timestamp};
+use paddlemount_protocol::{identity::SoftwareVersion, time::Timestamp};
 
 use crate::{
     answer_buffer::AnswerError,
@@ -21,6 +21,7 @@
     node::Node,
     ports::AnswerHead,
     response_wait::{OUTDATED, Waited},
+    unread_attempts::{InFlight, UnreadAttempt},
 };
 
 /// The minimum time without an answer after which an engine is suspected of being silent. Attempts that end
@@ -74,8 +75,8 @@
     pub connection_lost: bool,
     /// The back end that answered, if the answer names it.
     pub answered_by: Option<BackendId>,
-    /// The process that may still read the request, if nothing shows that it has.
-    pub unread_by: Option<BackendProcess>,
+    /// Whether nothing shows that the back end has read the request.
+    pub unread: bool,
 }
 
 impl AttemptFailure {
@@ -88,7 +89,7 @@
             reused: false,
             connection_lost: false,
             answered_by: None,
-            unread_by: None,
+            unread: false,
         }
     }
 
@@ -105,6 +106,11 @@
         }
     }
 
+    /// The same, when the node stopped waiting before anything arrived.
+    pub(crate) fn given_up(detail: String) -> Self {
+        Self { unread: true, ..Self::unclear(detail) }
+    }
+
     /// The same, when the back end has gone silent.
     pub fn silent() -> Self {
         Self { end: AttemptEnd::Silent, ..Self::unclear(SILENT.into()) }
@@ -128,7 +134,8 @@
     pub framed: bool,
 }
 
-/// Sends a request and waits until `deadline` for an answer that can be relayed.
+/// Sends a request and waits until `deadline` for an answer that can be relayed. From when it is sent, the attempt is
+/// noted in `in_flight`.
 pub async fn send(
     node: &Rc<Node>,
     choice: &Choice,
@@ -136,6 +143,7 @@
     request: Request<Full<Bytes>>,
     run: RunKind,
     deadline: Timestamp,
+    in_flight: &InFlight,
 ) -> Result<AttemptAnswer, AttemptFailure> {
     let mut load = LoadGuard::begin(node, choice);
     // A continued run does not start, so the age of its weights no longer matters.
@@ -162,6 +170,7 @@
     node.record_engine_sent(load.process.as_ref());
     load.begin_wait();
     load.contact = EngineContact::begin(node, choice);
+    in_flight.replace(Some(UnreadAttempt { process: process.clone(), socket: Some(connection.socket()) }));
     let waiting = connection.send(request);
     let waiting = node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting);
     let waited = tokio::select! {
@@ -178,29 +187,24 @@
             if !reused {
                 node.record_unreached(&choice.backend, connection.opened_at);
             }
-            let unread_by = load.unread_by(sent_at).filter(|_| error.is_timeout());
-            let failure = connection_failure(node, choice, &error, reused);
-            return Err(AttemptFailure { unread_by, ..failure });
+            let unread = error.is_timeout();
+            return Err(AttemptFailure { unread, ..connection_failure(node, choice, &error, reused) });
         }
         Waited::Outdated => {
             // The request was aborted early, which says nothing about the back end's health.
             node.record_health(&choice.backend, HealthEvent::Inconclusive, false);
-            let unread_by = load.unread_by(sent_at);
-            return Err(AttemptFailure { reused, unread_by, ..AttemptFailure::unclear(OUTDATED.into()) });
+            return Err(AttemptFailure { reused, ..AttemptFailure::given_up(OUTDATED.into()) });
         }
         Waited::Silent => {
             node.record_health(&choice.backend, HealthEvent::Failed, false);
-            let unread_by = load.unread_by(sent_at);
-            return Err(AttemptFailure { reused, unread_by, ..AttemptFailure::silent() });
+            return Err(AttemptFailure { reused, unread: true, ..AttemptFailure::silent() });
         }
         Waited::TimeUp => {
             if node.now().saturating_since(sent_at) >= MIN_SILENCE {
                 node.record_engine_silence(load.process.as_ref());
             }
             node.record_health(&choice.backend, HealthEvent::Failed, false);
-            let unread_by = load.unread_by(sent_at);
-            let failure = AttemptFailure::unclear("no answer in time".into());
-            return Err(AttemptFailure { reused, unread_by, ..failure });
+            return Err(AttemptFailure { reused, ..AttemptFailure::given_up("no answer in time".into()) });
         }
     };
     node.record_engine_contact(load.process.as_ref());
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -1,7 +1,7 @@
 //! One HTTP/1.1 connection to a back end or to the platform.
 //!
-//! A connection carries one request at a time. Dropping it closes the socket at once, which cancels the
-//! attempt: the back end sees the close and stops its work.
+//! A connection carries one request at a time. Dropping it closes the socket at once, unless others hold it, which
+//! cancels the attempt: the back end sees the close and stops its work.
 
 use std::{
     cell::Cell,
@@ -22,6 +22,8 @@
     task::JoinHandle,
 };
 
+use crate::shared_stream::SharedStream;
+
 /// How long sent bytes may stay unacknowledged before the connection breaks. Where it is supported, this also ends
 /// keep-alive probing, whatever the number of probes.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
@@ -78,6 +80,7 @@
     /// The peer's idle timeout, if it gave one.
     pub keep_alive: Option<Duration>,
     closed_after: Rc<Cell<Option<Duration>>>,
+    socket: Rc<TcpStream>,
 }
 
 impl Connection {
@@ -102,9 +105,10 @@
             .map_err(|_| ConnectionError::ConnectTimeout)?
             .map_err(ConnectionError::Connect)?;
         set_socket_options(&stream);
+        let socket = Rc::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_AHEAD)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(SharedStream(Rc::clone(&socket))))
             .await
             .map_err(ConnectionError::Broken)?;
         let closed_after = Rc::new(Cell::new(None));
@@ -114,7 +118,7 @@
             let _ = connection.await;
             closing.set(Some(opened.elapsed()));
         });
-        Ok(Self { sender, task, opened_at: now, used_at: now, keep_alive: None, closed_after })
+        Ok(Self { sender, task, opened_at: now, used_at: now, keep_alive: None, closed_after, socket })
     }
 
     /// When the peer closed the connection, or it broke; `None` while it is open.
@@ -122,6 +126,11 @@
         self.closed_after.get().map(|after| self.opened_at + after)
     }
 
+    /// The socket, for those who watch it after the connection was given up.
+    pub(crate) fn socket(&self) -> Rc<TcpStream> {
+        Rc::clone(&self.socket)
+    }
+
     /// Whether the next request may be written.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -17,7 +17,7 @@
     },
     limits::ledger::QuotaGrant,
 };
-use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
+use paddlemount_protocol::{identity::ServiceId, time::Timestamp};
 
 use crate::{
     access_log::{ANSWERED, QUARANTINED, REFUSED, RequestRecord},
@@ -33,6 +33,7 @@
     relay::Relay,
     room_permit::RoomPermit,
     streams::RunningStream,
+    unread_attempts::InFlight,
 };
 
 /// How much earlier than the caller's deadline the node answers.
@@ -67,8 +68,8 @@
     avoids_refusing: bool,
     draw: u64,
     pub(crate) retries: RequestRetries,
-    /// The attempt that waits for an answer: its process, and when it was sent.
-    pub(crate) waits_for: Option<(BackendProcess, Timestamp)>,
+    /// The attempt that waits for an answer, or the last one that did.
+    pub(crate) in_flight: InFlight,
     /// When the retry budget for misdirected requests was drawn on for the next attempt, if it was.
     pub(crate) misdirected_retry: Option<Timestamp>,
     /// Whether the request has earned its share of the retry budget, at this node or another one.
@@ -137,7 +138,7 @@
         avoids_refusing: false,
         draw: rand::random(),
         retries: RequestRetries::default(),
-        waits_for: None,
+        in_flight: InFlight::default(),
         misdirected_retry: None,
         is_credited: handoff.as_ref().is_some_and(|handoff| handoff.credited),
         sent_at: None,
@@ -279,10 +280,9 @@
         let attempt_deadline = self.attempt_deadline(choice, now);
         let node = Rc::clone(&self.node);
         let run = self.run_kind(&resume);
-        self.waits_for = Some((node.process_of(&choice.backend), now));
-        let result =
-            attempts::send(&node, choice, self.head.id.as_deref(), request, run, attempt_deadline).await;
-        self.waits_for = None;
+        let (id, in_flight) = (self.head.id.as_deref(), &self.in_flight);
+        let result = attempts::send(&node, choice, id, request, run, attempt_deadline, in_flight).await;
+        self.record_arrival(&result);
         let end = result.as_ref().err().map(|failure| failure.end);
         self.node.record_attempt_end(&self.service, end);
         if self.history.sent > 0 && end != Some(AttemptEnd::NotSent) {
@@ -384,6 +384,7 @@
     fn drop(&mut self) {
         self.node.running.set(self.node.running.get().saturating_sub(1));
         self.record_left_attempt();
+        self.record_over();
         let grant = self.grant.take().filter(|_| self.has_not_run());
         self.node.refund_quota(grant);
         if let Some(drawn_at) = self.misdirected_retry.take() {
--- a/crates/forward/src/indirect.rs
+++ b/crates/forward/src/indirect.rs
@@ -33,6 +33,7 @@
     metrics::Counter,
     node::Node,
     response_wait::Waited,
+    unread_attempts::{InFlight, UnreadAttempt},
 };
 
 /// How long a connection to another node may take. Nodes are near each other, and another one may be asked.
@@ -99,9 +100,8 @@
         let request = handoff.request(&self.parts, &self.body, &resume);
         let node = Rc::clone(&self.node);
         let (id, run) = (self.head.id.as_deref(), self.run_kind(&resume));
-        self.waits_for = Some((node.process_of(&choice.backend), now));
-        let result = send_through(&node, choice, id, request, run, self.deadline).await;
-        self.waits_for = None;
+        let result = send_through(&node, choice, id, request, run, self.deadline, &self.in_flight).await;
+        self.record_arrival(&result);
         // A pooled connection that had closed says nothing about the other node.
         if !matches!(&result, Err(AttemptFailure { end: AttemptEnd::NotSent, reused: true, .. })) {
             self.tried.push(choice.backend.clone());
@@ -129,10 +129,12 @@
     request: Request<Full<Bytes>>,
     run: RunKind,
     deadline: Timestamp,
+    in_flight: &InFlight,
 ) -> Result<AttemptAnswer, AttemptFailure> {
     let load = LoadGuard::begin_through(node, choice);
     let (mut connection, reused) = connect(node, choice).await?;
-    let sent_at = node.now();
+    let process = node.process_of(&choice.backend);
+    in_flight.replace(Some(UnreadAttempt { process, socket: Some(connection.socket()) }));
     let waiting = node.wait(None, deadline, connection.send(request));
     let waited = tokio::select! {
         biased;
@@ -146,18 +148,16 @@
         }
         Waited::Done(Err(error)) => {
             node.record_intermediary_failure(choice);
-            let unread_by = load.unread_by(sent_at).filter(|_| error.is_timeout());
-            return Err(AttemptFailure { reused, unread_by, ..AttemptFailure::unclear(error.to_string()) });
+            let (unread, connection_lost) = (error.is_timeout(), error.is_timeout());
+            let failure = AttemptFailure::unclear(error.to_string());
+            return Err(AttemptFailure { reused, unread, connection_lost, ..failure });
         }
         Waited::Silent => {
-            let unread_by = load.unread_by(sent_at);
-            return Err(AttemptFailure { reused, unread_by, ..AttemptFailure::silent() });
+            return Err(AttemptFailure { reused, unread: true, ..AttemptFailure::silent() });
         }
         Waited::Outdated | Waited::TimeUp => {
             node.record_intermediary_failure(choice);
-            let unread_by = load.unread_by(sent_at);
-            let failure = AttemptFailure::unclear("no answer in time".into());
-            return Err(AttemptFailure { reused, unread_by, ..failure });
+            return Err(AttemptFailure { reused, ..AttemptFailure::given_up("no answer in time".into()) });
         }
     };
     load.record_bytes(&connection);
--- a/crates/forward/src/load_guard.rs
+++ b/crates/forward/src/load_guard.rs
@@ -100,12 +100,6 @@
         }
     }
 
-    /// The process that may still read a request that was sent at `sent_at` and given up.
-    pub(crate) fn unread_by(&self, sent_at: Timestamp) -> Option<BackendProcess> {
-        let state = self.node.state.borrow();
-        state.late_arrivals.may_be_unread(&self.target, sent_at).then(|| self.target.clone())
-    }
-
     /// Records that the first part of the answer arrived.
     pub fn record_first_chunk(&mut self) {
         if let Some(tokens) = self.pending_prefill_tokens.take() {
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -75,6 +75,8 @@
     pub grace_elapsed: Cell<bool>,
     /// The number of requests in progress.
     pub running: Cell<usize>,
+    /// The number of connections that are watched after their attempt was given up.
+    pub(crate) watched: Cell<usize>,
     /// The number of requests in progress that other nodes have handed on.
     pub(crate) taken_over: Cell<usize>,
     /// The number of engines that are loading weights by this node's orders.
@@ -157,6 +159,7 @@
             rooms: RefCell::default(),
             grace_elapsed: Cell::new(false),
             running: Cell::new(0),
+            watched: Cell::new(0),
             taken_over: Cell::new(0),
             loading: Cell::new(0),
             history_lost: Cell::new(false),
--- a/crates/forward/src/outcomes.rs
+++ b/crates/forward/src/outcomes.rs
@@ -52,7 +52,7 @@
         let time_left = self.deadline.saturating_since(now) >= MIN_ATTEMPT_TIME;
         let (node, service) = (Rc::clone(&self.node), self.service.clone());
         let mut misdirected_retry = None;
-        let mut drawn_at = None;
+        let mut has_drawn = false;
         // A try without a back end would only use up the budget.
         let is_hopeless = self.binding.has_begun() && !self.has_candidate();
         let budget = || {
@@ -70,12 +70,14 @@
                 }
             }
             let granted = node.draw_retry(&service);
+            has_drawn |= granted;
             if granted {
-                drawn_at = Some(now);
-            } else if misdirected_retry.is_some() {
+                return true;
+            }
+            if misdirected_retry.is_some() {
                 node.settle_misdirected_retry(misdirected_retry.take(), None);
             }
-            granted
+            false
         };
         if failure.connection_lost && choice.intermediary.is_none() {
             self.report_broken_run(choice);
@@ -88,11 +90,11 @@
             time_left,
             budget,
         );
-        if let Some(drawn_at) = drawn_at {
-            self.retries.record_drawn(drawn_at);
+        if has_drawn {
+            self.record_drawn();
         }
-        if let Some(process) = &failure.unread_by {
-            self.node.record_unread(&self.service, process, &mut self.retries);
+        if failure.unread {
+            self.watch_unread();
         }
         // Kept until an attempt has reached some back end.
         self.misdirected_retry = misdirected_retry.or(self.misdirected_retry);
@@ -111,7 +113,7 @@
             service: self.service.as_str(),
             answered_by: failure.answered_by.as_ref().map(BackendId::as_str),
             software: self.node.software_of(&choice.backend).map(|software| software.to_string()),
-            unread: failure.unread_by.is_some(),
+            unread: failure.unread,
             budget_left: self.node.retries_left(&self.service),
         });
         next
--- a/crates/forward/src/retries.rs
+++ b/crates/forward/src/retries.rs
@@ -4,10 +4,11 @@
 //! the retry arrives at another service, whose own allowance may be the slack alone. So such retries also
 //! draw on a node-wide budget, which earns no credit and has the node's share of the slack.
 
-use paddlemount_core::forwarding::{attempt::AttemptEnd, late_arrivals::RequestRetries};
+use paddlemount_core::forwarding::attempt::AttemptEnd;
 use paddlemount_protocol::{fleet::BackendProcess, identity::ServiceId, time::Timestamp};
 
 use crate::{
+    attempts::{AttemptAnswer, AttemptFailure},
     exchange::Exchange,
     metrics::{Counter, Gauge},
     node::Node,
@@ -15,13 +16,55 @@
 };
 
 impl Exchange {
+    /// Records whether the attempt that has ended was read by its back end.
+    pub(crate) fn record_arrival(&mut self, result: &Result<AttemptAnswer, AttemptFailure>) {
+        match result {
+            Err(failure) if failure.end == AttemptEnd::NotSent => {
+                self.in_flight.take();
+            }
+            Err(failure) if failure.unread => {
+                // Nothing more shows on a connection that has failed.
+                if let Some(attempt) =
+                    self.in_flight.borrow_mut().as_mut().filter(|_| failure.connection_lost)
+                {
+                    attempt.socket = None;
+                }
+            }
+            Ok(_) | Err(_) => {
+                self.in_flight.take();
+                let now = self.node.now();
+                self.node.state.borrow_mut().late_arrivals.record_shown(&mut self.retries, now);
+            }
+        }
+    }
+
+    /// Records a retry that was taken from the budget now. It counts in every window until it is known to have arrived.
+    pub(crate) fn record_drawn(&mut self) {
+        let now = self.node.now();
+        let mut state = self.node.state.borrow_mut();
+        let NodeState { budgets, late_arrivals, .. } = &mut *state;
+        if let Some(budget) = budgets.get_mut(&self.service) {
+            late_arrivals.record_drawn(&mut self.retries, &self.service, budget, now);
+        }
+    }
+
+    /// Watches whether an attempt that was given up is read later, if the request has been retried.
+    pub(crate) fn watch_unread(&mut self) {
+        let attempt = self.in_flight.take();
+        if let (Some(request), Some(attempt)) = (self.retries.request(), attempt) {
+            self.node.watch_unread(request, attempt);
+        }
+    }
+
     /// Records an attempt that the caller has left before its answer.
     pub(crate) fn record_left_attempt(&mut self) {
-        let Some((process, sent_at)) = self.waits_for.take() else { return };
-        let may_arrive = self.node.state.borrow().late_arrivals.may_be_unread(&process, sent_at);
-        if may_arrive {
-            self.node.record_unread(&self.service, &process, &mut self.retries);
-        }
+        self.watch_unread();
+    }
+
+    /// Records that no further attempt follows.
+    pub(crate) fn record_over(&mut self) {
+        let now = self.node.now();
+        self.node.state.borrow_mut().late_arrivals.record_over(&self.retries, now);
     }
 }
 
@@ -95,26 +138,7 @@
         self.state.borrow_mut().late_arrivals.record_ended(process, now);
     }
 
-    /// Records that `process` may still read an attempt of a request with these retries.
-    pub(crate) fn record_unread(
-        &self,
-        service: &ServiceId,
-        process: &BackendProcess,
-        retries: &mut RequestRetries,
-    ) {
-        let settings = self.settings();
-        let nodes = self.nodes();
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        // Creates the budget if the service has none yet.
-        state.budget(service, &settings, nodes, now);
-        let NodeState { budgets, late_arrivals, .. } = &mut *state;
-        if let Some(budget) = budgets.get_mut(service) {
-            retries.record_unread(service, process, budget, late_arrivals, now);
-        }
-    }
-
-    /// The number of retries that may still arrive at back ends that send nothing.
+    /// The number of retries that may still arrive, as nothing shows that their attempts have been read.
     pub(crate) fn undated_retries_gauge(&self) -> Gauge {
         let undated = self.state.borrow().late_arrivals.len();
         Gauge { name: "paddlemount_forward_undated_retries", value: undated as f64 }
