An answer without a length that stops in or after its head is not passed on as whole

What callers saw: a 200 with an empty or short body, framed as whole (Content-Length: 0, or the last chunk of a stream without an event), after a back end had stopped and closed. A resumable stream ended as complete instead of going on elsewhere.

Cause: the node turned "the connection ended" into "the answer is whole" and framed it itself. Inside the head nothing was passed on before either, whatever the framing; answers with a length or chunks were never whole where they were cut. The fault was in answers with neither.

Change: without framing, a stream without an event and a success without a body are broken off; otherwise the back end has to accept a new connection, which the next request uses. A refused one shows that it ended with its answer.

--- /dev/null
+++ b/crates/cli/tests/forward/cut_answers.rs
@@ -0,0 +1,128 @@
+//! Answers that stop in their head, right after it, or in their body.
+
+use http::StatusCode;
+use paddlemount_platform_standin::{Behaviour, Cluster, Cut, Framing, cluster::KEY};
+
+use crate::{
+    delivery::COMPLETE_STREAM,
+    router::{CallerResponse, Router},
+};
+
+const PATHS: [&str; 4] = ["/chat/1", "/claim/1", "/hold/1", "/quote/1"];
+/// The number of bytes between two cuts that are tried.
+const CUT_STEP: usize = 17;
+/// The id of each request, which is in the head.
+const ID: &str = "cut-answer";
+/// The bytes of the longest answer.
+const ANSWER_BYTES: usize = 420;
+
+fn is_stream(path: &str) -> bool {
+    path.starts_with("/chat/") || path.starts_with("/claim/")
+}
+
+fn whole_body(path: &str) -> &'static str {
+    if is_stream(path) { COMPLETE_STREAM } else { "whole body" }
+}
+
+/// A cluster and a node that reaches its servers.
+async fn reached_directly() -> (Cluster, Vec<Router>) {
+    let cluster = Cluster::start().await.expect("the cluster starts");
+    cluster.configure(1, &[KEY]);
+    let router = Router::start(&cluster).await;
+    (cluster, vec![router])
+}
+
+/// A cluster and two nodes, of which the first reaches the servers only through the second.
+async fn reached_through_another_node() -> (Cluster, Vec<Router>) {
+    let (cluster, routers) = crate::partitioned::fleet(2).await;
+    cluster.partition.cut(crate::partitioned::source(0), Cut::Reset);
+    let is_handed_on = async || {
+        let answer = routers[0].send("/quote/1", "handed-on").await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+            && routers[1].fetch_metrics().await.contains("paddlemount_forward_requests_taken_over_total")
+    };
+    routers[0].wait_until("handing on", is_handed_on).await;
+    (cluster, routers)
+}
+
+/// Sends a request that each server answers in this way, once.
+async fn send(
+    cluster: &Cluster,
+    router: &Router,
+    path: &str,
+    behaviour: Behaviour,
+) -> Option<CallerResponse> {
+    let servers = if is_stream(path) { &cluster.engines } else { &cluster.bookings };
+    servers.iter().for_each(|server| server.script(&[behaviour]));
+    router.send(path, ID).await
+}
+
+/// Checks that an answer which looks whole is whole.
+fn check(path: &str, behaviour: Behaviour, answer: Option<CallerResponse>) {
+    let Some(answer) = answer.filter(|answer| answer.status.is_success() && answer.complete) else { return };
+    assert_eq!(answer.body, whole_body(path), "{path}, {behaviour:?}: {answer:?}");
+}
+
+async fn check_cuts(cluster: &Cluster, router: &Router) {
+    for path in PATHS {
+        for framing in [Framing::Length, Framing::Chunks] {
+            for bytes in (0..ANSWER_BYTES).step_by(CUT_STEP) {
+                let behaviour = Behaviour::Cut { framing, bytes, crashes: false };
+                check(path, behaviour, send(cluster, router, path, behaviour).await);
+            }
+        }
+        let server = if is_stream(path) { &cluster.engines[0] } else { &cluster.bookings[0] };
+        let head = server.unframed_head_length(ID, is_stream(path));
+        for bytes in (0..head).step_by(CUT_STEP).chain([head - 1, head]) {
+            let behaviour = Behaviour::Cut { framing: Framing::None, bytes, crashes: false };
+            check(path, behaviour, send(cluster, router, path, behaviour).await);
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_stops_in_or_after_its_head_is_not_framed_as_whole() {
+    let (cluster, routers) = reached_directly().await;
+    check_cuts(&cluster, &routers[0]).await;
+}
+
+#[tokio::test]
+async fn an_answer_that_stops_in_or_after_its_head_is_not_framed_as_whole_by_two_nodes() {
+    let (cluster, routers) = reached_through_another_node().await;
+    check_cuts(&cluster, &routers[0]).await;
+}
+
+/// Without a length, only the back end's end shows that the rest of its answer is missing.
+#[tokio::test]
+async fn an_unframed_answer_whose_back_end_crashes_is_not_framed_as_whole() {
+    let (cluster, routers) = reached_directly().await;
+    for path in PATHS {
+        let server = if is_stream(path) { &cluster.engines[0] } else { &cluster.bookings[0] };
+        let head = server.unframed_head_length(ID, is_stream(path));
+        // In the first words of a body, and between two events.
+        let first_event = COMPLETE_STREAM.find("\n\n").map_or(0, |end| end + 2);
+        let bytes = head + if is_stream(path) { first_event } else { 5 };
+        let behaviour = Behaviour::Cut { framing: Framing::None, bytes, crashes: true };
+        check(path, behaviour, send(&cluster, &routers[0], path, behaviour).await);
+        routers[0].wait_until("running again", async || cluster.all_running()).await;
+    }
+}
+
+/// A resumable stream that stops before its first event goes on elsewhere.
+#[tokio::test]
+async fn a_resumable_stream_that_stops_after_its_unframed_head_goes_on_elsewhere() {
+    let (cluster, routers) = reached_directly().await;
+    let is_counted = async || routers[0].fetch_metrics().await.contains("paddlemount_forward_nodes 1");
+    routers[0].wait_until("counted", is_counted).await;
+    let bytes = cluster.engines[0].unframed_head_length(ID, true);
+    let behaviour = Behaviour::Cut { framing: Framing::None, bytes, crashes: false };
+    let mut cut = 0;
+    for _ in 0..12 {
+        cluster.engines[0].script(&[behaviour]);
+        let answer = routers[0].send("/claim/1", ID).await.expect("an answer");
+        assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, COMPLETE_STREAM));
+        assert!(answer.complete);
+        cut = cluster.engines[0].seen().iter().filter(|seen| seen.ran).count();
+    }
+    assert!(cut > 0, "some streams began at the engine that cuts them");
+}
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod budget;
 mod concentrated;
+mod cut_answers;
 mod delivery;
 mod ending;
 mod endless;
--- a/crates/cli/tests/forward/partitioned.rs
+++ b/crates/cli/tests/forward/partitioned.rs
@@ -35,12 +35,12 @@
 /// Requests that another node claims to hand on.
 const HANDED_ON: u64 = 100;
 
-fn source(number: u8) -> Ipv4Addr {
+pub fn source(number: u8) -> Ipv4Addr {
     Ipv4Addr::new(127, 0, 0, 20 + number)
 }
 
 /// Starts `count` nodes that know of each other, each with a source address of its own.
-async fn fleet(count: u8) -> (Cluster, Vec<Router>) {
+pub async fn fleet(count: u8) -> (Cluster, Vec<Router>) {
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
     let mut routers = Vec::new();
--- a/crates/forward/src/answer_buffer.rs
+++ b/crates/forward/src/answer_buffer.rs
@@ -21,6 +21,12 @@
     Broken(#[from] hyper::Error),
     #[error("the answer is too large")]
     TooLarge,
+    /// Nothing but its end says that it is whole, and nothing of a body came before.
+    #[error("the connection ended after the head of an answer without a length")]
+    NoBody,
+    /// Nothing but its end says that it is whole, and the back end listens no more.
+    #[error("the back end ended with its answer, which has no length")]
+    EndedUnframed,
 }
 
 /// The bytes that the answers of one node have in memory beyond those that do not count.
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header, response};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use paddlemount_core::{
@@ -77,6 +77,8 @@
     pub answered_by: Option<BackendId>,
     /// Whether nothing shows that the back end has read the request.
     pub unread: bool,
+    /// Whether the back end refused the connection.
+    pub refused: bool,
 }
 
 impl AttemptFailure {
@@ -90,6 +92,7 @@
             connection_lost: false,
             answered_by: None,
             unread: false,
+            refused: false,
         }
     }
 
@@ -101,7 +104,7 @@
     /// The same, when the body was not read to its end. One that is too large says nothing of a crash.
     pub(crate) fn incomplete(error: &AnswerError, detail: String) -> Self {
         match error {
-            AnswerError::Broken(_) => Self::broken(detail),
+            AnswerError::Broken(_) | AnswerError::NoBody | AnswerError::EndedUnframed => Self::broken(detail),
             AnswerError::TooLarge => Self::unclear(detail),
         }
     }
@@ -171,6 +174,7 @@
     load.begin_wait();
     load.contact = EngineContact::begin(node, choice);
     in_flight.replace(Some(UnreadAttempt { process: process.clone(), socket: Some(connection.socket()) }));
+    let is_head = request.method() == Method::HEAD;
     let waiting = connection.send(request);
     let waiting = node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting);
     let waited = tokio::select! {
@@ -224,8 +228,7 @@
     }
     // Announcements count whatever the status, since the registry may be unreachable or late.
     node.observe_answer(&process, &parsed, Some(sent_at));
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let framed = is_head || is_framed(&head);
     // A process that has replaced the one that was chosen may have another version.
     let is_same = node.process_of(&choice.backend) == process;
     let software = software.filter(|_| is_same);
@@ -233,6 +236,14 @@
     classify(node, choice, upstream, reused, deadline).await
 }
 
+/// Whether the end of an answer's body can be told from a broken connection.
+fn is_framed(head: &response::Parts) -> bool {
+    let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_no_body
+        || head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Why the chosen back end must not receive the request any more, if so.
 fn blocked_reason(node: &Node, choice: &Choice, starting_at: Option<&Choice>) -> Option<&'static str> {
     if node.is_outdated(starting_at) {
@@ -285,7 +296,8 @@
         node.record_health(&choice.backend, HealthEvent::Failed, !reused && end == AttemptEnd::NotSent);
     }
     let connection_lost = matches!(error, ConnectionError::Broken(_));
-    AttemptFailure { end, reused, connection_lost, ..AttemptFailure::unclear(error.to_string()) }
+    let refused = error.is_refusal();
+    AttemptFailure { end, reused, connection_lost, refused, ..AttemptFailure::unclear(error.to_string()) }
 }
 
 /// Turns refusals, foreign answers and server errors into failures.
@@ -372,6 +384,18 @@
     Ok(Response::from_parts(head, body))
 }
 
+/// Whether a back end still accepts connections. One that does not has ended, and may have cut off an answer that says
+/// nothing of its length. The connection is kept for the next request.
+pub(crate) async fn still_listens(node: &Rc<Node>, choice: &Choice, deadline: Timestamp) -> bool {
+    match connect(node, choice, deadline).await {
+        Ok(connection) => {
+            node.return_connection(&choice.backend, connection);
+            true
+        }
+        Err(failure) => !failure.refused,
+    }
+}
+
 /// Removes hop-by-hop headers.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let listed: Vec<String> = headers
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -22,8 +22,11 @@
 use crate::{
     access_log::{ANSWERED, QUARANTINED, REFUSED, RequestRecord},
     admission::{Admitted, admit},
+    answer_buffer::AnswerError,
     answers::{AnswerBody, Reason, error_answer},
-    attempts::{self, AttemptAnswer, AttemptFailure, read_full_answer, strip_connection_headers},
+    attempts::{
+        self, AttemptAnswer, AttemptFailure, read_full_answer, still_listens, strip_connection_headers,
+    },
     candidates::{Reach, RouteRequest},
     dispatch::Resume,
     handoff::Handoff,
@@ -188,7 +191,7 @@
                 Ok(upstream) if self.route.kind.is_stream() && upstream.head.status.is_success() => {
                     return self.relay(choice, upstream).await;
                 }
-                Ok(upstream) => match self.finish_answer(upstream).await {
+                Ok(upstream) => match self.finish_answer(&choice, upstream).await {
                     Ok(answer) => {
                         self.run_completed();
                         return self.pass_on(answer, ANSWERED);
@@ -327,8 +330,23 @@
         attempts_left && self.route.kind.is_idempotent() && self.node.retries_left(&self.service) > 0
     }
 
-    async fn finish_answer(&mut self, upstream: AttemptAnswer) -> Result<Response<Bytes>, AttemptFailure> {
-        match self.node.clock.timeout_at(self.deadline, read_full_answer(&self.node, upstream)).await {
+    async fn finish_answer(
+        &mut self,
+        choice: &Choice,
+        upstream: AttemptAnswer,
+    ) -> Result<Response<Bytes>, AttemptFailure> {
+        let is_unframed_success = !upstream.framed && upstream.head.status.is_success();
+        let reading = async {
+            let answer = read_full_answer(&self.node, upstream).await?;
+            if is_unframed_success && answer.body().is_empty() {
+                return Err(AnswerError::NoBody);
+            }
+            if is_unframed_success && !still_listens(&self.node, choice, self.deadline).await {
+                return Err(AnswerError::EndedUnframed);
+            }
+            Ok(answer)
+        };
+        match self.node.clock.timeout_at(self.deadline, reading).await {
             Some(Ok(answer)) => Ok(answer),
             Some(Err(error)) => {
                 self.history.may_have_run = true;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::{
     access_log::STREAMED,
     answers::AnswerBody,
-    attempts::{AttemptAnswer, AttemptFailure, RunKind},
+    attempts::{AttemptAnswer, AttemptFailure, RunKind, still_listens},
     dispatch::Resume,
     exchange::{Exchange, is_resumable},
     metrics::Counter,
@@ -176,10 +176,8 @@
                     }
                 }
                 Received::End => {
-                    if let Some(result) = self.end() {
-                        return result;
-                    }
-                    let failure = AttemptFailure::broken("ended in the middle of an event".into());
+                    let Some(detail) = self.cut_off().await else { return self.end() };
+                    let failure = AttemptFailure::broken(detail.into());
                     if !self.resume_without_run(failure).await {
                         return Some(Err(self.abandon("stream_broken", RelayError::Broken)));
                     }
@@ -253,13 +251,25 @@
         }
     }
 
-    /// Handles the end of the body. Returns `None` if the stream was cut off.
-    fn end(&mut self) -> Option<Option<Result<Bytes, RelayError>>> {
-        let upstream = self.upstream.take()?;
+    /// Why the end of the body does not end the stream; `None` if it does.
+    async fn cut_off(&self) -> Option<&'static str> {
         // Whatever the framing says: a back end may have ended while it wrote the event.
         if self.splitter.has_partial_event() {
+            return Some("ended in the middle of an event");
+        }
+        if self.upstream.as_ref().is_none_or(|upstream| upstream.framed) {
             return None;
         }
+        if !self.has_event {
+            return Some("ended before its first event, and has no length");
+        }
+        let listens = still_listens(&self.exchange.node, &self.choice, self.exchange.deadline).await;
+        (!listens).then_some("the back end ended with its stream, which has no length")
+    }
+
+    /// Handles the end of a whole stream, and returns the events that are left.
+    fn end(&mut self) -> Option<Result<Bytes, RelayError>> {
+        let upstream = self.upstream.take()?;
         self.done = true;
         self.exchange.set_outcome(STREAMED);
         self.exchange.run_completed();
@@ -273,7 +283,7 @@
         let node = &self.exchange.node;
         node.return_connection(&upstream.load.backend, upstream.connection);
         let remaining = self.splitter.finish();
-        Some((!remaining.is_empty()).then_some(Ok(remaining)))
+        (!remaining.is_empty()).then_some(Ok(remaining))
     }
 
     /// Resumes the stream elsewhere after the current run has ended or must not start any more.
