Soak of nodes that restart in series, connections that stall and answers that are cut

A scenario of its own, so that the seeds of the others play as before: nodes are killed one after the other and all together up to four times, a share of the connections of a service stalls for up to 9 s while the same servers answer others, servers fail requests in series and cut answers of all framings in or right after the head. Callers send at a fixed rate and keep sending while nodes are away. The fullest window is reported as a share of what is allowed, as in the scenario of silent servers.

--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod partitions;
 mod releases;
+mod restarts;
 pub(crate) mod retries;
 mod scenario;
 mod segments;
@@ -79,6 +80,8 @@
 const SEGMENT_SEED_WITH_LOST_ROOTS: u64 = 1;
 /// Seeds of the scenario of silent servers.
 const SILENCE_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of the scenario of restarts.
+const RESTART_SEEDS: [u64; 2] = [1, 2];
 /// Seeds of the target version scenario.
 const TARGET_VERSION_SEEDS: [u64; 2] = [1, 2];
 
@@ -235,7 +238,7 @@
                 sent
             }
             Scenario::Releases | Scenario::Segments => callers.await,
-            Scenario::Silences => vec![self.call_at_a_rate(seed).await],
+            Scenario::Silences | Scenario::Restarts => vec![self.call_at_a_rate(seed).await],
             Scenario::TargetVersions | Scenario::Announcements | Scenario::Partitions => {
                 let persistent_callers =
                     (0..PERSISTENT_CALLERS).map(|caller| self.call_on_one_connection(caller, seed, until));
@@ -256,6 +259,7 @@
             Scenario::Partitions => self.partition_faults(seed, series).await,
             Scenario::Releases | Scenario::Segments => self.release_faults(seed, series).await,
             Scenario::Silences => self.silence_faults(seed, series).await,
+            Scenario::Restarts => self.restart_faults(seed, series).await,
         });
         futures_util::future::join_all(series).await;
     }
@@ -410,6 +414,12 @@
     run_seeds(Scenario::Silences, &SILENCE_SEEDS).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_stay_within_the_budget_while_nodes_restart_and_connections_stall() {
+    let _turn = FIXED_RATE.lock().await;
+    run_seeds(Scenario::Restarts, &RESTART_SEEDS).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn prompts_that_crash_engines_are_held_back_while_their_root_is_lost_again_and_again() {
     run_seeds(Scenario::Segments, &[SEGMENT_SEED_WITH_LOST_ROOTS]).await;
--- a/crates/cli/tests/forward/soak/scenario.rs
+++ b/crates/cli/tests/forward/soak/scenario.rs
@@ -6,7 +6,7 @@
 const TARGET_VERSION_CI_SECONDS: u64 = 16;
 /// Duration of the segment scenario in CI, in seconds: long enough to compare sound streams before and after.
 const SEGMENT_CI_SECONDS: u64 = 16;
-/// Duration of the scenario of silent servers in CI, in seconds: two windows of the retry budget.
+/// Duration of the scenarios of silent servers and of restarts in CI, in seconds: two windows of the retry budget.
 const SILENCE_CI_SECONDS: u64 = 20;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +24,8 @@
     Segments,
     /// Servers that fall silent and go on, combined with faults of nodes and paths.
     Silences,
+    /// Nodes that restart in series and all together, combined with stalled connections and answers that are cut.
+    Restarts,
 }
 
 impl Scenario {
@@ -33,7 +35,7 @@
             Self::AllFaults | Self::Announcements | Self::Partitions | Self::Releases => CI_SECONDS,
             Self::TargetVersions => TARGET_VERSION_CI_SECONDS,
             Self::Segments => SEGMENT_CI_SECONDS,
-            Self::Silences => SILENCE_CI_SECONDS,
+            Self::Silences | Self::Restarts => SILENCE_CI_SECONDS,
         }
     }
 
@@ -45,6 +47,8 @@
             Self::TargetVersions | Self::Announcements => 50,
             // All servers of a service may be silent most of the time.
             Self::Silences => 50,
+            // All nodes may be starting most of the time, and all servers may fail.
+            Self::Restarts => 50,
         }
     }
 }
