--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header, response};
+use http::{HeaderMap, Method, Request, Response, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use paddlemount_core::{
@@ -21,6 +21,7 @@
     node::Node,
     ports::AnswerHead,
     response_wait::{OUTDATED, Waited},
+    unframed::is_framed,
     unread_attempts::{InFlight, UnreadAttempt},
 };
 
@@ -236,14 +237,6 @@
     classify(node, choice, upstream, reused, deadline).await
 }
 
-/// Whether the end of an answer's body can be told from a broken connection.
-fn is_framed(head: &response::Parts) -> bool {
-    let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    has_no_body
-        || head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Why the chosen back end must not receive the request any more, if so.
 fn blocked_reason(node: &Node, choice: &Choice, starting_at: Option<&Choice>) -> Option<&'static str> {
     if node.is_outdated(starting_at) {
@@ -262,7 +255,7 @@
     AttemptFailure { end: AttemptEnd::NotSent, ..AttemptFailure::unclear(why.into()) }
 }
 
-async fn connect(
+pub(crate) async fn connect(
     node: &Rc<Node>,
     choice: &Choice,
     deadline: Timestamp,
@@ -384,18 +377,6 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Whether a back end still accepts connections. One that does not has ended, and may have cut off an answer that says
-/// nothing of its length. The connection is kept for the next request.
-pub(crate) async fn still_listens(node: &Rc<Node>, choice: &Choice, deadline: Timestamp) -> bool {
-    match connect(node, choice, deadline).await {
-        Ok(connection) => {
-            node.return_connection(&choice.backend, connection);
-            true
-        }
-        Err(failure) => !failure.refused,
-    }
-}
-
 /// Removes hop-by-hop headers.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let listed: Vec<String> = headers
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -22,11 +22,8 @@
 use crate::{
     access_log::{ANSWERED, QUARANTINED, REFUSED, RequestRecord},
     admission::{Admitted, admit},
-    answer_buffer::AnswerError,
     answers::{AnswerBody, Reason, error_answer},
-    attempts::{
-        self, AttemptAnswer, AttemptFailure, read_full_answer, still_listens, strip_connection_headers,
-    },
+    attempts::{self, AttemptAnswer, AttemptFailure, strip_connection_headers},
     candidates::{Reach, RouteRequest},
     dispatch::Resume,
     handoff::Handoff,
@@ -330,35 +327,6 @@
         attempts_left && self.route.kind.is_idempotent() && self.node.retries_left(&self.service) > 0
     }
 
-    async fn finish_answer(
-        &mut self,
-        choice: &Choice,
-        upstream: AttemptAnswer,
-    ) -> Result<Response<Bytes>, AttemptFailure> {
-        let is_unframed_success = !upstream.framed && upstream.head.status.is_success();
-        let reading = async {
-            let answer = read_full_answer(&self.node, upstream).await?;
-            if is_unframed_success && answer.body().is_empty() {
-                return Err(AnswerError::NoBody);
-            }
-            if is_unframed_success && !still_listens(&self.node, choice, self.deadline).await {
-                return Err(AnswerError::EndedUnframed);
-            }
-            Ok(answer)
-        };
-        match self.node.clock.timeout_at(self.deadline, reading).await {
-            Some(Ok(answer)) => Ok(answer),
-            Some(Err(error)) => {
-                self.history.may_have_run = true;
-                Err(AttemptFailure::incomplete(&error, error.to_string()))
-            }
-            None => {
-                self.history.may_have_run = true;
-                Err(AttemptFailure::unclear("the answer was not complete in time".into()))
-            }
-        }
-    }
-
     /// Relays a stream. The head is held until the first event, so that a failure before it can still be
     /// answered by an error response.
     async fn relay(mut self, choice: Choice, upstream: AttemptAnswer) -> Response<AnswerBody> {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -109,5 +109,6 @@
 pub mod streams;
 mod target_record;
 mod transfers;
+mod unframed;
 mod unknown_headers;
 pub mod unread_attempts;
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream of events and resumes it at another back end if the route allows that.
 
+mod ending;
 mod progress;
 mod stalls;
 
@@ -20,7 +21,7 @@
 use crate::{
     access_log::STREAMED,
     answers::AnswerBody,
-    attempts::{AttemptAnswer, AttemptFailure, RunKind, still_listens},
+    attempts::{AttemptAnswer, AttemptFailure, RunKind},
     dispatch::Resume,
     exchange::{Exchange, is_resumable},
     metrics::Counter,
@@ -251,22 +252,6 @@
         }
     }
 
-    /// Why the end of the body does not end the stream; `None` if it does.
-    async fn cut_off(&self) -> Option<&'static str> {
-        // Whatever the framing says: a back end may have ended while it wrote the event.
-        if self.splitter.has_partial_event() {
-            return Some("ended in the middle of an event");
-        }
-        if self.upstream.as_ref().is_none_or(|upstream| upstream.framed) {
-            return None;
-        }
-        if !self.has_event {
-            return Some("ended before its first event, and has no length");
-        }
-        let listens = still_listens(&self.exchange.node, &self.choice, self.exchange.deadline).await;
-        (!listens).then_some("the back end ended with its stream, which has no length")
-    }
-
     /// Handles the end of a whole stream, and returns the events that are left.
     fn end(&mut self) -> Option<Result<Bytes, RelayError>> {
         let upstream = self.upstream.take()?;
