A request counts against an advertised limit until its own connection shows that it was read

Cause: a request counted when it was sent, and any byte of a process as a sign that it had read all of them. What waits on a connection of its own arrives seconds later, next to what is sent then. The class is that of the late retries: what was sent is taken for what has arrived.

Change: a request takes a permit of its back end's limit and holds it until its own connection has shown bytes or its end, or for 30 s (LimitPermit, released when it is dropped). Until then it counts in every window of 4 s, afterwards in the one in which it arrived. A node sends no more while 4.5 s of its rate and a full bucket may arrive within a window: 5.5 times the limit and one over all nodes, of 6 times and five that back ends tolerate. Attempts at limited back ends are therefore watched after they were given up even if their requests were not retried. A gauge counts what may still arrive.

--- a/crates/cli/tests/forward/limit_check.rs
+++ b/crates/cli/tests/forward/limit_check.rs
@@ -46,6 +46,17 @@
     TOLERANCE_FACTOR * limit * WINDOW.as_secs_f64() + TOLERANCE_REQUESTS
 }
 
+/// Fails a test in which a server received more requests in a window after `from` than its limit allows.
+pub fn check_fullest_window(server: &Runner, limit: f64, from: Instant) {
+    let arrivals: Vec<Instant> = server.seen().iter().map(|seen| seen.at).filter(|at| *at >= from).collect();
+    let until = |end: Instant| arrivals.partition_point(|at| *at < end);
+    let in_window = |(first, at): (usize, &Instant)| until(*at + WINDOW) - first;
+    let fullest = arrivals.iter().enumerate().map(in_window).max().unwrap_or(0);
+    let allowed = allowed(limit);
+    println!("{}: {fullest} requests in the fullest window, {allowed} allowed", server.id());
+    assert!(fullest as f64 <= allowed, "{}: {fullest} requests in 4 s, {allowed} allowed", server.id());
+}
+
 /// The limit that a back end advertises from an instant on, or `None` for no limit.
 pub type AdvertisedLimit = (Instant, Option<f64>);
 
--- a/crates/cli/tests/forward/silent_servers.rs
+++ b/crates/cli/tests/forward/silent_servers.rs
@@ -83,15 +83,8 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let limit: f64 = LIMIT.parse().expect("a number");
     for booking in &cluster.bookings {
-        let seen = booking.seen();
-        let arrivals = seen.iter().map(|seen| seen.at).filter(|at| *at >= began + LIMIT_START);
-        let arrivals: Vec<Instant> = arrivals.collect();
-        let until = |end: Instant| arrivals.partition_point(|at| *at < end);
-        let in_window = |(first, at): (usize, &Instant)| until(*at + limit_check::WINDOW) - first;
-        let fullest = arrivals.iter().enumerate().map(in_window).max().unwrap_or(0);
-        let allowed = limit_check::allowed(limit);
-        assert!(fullest as f64 <= allowed, "{}: {fullest} requests in 4 s, {allowed} allowed", booking.id());
-        let served = seen.iter().filter(|seen| seen.ran).count();
+        limit_check::check_fullest_window(booking, limit, began + LIMIT_START);
+        let served = booking.seen().iter().filter(|seen| seen.ran).count();
         assert!(served as f64 >= limit, "{}: {served} requests were served", booking.id());
     }
 }
--- a/crates/core/src/forwarding/announcements/limits.rs
+++ b/crates/core/src/forwarding/announcements/limits.rs
@@ -73,11 +73,29 @@
         if self.limited.is_empty() {
             return;
         }
-        if let Some(limit) = self.by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
+        if let Some(limit) = self.limit_of(process) {
             limit.record_heard();
         }
     }
 
+    /// Records that a request with a permit of this process's limit has arrived by now, or is lost.
+    pub fn record_arrived(&mut self, process: &BackendProcess, now: Timestamp) {
+        if let Some(limit) = self.limit_of(process) {
+            limit.record_arrived(now);
+        }
+    }
+
+    /// Takes back the permit of a request of which no byte was sent.
+    pub fn release_permit(&mut self, process: &BackendProcess) {
+        if let Some(limit) = self.limit_of(process) {
+            limit.release();
+        }
+    }
+
+    fn limit_of(&mut self, process: &BackendProcess) -> Option<&mut RateLimit> {
+        self.by_process.get_mut(process)?.limit.as_mut()
+    }
+
     /// Merges a limit from a message that another node wrote at `written_at` or shortly after.
     fn merge_limit(
         &mut self,
@@ -88,8 +106,7 @@
     ) -> Option<LimitChange> {
         let change = self.observe_limit(&gossip.process, advertised, 0.0, now);
         let pause = MAX_INITIAL_PAUSE.min(Duration::from_millis(gossip.back_off_ms));
-        let limit = self.by_process.get_mut(&gossip.process).and_then(|known| known.limit.as_mut());
-        if let Some(limit) = limit.filter(|_| !pause.is_zero()) {
+        if let Some(limit) = self.limit_of(&gossip.process).filter(|_| !pause.is_zero()) {
             limit.pause_until(written_at + pause);
         }
         change
@@ -141,7 +158,7 @@
             let Some(advertised) = Advertised::from_gossip(&grant.limit, sent_at) else { continue };
             let change = self.merge_limit(&grant.limit, advertised, sent_at, now);
             changes.extend(change.map(|change| (process.clone(), change)));
-            if let Some(limit) = self.by_process.get_mut(process).and_then(|known| known.limit.as_mut()) {
+            if let Some(limit) = self.limit_of(process) {
                 limit.apply_grant(advertised, grant, sent_at + GRANT_LEASE);
                 self.divide_limit(process, now);
             }
@@ -189,6 +206,11 @@
         self.limits().filter(|(_, limit)| limit.per_second().is_some()).count()
     }
 
+    /// The number of this node's requests to limited processes that may still arrive.
+    pub fn count_undated(&self) -> u32 {
+        self.limits().map(|(_, limit)| limit.undated()).sum()
+    }
+
     /// The requests per second that this node may send to a process; 0 where there is no limit.
     pub fn own_rate(&self, process: &BackendProcess) -> f64 {
         let limit = self.by_process.get(process).and_then(|known| known.limit.as_ref());
@@ -239,24 +261,12 @@
         self.get(id).is_none_or(|backend| self.announcements.has_permit(&backend.entry, now))
     }
 
-    /// Takes the permit for a request to a back end.
-    pub fn acquire_permit(&mut self, id: &BackendId, now: Timestamp) {
-        if let Some(limit) = self.limit_mut(id) {
-            limit.acquire(now);
-        }
-    }
-
-    /// Returns the permit of a request of which no byte was sent.
-    pub fn release_permit(&mut self, id: &BackendId) {
-        if let Some(limit) = self.limit_mut(id) {
-            limit.release();
-        }
-    }
-
-    fn limit_mut(&mut self, id: &BackendId) -> Option<&mut RateLimit> {
+    /// Takes the permit for a request to a back end. Returns the process whose limit applies, if any.
+    pub fn acquire_permit(&mut self, id: &BackendId, now: Timestamp) -> Option<BackendProcess> {
         let entry = &self.get(id)?.entry;
         let process = self.announcements.limited_process(entry)?.0.clone();
-        self.announcements.by_process.get_mut(&process)?.limit.as_mut()
+        self.announcements.limit_of(&process)?.acquire(now);
+        Some(process)
     }
 
     /// When the first of some back ends accepts requests again; none where one accepts them now, or where
--- a/crates/core/src/forwarding/announcements/mod.rs
+++ b/crates/core/src/forwarding/announcements/mod.rs
@@ -15,9 +15,11 @@
 //! |---|---|
 //! | [`rate_limit`] | the limit of one process and this node's share of it |
 //! | [`brittleness`] | the room of back ends that bear few rejections |
+//! | `arrivals` | requests that may arrive at a limited process within one window |
 //! | `division` | dividing a limit over the tree of nodes |
 //! | [`limits`] | merging limits and admitting requests by them |
 
+mod arrivals;
 pub mod brittleness;
 mod division;
 pub mod limits;
--- a/crates/core/src/forwarding/announcements/rate_limit.rs
+++ b/crates/core/src/forwarding/announcements/rate_limit.rs
@@ -15,7 +15,10 @@
     time::Timestamp,
 };
 
-use super::division::{Division, Member};
+use super::{
+    arrivals::Arrivals,
+    division::{Division, Member},
+};
 use crate::limits::bucket::TokenBucket;
 
 /// Minimum rate in requests per second: only an answer shows that a limit has ended.
@@ -35,6 +38,9 @@
 /// How long a process may send nothing while this node keeps sending at its full rate. What a silent process has not
 /// read arrives at once when it goes on, next to what is sent then.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(1);
+/// How long this node may send at its full rate until as many requests as may arrive within one window are under way,
+/// beside those of a full bucket. Longer than the window by what back ends tolerate.
+const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(4_500);
 /// Minimum time until a process that has sent nothing since gets one request more, to find out whether it has gone on.
 const MIN_PROBE_DELAY: Duration = Duration::from_secs(1);
 /// The same in multiples of the time between two requests of this node.
@@ -130,6 +136,7 @@
     bucket: TokenBucket,
     /// Requests of this node since any node last heard the process.
     unread: u32,
+    arrivals: Arrivals,
     /// When one more may be sent although it may read all of them at once.
     probe_at: Timestamp,
 }
@@ -155,6 +162,7 @@
             own_slots: 0,
             bucket,
             unread: 0,
+            arrivals: Arrivals::default(),
             probe_at: now,
         }
     }
@@ -272,7 +280,9 @@
         } else {
             self.probe_at.saturating_since(now)
         };
-        (self.bucket.rate() > 0.0).then(|| self.bucket.time_until(1.0, now).max(probe_wait))
+        let window_wait = self.arrivals.wait(self.max_arrivals(), now);
+        let bucket_wait = || self.bucket.time_until(1.0, now);
+        (self.bucket.rate() > 0.0).then(|| bucket_wait().max(probe_wait).max(window_wait))
     }
 
     /// Records that the process has sent something, and so has read what arrived.
@@ -280,6 +290,22 @@
         self.unread = 0;
     }
 
+    /// Records that a request has arrived by now, or is lost.
+    pub(super) fn record_arrived(&mut self, now: Timestamp) {
+        self.arrivals.record_arrived(now);
+    }
+
+    /// The number of this node's requests that may still arrive.
+    pub(super) const fn undated(&self) -> u32 {
+        self.arrivals.undated()
+    }
+
+    /// The maximum number of this node's requests that may arrive within one window.
+    fn max_arrivals(&self) -> usize {
+        let at_full_rate = (self.bucket.rate() * MAX_ARRIVAL_TIME.as_secs_f64()) as usize;
+        at_full_rate + self.own_slots as usize
+    }
+
     /// The number of requests that the process may not have read, beyond which this node only probes it.
     fn max_unread(&self) -> u32 {
         ((self.bucket.rate() * MAX_UNREAD_TIME.as_secs_f64()) as u32).max(1)
@@ -307,11 +333,12 @@
         is_stale && self.advertised.per_second.is_some() && self.wait(now) == Some(Duration::ZERO)
     }
 
-    /// Takes a token for a request.
+    /// Takes a token for a request, which may arrive at any time until [`Self::record_arrived`].
     pub(super) fn acquire(&mut self, now: Timestamp) {
         self.bucket.wait(1.0, now);
         self.bucket.take(1.0);
         self.unread = self.unread.saturating_add(1);
+        self.arrivals.record_sent();
         if self.unread >= self.max_unread() {
             self.probe_at = now + self.probe_delay();
         }
@@ -321,6 +348,7 @@
     pub(super) fn release(&mut self) {
         self.bucket.refund(1.0);
         self.unread = self.unread.saturating_sub(1);
+        self.arrivals.record_not_sent();
     }
 
     /// The limit to send to the parent, unless the parent knows it.
--- a/crates/forward/src/announcements.rs
+++ b/crates/forward/src/announcements.rs
@@ -156,8 +156,8 @@
         }
     }
 
-    /// The numbers of back ends in back-off, draining and limited.
-    pub(crate) fn announcement_gauges(&self) -> [Gauge; 3] {
+    /// The numbers of back ends in back-off, draining and limited, and of requests that may still arrive at these.
+    pub(crate) fn announcement_gauges(&self) -> [Gauge; 4] {
         let state = self.state.borrow();
         let backed_off = state.backends.announcements.count_backed_off(self.now());
         let leaving = state.backends.iter().filter(|backend| backend.state.is_leaving()).count();
@@ -168,6 +168,10 @@
                 name: "paddlemount_forward_backends_limited",
                 value: state.backends.announcements.count_limited() as f64,
             },
+            Gauge {
+                name: "paddlemount_forward_undated_permits",
+                value: f64::from(state.backends.announcements.count_undated()),
+            },
         ]
     }
 }
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -170,11 +170,12 @@
         return Err(not_sent(node, choice, why));
     }
     let sent_at = node.now();
-    node.acquire_permit(&choice.backend);
     node.record_engine_sent(load.process.as_ref());
     load.begin_wait();
     load.contact = EngineContact::begin(node, choice);
-    in_flight.replace(Some(UnreadAttempt { process: process.clone(), socket: Some(connection.socket()) }));
+    let socket = Some(connection.socket());
+    let permit = node.acquire_permit(&choice.backend);
+    in_flight.replace(Some(UnreadAttempt { process: process.clone(), socket, permit }));
     let is_head = request.method() == Method::HEAD;
     let waiting = connection.send(request);
     let waiting = node.wait_for_engine(load.contact.as_ref(), starting_at, deadline, waiting);
@@ -187,7 +188,7 @@
         Waited::Done(Ok(answer)) => answer,
         Waited::Done(Err(error)) => {
             if error.is_before_sending() {
-                node.release_permit(&choice.backend);
+                release_permit(in_flight);
             }
             if !reused {
                 node.record_unreached(&choice.backend, connection.opened_at);
@@ -249,6 +250,12 @@
     (!node.still_accepts(choice)).then_some(NOT_ACCEPTING)
 }
 
+fn release_permit(in_flight: &InFlight) {
+    if let Some(permit) = in_flight.take().and_then(|attempt| attempt.permit) {
+        permit.release();
+    }
+}
+
 /// This node did not send the request, which says nothing about the back end's health.
 fn not_sent(node: &Rc<Node>, choice: &Choice, why: &str) -> AttemptFailure {
     node.record_health(&choice.backend, HealthEvent::Inconclusive, false);
--- a/crates/forward/src/indirect.rs
+++ b/crates/forward/src/indirect.rs
@@ -134,7 +134,8 @@
     let load = LoadGuard::begin_through(node, choice);
     let (mut connection, reused) = connect(node, choice).await?;
     let process = node.process_of(&choice.backend);
-    in_flight.replace(Some(UnreadAttempt { process, socket: Some(connection.socket()) }));
+    let socket = Some(connection.socket());
+    in_flight.replace(Some(UnreadAttempt { process, socket, permit: None }));
     let waiting = node.wait(None, deadline, connection.send(request));
     let waited = tokio::select! {
         biased;
--- a/crates/forward/src/limits.rs
+++ b/crates/forward/src/limits.rs
@@ -1,5 +1,7 @@
 //! Rate limits advertised by back ends: observed, shared with other nodes, and applied to each request.
 
+use std::rc::Rc;
+
 use paddlemount_core::forwarding::{
     announcements::{
         Member,
@@ -132,14 +134,36 @@
         !self.state.borrow().backends.has_permit(backend, self.now())
     }
 
-    /// Takes a permit of a back end's limit for a request.
-    pub(crate) fn acquire_permit(&self, backend: &BackendId) {
-        let now = self.now();
-        self.state.borrow_mut().backends.acquire_permit(backend, now);
+    /// Takes a permit for a request to a back end, if that is limited.
+    pub(crate) fn acquire_permit(self: &Rc<Self>, backend: &BackendId) -> Option<LimitPermit> {
+        let process = self.state.borrow_mut().backends.acquire_permit(backend, self.now())?;
+        Some(LimitPermit { node: Rc::clone(self), process, is_sent: true })
     }
+}
+
+/// A permit of a back end's limit. It is held until the back end has read its request, or never will; until then the
+/// request may arrive in any window of the limit.
+pub(crate) struct LimitPermit {
+    node: Rc<Node>,
+    process: BackendProcess,
+    is_sent: bool,
+}
 
-    /// Returns the permit of a request that was not sent.
-    pub(crate) fn release_permit(&self, backend: &BackendId) {
-        self.state.borrow_mut().backends.release_permit(backend);
+impl LimitPermit {
+    /// Returns the permit of a request of which no byte was sent.
+    pub(crate) fn release(mut self) {
+        self.is_sent = false;
+    }
+}
+
+impl Drop for LimitPermit {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let announcements = &mut self.node.state.borrow_mut().backends.announcements;
+        if self.is_sent {
+            announcements.record_arrived(&self.process, now);
+        } else {
+            announcements.release_permit(&self.process);
+        }
     }
 }
--- a/crates/forward/src/retries.rs
+++ b/crates/forward/src/retries.rs
@@ -48,11 +48,10 @@
         }
     }
 
-    /// Watches whether an attempt that was given up is read later, if the request has been retried.
+    /// Watches whether an attempt that was given up is read later.
     pub(crate) fn watch_unread(&mut self) {
-        let attempt = self.in_flight.take();
-        if let (Some(request), Some(attempt)) = (self.retries.request(), attempt) {
-            self.node.watch_unread(request, attempt);
+        if let Some(attempt) = self.in_flight.take() {
+            self.node.watch_unread(self.retries.request(), attempt);
         }
     }
 
--- a/crates/forward/src/unread_attempts.rs
+++ b/crates/forward/src/unread_attempts.rs
@@ -9,45 +9,62 @@
 use paddlemount_protocol::fleet::BackendProcess;
 use tokio::net::TcpStream;
 
-use crate::node::Node;
+use crate::{limits::LimitPermit, node::Node};
 
 /// The maximum number of connections that are kept open to be watched, as each has a file descriptor.
 const MAX_WATCHED: usize = 256;
 
 /// An attempt that its back end may not have read.
-#[derive(Clone, Debug)]
 pub struct UnreadAttempt {
     pub(crate) process: BackendProcess,
     /// The socket, unless it has failed.
     pub(crate) socket: Option<Rc<TcpStream>>,
+    /// The permit of the back end's limit, if it has one.
+    pub(crate) permit: Option<LimitPermit>,
 }
 
 /// The attempt that waits for an answer, from when it is sent. It outlives the future that waits.
 pub type InFlight = Rc<RefCell<Option<UnreadAttempt>>>;
 
 impl Node {
-    /// Records that an attempt of a retried request was given up, and watches whether it is read later.
-    pub(crate) fn watch_unread(self: &Rc<Self>, request: RetriedRequest, attempt: UnreadAttempt) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        state.late_arrivals.record_unread(request, now);
-        let Some(socket) = attempt.socket.filter(|_| self.watched.get() < MAX_WATCHED) else {
-            state.late_arrivals.record_unobserved(request, &attempt.process);
+    /// Records that an attempt was given up, and watches whether it is read later, if its request was retried or its back
+    /// end is limited.
+    pub(crate) fn watch_unread(self: &Rc<Self>, request: Option<RetriedRequest>, attempt: UnreadAttempt) {
+        if let Some(request) = request {
+            let now = self.now();
+            self.state.borrow_mut().late_arrivals.record_unread(request, now);
+        }
+        if request.is_none() && attempt.permit.is_none() {
             return;
+        }
+        let UnreadAttempt { process, socket, permit } = attempt;
+        let Some(socket) = socket.filter(|_| self.watched.get() < MAX_WATCHED) else {
+            return self.record_unobserved(request, &process);
         };
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let _watched = Watched::begin(&node);
-            let is_read = node.clock.timeout(MAX_UNREAD_TIME, until_read(&socket)).await;
-            let now = node.now();
-            let late_arrivals = &mut node.state.borrow_mut().late_arrivals;
-            match is_read {
-                Some(true) => late_arrivals.record_read(request, now),
-                Some(false) => late_arrivals.record_unobserved(request, &attempt.process),
+            let _held_until_read = permit;
+            match node.clock.timeout(MAX_UNREAD_TIME, until_read(&socket)).await {
+                Some(true) => node.record_read(request),
+                Some(false) => node.record_unobserved(request, &process),
                 None => {}
             }
         });
     }
+
+    fn record_read(&self, request: Option<RetriedRequest>) {
+        let now = self.now();
+        if let Some(request) = request {
+            self.state.borrow_mut().late_arrivals.record_read(request, now);
+        }
+    }
+
+    fn record_unobserved(&self, request: Option<RetriedRequest>, process: &BackendProcess) {
+        if let Some(request) = request {
+            self.state.borrow_mut().late_arrivals.record_unobserved(request, process);
+        }
+    }
 }
 
 /// Counts a watched connection until it is dropped.
