A length beside chunks is not passed on with the chunks' bytes

What callers could see: a 200 whose Content-Length is that of the back end while its body is the one that the chunks hold. A shorter length gives a short body that looks whole, and bytes behind it that belong to no answer; a longer one leaves the caller waiting. In builds with debug assertions the connection of the caller, or of the node that handed the request on, is lost instead.

Cause: the node decodes the chunks, removes Transfer-Encoding as a header of the connection, and passes the remaining headers on; the HTTP library trusts a length that is already there.

Change: a body that the node has read is framed by its own length; only an answer to HEAD keeps the length that it states.

Tests: an_answer_that_contradicts_itself_is_not_framed_as_whole, directly and through a second node, on four kinds of routes: a length that is too long, two lengths, a length beside chunks, bytes after the end, an interim head alone, a head that pauses until the deadline, each followed by a sound request.

--- a/crates/cli/tests/forward/cut_answers.rs
+++ b/crates/cli/tests/forward/cut_answers.rs
@@ -1,7 +1,7 @@
-//! Answers that stop in their head, right after it, or in their body.
+//! Answers that stop in their head, right after it, or in their body, or that contradict themselves.
 
 use http::StatusCode;
-use paddlemount_platform_standin::{Behaviour, Cluster, Cut, Framing, cluster::KEY};
+use paddlemount_platform_standin::{Behaviour, Cluster, Cut, Framing, Malformation, cluster::KEY};
 
 use crate::{
     delivery::COMPLETE_STREAM,
@@ -11,6 +11,8 @@
 const PATHS: [&str; 4] = ["/chat/1", "/claim/1", "/hold/1", "/quote/1"];
 /// The number of bytes between two cuts that are tried.
 const CUT_STEP: usize = 17;
+/// More than a request has.
+const ATTEMPTS: usize = 4;
 /// The id of each request, which is in the head.
 const ID: &str = "cut-answer";
 /// The bytes of the longest answer.
@@ -20,6 +22,10 @@
     path.starts_with("/chat/") || path.starts_with("/claim/")
 }
 
+fn is_repeatable(path: &str) -> bool {
+    path.starts_with("/claim/") || path.starts_with("/quote/")
+}
+
 fn whole_body(path: &str) -> &'static str {
     if is_stream(path) { COMPLETE_STREAM } else { "whole body" }
 }
@@ -92,6 +98,53 @@
     check_cuts(&cluster, &routers[0]).await;
 }
 
+/// Checks answers that contradict themselves, and that no answer after them is affected.
+async fn check_malformed(cluster: &Cluster, router: &Router) {
+    for (number, path) in PATHS.into_iter().enumerate() {
+        for malformation in Malformation::ALL {
+            let behaviour = Behaviour::Malformed(malformation);
+            let servers = if is_stream(path) { &cluster.engines } else { &cluster.bookings };
+            servers.iter().for_each(|server| server.script(&[behaviour; ATTEMPTS]));
+            let id = format!("malformed-{number}-{malformation:?}");
+            let answer = router.send(path, &id).await;
+            let has_run = servers.iter().any(|server| server.has_run(&id));
+            let is_refused =
+                answer.as_ref().is_some_and(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE);
+            assert!(!has_run || is_repeatable(path) || !is_refused, "{path}, {malformation:?}: {answer:?}");
+            if malformation.is_whole() && has_run {
+                let body = answer.as_ref().map(|answer| answer.body.as_str());
+                assert_eq!(body, Some(whole_body(path)), "{path}, {malformation:?}: {answer:?}");
+            }
+            check(path, behaviour, answer);
+            servers.iter().for_each(|server| server.script(&[]));
+            wait_until_served(router, path).await;
+        }
+    }
+}
+
+/// Sends sound requests until one is served, as the back ends may be avoided after their failures.
+async fn wait_until_served(router: &Router, path: &str) {
+    let is_served = async || {
+        let answer = router.send(path, "sound").await.expect("an answer");
+        let is_served = answer.status == StatusCode::OK && answer.complete;
+        check(path, Behaviour::Well, Some(answer));
+        is_served
+    };
+    router.wait_until("served", is_served).await;
+}
+
+#[tokio::test]
+async fn an_answer_that_contradicts_itself_is_not_framed_as_whole() {
+    let (cluster, routers) = reached_directly().await;
+    check_malformed(&cluster, &routers[0]).await;
+}
+
+#[tokio::test]
+async fn an_answer_that_contradicts_itself_is_not_framed_as_whole_by_two_nodes() {
+    let (cluster, routers) = reached_through_another_node().await;
+    check_malformed(&cluster, &routers[0]).await;
+}
+
 /// Without a length, only the back end's end shows that the rest of its answer is missing.
 #[tokio::test]
 async fn an_unframed_answer_whose_back_end_crashes_is_not_framed_as_whole() {
--- a/crates/forward/src/outcomes.rs
+++ b/crates/forward/src/outcomes.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::Response;
+use http::{Method, Response, header};
 use paddlemount_core::forwarding::{
     announcements::limits::Opening,
     answer_times::AnswerTime,
@@ -231,6 +231,10 @@
         let (mut head, body) = answer.into_parts();
         self.record.status = Some(head.status.as_u16());
         strip_connection_headers(&mut head.headers);
+        // The body is framed anew; a length beside chunks may differ from it.
+        if self.parts.method != Method::HEAD {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         let mut answer = Response::new(full_body(body));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = head.headers;
