Count unframed answers that are taken as broken

An operator could read from attempt_ended that an answer without framing was broken off because nothing showed that it was whole, but not see how many there were. A counter has them; the checks of plain answers and of streams are functions of their own.

--- a/crates/cli/tests/forward/cut_answers.rs
+++ b/crates/cli/tests/forward/cut_answers.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     delivery::COMPLETE_STREAM,
-    router::{CallerResponse, Router},
+    router::{CallerResponse, Router, metric_value},
 };
 
 const PATHS: [&str; 4] = ["/chat/1", "/claim/1", "/hold/1", "/quote/1"];
@@ -178,4 +178,6 @@
         cut = cluster.engines[0].seen().iter().filter(|seen| seen.ran).count();
     }
     assert!(cut > 0, "some streams began at the engine that cuts them");
+    let counted = metric_value(&routers[0], "paddlemount_forward_unframed_answers_broken_total").await;
+    assert!(counted.is_some_and(|counted| counted > 0.0), "{counted:?}");
 }
--- a/crates/forward/src/metrics.rs
+++ b/crates/forward/src/metrics.rs
@@ -83,6 +83,8 @@
     TakeUps(&'static str),
     /// Records of streams sent to other nodes, by outcome.
     StreamRecordsSent(&'static str),
+    /// Answers without framing that count as broken, as nothing shows that they are whole.
+    UnframedBroken,
 }
 
 impl Counter {
@@ -124,6 +126,7 @@
             Self::ClosedUnread => "paddlemount_forward_connections_closed_unread_total",
             Self::TakeUps(_) => "paddlemount_forward_take_ups_total",
             Self::StreamRecordsSent(_) => "paddlemount_forward_stream_records_sent_total",
+            Self::UnframedBroken => "paddlemount_forward_unframed_answers_broken_total",
         }
     }
 
@@ -167,6 +170,7 @@
             | Self::RunsCleared
             | Self::RequestsHeld
             | Self::TakenOver
+            | Self::UnframedBroken
             | Self::ClosedUnread => String::new(),
         }
     }
--- a/crates/forward/src/relay/ending.rs
+++ b/crates/forward/src/relay/ending.rs
@@ -1,7 +1,7 @@
 //! Whether the end of a body ends its stream.
 
 use super::Relay;
-use crate::unframed::still_listens;
+use crate::{metrics::Counter, unframed::still_listens};
 
 impl Relay {
     /// Why the end of the body does not end the stream; `None` if it does.
@@ -13,6 +13,14 @@
         if self.upstream.as_ref().is_none_or(|upstream| upstream.framed) {
             return None;
         }
+        let cut_off = self.unframed_cut_off().await;
+        if cut_off.is_some() {
+            self.exchange.node.metrics.count(Counter::UnframedBroken);
+        }
+        cut_off
+    }
+
+    async fn unframed_cut_off(&self) -> Option<&'static str> {
         if !self.has_event {
             return Some("ended before its first event, and has no length");
         }
--- a/crates/forward/src/unframed.rs
+++ b/crates/forward/src/unframed.rs
@@ -11,6 +11,7 @@
     answer_buffer::AnswerError,
     attempts::{AttemptAnswer, AttemptFailure, connect, read_full_answer},
     exchange::Exchange,
+    metrics::Counter,
     node::Node,
 };
 
@@ -44,11 +45,8 @@
         let is_unframed_success = !upstream.framed && upstream.head.status.is_success();
         let reading = async {
             let answer = read_full_answer(&self.node, upstream).await?;
-            if is_unframed_success && answer.body().is_empty() {
-                return Err(AnswerError::NoBody);
-            }
-            if is_unframed_success && !still_listens(&self.node, choice, self.deadline).await {
-                return Err(AnswerError::EndedUnframed);
+            if is_unframed_success {
+                self.check_whole(choice, &answer).await?;
             }
             Ok(answer)
         };
@@ -64,4 +62,17 @@
             }
         }
     }
+
+    /// Checks what else shows that an answer without framing is whole.
+    async fn check_whole(&self, choice: &Choice, answer: &Response<Bytes>) -> Result<(), AnswerError> {
+        let error = if answer.body().is_empty() {
+            AnswerError::NoBody
+        } else if !still_listens(&self.node, choice, self.deadline).await {
+            AnswerError::EndedUnframed
+        } else {
+            return Ok(());
+        };
+        self.node.metrics.count(Counter::UnframedBroken);
+        Err(error)
+    }
 }
