A limit is used while measured demands vary

Cause: a member's weight was its demand rounded to a power of two. Where the demand lies between two of them, here 11.3 a second, noise moves the weight back and forth, and slots of the limit move with it. A slot is empty when it moves, so it takes its first request a whole interval later, and has moved again by then.

Change: a weight is kept while the demand is within a factor of two of it. Shares are then off by up to two, as they were by the square root of two.

--- a/crates/core/src/forwarding/announcements/division.rs
+++ b/crates/core/src/forwarding/announcements/division.rs
@@ -14,6 +14,9 @@
 
 /// The minimum weight of a node, in requests per second: an idle node needs a share for its next requests.
 const MIN_WEIGHT: f64 = 1.0;
+/// The factor by which the demand of a node may differ from its weight before the weight changes. A slot that moves is
+/// empty at first, so one that moves back and forth is hardly used.
+const MAX_WEIGHT_ERROR: f64 = 2.0;
 /// The number of significant bits of an `f64`.
 const FRACTION_BITS: u32 = 53;
 
@@ -22,8 +25,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub node: NodeId,
-    /// The chance to get a slot, relative to other members. Rounded to a power of two, so that it seldom
-    /// changes.
+    /// The chance to get a slot, relative to other members.
     weight: f64,
 }
 
@@ -31,7 +33,19 @@
     /// A member whose callers, and those of its descendants, send so many requests per second.
     pub fn new(node: NodeId, demand_per_second: f64) -> Self {
         let demand = if demand_per_second.is_finite() { demand_per_second } else { 0.0 };
-        Self { node, weight: demand.max(MIN_WEIGHT).log2().round().exp2() }
+        Self { node, weight: demand.max(MIN_WEIGHT) }
+    }
+
+    /// The same member with a weight that seldom changes: that of an earlier division if it fits, or else a power of
+    /// two.
+    pub(super) fn settled(self, earlier: &[Self]) -> Self {
+        let fits = |known: &&Self| {
+            let is_within = |ratio: f64| ratio < MAX_WEIGHT_ERROR && ratio.recip() < MAX_WEIGHT_ERROR;
+            known.node == self.node && is_within(self.weight / known.weight)
+        };
+        let kept = earlier.iter().find(fits).map(|known| known.weight);
+        let weight = kept.unwrap_or_else(|| self.weight.log2().round().exp2());
+        Self { weight, ..self }
     }
 }
 
--- a/crates/core/src/forwarding/announcements/limits.rs
+++ b/crates/core/src/forwarding/announcements/limits.rs
@@ -120,7 +120,9 @@
     }
 
     /// Divides all limits again for this node's position in the tree. To be called several times per second.
-    pub fn divide_limits(&mut self, position: TreePosition, now: Timestamp) {
+    pub fn divide_limits(&mut self, mut position: TreePosition, now: Timestamp) {
+        let earlier = &self.position.members;
+        position.members = position.members.into_iter().map(|member| member.settled(earlier)).collect();
         let members_changed = position.members != self.position.members;
         for (process, announced) in &mut self.by_process {
             if let Some(limit) = announced.limit.as_mut().filter(|limit| limit.per_second().is_some()) {
--- a/crates/core/tests/forwarding_limits.rs
+++ b/crates/core/tests/forwarding_limits.rs
@@ -170,6 +170,23 @@
     assert!(used >= 3.0, "two nodes of seven send {used} a second by a limit of 5");
 }
 
+/// Measured demands differ from moment to moment; slots that move with them are empty at first.
+#[test]
+fn a_limit_is_used_while_measured_demands_vary() {
+    for count in [3, 7, 24] {
+        for demand in [8.0, 9.5, 11.3, 13.5, 16.0] {
+            let mut fleet = Fleet::of(count);
+            (fleet.demand, fleet.demand_noise) = (demand, 0.1);
+            fleet.set_limit(1.1);
+            fleet.advance(10_000);
+            let from = fleet.now;
+            fleet.advance(60_000);
+            let used = fleet.count_after(from) as f64 / 60.0;
+            assert!(used >= 1.1 * 0.8, "{count} nodes with {demand} a second send {used} by a limit of 1.1");
+        }
+    }
+}
+
 #[test]
 fn an_answer_to_an_earlier_request_does_not_end_a_limit_and_one_to_a_later_request_does() {
     let (mut backends, id) = (fresh_backends(), BackendId::from("b"));
--- a/crates/core/tests/limit_support/mod.rs
+++ b/crates/core/tests/limit_support/mod.rs
@@ -32,6 +32,8 @@
 const ENFORCED_AFTER_MS: u64 = 500;
 /// The time between two requests of all nodes to the back end while it has no limit.
 const UNLIMITED_PAUSE_MS: u64 = 150;
+/// How long a measured demand differs to one side.
+const DEMAND_PERIOD_MS: u64 = 1_000;
 /// How long after a restart or a partition a node may exceed the limit.
 const RECOVERY_MS: u64 = 3_000;
 
@@ -106,6 +108,9 @@
     limits: Vec<(u64, f64)>,
     pub now: u64,
     arrivals: Vec<Arrival>,
+    /// The requests per second of each node with callers, and the part by which a measurement may differ.
+    pub demand: f64,
+    pub demand_noise: f64,
     /// Requests that wait on a stalled connection.
     stalled: Vec<Request>,
     stall: Option<Stall>,
@@ -146,6 +151,8 @@
             limits: Vec::new(),
             now: 0,
             arrivals: Vec::new(),
+            demand: 20.0,
+            demand_noise: 0.0,
             stalled: Vec::new(),
             stall: None,
             requests: 0,
@@ -286,6 +293,20 @@
         self.nodes[number].reported_at.is_some_and(|reported| reported + REPORT_TTL_MS > self.now)
     }
 
+    /// The requests per second that callers send to a node, as it measures them.
+    fn demand(&self, number: usize) -> f64 {
+        if !self.nodes[number].is_busy {
+            return 0.0;
+        }
+        // Each node's measurements rise and fall at times of their own.
+        let phase = (self.now / DEMAND_PERIOD_MS + number as u64) % 2;
+        if phase == 0 {
+            self.demand * (1.0 + self.demand_noise)
+        } else {
+            self.demand * (1.0 - self.demand_noise)
+        }
+    }
+
     fn report(&mut self, number: usize) {
         let now = at(self.now);
         let parent = (number > 0).then(|| (number - 1) / FAN_IN);
@@ -303,8 +324,7 @@
         let root_share = (number == 0 || !self.reports_to(number)).then_some(share);
         let reporting = self.children(number).filter(|child| self.reports_to(*child));
         let members = std::iter::once(number).chain(reporting);
-        let demand = |number: usize| if self.nodes[number].is_busy { 20.0 } else { 0.0 };
-        let members = members.map(|number| Member::new(self.nodes[number].name.clone(), demand(number)));
+        let members = members.map(|number| Member::new(self.nodes[number].name.clone(), self.demand(number)));
         let position = TreePosition {
             node: self.nodes[number].name.clone(),
             root_share,
