Requests of a test of the retry budget are sent at once, before the path counts as lost

a_request_adds_to_the_retry_budget_once_even_if_several_connections_are_refused failed in 5 of 16 plays eight at a time: all engines refuse connections, so a slow node rightly concludes after a while that it reaches none and refuses the remaining requests unsent, which earn nothing. The test sent 30 requests one after the other and expected all to be attempted.

The 30 requests are sent at once. What is checked is the same, to the single retry: 30 requests, each of which meets several refused connections, earn what 30 requests earn. 32 of 32 plays eight at a time passed.

--- a/crates/cli/tests/forward/budget.rs
+++ b/crates/cli/tests/forward/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use http::StatusCode;
 use paddlemount_platform_standin::{Cluster, Runner, cluster::KEY, runner::Behaviour};
 use serde_json::Value;
@@ -9,7 +10,7 @@
 
 use crate::router::{Router, metric_value};
 
-/// Number of sequential requests in a test.
+/// Number of requests in a test.
 const REQUESTS: usize = 30;
 /// Retries that a single node may make beyond its percentage on its first start: a quarter of the configured slack.
 const RETRY_SLACK_ALONE: u64 = 14;
@@ -43,9 +44,10 @@
     router
         .wait_until("counted", async || metric_value(&router, "paddlemount_forward_nodes").await == Some(1.0))
         .await;
-    for number in 0..REQUESTS {
-        let response = router.send("/claim/1", &format!("refused-{number}")).await.expect("an answer");
-        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    // All at once, before the node concludes that it reaches no engine and sends nothing any more.
+    let calls = (0..REQUESTS).map(async |number| router.send("/claim/1", &format!("refused-{number}")).await);
+    for response in join_all(calls).await {
+        assert_eq!(response.expect("an answer").status, StatusCode::SERVICE_UNAVAILABLE);
     }
     router.wait_until("logged", async || lines_of(&router, "request").len() >= REQUESTS).await;
     let ended = lines_of(&router, "attempt_ended");
