The soak of releases knows times in which no node reaches a back end

The lines show that all nodes were cut off from all back ends for over 4 of 12 s; 741 of 1,100 requests were refused as unreached then, as they have to be.

The check counted them. It now leaves out requests that were not served and were sent while every node was cut off; what is served at any other time counts as before, and the share is the same.

--- a/crates/cli/tests/forward/soak/callers.rs
+++ b/crates/cli/tests/forward/soak/callers.rs
@@ -53,6 +53,12 @@
     pub response: Option<CallerResponse>,
 }
 
+impl Sent {
+    pub fn is_served(&self) -> bool {
+        self.response.as_ref().is_some_and(|response| response.status == http::StatusCode::OK)
+    }
+}
+
 /// A request as counted for the retry budget.
 #[derive(Clone, Copy, Debug)]
 pub struct OfferedRequest {
--- a/crates/cli/tests/forward/soak/partitions.rs
+++ b/crates/cli/tests/forward/soak/partitions.rs
@@ -5,11 +5,19 @@
 use paddlemount_platform_standin::Cut;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::{Soak, disturbance::Cause, source};
+use super::{Soak, disturbance::Cause, locked, source};
 
 /// The longest cut: long enough for a node to notice it and to serve through others.
 const MAX_CUT: Duration = Duration::from_secs(5);
 
+/// A time in which a node had no path to back ends.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NodeCut {
+    node: usize,
+    from: Instant,
+    to: Instant,
+}
+
 impl Soak {
     /// Runs one sequence of faults.
     pub(super) async fn partition_faults(&self, seed: u64, series: u64) {
@@ -42,6 +50,15 @@
         nodes.iter().for_each(|node| self.cluster.partition.cut(source(*node), cut));
         tokio::time::sleep(length).await;
         nodes.iter().for_each(|node| self.cluster.partition.heal(source(*node)));
+        let to = Instant::now();
+        locked(&self.cuts).extend(nodes.iter().map(|node| NodeCut { node: *node, from, to }));
         self.disturbed(Cause::Link, from);
     }
+
+    /// Whether no node had a path to back ends at `at`.
+    pub(super) fn all_are_cut_off(&self, at: Instant) -> bool {
+        let cuts = locked(&self.cuts);
+        let is_cut = |node: usize| cuts.iter().any(|cut| cut.node == node && cut.from <= at && at < cut.to);
+        (0..self.nodes()).all(is_cut)
+    }
 }
