A test of killed nodes whose requests arrive late

By reading, what a killed process has sent and forgotten could arrive in one window with the retries of its next process: both have earned nearly a whole budget. The suspicion is refuted for this case, the test stays. No code changed.

--- a/crates/cli/tests/forward/slow_connections.rs
+++ b/crates/cli/tests/forward/slow_connections.rs
@@ -23,6 +23,9 @@
 const DELAY: Duration = Duration::from_secs(6);
 const TIMES: usize = 3;
 const TIME_BETWEEN: Duration = Duration::from_secs(3);
+/// A longer delay, and when all nodes are killed within it.
+const LONG_DELAY: Duration = Duration::from_secs(9);
+const KILL_DELAY: Duration = Duration::from_secs(3);
 /// The limit that each server advertises, in requests per second.
 const LIMIT: f64 = 8.0;
 /// Time until all nodes know the limit.
@@ -47,6 +50,28 @@
     fleet.check_retries(&cluster.bookings, &calls, began);
 }
 
+/// What a killed node has sent arrives beside the retries of its next process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_of_killed_nodes_that_arrive_late_stay_within_the_retry_budget() {
+    let _turn = FIXED_RATE.lock().await;
+    let cluster = Cluster::start_with_bookings(SERVERS).await.expect("the cluster starts");
+    cluster.configure_attempts(1, &[KEY], ATTEMPTS);
+    let fleet = Fleet::start_with_slack(&cluster, NODES, SLACK).await;
+    let began = Instant::now();
+    let stall = async {
+        tokio::time::sleep_until((began + WARM_UP).into()).await;
+        stall_until(&cluster.bookings, began + WARM_UP + LONG_DELAY, 0).await;
+    };
+    let kill = async {
+        tokio::time::sleep_until((began + WARM_UP + KILL_DELAY).into()).await;
+        fleet.restart_all().await;
+    };
+    let (calls, (), ()) =
+        tokio::join!(fleet.send_at_rate("/quote/1", began, PAUSE, WARM_UP + LONG_DELAY), stall, kill);
+    tokio::time::sleep(SETTLE_TIME).await;
+    fleet.check_retries(&cluster.bookings, &calls, began);
+}
+
 /// Requests that wait on connections of their own count against the limit of a server that answers others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_that_arrive_late_on_stalled_connections_stay_within_a_limit() {
