Streams whose first events and end arrive at once are answered: two tests; comments of limits

For the listed case of requests that were closed without an answer 3 ms after their back end crashed, the order of a stream's first event and its end was suspected. Two tests let a back end send its head, two events and its end in one write, directly and through a second node: the caller gets the head and the whole events, and then the break.

Newcomer's reading of the limits: the wait for a permit in plain steps, a clearer reason for the number of requests that may arrive within a window.

--- a/crates/cli/tests/forward/cut_answers.rs
+++ b/crates/cli/tests/forward/cut_answers.rs
@@ -161,6 +161,40 @@
     }
 }
 
+/// A stream whose first events and end arrive at once is begun, and then broken off.
+async fn check_is_begun_and_broken_off(cluster: &Cluster, router: &Router) {
+    let head = cluster.engines[0].unframed_head_length(ID, true);
+    // In the third event, behind the length.
+    let bytes = head + "Content-Length: 000\r\n".len() + 2 * COMPLETE_STREAM.len() / 5 + 4;
+    let behaviour = Behaviour::Cut { framing: Framing::Length, bytes, crashes: false };
+    let mut begun = 0;
+    for _ in 0..8 {
+        let answer =
+            send(cluster, router, "/chat/1", behaviour).await.expect("an answer, not a closed connection");
+        if answer.status == StatusCode::OK {
+            begun += 1;
+            assert!(!answer.complete, "{answer:?}");
+            let events = COMPLETE_STREAM.find("id: 3").map_or("", |end| &COMPLETE_STREAM[..end]);
+            assert_eq!(answer.body, events);
+        }
+        cluster.engines.iter().for_each(|engine| engine.script(&[]));
+        wait_until_served(router, "/chat/1").await;
+    }
+    assert!(begun > 0, "no stream began");
+}
+
+#[tokio::test]
+async fn a_stream_whose_first_events_and_end_arrive_at_once_is_answered() {
+    let (cluster, routers) = reached_directly().await;
+    check_is_begun_and_broken_off(&cluster, &routers[0]).await;
+}
+
+#[tokio::test]
+async fn a_stream_whose_first_events_and_end_arrive_at_once_is_answered_by_two_nodes() {
+    let (cluster, routers) = reached_through_another_node().await;
+    check_is_begun_and_broken_off(&cluster, &routers[0]).await;
+}
+
 /// A resumable stream that stops before its first event goes on elsewhere.
 #[tokio::test]
 async fn a_resumable_stream_that_stops_after_its_unframed_head_goes_on_elsewhere() {
--- a/crates/core/src/forwarding/announcements/division.rs
+++ b/crates/core/src/forwarding/announcements/division.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
     pub node: NodeId,
-    /// The chance to get a slot, relative to other members.
+    /// The chance to get a slot, relative to other members. Its demand until it is settled.
     weight: f64,
 }
 
--- a/crates/core/src/forwarding/announcements/rate_limit.rs
+++ b/crates/core/src/forwarding/announcements/rate_limit.rs
@@ -38,8 +38,8 @@
 /// How long a process may send nothing while this node keeps sending at its full rate. What a silent process has not
 /// read arrives at once when it goes on, next to what is sent then.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(1);
-/// How long this node may send at its full rate until as many requests as may arrive within one window are under way,
-/// beside those of a full bucket. Longer than the window by what back ends tolerate.
+/// How many requests of this node may arrive within one window, beside a full bucket, as a time at its full rate. It is
+/// longer than the window, since back ends tolerate half as many again.
 const MAX_ARRIVAL_TIME: Duration = Duration::from_millis(4_500);
 /// Minimum time until a process that has sent nothing since gets one request more, to find out whether it has gone on.
 const MIN_PROBE_DELAY: Duration = Duration::from_secs(1);
@@ -281,8 +281,10 @@
             self.probe_at.saturating_since(now)
         };
         let window_wait = self.arrivals.wait(self.max_arrivals(), now);
-        let bucket_wait = || self.bucket.time_until(1.0, now);
-        (self.bucket.rate() > 0.0).then(|| bucket_wait().max(probe_wait).max(window_wait))
+        if self.bucket.rate() <= 0.0 {
+            return None;
+        }
+        Some(self.bucket.time_until(1.0, now).max(probe_wait).max(window_wait))
     }
 
     /// Records that the process has sent something, and so has read what arrived.
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -250,6 +250,7 @@
     (!node.still_accepts(choice)).then_some(NOT_ACCEPTING)
 }
 
+/// Returns the permit of an attempt of which no byte was sent.
 fn release_permit(in_flight: &InFlight) {
     if let Some(permit) = in_flight.take().and_then(|attempt| attempt.permit) {
         permit.release();
