--- a/crates/cli/tests/forward/fixed_rate.rs
+++ b/crates/cli/tests/forward/fixed_rate.rs
@@ -81,9 +81,14 @@
         *self.nodes[number].lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(router);
     }
 
+    /// Kills all nodes at the same moment.
+    pub fn kill_all(&self) {
+        (0..self.nodes.len()).for_each(|number| self.node(number).kill());
+    }
+
     /// Kills all nodes at the same moment and starts them again.
     pub async fn restart_all(&self) {
-        (0..self.nodes.len()).for_each(|number| self.node(number).kill());
+        self.kill_all();
         join_all((0..self.nodes.len()).map(|number| self.restart(number))).await;
     }
 
--- a/crates/cli/tests/forward/restarts.rs
+++ b/crates/cli/tests/forward/restarts.rs
@@ -33,9 +33,21 @@
 
 /// Sends requests while all nodes are killed again and again.
 async fn call_beside_restarts(fleet: &Fleet, began: Instant, restarts: u32) -> Vec<Call> {
+    call_beside_restarts_and(fleet, began, restarts, || ()).await
+}
+
+/// Like [`call_beside_restarts`], with something that is done while no node runs.
+async fn call_beside_restarts_and(
+    fleet: &Fleet,
+    began: Instant,
+    restarts: u32,
+    while_none_runs: impl Fn(),
+) -> Vec<Call> {
     let kill_and_start = async {
         for number in 0..restarts {
             tokio::time::sleep_until((began + WARM_UP + RESTART_INTERVAL * number).into()).await;
+            fleet.kill_all();
+            while_none_runs();
             fleet.restart_all().await;
         }
     };
@@ -56,6 +68,19 @@
     fleet.check_retries(&cluster.bookings, &calls, began);
 }
 
+/// The store comes back from a copy of before the nodes started, so it has forgotten all that they wrote.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarts_beside_a_store_that_forgets_stay_within_the_retry_budget() {
+    let _turn = FIXED_RATE.lock().await;
+    let cluster = cluster_with_failing_servers(SERVERS - 1).await;
+    let backup = cluster.store.backup();
+    let fleet = Fleet::start_with_slack(&cluster, NODES, SLACK).await;
+    let began = Instant::now();
+    let forget = || cluster.store.rewrite(&cluster.store.restore(&backup));
+    let calls = call_beside_restarts_and(&fleet, began, RESTARTS, forget).await;
+    fleet.check_retries(&cluster.bookings, &calls, began);
+}
+
 /// A node that was killed once may still leave a server that fails.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_failing_server_costs_few_requests_after_all_nodes_were_killed() {
