A node's retry reserve is gained by running, and granted only by a store that proves to remember

Cause: the bound on what a node may send besides what its requests earn leaned on a grant that the store keeps. A store that has lost the grant gives it to each process anew, and one that has lost the number of nodes adds a larger share. A fleet that grows has too small a number as well.

Evidence: each process of each set logged a granted reserve within 20 s of the one before it, with the number of nodes unknown again.

Ruled out: attempts beyond those of a route (each request arrived three times at most), a draw that was dated wrongly (no silent servers here).

Change: the reserve is gained at a rate while a process runs, from nothing, and half a window's gain may be saved up. The sum over processes of a node is bounded by time alone, whatever the node is called and whoever forgets. A part to begin with is granted as before, but only if a record of a leader names the store's present era, which it had seen for two windows. A node takes a share of two retries at most until it has been counted for 3 s. Fractions are rounded by a number drawn for each process, so that they are not lost at each restart.

--- a/crates/cli/tests/forward/fixed_rate.rs
+++ b/crates/cli/tests/forward/fixed_rate.rs
@@ -141,6 +141,8 @@
         let window = self.fullest_window(servers, calls).expect("requests were retried");
         let from = window.from.saturating_duration_since(began);
         let Window { retries, allowed, .. } = window;
+        let served = calls.iter().filter(|call| call.is_served()).count();
+        println!("{served} of {} requests were served", calls.len());
         println!("fullest window: {retries} retries of {allowed} allowed from {from:?}");
         assert!(!window.is_over(), "{retries} retries of {allowed} allowed from {from:?}");
     }
--- a/crates/core/src/forwarding/budget.rs
+++ b/crates/core/src/forwarding/budget.rs
@@ -1,11 +1,11 @@
 //! The retry budget of one service at one node, over a sliding window.
 //!
 //! In any window, all nodes together may retry a share of the service's requests, and a fixed number of
-//! requests besides. The share counts the requests of that window or of the one before it, whichever has
-//! more. Each node keeps to its own requests and to its share of the fixed number, so that the sum holds
-//! without coordination. A node earns retries by the mean of its requests in the window and in the one
+//! requests besides, the slack. The share counts the requests of that window or of the one before it, whichever has
+//! more. Each node keeps to its own requests and to its share of the slack ([`super::retry_reserve`]), so that the sum
+//! holds without coordination. A node earns retries by the mean of its requests in the window and in the one
 //! before: the sum of these means over all nodes never exceeds the greater total, even if requests move
-//! between nodes.
+//! between nodes. That holds for several processes of a node as well, since each counts the requests that it received.
 //!
 //! A retry counts when it arrives. Where that is not known, because the attempt before it may be read later, the retry
 //! counts in every window until it can be dated.
@@ -17,11 +17,11 @@
 
 use paddlemount_protocol::time::Timestamp;
 
-use super::reserve_grant::ReservePhase;
+use super::retry_reserve::Reserve;
 
 /// The number of steps in a window.
 pub(super) const STEPS: u32 = 20;
-/// The part of the allowance that is used, in thousandths: a safety margin.
+/// The part of the share that is used, in thousandths: a safety margin.
 const USED_PER_MILLE: u64 = 900;
 /// The number of windows over which a request earns its share: its own and the next one. At most half of the
 /// share is available at once, also with the first requests of a service or process; in steady traffic all of it is
@@ -30,77 +30,16 @@
 /// The number of thousandths in one.
 const PER_MILLE: u64 = 1_000;
 
-/// The parts of a node's share of the slack that a starting process and a settled one have, in thousandths. A process
-/// that starts has earned nothing yet.
-const STARTING_PER_MILLE: u64 = 750;
-const SETTLED_PER_MILLE: u64 = PER_MILLE - STARTING_PER_MILLE;
-/// Reserve of a starting process while the number of nodes is unknown: enough for two back ends that fail at once, and
-/// within the slack of a fleet that has two retries for each node.
-const UNCOUNTED_STARTING: u32 = 2;
-/// The same of a settled process.
-const UNCOUNTED_SETTLED: u32 = 1;
-
-/// Retries of a node in a window besides those that its requests earn.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Reserve {
-    /// The node's share of the slack, in thousandths of a retry.
-    share_per_mille: u64,
-    /// That share as a whole number: rounded down, or drawn if it is below one. It applies until the node's requests
-    /// have earned a retry.
-    whole: u64,
-}
-
-impl Reserve {
-    /// A whole number of retries.
-    pub const fn whole(retries: u32) -> Self {
-        Self { share_per_mille: retries as u64 * PER_MILLE, whole: retries as u64 }
-    }
-
-    /// The retries that it allows before any are earned.
-    pub const fn retries(self) -> u64 {
-        self.whole
-    }
-
-    /// The whole retries that it allows together with earned thousandths of retries. Adding before rounding keeps the
-    /// fractions of both.
-    const fn with_earned(self, earned_per_mille: u64) -> u64 {
-        if self.share_per_mille < PER_MILLE && earned_per_mille < PER_MILLE {
-            return self.whole;
-        }
-        (self.share_per_mille + earned_per_mille) / PER_MILLE
-    }
-}
-
-/// The reserve of a node's process: its part of the node's share of `slack`, the retries that all nodes together may
-/// make besides the share of their requests. A window may contain retries of a settled process and of a starting
-/// one ([`super::reserve_grant`]), but of no others.
-pub fn node_reserve(slack: u32, nodes: Option<u32>, phase: ReservePhase, draw: f64) -> Reserve {
-    let Some(nodes) = nodes else {
-        return Reserve::whole(slack.min(match phase {
-            ReservePhase::Starting => UNCOUNTED_STARTING,
-            ReservePhase::Settled => UNCOUNTED_SETTLED,
-        }));
-    };
-    let part_per_mille = match phase {
-        ReservePhase::Starting => STARTING_PER_MILLE,
-        ReservePhase::Settled => SETTLED_PER_MILLE,
-    };
-    let share_per_mille = u64::from(slack) * part_per_mille / u64::from(nodes.max(1));
-    // As many nodes draw one as their shares add up to on average, so a part of these is left for chance.
-    let drawn_per_mille = share_per_mille * USED_PER_MILLE / PER_MILLE;
-    let drawn = u64::from(draw * (PER_MILLE as f64) < drawn_per_mille as f64);
-    let whole = if share_per_mille < PER_MILLE { drawn } else { share_per_mille / PER_MILLE };
-    Reserve { share_per_mille, whole }
-}
-
 /// Settings of a [`WindowBudget`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowBudgetSettings {
     /// Thousandths of a retry that each request earns.
     pub share_per_mille: u32,
-    /// Retries per window besides the earned ones.
-    pub reserve: Reserve,
     pub window: Duration,
+    /// When the process started.
+    pub started: Timestamp,
+    /// Drawn uniformly from 0 to 1 for each process: how the fractions of retries are rounded.
+    pub draw: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -114,20 +53,21 @@
 #[derive(Clone, Debug)]
 pub struct WindowBudget {
     settings: WindowBudgetSettings,
+    reserve: Reserve,
     steps: VecDeque<Step>,
     /// Retries that may arrive at any moment.
     undated: u64,
 }
 
 impl WindowBudget {
-    /// An empty budget.
+    /// A budget without a reserve.
     pub const fn new(settings: WindowBudgetSettings) -> Self {
-        Self { settings, steps: VecDeque::new(), undated: 0 }
+        Self { settings, reserve: Reserve::NONE, steps: VecDeque::new(), undated: 0 }
     }
 
     /// Sets the reserve, as when the number of nodes has changed.
     pub const fn set_reserve(&mut self, reserve: Reserve) {
-        self.settings.reserve = reserve;
+        self.reserve = reserve;
     }
 
     /// Records the first attempt of a request.
@@ -173,12 +113,12 @@
     pub fn remaining(&self, now: Timestamp) -> u64 {
         let number = self.number(now);
         let windows = number.saturating_sub(u64::from(STEPS))..=number;
-        windows.map(|first| self.remaining_within(first)).min().unwrap_or(0)
+        windows.map(|first| self.remaining_within(first, now)).min().unwrap_or(0)
     }
 
     /// The retries that remain in the windows that start within the step `first`. Retries of both edge steps
     /// count in full, requests only if they are certain to be in the window or the one before.
-    fn remaining_within(&self, first: u64) -> u64 {
+    fn remaining_within(&self, first: u64, now: Timestamp) -> u64 {
         let steps = u64::from(STEPS);
         let (mut requests, mut retries) = (0, self.undated);
         for step in &self.steps {
@@ -191,11 +131,32 @@
         }
         let earned =
             requests * u64::from(self.settings.share_per_mille) * USED_PER_MILLE / WINDOWS / PER_MILLE;
-        self.settings.reserve.with_earned(earned).saturating_sub(retries)
+        let allowed = earned + self.reserve_within(first, now);
+        self.rounded(allowed).saturating_sub(retries)
+    }
+
+    /// Thousandths of a retry in the reserve for the windows that start within the step `first`.
+    fn reserve_within(&self, first: u64, now: Timestamp) -> u64 {
+        let WindowBudgetSettings { window, started, .. } = self.settings;
+        let from =
+            started.max(Timestamp::ZERO + self.step_length() * u32::try_from(first).unwrap_or(u32::MAX));
+        let saved = self.reserve.saved_after(from.saturating_since(started), window);
+        saved + self.reserve.gained_in(now.saturating_since(from), window)
+    }
+
+    /// Rounds thousandths of retries. Over many processes the fractions add up to what they are on average, also if
+    /// each of them restarts before it has a whole retry.
+    fn rounded(&self, per_mille: u64) -> u64 {
+        let draw = if self.reserve.is_drawn() { self.settings.draw } else { 0.0 };
+        (per_mille + (draw * PER_MILLE as f64) as u64) / PER_MILLE
+    }
+
+    fn step_length(&self) -> Duration {
+        self.settings.window / STEPS
     }
 
     fn number(&self, now: Timestamp) -> u64 {
-        let step = (self.settings.window / STEPS).as_micros().max(1);
+        let step = self.step_length().as_micros().max(1);
         u64::try_from(u128::from(now.0) / step).unwrap_or(u64::MAX)
     }
 
--- a/crates/core/src/forwarding/reserve_grant.rs
+++ b/crates/core/src/forwarding/reserve_grant.rs
@@ -1,13 +1,10 @@
-//! Which process of a node may use the reserve of the node's retry budgets.
+//! What a process's reserve of retries begins with ([`super::retry_reserve`]).
 //!
-//! What a process has sent is forgotten with it, so processes that each begin with the whole reserve send it as often as
-//! the node restarts. Hence the store grants a process that starts a reserve, once in two windows, to the process that
-//! asks first. Each process has a smaller one when it has run for a window: by then no retry of an earlier process is
-//! in any window with one of its own.
-//!
-//! In any window then, retries draw on at most one reserve of each kind. A process begins to be settled a window after
-//! the end of the one before it. A process that starts is granted its reserve two windows after the last one that
-//! was, which had settled, or ended, a window before. The first process of all counts as settled at once.
+//! The store grants a part of the reserve to a starting process of a node, once in two windows. A store that has lost
+//! earlier grants, as one that was restored from a copy, would grant it again and again. So a process asks only if a
+//! record says that the store has lost nothing for two windows ([`super::store_witness`]); any grant that was lost
+//! before is outside all windows of this process by then. The first process of all has none before it, and needs no
+//! such record.
 
 use std::time::Duration;
 
@@ -15,26 +12,38 @@
 
 use super::budget::STEPS;
 
-/// What the store answers to a process that asks for the reserve of its node.
+/// How long a grant excludes others, for budgets over this window. Budgets count in steps, of which the first and the
+/// last one reach beyond the window.
+pub fn grant_period(window: Duration) -> Duration {
+    (window + window / STEPS) * 2
+}
+
+/// What the store answers to a process that asks for its part of the reserve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReserveAnswer {
     Granted,
     /// An earlier process was granted it less than two windows ago.
     Held,
+    /// No record says that the store has lost nothing for two windows.
+    Unwitnessed,
     /// Nobody knows whether it was granted.
     Unanswered,
     /// The store did nothing.
     Refused,
 }
 
-/// Which reserve a process has.
+/// What the reserve of a process begins with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReservePhase {
-    Starting,
-    Settled,
+pub enum Beginning {
+    /// Nothing.
+    Empty,
+    /// What the first process of all begins with.
+    First,
+    /// What the store grants to one process of a node in two windows.
+    Granted,
 }
 
-/// Which reserve this process may use.
+/// What the reserve of this process begins with.
 #[derive(Clone, Debug)]
 pub struct ReserveGrant {
     started: Timestamp,
@@ -45,19 +54,19 @@
 
 impl ReserveGrant {
     /// The state of a process that has just started, for budgets over this window.
-    pub fn new(started: Timestamp, window: Duration, is_first_start: bool) -> Self {
-        // Budgets count in steps, of which the first and the last one reach beyond the window.
-        Self { started, window: window + window / STEPS, is_first_start, answer: None }
+    pub const fn new(started: Timestamp, window: Duration, is_first_start: bool) -> Self {
+        Self { started, window, is_first_start, answer: None }
     }
 
-    /// How long a grant excludes others.
-    pub fn period(&self) -> Duration {
-        self.window * 2
+    /// Whether to ask the store. Once the process has run for a window, it has gained as much.
+    pub fn is_wanted(&self, now: Timestamp) -> bool {
+        let is_open = matches!(self.answer, None | Some(ReserveAnswer::Refused));
+        is_open && now.saturating_since(self.started) < self.window
     }
 
-    /// Whether to ask the store.
-    pub fn is_wanted(&self, now: Timestamp) -> bool {
-        matches!(self.answer, None | Some(ReserveAnswer::Refused)) && !self.has_settled(now)
+    /// Whether the store has to be witnessed before it is asked.
+    pub const fn needs_witness(&self) -> bool {
+        !self.is_first_start
     }
 
     /// Records an answer of the store.
@@ -65,18 +74,17 @@
         self.answer = Some(answer);
     }
 
-    /// The reserve that may be used, if any.
-    pub fn phase(&self, now: Timestamp) -> Option<ReservePhase> {
-        let is_granted = self.answer == Some(ReserveAnswer::Granted);
-        match (self.has_settled(now), is_granted) {
-            (true, _) => Some(ReservePhase::Settled),
-            (false, true) if self.is_first_start => Some(ReservePhase::Settled),
-            (false, true) => Some(ReservePhase::Starting),
-            (false, false) => None,
-        }
+    /// The last answer of the store.
+    pub const fn answer(&self) -> Option<ReserveAnswer> {
+        self.answer
     }
 
-    fn has_settled(&self, now: Timestamp) -> bool {
-        now.saturating_since(self.started) >= self.window
+    /// What the reserve begins with.
+    pub fn beginning(&self) -> Beginning {
+        match self.answer {
+            Some(ReserveAnswer::Granted) if self.is_first_start => Beginning::First,
+            Some(ReserveAnswer::Granted) => Beginning::Granted,
+            _ => Beginning::Empty,
+        }
     }
 }
--- a/crates/forward/src/fact_updates.rs
+++ b/crates/forward/src/fact_updates.rs
@@ -227,6 +227,8 @@
             Fact::FleetSize(nodes) => self.state.borrow_mut().fleet_size = Some(nodes),
             // Handled by [`Origin::from_listing`].
             Fact::TargetRecord(_) => {}
+            // Read on its own where it is needed.
+            Fact::StoreWitnessed(_) => {}
             Fact::Quarantined(request) => {
                 self.apply_stored_quarantine(&request);
                 self.state.borrow_mut().quarantined_requests.insert(request.fingerprint, *request);
--- a/crates/forward/src/journal.rs
+++ b/crates/forward/src/journal.rs
@@ -140,12 +140,15 @@
     ParentFailed { parent: &'a str, problem: String },
     /// The known number of nodes changed.
     NodesCounted { nodes: Option<u32>, before: Option<u32> },
-    /// The retries that this node may make in a window besides the earned ones are first known or have changed:
-    /// in which phase this process is, and from which numbers of nodes the reserve is derived.
+    /// This node's share of the retries in a window besides the earned ones is first known or has changed: from which
+    /// number of nodes it is derived, whether the node has been counted for long enough to take all of its share, and
+    /// what the store has answered to a process that asks for a part of it to begin with.
     RetryReserve {
-        reserve: u64,
-        before: Option<u64>,
-        phase: &'static str,
+        reserve: f64,
+        before: Option<f64>,
+        nodes: Option<u32>,
+        settled: bool,
+        grant: &'static str,
         counted: Option<u32>,
         recorded: Option<u32>,
     },
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -352,7 +352,7 @@
             self.divide_limits();
             self.conclude_quarantine();
             self.tick_performance();
-            self.log_retry_reserve();
+            self.update_retry_reserve();
         }
         let mut state = self.state.borrow_mut();
         for id in state.backends.expire(now) {
--- a/crates/forward/src/node_state.rs
+++ b/crates/forward/src/node_state.rs
@@ -7,7 +7,7 @@
     forwarding::{
         announcements::brittleness::Brittleness,
         backends::{BackendId, BackendState, Backends},
-        budget::{Reserve, WindowBudget, WindowBudgetSettings, node_reserve},
+        budget::{WindowBudget, WindowBudgetSettings},
         change_log::ChangeLog,
         choice::{Chooser, StoreEndpoint},
         connect_times::ConnectTimes,
@@ -19,10 +19,12 @@
         late_arrivals::LateArrivals,
         reachability::Reachability,
         refusals::Refusals,
-        reserve_grant::ReserveGrant,
+        reserve_grant::{ReserveGrant, grant_period},
+        retry_reserve::{Reserve, SlackShare},
         rollout::{Rollout, RolloutSettings},
         silence::Silences,
         software::SoftwareHistory,
+        store_witness::StoreWitness,
         stream_records::StreamRecords,
         table::{RouteTable, WeightedRoundRobin},
     },
@@ -119,10 +121,16 @@
     pub(crate) share_draw: f64,
     /// How long a back end that announced draining is still used if no other is left.
     pub(crate) draining_timeout: Duration,
-    /// Whether this process may use the node's reserve of retries.
+    /// When this process started.
+    started: Timestamp,
+    /// What this process's reserve of retries begins with.
     pub(crate) reserve_grant: ReserveGrant,
+    /// Whether the store has kept what was written to it.
+    pub(crate) store_witness: StoreWitness,
+    /// This process's share of the slack of retry budgets.
+    pub(crate) slack_share: SlackShare,
     /// The reserve of retries that was logged last.
-    pub(crate) logged_reserve: Option<u64>,
+    pub(crate) logged_reserve: Option<Reserve>,
 }
 
 /// The node that leads.
@@ -185,6 +193,7 @@
     /// An empty state.
     pub fn new(settings: &ForwardSettings, now: Timestamp) -> Self {
         let bound = settings.bounds.weights();
+        let retry_window = Duration::from_millis(settings.bounds.retry_window_ms);
         let rollout = Rollout::new(RolloutSettings {
             min_loads: settings.limits.min_loads,
             loads_per_mille: (settings.limits.loads_share * 1_000.0) as usize,
@@ -233,11 +242,10 @@
             retry_schedules: BTreeMap::new(),
             share_draw: rand::random(),
             draining_timeout: settings.bounds.draining_timeout(),
-            reserve_grant: ReserveGrant::new(
-                now,
-                Duration::from_millis(settings.bounds.retry_window_ms),
-                settings.first_start,
-            ),
+            started: now,
+            reserve_grant: ReserveGrant::new(now, retry_window, settings.first_start),
+            store_witness: StoreWitness::new(grant_period(retry_window), settings.first_start),
+            slack_share: SlackShare::default(),
             logged_reserve: None,
         }
     }
@@ -286,15 +294,18 @@
         self.engines.performances.forget(id, now);
     }
 
-    /// The retries that this node may make to each service in a window besides the earned ones.
-    pub(crate) fn retry_reserve(
-        &self,
-        settings: &ForwardSettings,
-        nodes: NodeCount,
-        now: Timestamp,
-    ) -> Reserve {
-        let Some(phase) = self.reserve_grant.phase(now) else { return Reserve::default() };
-        node_reserve(settings.bounds.retry_slack, nodes.greatest(), phase, self.share_draw)
+    /// This node's share of the retries to each service besides the earned ones.
+    pub(crate) fn retry_reserve(&self, settings: &ForwardSettings, now: Timestamp) -> Reserve {
+        self.slack_share.reserve(settings.bounds.retry_slack, self.reserve_grant.beginning(), now)
+    }
+
+    fn budget_settings(&self, settings: &ForwardSettings) -> WindowBudgetSettings {
+        WindowBudgetSettings {
+            share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
+            window: Duration::from_millis(settings.bounds.retry_window_ms),
+            started: self.started,
+            draw: self.share_draw,
+        }
     }
 
     /// The retry budget of a service.
@@ -302,7 +313,6 @@
         &mut self,
         service: &ServiceId,
         settings: &ForwardSettings,
-        nodes: NodeCount,
         now: Timestamp,
     ) -> &mut WindowBudget {
         for retry in self.late_arrivals.take_dated(now) {
@@ -310,14 +320,10 @@
                 budget.record_dated(retry.at);
             }
         }
-        let reserve = self.retry_reserve(settings, nodes, now);
-        let budget = self.budgets.entry(service.clone()).or_insert_with(|| {
-            WindowBudget::new(WindowBudgetSettings {
-                share_per_mille: (settings.bounds.retry_share * 1_000.0) as u32,
-                reserve,
-                window: Duration::from_millis(settings.bounds.retry_window_ms),
-            })
-        });
+        let reserve = self.retry_reserve(settings, now);
+        let budget_settings = self.budget_settings(settings);
+        let budget =
+            self.budgets.entry(service.clone()).or_insert_with(|| WindowBudget::new(budget_settings));
         budget.set_reserve(reserve);
         budget
     }
@@ -326,17 +332,12 @@
     pub(crate) fn misdirected_budget(
         &mut self,
         settings: &ForwardSettings,
-        nodes: NodeCount,
         now: Timestamp,
     ) -> &mut WindowBudget {
-        let reserve = self.retry_reserve(settings, nodes, now);
-        let misdirected_budget = self.misdirected_budget.get_or_insert_with(|| {
-            WindowBudget::new(WindowBudgetSettings {
-                share_per_mille: 0,
-                reserve,
-                window: Duration::from_millis(settings.bounds.retry_window_ms),
-            })
-        });
+        let reserve = self.retry_reserve(settings, now);
+        let budget_settings = WindowBudgetSettings { share_per_mille: 0, ..self.budget_settings(settings) };
+        let misdirected_budget =
+            self.misdirected_budget.get_or_insert_with(|| WindowBudget::new(budget_settings));
         misdirected_budget.set_reserve(reserve);
         misdirected_budget
     }
--- a/crates/forward/src/peers/client.rs
+++ b/crates/forward/src/peers/client.rs
@@ -20,6 +20,7 @@
     node::Node,
     node_state::Leader,
     ports::StoreCall,
+    retry_reserve::witness_store,
     store_feed::call_store,
 };
 
@@ -60,7 +61,8 @@
         if counted != before {
             node.journal.log(&Event::NodesCounted { nodes: counted, before });
         }
-        node.log_retry_reserve();
+        node.update_retry_reserve();
+        witness_store(&node, leads);
         let leader = node.state.borrow().leader.clone();
         let root = leader.as_ref().and_then(Leader::contact);
         let token = leader.as_ref().map(|leader| leader.token);
--- a/crates/forward/src/ports/mod.rs
+++ b/crates/forward/src/ports/mod.rs
@@ -69,6 +69,13 @@
     RecordFleetSize {
         nodes: u32,
     },
+    /// Reads the record that the store has kept what was written to it.
+    FindWitness,
+    /// Records that the store has lost nothing for a while, in this era, bound to a lease.
+    RecordWitness {
+        era: StoreEra,
+        lease: StoreLease,
+    },
     /// Takes the reserve of a node's retry budgets while a lease lasts, unless a process of it has it already. The
     /// first start of all nodes does not count against later processes, as none came before it.
     ReserveRetries {
@@ -103,6 +110,8 @@
             Self::End(_) => "end",
             Self::Lead { .. } => "lead",
             Self::RecordFleetSize { .. } => "record_fleet_size",
+            Self::FindWitness => "find_witness",
+            Self::RecordWitness { .. } => "record_witness",
             Self::ReserveRetries { .. } => "reserve_retries",
             Self::RecordTarget { .. } => "record_naming",
             Self::Quarantine { .. } => "hold",
@@ -166,6 +175,8 @@
     NoLeader,
     /// The number of nodes that a root recorded.
     FleetSize(u32),
+    /// A leader recorded that the store has lost nothing for a while, in this era.
+    StoreWitnessed(StoreEra),
     /// A leader recorded how recently a target version was announced. The age counts back from the proof of
     /// the listing that contains the record.
     #[serde(rename = "naming_record")]
@@ -199,6 +210,8 @@
             Self::Released(fingerprint) => EntryKey::Quarantined(*fingerprint),
             // Nodes share the proofs derived from it instead.
             Self::TargetRecord(_) => return None,
+            // Read by processes that start.
+            Self::StoreWitnessed(_) => return None,
             Self::Unreadable { backend, .. } => EntryKey::Backend(backend.clone()?),
         })
     }
--- a/crates/forward/src/retries.rs
+++ b/crates/forward/src/retries.rs
@@ -71,10 +71,9 @@
     /// Draws on the retry budget of a service.
     pub fn draw_retry(&self, service: &ServiceId) -> bool {
         let settings = self.settings();
-        let nodes = self.nodes();
         let mut state = self.state.borrow_mut();
         let now = self.now();
-        let granted = state.budget(service, &settings, nodes, now).try_retry(now);
+        let granted = state.budget(service, &settings, now).try_retry(now);
         let counter = if granted { Counter::Retries } else { Counter::RetriesRefused };
         self.metrics.count(counter);
         granted
@@ -83,19 +82,17 @@
     /// The retries that the budget of a service still allows.
     pub fn retries_left(&self, service: &ServiceId) -> u64 {
         let settings = self.settings();
-        let nodes = self.nodes();
         // Valid before any request of the service has arrived, so that the first request may leave an
         // unresponsive back end.
         let now = self.now();
-        self.state.borrow_mut().budget(service, &settings, nodes, now).remaining(now)
+        self.state.borrow_mut().budget(service, &settings, now).remaining(now)
     }
 
     /// Credits the retry budget of a service with a request that is sent for the first time.
     pub fn record_first_attempt(&self, service: &ServiceId) {
         let settings = self.settings();
-        let nodes = self.nodes();
         let now = self.now();
-        self.state.borrow_mut().budget(service, &settings, nodes, now).record_request(now);
+        self.state.borrow_mut().budget(service, &settings, now).record_request(now);
     }
 
     /// Records how an attempt for a service ended; `end` is `None` if its answer has begun.
@@ -146,19 +143,17 @@
     /// Draws on the budget of misdirected retries. Returns the time of the draw, which a refund needs.
     pub fn draw_misdirected_retry(&self) -> Option<Timestamp> {
         let settings = self.settings();
-        let nodes = self.nodes();
         let now = self.now();
-        let granted = self.state.borrow_mut().misdirected_budget(&settings, nodes, now).try_retry(now);
+        let granted = self.state.borrow_mut().misdirected_budget(&settings, now).try_retry(now);
         granted.then_some(now)
     }
 
     /// Settles the misdirected budget after a retry: `drawn_at` is the time of its draw, if there was one.
     pub fn settle_misdirected_retry(&self, drawn_at: Option<Timestamp>, end: Option<AttemptEnd>) {
         let settings = self.settings();
-        let nodes = self.nodes();
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let misdirected_budget = state.misdirected_budget(&settings, nodes, now);
+        let misdirected_budget = state.misdirected_budget(&settings, now);
         match (drawn_at, end == Some(AttemptEnd::Misdirected)) {
             (None, true) => misdirected_budget.record_retry(now),
             (Some(at), false) => misdirected_budget.refund(at),
--- a/crates/protocol/src/era.rs
+++ b/crates/protocol/src/era.rs
@@ -5,6 +5,8 @@
 //! in the upper bits, the store's own number in the lower ones. A store without eras is in era 0, where a
 //! revision equals the store's own number.
 
+use serde::{Deserialize, Serialize};
+
 use crate::identity::{FencingToken, Revision};
 
 /// Bits of the store's own number, enough for three years at 10,000 changes a second. Up to era 8,000 the
@@ -13,7 +15,8 @@
 const NUMBER_MASK: u64 = (1 << NUMBER_BITS) - 1;
 
 /// How many times a store has been restored from a backup, by its own count.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct StoreEra(pub u64);
 
 impl StoreEra {
