The slots of requests in flight do not overflow

A configuration may name 4,294,967,295 slots for an engine, and a large request then holds as many. Two of them overflowed the sum of the pool: the process ends in a build with checks, and counts few in flight otherwise.

Evidence: the test fails on the code before, in the bound and, with the bound alone mended, by `attempt to add with overflow`.

Change: a request holds 65,536 slots at most, and sums saturate.

--- a/crates/core/src/admission/pool.rs
+++ b/crates/core/src/admission/pool.rs
@@ -141,9 +141,9 @@
         let weight = self.queue.rank(request.rank).map_or(1, |queue| queue.weight_of(tenant));
         let demotion = DEMOTION_FACTOR * self.even_level(tenant, weight, reserved_fraction);
         let is_over_share = !below_level(&self.by_tenant, tenant, weight, demotion);
-        self.in_flight += request.slots;
+        self.in_flight = self.in_flight.saturating_add(request.slots);
         let in_flight = self.by_tenant.entry(tenant.clone()).or_default();
-        in_flight.slots += request.slots;
+        in_flight.slots = in_flight.slots.saturating_add(request.slots);
         in_flight.weight = weight;
         is_over_share
     }
--- a/crates/core/src/forwarding/room.rs
+++ b/crates/core/src/forwarding/room.rs
@@ -46,6 +46,10 @@
 /// The part of the longest useful retry time over which callers are spread whose turn would be later.
 const LATE_RETRY_SPREAD: f64 = 0.5;
 
+/// The maximum number of slots of a request, whatever the configuration says: more than any engine has, and few enough
+/// to be added up.
+const MAX_REQUEST_SLOTS: u32 = 1 << 16;
+
 /// The tokens that a request takes of an engine's cache. Shared segments are stored once for all requests of an
 /// engine.
 pub fn request_tokens(prompt: &Prompt) -> u64 {
@@ -59,7 +63,7 @@
         return 1;
     }
     let slots = tokens as f64 * f64::from(engine_slots) / cache_tokens as f64;
-    (slots.round() as u32).clamp(1, engine_slots.max(1))
+    (slots.round() as u32).clamp(1, engine_slots.clamp(1, MAX_REQUEST_SLOTS))
 }
 
 /// What a node knows of an engine of a pool.
--- a/crates/core/tests/forwarding_room.rs
+++ b/crates/core/tests/forwarding_room.rs
@@ -300,6 +300,21 @@
     assert_eq!(started(&admission.apply(ended, at(10))), ["waiting"]);
 }
 
+/// A configuration may name any number of slots.
+#[test]
+fn the_slots_of_requests_in_flight_do_not_overflow() {
+    assert!(request_slots(u64::MAX, u32::MAX, 1) <= 1 << 16, "no engine runs more at once");
+    let mut admission = admission(u32::MAX);
+    for ticket in ["first", "second", "third"] {
+        let large = AdmissionRequest { slots: 3_000_000_000, ..request(ticket, 0, START) };
+        submit(&mut admission, large, START);
+    }
+    for ticket in ["first", "second", "third"] {
+        admission.apply(AdmissionEvent::Ended { ticket: RequestId::from(ticket) }, at(10));
+    }
+    assert_eq!(started(&submit(&mut admission, request("small", 0, at(20)), at(20))), ["small"]);
+}
+
 #[test]
 fn rejected_callers_come_back_spread_and_while_they_can_be_served() {
     let (turn, left) = (Duration::from_millis(800), Duration::from_secs(9));
