Tests of odd entries among those of back ends

Another writer may leave entries that are nested 100,000 deep, or have numbers or ports out of range. Each of 41 odd entries is left beside a plain service and beside engines, while a back end goes and comes back: the node follows within 2 s and serves. The largest number of slots is served.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod limit_check;
 mod limits;
+mod odd_entries;
 mod partitioned;
 mod planned_soak;
 mod poison;
