The soak of restarts has a store that forgets; postmortem

A store that comes back from a copy up to 5 s old, again and again, beside restarts in series, stalled connections and failing servers.

--- a/crates/cli/tests/forward/soak/leaving.rs
+++ b/crates/cli/tests/forward/soak/leaving.rs
@@ -102,7 +102,7 @@
     }
 
     /// Restores the store from a backup of age `age` after a short outage.
-    async fn restore_store(&self, age: Duration) {
+    pub(super) async fn restore_store(&self, age: Duration) {
         // Concurrent restores would restore a backup from before the other restore.
         let Ok(_guard) = self.restore_lock.try_lock() else { return };
         let backup = self.cluster.store.backup();
--- a/crates/cli/tests/forward/soak/mod.rs
+++ b/crates/cli/tests/forward/soak/mod.rs
@@ -264,7 +264,12 @@
             Scenario::Silences => self.silence_faults(seed, series).await,
             Scenario::Restarts => self.restart_faults(seed, series).await,
         });
-        futures_util::future::join_all(series).await;
+        let store_faults = async {
+            if scenario == Scenario::Restarts {
+                self.forgetting_store(seed).await;
+            }
+        };
+        tokio::join!(futures_util::future::join_all(series), store_faults);
     }
 }
 
--- a/crates/cli/tests/forward/soak/restarts.rs
+++ b/crates/cli/tests/forward/soak/restarts.rs
@@ -1,4 +1,5 @@
-//! Nodes that restart in series, one after the other and all together, connections that stall, and answers that are cut.
+//! Nodes that restart in series, one after the other and all together, a store that forgets, connections that stall, and
+//! answers that are cut.
 
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,8 @@
 const RESTART_INTERVAL: Duration = Duration::from_millis(1_500);
 /// The longest time between two faults of a sequence.
 const PAUSE: Duration = Duration::from_secs(3);
+/// The age of the copy that the store is restored from at most.
+const MAX_COPY_AGE: Duration = Duration::from_secs(5);
 /// The longest stall of a connection.
 const MAX_STALL: Duration = Duration::from_secs(9);
 /// Requests that a server fails, and answers that it cuts, in series.
@@ -38,6 +41,14 @@
         }
     }
 
+    /// Restores the store again and again from a copy that is some time old.
+    pub(super) async fn forgetting_store(&self, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed.wrapping_mul(53));
+        while Instant::now() < self.until {
+            self.restore_store(MAX_COPY_AGE.mul_f64(random.random_range(0.1..1.0))).await;
+        }
+    }
+
     async fn restart_all_in_series(&self, random: &mut StdRng) {
         for _ in 0..random.random_range(1..=MAX_RESTARTS) {
             join_all((0..self.nodes()).map(|node| self.kill(node, Duration::ZERO))).await;
