The problem of an unreadable entry is described in 256 bytes at most

An entry of another writer whose state is 2 MB long was quoted whole in the line `item_unreadable`, and in what nodes tell each other of the entry: the parser names what it did not expect. An entry that is written each second would fill logs and links by 2 MB each time.

Change: the description of an answer that cannot be parsed is cut where it is made, for all parsers of the platform's answers. An entry that is written again and again is still named each time.

--- a/crates/forward/src/ports/mod.rs
+++ b/crates/forward/src/ports/mod.rs
@@ -5,7 +5,7 @@
 
 mod heads;
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt::Display, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -217,10 +217,23 @@
     }
 }
 
+/// The length of the description of a problem at most, in bytes: parsers may quote what they could not read.
+const MAX_PROBLEM_BYTES: usize = 256;
+
 /// An answer that could not be parsed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0}")]
-pub struct InvalidAnswer(pub String);
+pub struct InvalidAnswer(String);
+
+impl InvalidAnswer {
+    /// Describes the problem; long descriptions are cut.
+    pub fn new(problem: impl Display) -> Self {
+        let mut text = problem.to_string();
+        let end = (0..=MAX_PROBLEM_BYTES).rev().find(|end| text.is_char_boundary(*end));
+        text.truncate(end.unwrap_or(0));
+        Self(text)
+    }
+}
 
 /// An order to an engine to load weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
