--- a/crates/core/src/forwarding/software.rs
+++ b/crates/core/src/forwarding/software.rs
@@ -174,8 +174,6 @@
     }
 
     /// Whether streams may begin at this version: other nodes know of it, or no version is left that they know longer.
-    /// A node that has just started sees all versions for the first time, so it does not know which one that is until
-    /// another node has told it.
     pub fn may_begin(&self, service: &ServiceId, software: Option<&SoftwareVersion>, now: Timestamp) -> bool {
         let Some(versions) = self.services.get(service) else { return true };
         if versions.len() < 2 {
@@ -184,16 +182,8 @@
         let is_settled = |seen: &Seen| now.saturating_since(seen.first) >= NEW_VERSION_DELAY;
         let is_serving = |seen: &Seen| now.saturating_since(seen.last) <= SERVING_AGE;
         let own = versions.iter().find(|(version, _)| version.as_ref() == software);
-        if own.is_none_or(|(_, seen)| is_settled(seen)) {
-            return true;
-        }
-        let mut others =
-            versions.iter().filter(|(version, seen)| version.as_ref() != software && is_serving(seen));
-        if !self.is_complete(NEW_VERSION_DELAY, now) {
-            // No stream continues at an unknown version, so one that began at a known version goes nowhere else.
-            return others.all(|(version, _)| version.is_none() && software.is_some());
-        }
-        !others.any(|(_, seen)| is_settled(seen))
+        own.is_none_or(|(_, seen)| is_settled(seen))
+            || !versions.values().any(|seen| is_settled(seen) && is_serving(seen))
     }
 
     /// The versions of a service that are listed, `None` for unknown ones.
