--- a/crates/core/tests/forwarding_software.rs
+++ b/crates/core/tests/forwarding_software.rs
@@ -120,6 +120,26 @@
     assert!(may_begin(&first, "v1", 0) && may_begin(&first, "v2", 0));
 }
 
+/// Guards against a take-up that goes on at another version: whenever a node starts while a version joins, it begins no
+/// stream there as long as a node out of step, which trusts its history, proves that there is one version.
+#[test]
+fn no_node_begins_a_stream_that_a_node_out_of_step_would_continue_elsewhere() {
+    for started_at in (60_000..66_000).step_by(100) {
+        let mut started = SoftwareHistory::default();
+        started.begin(at(started_at));
+        for now in (started_at..started_at + 6_000).step_by(100) {
+            // The version joins at 62 s; the node out of step has seen the registry for the last time just before.
+            let versions: &[&str] = if now < 62_000 { &["v1"] } else { &["v1", "v2"] };
+            observe(&mut started, versions, now);
+            let stale = listed(&["v1"], 61_900);
+            let view_age = Some(Duration::from_millis(now.saturating_sub(61_900)));
+            let proved = stale.only_version(&service(), view_age, LIFETIME, at(now));
+            let begins = now >= 62_000 && started.may_begin(&service(), Some(&version("v2")), at(now));
+            assert!(!(begins && proved.is_some()), "started at {started_at}, at {now}");
+        }
+    }
+}
+
 #[test]
 fn a_neighbours_history_completes_one_that_reaches_back_to_it() {
     let neighbour = listed(&["v1"], 21_000);
