--- a/crates/cli/tests/forward/odd_entries.rs
+++ b/crates/cli/tests/forward/odd_entries.rs
@@ -4,7 +4,10 @@
 
 use futures_util::future::join_all;
 use http::StatusCode;
-use paddlemount_platform_standin::{Cluster, Runner, cluster::KEY};
+use paddlemount_platform_standin::{
+    Cluster, Runner,
+    cluster::{KEY, NUMERIC_ENTRY_FIELDS},
+};
 
 use crate::router::Router;
 
@@ -42,7 +45,7 @@
     ];
     let numbers = ["-5", "0", "4294967295", "4294967296", "18446744073709551616", "1e400", "1e308", "0.5"];
     entries.extend(numbers.map(|number| entry(service, dead, number, "")));
-    for field in ["born", "sequence", "coldRemainingMs"] {
+    for field in NUMERIC_ENTRY_FIELDS {
         entries.extend(numbers.map(|number| entry(service, dead, "8", &format!(r#","{field}":{number}"#))));
     }
     entries
@@ -68,7 +71,7 @@
         [("/quote/1", "booking", &cluster.bookings[0]), ("/chat/1", "pool", &cluster.engines[0])]
     {
         for (number, odd) in odd_entries(service).iter().enumerate() {
-            cluster.store.put_bytes(&format!("servers/odd-{number}"), odd.as_bytes());
+            cluster.put_foreign_entry(&format!("odd-{number}"), odd.as_bytes());
             cluster.unregister(runner);
             let before = runner.seen().len();
             cluster.register(runner, "ready");
@@ -80,7 +83,7 @@
             let lines = router.lines();
             let last = &lines[lines.len().saturating_sub(8)..];
             assert!(followed.is_ok(), "not followed beside {}: {last:#?}", &odd[..odd.len().min(200)]);
-            cluster.store.remove(&format!("servers/odd-{number}"));
+            cluster.remove_foreign_entry(&format!("odd-{number}"));
         }
     }
     assert_eq!(router.fetch_readiness().await, Some(StatusCode::OK));
@@ -95,11 +98,7 @@
 async fn a_node_serves_engines_with_the_largest_number_of_slots() {
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
-    cluster.store.change("op/config", |document| {
-        document["version"] = 2.into();
-        document["services"][0]["engine"]["slots"] = u32::MAX.into();
-        document["services"][0]["engine"]["kvCacheTokens"] = 1.into();
-    });
+    cluster.configure_slots(2, &[KEY], u32::MAX, 1);
     cluster.engines.iter().for_each(|engine| cluster.change_slots(engine, u32::MAX));
     let router = Router::start(&cluster).await;
     let is_served = async || served(&router, "/chat/1", "largest").await > 0;
