--- a/crates/cli/tests/forward/endless.rs
+++ b/crates/cli/tests/forward/endless.rs
@@ -4,7 +4,10 @@
 
 use paddlemount_platform_standin::{Behaviour, Cluster, Runner, cluster::KEY};
 
-use crate::router::{CallerResponse, Router};
+use crate::{
+    process::Usage,
+    router::{CallerResponse, Router},
+};
 
 /// Concurrent requests that meet such a back end.
 const CALLERS: usize = 6;
@@ -13,14 +16,6 @@
 /// Resident memory that a node may reach, in kilobytes: the smallest machines have 88 MB.
 const MAX_RESIDENT_KB: u64 = 80 * 1_024;
 
-/// The most memory that the process has had resident, in kilobytes.
-fn peak_resident_kb(router: &Router) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", router.process_id()));
-    let status = status.expect("the process runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("peak memory is listed");
-    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number of kilobytes")
-}
-
 /// Sends requests to back ends that answer all of them without end, and returns the answers.
 async fn answers_of(behaviour: Behaviour, path: &str) -> Vec<CallerResponse> {
     let cluster = Cluster::start().await.expect("the cluster starts");
@@ -32,7 +27,7 @@
     let calls = (0..CALLERS).map(async |number| router.send(path, &format!("endless-{number}")).await);
     let answers = futures_util::future::join_all(calls).await;
     assert!(began.elapsed() < DEADLINE, "answered after {:?}", began.elapsed());
-    let peak = peak_resident_kb(&router);
+    let peak = Usage::of(&router).peak_resident_kb;
     assert!(peak < MAX_RESIDENT_KB, "{peak} KB resident, at most {MAX_RESIDENT_KB}");
     let ran: usize = runners.iter().flat_map(Runner::seen).filter(|seen| seen.ran).count();
     let closed = async || runners.iter().map(Runner::closed_by_caller).sum::<u32>() as usize == ran;
--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod delivery;
 mod ending;
 mod endless;
+mod endless_beside;
 mod fixed_rate;
 mod fleet;
 mod judge;
@@ -17,8 +18,10 @@
 mod odd_entries;
 mod partitioned;
 mod planned_soak;
+mod planned_stop;
 mod poison;
 mod poison_segments;
+mod process;
 #[path = "../support/program.rs"]
 mod program;
 mod quota;
