Comments without end break their stream's run off

Callers of sound back ends were served two thirds as often beside engines whose streams have comments without end: these are passed on as fast as their callers read, until the deadline. An event without end was bounded, blocks of comments were not, as each of them ends.

The comments since the last event now count towards the size of the next one, 256 KB, and such a run counts as an answer without end for its back end. The limit is asked before more is received, so it holds also where each read ends a block.

The test failed before.

--- a/crates/core/src/forwarding/events.rs
+++ b/crates/core/src/forwarding/events.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The largest event, in bytes: one holds a few tokens and what belongs to them.
+/// The largest event with the comments before it, in bytes: one holds a few tokens and what belongs to them.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 /// The field that holds an event's identity.
 const ID_FIELD: &[u8] = b"id:";
@@ -16,6 +16,8 @@
     pending: BytesMut,
     /// The number of bytes of `pending` already searched for the end of an event.
     searched: usize,
+    /// The bytes of comments since the last event.
+    comment_bytes: usize,
     last_id: Option<u64>,
 }
 
@@ -38,6 +40,7 @@
         while let Some(end) = self.find_end() {
             let event = self.pending.split_to(end);
             self.searched = 0;
+            self.comment_bytes = if is_comment(&event) { self.comment_bytes + event.len() } else { 0 };
             if self.is_new(&event) {
                 if complete.is_empty() {
                     complete = event;
@@ -52,12 +55,13 @@
     /// The remaining bytes after the last complete event, at the regular end of the stream.
     pub fn finish(&mut self) -> Bytes {
         self.searched = 0;
+        self.comment_bytes = 0;
         self.pending.split().freeze()
     }
 
-    /// Whether the incomplete event has more bytes than an event may have.
+    /// Whether the incomplete event has more bytes than an event and the comments before it may have.
     pub fn exceeds_limit(&self) -> bool {
-        self.pending.len() > MAX_EVENT_BYTES
+        self.comment_bytes + self.pending.len() > MAX_EVENT_BYTES
     }
 
     /// Whether an incomplete event is buffered: more than blank lines.
@@ -94,6 +98,11 @@
     }
 }
 
+/// Whether a block has no field, but comments or blank lines.
+fn is_comment(block: &[u8]) -> bool {
+    block.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+}
+
 /// The identity of an event, if it is an integer.
 pub fn event_id(event: &[u8]) -> Option<u64> {
     let line = event.split(|byte| *byte == b'\n').find(|line| line.starts_with(ID_FIELD))?;
--- a/crates/core/tests/forwarding_decisions.rs
+++ b/crates/core/tests/forwarding_decisions.rs
@@ -290,6 +290,27 @@
 }
 
 /// Guards against an event without end that is kept until the deadline of its request.
+#[test]
+fn comments_without_end_exceed_the_limit() {
+    let mut splitter = EventSplitter::default();
+    let comments = b": still there\r\n\r\n: no event\n\n".repeat(1_024);
+    for _ in 0..20 {
+        splitter.push(&comments);
+    }
+    assert!(splitter.exceeds_limit());
+}
+
+#[test]
+fn comments_between_events_may_be_many() {
+    let mut splitter = EventSplitter::default();
+    let comments = b": still there\n\n".repeat(1_024);
+    for number in 0..100 {
+        splitter.push(&comments);
+        splitter.push(format!("id: {number}\ndata: piece\n\n").as_bytes());
+        assert!(!splitter.exceeds_limit());
+    }
+}
+
 #[test]
 fn an_event_without_end_exceeds_the_limit() {
     let mut splitter = EventSplitter::default();
--- a/crates/forward/src/relay.rs
+++ b/crates/forward/src/relay.rs
@@ -152,6 +152,15 @@
             return None;
         }
         loop {
+            if self.splitter.exceeds_limit() {
+                let failure = AttemptFailure {
+                    oversized: true,
+                    ..AttemptFailure::unclear("an event is too large".into())
+                };
+                if !self.resume_without_run(failure).await {
+                    return Some(Err(self.abandon("stream_broken", RelayError::Broken)));
+                }
+            }
             match self.receive().await {
                 Received::Data(data) => {
                     self.received_at = self.exchange.node.now();
@@ -169,12 +178,6 @@
                     if !events.is_empty() {
                         return Some(Ok(events));
                     }
-                    if self.splitter.exceeds_limit() {
-                        let failure = AttemptFailure::unclear("an event is too large".into());
-                        if !self.resume_without_run(failure).await {
-                            return Some(Err(self.abandon("stream_broken", RelayError::Broken)));
-                        }
-                    }
                 }
                 Received::End => {
                     let Some(detail) = self.cut_off().await else { return self.end() };
