A planned stop asks again whether a request can end in time when it is passed on

Callers whose heads came before a stopping node turned requests away, and whose bodies came 1.5 s later, got no answer: the request was passed on and cut when the process ended, among them requests that run at most once and streams.

Whether a request may start was asked once, when its head had arrived. Reading the body, waiting for room and looking up a stream take time, after which less is left. Ruled out: the length of the drain period (a body that comes within it is served, as a test shows).

It is asked again before each attempt while the request has certainly not run; what can't end in time is refused as not run, and its caller goes to another node. Both tests with a body 3.5 s after the signal failed before: one cut without an answer, one stream after four events.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -180,6 +180,9 @@
             if let Some(quarantined_for) = self.quarantined_for() {
                 return self.refuse_quarantined(quarantined_for);
             }
+            if !self.history.may_have_run && !self.has_time() {
+                return self.abandon(Reason::Stopping);
+            }
             let Some(choice) = self.choose_backend() else {
                 return self.abandon(self.no_backend_refusal(Reason::NoBackend));
             };
@@ -207,6 +210,11 @@
         }
     }
 
+    /// Whether the request can be answered before a planned stop ends.
+    fn has_time(&self) -> bool {
+        self.node.has_time_for(&self.route, self.record.estimated_tokens, self.deadline)
+    }
+
     /// Whether the request is likely to go through another node.
     fn is_handed_on(&self) -> bool {
         let state = self.node.state.borrow();
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -204,7 +204,8 @@
     }
 
     /// Whether a request of `route` can be answered before a planned stop ends, given the estimated length of
-    /// its answer and the caller's deadline.
+    /// its answer and the caller's deadline. Must be asked again when a request is about to be sent, as its body
+    /// may come long after its head.
     pub fn has_time_for(&self, route: &Route, estimated_tokens: Option<u32>, deadline: Timestamp) -> bool {
         let Some(stop) = self.planned_stop.get() else { return true };
         let now = self.now();
