A planned stop begins no request that runs at most once and may outlast it

A caller whose request runs at most once, sent 2.0 s after the signal, was cut without an answer at the exit, as it took 5 s where earlier ones had taken milliseconds, or where no earlier one was known. Its caller can't send it again.

The times of earlier answers say what is likely, and an unknown time was taken for a short one. Such a request starts in a planned stop only if its caller gives up before the process ends; others of its kind are refused as not run. Streams and repeatable requests go by earlier times as before: they can be resumed or sent again, and a refusal costs each of them a round trip.

The test failed before; the checks of the decision are unchanged for the other kinds, and have new ones for this one.

--- a/crates/core/src/forwarding/planned_stop.rs
+++ b/crates/core/src/forwarding/planned_stop.rs
@@ -4,6 +4,8 @@
 
 use paddlemount_protocol::time::Timestamp;
 
+use super::document::RouteKind;
+
 /// The maximum time for which callers are still served normally after a signal to stop.
 const MAX_DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
 /// How long before it would be killed the process exits by itself.
@@ -37,8 +39,14 @@
     /// Whether a request may start that is expected to take `expected`, and whose caller waits for
     /// `caller_timeout`. A request may always start if its caller gives up before the process exits. Others
     /// may start only while callers are accepted, if the answer is expected to end in time or its duration is
-    /// unknown.
-    pub fn may_start(&self, expected: Option<Duration>, caller_timeout: Duration, now: Timestamp) -> bool {
+    /// unknown, and if their callers may send them again.
+    pub fn may_start(
+        &self,
+        kind: RouteKind,
+        expected: Option<Duration>,
+        caller_timeout: Duration,
+        now: Timestamp,
+    ) -> bool {
         let remaining = self.ends_at.saturating_since(now);
         if remaining.is_zero() {
             return false;
@@ -49,7 +57,9 @@
         // Requests that come later are on connections without an answer since the signal. Their callers can
         // be redirected at the cost of a round trip, whereas an answer that exceeds its estimate would be cut
         // off.
-        now < self.accepts_until && expected.is_none_or(|expected| expected <= remaining)
+        kind != RouteKind::AtMostOnce
+            && now < self.accepts_until
+            && expected.is_none_or(|expected| expected <= remaining)
     }
 
     /// The idle timeout advertised to callers, in whole seconds, so that they stop using a connection before
--- a/crates/core/tests/forwarding_planned_stop.rs
+++ b/crates/core/tests/forwarding_planned_stop.rs
@@ -4,11 +4,13 @@
 
 use paddlemount_core::forwarding::{
     answer_times::{AnswerTime, AnswerTimes},
+    document::RouteKind,
     planned_stop::PlannedStop,
 };
 use paddlemount_protocol::time::Timestamp;
 
 const ROUTE: &str = "chat";
+const REPEATABLE: RouteKind = RouteKind::Repeatable;
 
 fn at(seconds: u64) -> Timestamp {
     Timestamp::from_millis(3_600_000 + seconds * 1_000)
@@ -60,11 +62,14 @@
 fn a_request_starts_only_if_a_long_answer_would_end_in_time() {
     let stop = PlannedStop::new(at(0), seconds(6), seconds(8));
     let caller_timeout = seconds(15);
-    assert!(stop.may_start(Some(seconds(5)), caller_timeout, at(3)));
-    assert!(!stop.may_start(Some(seconds(5)), caller_timeout, at(4)));
-    assert!(stop.may_start(Some(seconds(5)), seconds(2), at(4)), "its caller gives up before the end");
-    assert!(stop.may_start(None, caller_timeout, at(4)), "no answer of its route is known");
-    assert!(!stop.may_start(None, caller_timeout, at(9)), "the process has ended");
+    assert!(stop.may_start(REPEATABLE, Some(seconds(5)), caller_timeout, at(3)));
+    assert!(!stop.may_start(REPEATABLE, Some(seconds(5)), caller_timeout, at(4)));
+    assert!(
+        stop.may_start(REPEATABLE, Some(seconds(5)), seconds(2), at(4)),
+        "its caller gives up before the end"
+    );
+    assert!(stop.may_start(REPEATABLE, None, caller_timeout, at(4)), "no answer of its route is known");
+    assert!(!stop.may_start(REPEATABLE, None, caller_timeout, at(9)), "the process has ended");
 }
 
 /// Guards against a decision by the longest answer of a route, which refuses short requests and cuts off long
@@ -96,16 +101,34 @@
 fn after_the_drain_period_only_requests_that_end_in_any_case_start() {
     let stop = PlannedStop::new(at(0), seconds(3), seconds(8));
     let caller_timeout = seconds(15);
-    assert!(stop.may_start(None, caller_timeout, at(2)), "callers are accepted");
-    assert!(!stop.may_start(None, caller_timeout, at(3)), "its duration is unknown");
+    assert!(stop.may_start(REPEATABLE, None, caller_timeout, at(2)), "callers are accepted");
+    assert!(!stop.may_start(REPEATABLE, None, caller_timeout, at(3)), "its duration is unknown");
     assert!(
-        !stop.may_start(Some(Duration::from_millis(1)), caller_timeout, at(3)),
+        !stop.may_start(REPEATABLE, Some(Duration::from_millis(1)), caller_timeout, at(3)),
         "a short estimate is not enough"
     );
-    assert!(stop.may_start(None, seconds(5), at(3)), "its caller gives up before the end");
-    assert!(!stop.may_start(None, seconds(0), at(8)), "the process ends");
+    assert!(stop.may_start(REPEATABLE, None, seconds(5), at(3)), "its caller gives up before the end");
+    assert!(!stop.may_start(REPEATABLE, None, seconds(0), at(8)), "the process ends");
     let short = PlannedStop::new(at(0), seconds(3), seconds(2));
-    assert!(!short.may_start(None, seconds(1), at(2)), "the drain period ends with the grace period");
+    assert!(
+        !short.may_start(REPEATABLE, None, seconds(1), at(2)),
+        "the drain period ends with the grace period"
+    );
+}
+
+/// A caller must not send it again after a cut.
+#[test]
+fn a_request_that_runs_at_most_once_starts_only_if_its_caller_gives_up_before_the_end() {
+    let stop = PlannedStop::new(at(0), seconds(3), seconds(8));
+    let may_start = |expected, caller_timeout, now| {
+        stop.may_start(RouteKind::AtMostOnce, expected, seconds(caller_timeout), at(now))
+    };
+    for expected in [None, Some(Duration::from_millis(1))] {
+        assert!(may_start(expected, 7, 1));
+        assert!(!may_start(expected, 8, 1), "whatever earlier answers took");
+        assert!(may_start(expected, 4, 4));
+        assert!(!may_start(expected, 5, 4));
+    }
 }
 
 #[test]
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -210,7 +210,7 @@
         let Some(stop) = self.planned_stop.get() else { return true };
         let now = self.now();
         let expected = self.answer_times.borrow().expected(&route.name, estimated_tokens, now);
-        stop.may_start(expected, deadline.saturating_since(now), now)
+        stop.may_start(route.kind, expected, deadline.saturating_since(now), now)
     }
 
     /// Refunds the quota that was charged for a request that has not run.
