A new connection is given a second for its first request in a planned stop

Callers that connected shortly before a stopping node closed its listener, and sent their request more than 200 ms later, got no answer: the connection had been closed as idle, and the request crossed the close.

200 ms without a byte were enough for any connection, as a caller that has just had an answer sends its next request within a few round trips. One that has just connected has opened the connection to send, and may be slow.

A request 800 ms after its connection, 2.0 s after the signal, was cut before and is answered now. Ruled out for it as far as played: a connection that comes up between the last one accepted and the close of the listener (20 plays of six threads that connect without pause, none of some 8,000 connections unanswered).

--- a/crates/cli/tests/forward/planned_stop.rs
+++ b/crates/cli/tests/forward/planned_stop.rs
@@ -45,7 +45,6 @@
     async fn call_after_signal(&self, path: &str, head_after: Duration, body_delay: Duration) -> Ending {
         let mut caller = RawCaller::connect(self.router.callers).await;
         self.router.terminate();
-        // Kept in use, as an idle connection is closed.
         tokio::time::sleep(head_after).await;
         caller.send_head(path, "late", BODY.len()).await;
         tokio::time::sleep(body_delay).await;
@@ -91,6 +90,18 @@
     node.check_refused(&ending);
 }
 
+/// The connection was closed after 200 ms without a byte, and its request was lost.
+#[tokio::test]
+async fn a_request_that_follows_its_new_connection_late_in_a_planned_stop_is_answered() {
+    let node = StoppingNode::start().await;
+    node.router.terminate();
+    tokio::time::sleep(LATE).await;
+    let mut caller = RawCaller::connect(node.router.callers).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let ending = caller.call("/hold/1", "late").await;
+    assert!(ending.is_complete(), "{ending:?}");
+}
+
 #[tokio::test]
 async fn a_request_whose_body_comes_early_in_a_planned_stop_is_served() {
     let node = StoppingNode::start().await;
--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -9,8 +9,10 @@
 use paddlemount_protocol::time::Timestamp;
 
 /// How long a connection must have been without activity before a planned stop closes it. A caller that has
-/// just received an answer, or has just connected, sends its next request within a few round trips.
+/// just received an answer sends its next request within a few round trips.
 const CLOSE_QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// The same for a connection without a request so far: its caller has opened it to send one, and may be slow.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// How much longer than the advertised idle timeout an idle connection stays open.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 
@@ -30,6 +32,8 @@
 /// The observed state of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionState {
+    /// Whether no request has arrived yet.
+    pub is_new: bool,
     /// Whether a request is being served.
     pub is_serving: bool,
     /// Whether a request head has been received in part.
@@ -68,6 +72,7 @@
     }
     let idle_until = match stage {
         StopStage::Serving | StopStage::Draining => state.idle_since + idle_timeout + IDLE_TIMEOUT_MARGIN,
+        StopStage::Closing | StopStage::Ended if state.is_new => state.last_activity + FIRST_REQUEST_TIMEOUT,
         StopStage::Closing | StopStage::Ended => state.last_activity + CLOSE_QUIET_PERIOD,
     };
     let recheck = ConnectionAction::KeepOpen(Some(idle_until.max(now + CLOSE_QUIET_PERIOD)));
--- a/crates/core/tests/forwarding_caller_connection.rs
+++ b/crates/core/tests/forwarding_caller_connection.rs
@@ -18,6 +18,7 @@
 /// A connection without activity since its last answer ended, at time 0.
 fn idle() -> ConnectionState {
     ConnectionState {
+        is_new: false,
         is_serving: false,
         has_partial_head: false,
         is_readable: false,
@@ -39,6 +40,14 @@
     assert_eq!(action(idle(), StopStage::Closing, 200), ConnectionAction::Close);
 }
 
+#[test]
+fn a_new_connection_is_given_time_for_its_first_request_in_a_planned_stop() {
+    let new = ConnectionState { is_new: true, ..idle() };
+    assert!(matches!(action(new, StopStage::Closing, 999), ConnectionAction::KeepOpen(Some(_))));
+    assert_eq!(action(new, StopStage::Closing, 1_000), ConnectionAction::Close);
+    assert_eq!(action(new, StopStage::Ended, 0), ConnectionAction::Abort);
+}
+
 #[test]
 fn a_connection_stays_open_while_a_request_is_served_until_the_process_ends() {
     let served = ConnectionState { is_serving: true, ..idle() };
@@ -67,6 +76,7 @@
 fn open_connections_are_checked_again_later_and_none_with_a_request_closes() {
     bolero::check!().with_type::<(u8, u8, u16, u16, u32)>().for_each(|(flags, stage, used, free, now)| {
         let state = ConnectionState {
+            is_new: flags & 8 > 0,
             is_serving: flags & 1 > 0,
             has_partial_head: flags & 2 > 0,
             is_readable: flags & 4 > 0,
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -56,6 +56,8 @@
     stream: TcpStream,
     host: Rc<H>,
     opened_at: Timestamp,
+    /// Whether no complete head has arrived yet.
+    is_new: Cell<bool>,
     /// Requests in progress, from a complete head to the end of the answer's body.
     active: Cell<usize>,
     /// Bytes received since the last complete head. If no request is active, a value above 0 means a partial
@@ -79,6 +81,7 @@
             stream,
             host,
             opened_at: now,
+            is_new: Cell::new(true),
             active: Cell::new(0),
             unparsed_bytes: Cell::new(0),
             last_activity: Cell::new(now),
@@ -95,6 +98,7 @@
     /// Records that a complete head has arrived. The guard marks the request as active until it is dropped.
     pub fn begin(self: &Rc<Self>) -> ActiveRequest<H> {
         self.unparsed_bytes.set(0);
+        self.is_new.set(false);
         self.active.set(self.active.get() + 1);
         ActiveRequest(Rc::clone(self))
     }
@@ -103,6 +107,7 @@
     pub fn state(&self) -> ConnectionState {
         let is_serving = self.active.get() > 0;
         ConnectionState {
+            is_new: self.is_new.get(),
             is_serving,
             has_partial_head: !is_serving && self.unparsed_bytes.get() > 0,
             is_readable: false,
