Answers of engines' own interfaces share a bound of memory

Answers to requests have shared 16 MB for long, answers to calls had nothing in common. Those of all engines now share 8 MB beyond 64 KB each, by the same account; other calls, as to the store, keep 8 MB for each client, so that engines can't take the store's part.

The tests of answers without end now have nine engines.

--- a/crates/cli/tests/forward/endless_beside.rs
+++ b/crates/cli/tests/forward/endless_beside.rs
@@ -9,6 +9,10 @@
 
 /// Concurrent callers of back ends whose answers never end.
 const CALLERS: usize = 60;
+/// Engines, all of which send bytes without end.
+const ENGINES: usize = 9;
+/// Sound back ends.
+const BOOKINGS: usize = 2;
 /// Concurrent callers of sound back ends.
 const SOUND_CALLERS: usize = 8;
 /// The time that a sound caller waits between an answer and its next request.
@@ -24,6 +28,15 @@
 /// The greatest part of a core that a node may spend on such back ends.
 const MAX_CORE_SHARE: f64 = 0.2;
 
+/// Where engines send bytes without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Endless {
+    /// In answers to requests.
+    Answers,
+    /// In answers to the nodes' calls of their own interfaces.
+    Calls,
+}
+
 /// How sound callers of a node fared.
 struct Served {
     times: Vec<Duration>,
@@ -73,14 +86,17 @@
 }
 
 /// Plays sound callers of two nodes, one of which has callers of engines that answer without end in `part`.
-async fn play(part: EndlessPart) {
-    let cluster = Cluster::start().await.expect("the cluster starts");
+async fn play(bytes_in: Endless, part: EndlessPart) {
+    let cluster = Cluster::start_with(ENGINES, BOOKINGS).await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
     for booking in &cluster.bookings {
         booking.set_pace(Pace { work_time: WORK_TIME, ..Pace::default() });
     }
     for engine in &cluster.engines {
-        engine.script(&vec![Behaviour::Endless(part); 1 << 16]);
+        match bytes_in {
+            Endless::Answers => engine.script(&vec![Behaviour::Endless(part); 1 << 16]),
+            Endless::Calls => engine.answer_calls_without_end(part),
+        }
     }
     let (node, other_node) = (start_node(&cluster, "node-1").await, start_node(&cluster, "node-2").await);
     let until = Instant::now() + OBSERVED;
@@ -94,7 +110,7 @@
     let core_share = spent.as_secs_f64() / OBSERVED.as_secs_f64();
     let peak = Usage::of(&node).peak_resident_kb;
     let seen = format!(
-        "{part:?}: served {} beside and {} at another node (not served: {:?}), median {:?} and {:?}, {core_share:.2} \
+        "{part:?} in {bytes_in:?}: served {} beside and {} at another node (not served: {:?}), median {:?} and {:?}, {core_share:.2} \
          of a core more, {peak} KB at most",
         beside.times.len(),
         alone.times.len(),
@@ -116,20 +132,30 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_requests_are_served_beside_interim_answers_without_end() {
-    play(EndlessPart::InterimResponses).await;
+    play(Endless::Answers, EndlessPart::InterimResponses).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_requests_are_served_beside_a_chunk_size_without_end() {
-    play(EndlessPart::ChunkSize).await;
+    play(Endless::Answers, EndlessPart::ChunkSize).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_requests_are_served_beside_trailers_without_end() {
-    play(EndlessPart::Trailers).await;
+    play(Endless::Answers, EndlessPart::Trailers).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_requests_are_served_beside_comments_without_end() {
-    play(EndlessPart::Comments).await;
+    play(Endless::Answers, EndlessPart::Comments).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_requests_are_served_beside_calls_with_a_chunk_size_without_end() {
+    play(Endless::Calls, EndlessPart::ChunkSize).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_requests_are_served_beside_calls_with_data_without_end() {
+    play(Endless::Calls, EndlessPart::Data).await;
 }
--- a/crates/forward/src/answer_buffer.rs
+++ b/crates/forward/src/answer_buffer.rs
@@ -7,11 +7,11 @@
 
 use crate::response_body::ResponseBody;
 
-/// The largest answer, in bytes.
+/// The bytes that all answers to requests may have together beyond [`EXEMPT_BYTES`] each, and each of them alone, so that
+/// a few without end do not exhaust the memory of a small machine.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// The bytes that all answers together may have beyond [`EXEMPT_BYTES`] each, so that a few without end do not
-/// exhaust the memory of a small machine.
-const MAX_SHARED_BYTES: usize = 16 << 20;
+/// The same for answers to calls.
+const MAX_CALL_BYTES: usize = 8 << 20;
 /// The bytes of each answer that do not count, so that a short answer is read beside large ones.
 const EXEMPT_BYTES: usize = 64 << 10;
 
@@ -30,13 +30,24 @@
     EndedUnframed,
 }
 
-/// The bytes that the answers of one node have in memory beyond those that do not count.
-#[derive(Clone, Debug, Default)]
+/// The bytes that some answers have in memory together beyond those that do not count.
+#[derive(Clone, Debug)]
 pub struct AnswerMemory {
     used: Rc<Cell<usize>>,
+    max_bytes: usize,
 }
 
 impl AnswerMemory {
+    /// The memory for answers to requests.
+    pub fn for_requests() -> Self {
+        Self { used: Rc::default(), max_bytes: MAX_ANSWER_BYTES }
+    }
+
+    /// The memory for answers to calls.
+    pub fn for_calls() -> Self {
+        Self { used: Rc::default(), max_bytes: MAX_CALL_BYTES }
+    }
+
     /// An empty answer.
     pub fn begin(&self) -> AnswerBuffer {
         AnswerBuffer { bytes: BytesMut::new(), counted: 0, memory: self.clone() }
@@ -75,7 +86,7 @@
         let length = self.bytes.len() + data.len();
         let counted = length.saturating_sub(EXEMPT_BYTES);
         let used = self.memory.used.get() - self.counted + counted;
-        if length > MAX_ANSWER_BYTES || used > MAX_SHARED_BYTES {
+        if length.max(used) > self.memory.max_bytes {
             return false;
         }
         self.memory.used.set(used);
--- a/crates/forward/src/cache_feed.rs
+++ b/crates/forward/src/cache_feed.rs
@@ -118,7 +118,9 @@
 
 /// Follows one feed while it is selected.
 async fn follow(node: Rc<Node>, source: &Source, feeds: &RefCell<Feeds>) {
-    let client = Client::new(source.1, node.clock).with_source(node.settings().source_address);
+    let client = Client::new(source.1, node.clock)
+        .with_source(node.settings().source_address)
+        .with_memory(&node.call_memory);
     let mut feed = Feed {
         node,
         backend: source.0.clone(),
--- a/crates/forward/src/calls.rs
+++ b/crates/forward/src/calls.rs
@@ -8,17 +8,16 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::{
+    answer_buffer::AnswerMemory,
     clock::SteadyClock,
     connection::{Connection, ConnectionError},
 };
 
 /// How long a connection for a call may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The largest response that is read, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Idle connections kept per address.
 const MAX_IDLE: usize = 3;
 
@@ -43,16 +42,23 @@
     source: Option<IpAddr>,
     clock: SteadyClock,
     idle: RefCell<Vec<Connection>>,
+    memory: AnswerMemory,
 }
 
 impl Client {
-    /// A client for `address`.
-    pub const fn new(address: SocketAddr, clock: SteadyClock) -> Self {
-        Self { address, source: None, clock, idle: RefCell::new(Vec::new()) }
+    /// A client for `address`, whose answers have a memory of their own.
+    pub fn new(address: SocketAddr, clock: SteadyClock) -> Self {
+        let (idle, memory) = (RefCell::default(), AnswerMemory::for_calls());
+        Self { address, source: None, clock, idle, memory }
+    }
+
+    /// The same client with a memory that it shares with others.
+    pub fn with_memory(self, memory: &AnswerMemory) -> Self {
+        Self { memory: memory.clone(), ..self }
     }
 
     /// The same client with connections from the local address `source`, if one is given.
-    pub const fn with_source(mut self, source: Option<IpAddr>) -> Self {
+    pub fn with_source(mut self, source: Option<IpAddr>) -> Self {
         self.source = source;
         self
     }
@@ -75,8 +81,7 @@
         }
         let answer = connection.send(Request::from_parts(parts, Full::new(body))).await?;
         let (parts, body) = answer.into_parts();
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = collected.map_err(|error| CallError::Body(error.to_string()))?.to_bytes();
+        let body = self.memory.read(body).await.map_err(|error| CallError::Body(error.to_string()))?;
         self.recycle(connection).await;
         Ok(Response::from_parts(parts, body))
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -67,6 +67,8 @@
     pub answer_times: RefCell<AnswerTimes>,
     /// The memory of answers that are read to their end before they are passed on.
     pub(crate) answer_memory: AnswerMemory,
+    /// The memory for answers of the own interfaces of all engines.
+    pub(crate) call_memory: AnswerMemory,
     /// Streams in progress.
     pub streams: RefCell<Streams>,
     /// Admission to the pools of engines.
@@ -154,7 +156,8 @@
             store,
             planned_stop: Cell::new(None),
             answer_times: RefCell::default(),
-            answer_memory: AnswerMemory::default(),
+            answer_memory: AnswerMemory::for_requests(),
+            call_memory: AnswerMemory::for_calls(),
             streams: RefCell::default(),
             rooms: RefCell::default(),
             grace_elapsed: Cell::new(false),
--- a/crates/forward/src/orders.rs
+++ b/crates/forward/src/orders.rs
@@ -107,7 +107,9 @@
 ) -> &'static str {
     let address = address_of(node, &target.backend);
     let Some(address) = address else { return "gone" };
-    let client = Client::new(address, node.clock).with_source(node.settings().source_address);
+    let client = Client::new(address, node.clock)
+        .with_source(node.settings().source_address)
+        .with_memory(&node.call_memory);
     while node.now().saturating_since(began) < MAX_UPDATE_TIME {
         if node.token() != Some(token) {
             return "leadership lost";
--- a/crates/forward/tests/answer_buffer.rs
+++ b/crates/forward/tests/answer_buffer.rs
@@ -12,13 +12,13 @@
 
 #[test]
 fn one_answer_is_bounded() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::for_requests();
     assert_eq!(fill(&mut memory.begin()), 16 * MIB);
 }
 
 #[test]
 fn answers_without_end_share_one_bound_and_leave_room_for_short_ones() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::for_requests();
     let mut endless: Vec<AnswerBuffer> = (0..8).map(|_| memory.begin()).collect();
     let held: usize = endless.iter_mut().map(fill).sum();
     assert!(held <= 16 * MIB + 8 * CHUNK.len(), "{held} bytes");
@@ -28,9 +28,18 @@
     assert_eq!(fill(&mut memory.begin()), 16 * MIB);
 }
 
+#[test]
+fn answers_to_calls_have_a_smaller_bound_of_their_own() {
+    let memory = AnswerMemory::for_calls();
+    let mut endless: Vec<AnswerBuffer> = (0..9).map(|_| memory.begin()).collect();
+    let held: usize = endless.iter_mut().map(fill).sum();
+    assert!(held <= 8 * MIB + 9 * CHUNK.len(), "{held} bytes");
+    assert!(memory.begin().push(b"a short answer"));
+}
+
 #[test]
 fn a_complete_answer_frees_its_memory() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::for_requests();
     let mut answer = memory.begin();
     assert!(answer.push(&CHUNK) && answer.push(b"end"));
     assert_eq!(answer.finish().len(), CHUNK.len() + 3);
