Framing without end in callers' requests is bounded too

All callers of a node were left waiting while others sent zeros before the size of a chunk without end: the cause that answers of back ends had, found by looking for it elsewhere. The library decoded them in one turn of the node's only thread.

The same account holds for callers' connections, by the buffer that they are read with: what has been read and not been delivered as data ends the connection. The type of the body is shared, so it is named for what is received.

A smaller allowance until data has been delivered was weighed and not built: it needs reads that wait for their reader in place of an error.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod ending;
 mod endless;
 mod endless_beside;
+mod endless_callers;
 mod fixed_rate;
 mod fleet;
 mod judge;
--- a/crates/forward/src/answer_buffer.rs
+++ b/crates/forward/src/answer_buffer.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 
-use crate::response_body::ResponseBody;
+use crate::received_body::ReceivedBody;
 
 /// The bytes that all answers to requests may have together beyond [`EXEMPT_BYTES`] each, and each of them alone, so that
 /// a few without end do not exhaust the memory of a small machine.
@@ -59,7 +59,7 @@
     }
 
     /// Reads a body to its end.
-    pub(crate) async fn read(&self, mut body: ResponseBody) -> Result<Bytes, AnswerError> {
+    pub(crate) async fn read(&self, mut body: ReceivedBody) -> Result<Bytes, AnswerError> {
         let mut buffer = self.begin();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
--- a/crates/forward/src/attempts.rs
+++ b/crates/forward/src/attempts.rs
@@ -20,7 +20,7 @@
     metrics::Counter,
     node::Node,
     ports::AnswerHead,
-    response_body::{ResponseBody, is_oversized},
+    received_body::{ReceivedBody, is_oversized},
     response_wait::{OUTDATED, Waited},
     unframed::is_framed,
     unread_attempts::{InFlight, UnreadAttempt},
@@ -139,7 +139,7 @@
     pub parsed: AnswerHead,
     /// The software version that it comes from, if known.
     pub software: Option<SoftwareVersion>,
-    pub body: ResponseBody,
+    pub body: ReceivedBody,
     /// The connection that carries the body.
     pub connection: Connection,
     /// Counts the request as load on the back end.
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -13,7 +13,7 @@
 
 use bytes::BufMut;
 use paddlemount_clock::SteadyClock;
-use paddlemount_core::forwarding::caller_connection::ConnectionState;
+use paddlemount_core::forwarding::{caller_connection::ConnectionState, read_allowance::ReadAllowance};
 use paddlemount_protocol::time::Timestamp;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -21,6 +21,8 @@
     sync::Notify,
 };
 
+use crate::received_body::allowance_exceeded;
+
 /// How long the node keeps reading after it has shut down its side, unless the caller closes first.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same during a planned stop, which it delays: long enough for bytes that cross the close.
@@ -63,6 +65,8 @@
     /// Bytes received since the last complete head. If no request is active, a value above 0 means a partial
     /// head.
     unparsed_bytes: Cell<usize>,
+    /// How much may be read as a byte stream.
+    allowance: Rc<Cell<ReadAllowance>>,
     /// When the last byte arrived, or the last answer ended.
     last_activity: Cell<Timestamp>,
     /// When the connection opened, or the last answer on it ended.
@@ -84,21 +88,30 @@
             is_new: Cell::new(true),
             active: Cell::new(0),
             unparsed_bytes: Cell::new(0),
+            allowance: Rc::default(),
             last_activity: Cell::new(now),
             idle_since: Cell::new(now),
             request_ended: Notify::new(),
         })
     }
 
-    /// The connection as a byte stream for the HTTP library.
-    pub fn stream(self: &Rc<Self>) -> CallerStream<H> {
+    /// The connection as a byte stream for the HTTP library, which buffers at most `buffer_bytes`. Whoever reads the
+    /// body of a request must record what is delivered in its allowance.
+    pub fn stream(self: &Rc<Self>, buffer_bytes: usize) -> CallerStream<H> {
+        self.allowance.set(ReadAllowance::with_buffer(buffer_bytes));
         CallerStream(Rc::clone(self))
     }
 
+    /// How much of the current request may be read as a byte stream.
+    pub fn allowance(&self) -> Rc<Cell<ReadAllowance>> {
+        Rc::clone(&self.allowance)
+    }
+
     /// Records that a complete head has arrived. The guard marks the request as active until it is dropped.
     pub fn begin(self: &Rc<Self>) -> ActiveRequest<H> {
         self.unparsed_bytes.set(0);
         self.is_new.set(false);
+        self.allowance.set(self.allowance.get().renewed());
         self.active.set(self.active.get() + 1);
         ActiveRequest(Rc::clone(self))
     }
@@ -247,10 +260,16 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let socket = &self.0;
+        if !socket.allowance.get().may_read() {
+            return Poll::Ready(Err(allowance_exceeded()));
+        }
         loop {
             ready!(socket.stream.poll_read_ready(context))?;
             match socket.try_read(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+                Ok(bytes) => {
+                    socket.allowance.set(socket.allowance.get().after_read(bytes));
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -20,6 +20,7 @@
     journal::Event,
     metrics::Counter,
     node::Node,
+    received_body::ReceivedBody,
 };
 
 /// The delay after a failed accept, for example when file descriptors have run out.
@@ -116,10 +117,11 @@
         let service = service_fn(move |request: Request<Incoming>| {
             serve_request(Rc::clone(&node), Rc::clone(&service_socket), stage.clone(), request)
         });
+        let buffer_bytes = (self.header_bytes() * 2).max(MIN_READ_BUFFER);
         let mut connection = std::pin::pin!(
             http1::Builder::new()
-                .max_buf_size((self.header_bytes() * 2).max(MIN_READ_BUFFER))
-                .serve_connection(TokioIo::new(socket.stream()), service)
+                .max_buf_size(buffer_bytes)
+                .serve_connection(TokioIo::new(socket.stream(buffer_bytes)), service)
         );
         // Received bytes are read before the connection may close. Its end is logged by the requests on it.
         let close_mode = tokio::select! {
@@ -175,6 +177,7 @@
     let active_request = socket.begin();
     let drain_period = PlannedStop::drain_period(node.settings().bounds.grace());
     let keep_alive = PlannedStop::keep_alive_seconds(drain_period);
+    let request = request.map(|body| ReceivedBody::new(body, socket.allowance()));
     let mut answer = exchange::serve(node, request, None).await;
     if *stage.borrow() != StopStage::Serving {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/forward/src/connection.rs
+++ b/crates/forward/src/connection.rs
@@ -24,7 +24,7 @@
 };
 
 use crate::{
-    response_body::{ResponseBody, is_oversized},
+    received_body::{ReceivedBody, is_oversized},
     shared_stream::SharedStream,
 };
 
@@ -165,14 +165,14 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<ResponseBody>, ConnectionError> {
-        self.allowance.take();
+    ) -> Result<Response<ReceivedBody>, ConnectionError> {
+        self.allowance.set(self.allowance.get().renewed());
         let sent = self.sender.try_send_request(request).await;
         let answer = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ConnectionError::NotSent,
             None => ConnectionError::Broken(error.into_error()),
         })?;
-        Ok(answer.map(|body| ResponseBody::new(body, Rc::clone(&self.allowance))))
+        Ok(answer.map(|body| ReceivedBody::new(body, Rc::clone(&self.allowance))))
     }
 }
 
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::{Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use paddlemount_core::{
     forwarding::{
         attempt::{AttemptEnd, AttemptHistory},
@@ -31,6 +30,7 @@
     metrics::{Counter, Distribution},
     node::Node,
     ports::RequestHead,
+    received_body::ReceivedBody,
     relay::Relay,
     room_permit::RoomPermit,
     streams::RunningStream,
@@ -86,7 +86,7 @@
 /// Serves a request of a caller, or one that another node has handed on.
 pub async fn serve(
     node: Rc<Node>,
-    request: Request<Incoming>,
+    request: Request<ReceivedBody>,
     handoff: Option<Handoff>,
 ) -> Response<AnswerBody> {
     let arrived = node.now();
@@ -152,7 +152,7 @@
 }
 
 impl Exchange {
-    async fn read_body(&mut self, body: Incoming) -> Result<(), Reason> {
+    async fn read_body(&mut self, body: ReceivedBody) -> Result<(), Reason> {
         let max_bytes = self.node.state.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes);
         let reading = Limited::new(body, max_bytes).collect();
         match self.node.clock.timeout_at(self.deadline, reading).await {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,7 +9,7 @@
 //! | [`settings`] | the validated settings of the process |
 //! | [`ports`] | the interface of a platform adapter |
 //! | [`connection`], [`pool`], `connection_shares` | connections to back ends, and how many this node may use |
-//! | [`response_body`], `shared_stream` | what is read of an answer, and how far |
+//! | [`received_body`], `shared_stream` | what is read of an answer or a request, and how far |
 //! | [`calls`] | calls to the metadata store and to the own interfaces of engines |
 //! | [`node`], [`node_state`] | a node and its state |
 //! | [`fact_updates`], `backend_updates` | applies facts of the store, and what is observed of back ends |
@@ -97,10 +97,10 @@
 pub mod process;
 pub mod quarantine;
 pub mod quarantine_line;
+pub mod received_body;
 mod recent_targets;
 pub mod relay;
 mod replica;
-pub mod response_body;
 pub mod response_wait;
 mod retries;
 mod retry_reserve;
--- a/crates/forward/src/peers/server.rs
+++ b/crates/forward/src/peers/server.rs
@@ -28,6 +28,7 @@
     metrics::Counter,
     node::Node,
     node_state::NodeState,
+    received_body::ReceivedBody,
     streams::relayed_software::software_groups,
 };
 
@@ -90,7 +91,7 @@
 /// Serves a request that another node has handed on.
 async fn take_over(node: &Rc<Node>, request: Request<Incoming>, handoff: Handoff) -> Response<AnswerBody> {
     let in_progress = TakenOver::begin(node);
-    let mut answer = exchange::serve(Rc::clone(node), request, Some(handoff)).await;
+    let mut answer = exchange::serve(Rc::clone(node), request.map(ReceivedBody::from), Some(handoff)).await;
     state_outcome(&mut answer);
     with_guard(answer, in_progress)
 }
--- a/crates/forward/src/response_body.rs
+++ b/crates/forward/src/received_body.rs
@@ -1,4 +1,4 @@
-//! The body of a back end's answer, whose delivery allows the connection to be read further.
+//! The body of an answer or a request, whose delivery allows its connection to be read further.
 
 use std::{
     cell::Cell,
@@ -14,6 +14,23 @@
 use hyper::body::Incoming;
 use paddlemount_core::forwarding::read_allowance::ReadAllowance;
 
+impl From<Incoming> for ReceivedBody {
+    /// A body on a connection that is read without an allowance.
+    fn from(incoming: Incoming) -> Self {
+        Self { incoming, allowance: Rc::default() }
+    }
+}
+
+/// More was read than heads, framing and buffered data may have together.
+#[derive(Debug, thiserror::Error)]
+#[error("too many bytes that are not data")]
+struct AllowanceExceeded;
+
+/// The error of a connection of which no more may be read.
+pub(crate) fn allowance_exceeded() -> io::Error {
+    io::Error::new(ErrorKind::InvalidData, AllowanceExceeded)
+}
+
 /// Whether an answer broke off because its head or its framing has more bytes than are read.
 pub(crate) fn is_oversized(error: &hyper::Error) -> bool {
     let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
@@ -22,18 +39,18 @@
 
 /// A body that is being received.
 #[derive(Debug)]
-pub struct ResponseBody {
+pub struct ReceivedBody {
     incoming: Incoming,
     allowance: Rc<Cell<ReadAllowance>>,
 }
 
-impl ResponseBody {
+impl ReceivedBody {
     pub(crate) const fn new(incoming: Incoming, allowance: Rc<Cell<ReadAllowance>>) -> Self {
         Self { incoming, allowance }
     }
 }
 
-impl Body for ResponseBody {
+impl Body for ReceivedBody {
     type Data = Bytes;
     type Error = hyper::Error;
 
--- a/crates/forward/src/shared_stream.rs
+++ b/crates/forward/src/shared_stream.rs
@@ -15,10 +15,7 @@
     net::TcpStream,
 };
 
-/// More was read than heads, framing and buffered data may have together.
-#[derive(Debug, thiserror::Error)]
-#[error("too many bytes that are not data")]
-struct AllowanceExceeded;
+use crate::received_body::allowance_exceeded;
 
 /// A byte stream over a socket that others hold as well.
 pub(crate) struct SharedStream {
@@ -49,7 +46,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if !self.allowance.get().may_read() {
-            return Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, AllowanceExceeded)));
+            return Poll::Ready(Err(allowance_exceeded()));
         }
         loop {
             ready!(self.socket.poll_read_ready(context))?;
