Bodies of callers' requests share a bound of memory

Cause: each request collected its body for itself, up to the largest size and until its deadline; nothing bounded them together. Frames were kept as the HTTP library delivers them, so that a byte in a chunk of its own held a buffer of up to 32 KiB, and a body was copied once more when it was complete. The machine's memory did not reach the settings.

Ruled out: a bound on requests at once (four large bodies fill a small machine, many small ones do not), reserving at the head (announcements alone would hold the room), and reading no more (the kernel's buffers count as well).

Change: `core::caller_memory` accounts for what bodies allocate, in a room for small ones and one for large ones, each a sixth of the machine's memory. Where a room is short, what makes no progress gives way, then the owner that holds most; what does not fit is refused as not run with 503. `forward::request_bodies` keeps the bytes and frees evicted bodies at once, so that the account is never behind. `limits.memory_mb` comes from the platform; 256 without it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod back_off;
 pub mod cache_index;
+pub mod caller_memory;
 pub mod claims;
 pub mod configuration;
 pub mod decisions;
--- a/crates/forward/src/answers.rs
+++ b/crates/forward/src/answers.rs
@@ -14,7 +14,9 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
-use paddlemount_core::{forwarding::rollout::TYPICAL_LOAD_TIME, quarantine::QUARANTINE_DURATION};
+use paddlemount_core::{
+    caller_memory::STALL_TIMEOUT, forwarding::rollout::TYPICAL_LOAD_TIME, quarantine::QUARANTINE_DURATION,
+};
 use serde::Serialize;
 
 use crate::relay::RelayError;
@@ -37,6 +39,8 @@
     /// The tenant's quota counts tokens, and the request does not state its tokens in a readable form.
     UsageMalformed,
     BodyTooLarge,
+    /// This node has no memory for the body, or it gave way to the bodies of others.
+    NoMemory,
     /// The caller's connection closed before the request was complete.
     RequestBroken,
     /// No back end is eligible.
@@ -92,6 +96,7 @@
             | Self::NotTaken
             | Self::Stopping
             | Self::HeldBack
+            | Self::NoMemory
             | Self::TimeUpBeforeSending => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -125,6 +130,8 @@
             // Another node can serve the caller at once.
             Self::TimeUpBeforeSending | Self::Stopping => Some(Duration::from_millis(50)),
             Self::HeldBack => Some(QUARANTINE_DURATION),
+            // By then a body that makes no progress has given way.
+            Self::NoMemory => Some(STALL_TIMEOUT),
             _ => None,
         }
     }
@@ -140,6 +147,7 @@
             Self::QuotaExceeded => "the tenant's quota is used up; the request was not run",
             Self::UsageMalformed => "the request does not say in a readable form how many tokens it uses",
             Self::BodyTooLarge => "the body is too large",
+            Self::NoMemory => "this node has no memory for the body; the request was not run",
             Self::RequestBroken => "the request is not whole",
             Self::NoBackend => "no back end may get the request; it was not run",
             Self::Unreached => "no back end of the service can be reached; the request was not run",
--- /dev/null
+++ b/crates/forward/src/body_intake.rs
@@ -0,0 +1,41 @@
+//! Receives the body of a request.
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::BodyExt;
+use paddlemount_core::caller_memory::Owner;
+
+use crate::{answers::Reason, node::Node, received_body::ReceivedBody};
+
+impl Node {
+    /// Receives a body to its end.
+    pub(crate) async fn receive_body(&self, mut body: ReceivedBody, owner: Owner) -> Result<Bytes, Reason> {
+        let max_bytes = self.max_body_bytes();
+        let announced_bytes =
+            body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let mut arriving = self.request_bodies.begin(owner, announced_bytes, self.now());
+        let mut received_bytes = 0;
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = arriving.evicted() => return Err(Reason::NoMemory),
+            };
+            let Some(frame) = frame else { break };
+            let Ok(data) = frame.map_err(|_| Reason::RequestBroken)?.into_data() else { continue };
+            received_bytes += data.len();
+            if received_bytes > max_bytes {
+                return Err(Reason::BodyTooLarge);
+            }
+            arriving.push(&data, self.now()).map_err(|_| Reason::NoMemory)?;
+        }
+        arriving.finish().map_err(|_| Reason::NoMemory)
+    }
+
+    /// The configured size in bytes of the largest body.
+    fn max_body_bytes(&self) -> usize {
+        self.state.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes)
+    }
+}
--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{Request, Response, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use paddlemount_core::{
     forwarding::{
         attempt::{AttemptEnd, AttemptHistory},
@@ -153,17 +152,11 @@
 
 impl Exchange {
     async fn read_body(&mut self, body: ReceivedBody) -> Result<(), Reason> {
-        let max_bytes = self.node.state.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes);
-        let reading = Limited::new(body, max_bytes).collect();
-        match self.node.clock.timeout_at(self.deadline, reading).await {
-            Some(Ok(collected)) => {
-                self.body = collected.to_bytes();
-                Ok(())
-            }
-            Some(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-            Some(Err(_)) => Err(Reason::RequestBroken),
-            None => Err(Reason::TimeUpBeforeSending),
-        }
+        let owner = self.record.tenant.as_ref().map(|tenant| tenant.name.clone());
+        let reading = self.node.receive_body(body, owner);
+        let collected = self.node.clock.timeout_at(self.deadline, reading).await;
+        self.body = collected.unwrap_or(Err(Reason::TimeUpBeforeSending))?;
+        Ok(())
     }
 
     async fn run(mut self) -> Response<AnswerBody> {
--- a/crates/forward/src/handoff.rs
+++ b/crates/forward/src/handoff.rs
@@ -124,6 +124,7 @@
         | Reason::NoConfiguration
         | Reason::ConfigurationTooOld
         | Reason::Stopping
+        | Reason::NoMemory
         | Reason::StreamUnanswered
         | Reason::Unreached => ForwardOutcome::Unavailable,
         Reason::TimeUp | Reason::AnswerLost => ForwardOutcome::Failed,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -29,6 +29,7 @@
 //! | [`leadership`], [`orders`] | holds the lease, and orders engines to load new weights |
 //! | `target_record` | records recently announced target versions in the store |
 //! | [`admission`] | route, tenant, quota, and the age of the configuration |
+//! | [`request_bodies`], `body_intake` | receives the bodies of requests, and keeps them in memory within a bound |
 //! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: accepted, served, closed |
 //! | [`ingress`] | listeners, readiness and metrics |
 //! | [`exchange`], [`dispatch`], [`attempts`], [`attempt_wait`], [`outcomes`], [`relay`] | sends, retries and relays requests |
@@ -58,6 +59,7 @@
 pub mod attempt_wait;
 pub mod attempts;
 mod backend_updates;
+mod body_intake;
 mod brittleness;
 pub mod cache_feed;
 pub mod caller_close;
@@ -101,6 +103,7 @@
 mod recent_targets;
 pub mod relay;
 mod replica;
+pub mod request_bodies;
 pub mod response_wait;
 mod retries;
 mod retry_reserve;
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -36,6 +36,7 @@
     pool::Pool,
     ports::Platform,
     quarantine::PendingWork,
+    request_bodies::RequestBodies,
     room::EngineAdmission,
     settings::ForwardSettings,
     streams::Streams,
@@ -65,6 +66,8 @@
     pub planned_stop: Cell<Option<PlannedStop>>,
     /// Recent answer times by route.
     pub answer_times: RefCell<AnswerTimes>,
+    /// The bodies of requests in progress.
+    pub(crate) request_bodies: RequestBodies,
     /// The memory of answers that are read to their end before they are passed on.
     pub(crate) answer_memory: AnswerMemory,
     /// The memory for answers of the own interfaces of all engines.
@@ -142,6 +145,7 @@
             capacity: settings.limits.capacity(),
         };
         let fan_in = settings.limits.fan_in();
+        let request_bodies = RequestBodies::of_machine(settings.limits.memory_bytes());
         let peers = peers.map(|address| RefCell::new(Peers::new(member(address), fan_in, rand::random())));
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -156,6 +160,7 @@
             store,
             planned_stop: Cell::new(None),
             answer_times: RefCell::default(),
+            request_bodies,
             answer_memory: AnswerMemory::for_requests(),
             call_memory: AnswerMemory::for_calls(),
             streams: RefCell::default(),
--- /dev/null
+++ b/crates/forward/src/request_bodies.rs
@@ -0,0 +1,206 @@
+//! Keeps the bodies of callers' requests in memory, within the bounds of [`CallerMemory`].
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bytes::{Bytes, BytesMut};
+use paddlemount_core::caller_memory::{BodyId, CallerMemory, Growth, Owner, Rooms};
+use paddlemount_protocol::time::Timestamp;
+use tokio::sync::Notify;
+
+/// A body is kept in segments of this size while it arrives. The allocator reuses segments of one size for any body.
+const SEGMENT_BYTES: usize = 16 << 10;
+/// The first segment of a body whose caller states no length.
+const FIRST_SEGMENT_BYTES: usize = 4 << 10;
+
+/// The body gave way to others, or there is no room for it. Its request has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("this node has no memory for the body")]
+pub struct NoMemory;
+
+/// What the bodies of a process hold, and what became of others, since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BodyUsage {
+    pub held_bytes: usize,
+    /// Bodies for which there was no room.
+    pub refused: u64,
+    /// Bodies that gave way while they arrived.
+    pub evicted: u64,
+}
+
+/// All bodies of a process; clones share them.
+#[derive(Clone, Debug)]
+pub struct RequestBodies(Arc<Mutex<Bodies>>);
+
+#[derive(Debug)]
+struct Bodies {
+    memory: CallerMemory,
+    arriving: BTreeMap<BodyId, Segments>,
+    refused: u64,
+    evicted: u64,
+}
+
+/// The received part of a body.
+#[derive(Debug)]
+struct Segments {
+    segments: Vec<BytesMut>,
+    next_bytes: usize,
+    /// Notified when the body has given way.
+    evicted: Arc<Notify>,
+}
+
+impl RequestBodies {
+    /// The bodies of a process on a machine with so many bytes of memory.
+    pub fn of_machine(memory_bytes: usize) -> Self {
+        let memory = CallerMemory::new(Rooms::of_machine(memory_bytes));
+        Self(Arc::new(Mutex::new(Bodies { memory, arriving: BTreeMap::new(), refused: 0, evicted: 0 })))
+    }
+
+    /// Changes the machine's memory.
+    pub fn set_memory(&self, memory_bytes: usize) {
+        self.lock().memory.set_rooms(Rooms::of_machine(memory_bytes));
+    }
+
+    /// The size in bytes of the largest body that can be held.
+    pub fn max_body_bytes(&self) -> usize {
+        self.lock().memory.max_body_bytes()
+    }
+
+    /// What the bodies hold.
+    pub fn usage(&self) -> BodyUsage {
+        let bodies = self.lock();
+        BodyUsage { held_bytes: bodies.memory.held_bytes(), refused: bodies.refused, evicted: bodies.evicted }
+    }
+
+    /// Begins to receive a body; `announced_bytes` is its length if the caller states it.
+    pub fn begin(&self, owner: Owner, announced_bytes: Option<usize>, now: Timestamp) -> ArrivingBody {
+        let evicted = Arc::new(Notify::new());
+        let next_bytes = announced_bytes.map_or(FIRST_SEGMENT_BYTES, |bytes| bytes.min(SEGMENT_BYTES));
+        let segments = Segments { segments: Vec::new(), next_bytes, evicted: Arc::clone(&evicted) };
+        let mut bodies = self.lock();
+        let id = bodies.memory.open(owner, announced_bytes, now);
+        bodies.arriving.insert(id, segments);
+        drop(bodies);
+        ArrivingBody { account: BodyAccount { bodies: self.clone(), id }, evicted }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Bodies> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Bodies {
+    /// Appends bytes to a body, and frees the bodies that give way to it.
+    fn push(&mut self, id: BodyId, mut data: &[u8], now: Timestamp) -> Result<(), NoMemory> {
+        self.memory.record_progress(id, now);
+        while !data.is_empty() {
+            let Some(body) = self.arriving.get_mut(&id) else { return Err(NoMemory) };
+            let free = body.segments.last().map_or(0, |segment| segment.capacity() - segment.len());
+            if free == 0 {
+                let bytes = body.next_bytes.max(1);
+                self.add_segment(id, bytes, now)?;
+                continue;
+            }
+            let (fitting, rest) = data.split_at(free.min(data.len()));
+            if let Some(segment) = body.segments.last_mut() {
+                segment.extend_from_slice(fitting);
+            }
+            data = rest;
+        }
+        Ok(())
+    }
+
+    fn add_segment(&mut self, id: BodyId, bytes: usize, now: Timestamp) -> Result<(), NoMemory> {
+        let Growth { is_granted, evicted } = self.memory.grow(id, bytes, now);
+        for other in evicted {
+            self.evicted += 1;
+            if let Some(body) = self.arriving.remove(&other) {
+                body.evicted.notify_one();
+            }
+        }
+        let body = self.arriving.get_mut(&id).filter(|_| is_granted);
+        let Some(body) = body else {
+            self.refused += 1;
+            return Err(NoMemory);
+        };
+        body.segments.push(BytesMut::with_capacity(bytes));
+        body.next_bytes = SEGMENT_BYTES;
+        Ok(())
+    }
+
+    /// Takes a complete body.
+    fn complete(&mut self, id: BodyId) -> Result<BytesMut, NoMemory> {
+        let Segments { mut segments, .. } = self.arriving.remove(&id).ok_or(NoMemory)?;
+        let body = if segments.len() == 1 { segments.remove(0) } else { join(segments) };
+        self.memory.complete(id, body.capacity());
+        Ok(body)
+    }
+}
+
+/// Joins segments in memory of their exact size, and frees each once it is copied.
+fn join(segments: Vec<BytesMut>) -> BytesMut {
+    let mut body = BytesMut::with_capacity(segments.iter().map(BytesMut::len).sum());
+    segments.into_iter().for_each(|segment| body.extend_from_slice(&segment));
+    body
+}
+
+/// A body that is being received. Dropping it frees its memory.
+#[derive(Debug)]
+pub struct ArrivingBody {
+    account: BodyAccount,
+    evicted: Arc<Notify>,
+}
+
+impl ArrivingBody {
+    /// Appends bytes.
+    ///
+    /// # Errors
+    ///
+    /// If there is no memory for them, or the body has given way to others. What it held may be free already.
+    pub fn push(&mut self, data: &[u8], now: Timestamp) -> Result<(), NoMemory> {
+        self.account.bodies.lock().push(self.account.id, data, now)
+    }
+
+    /// Waits until the body has given way to others.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    /// The complete body. It counts until all clones of it have been dropped.
+    ///
+    /// # Errors
+    ///
+    /// If the body has given way to others.
+    pub fn finish(self) -> Result<Bytes, NoMemory> {
+        let bytes = self.account.bodies.lock().complete(self.account.id)?;
+        Ok(Bytes::from_owner(HeldBody { bytes, _account: self.account }))
+    }
+}
+
+/// A body's account, closed when dropped.
+#[derive(Debug)]
+struct BodyAccount {
+    bodies: RequestBodies,
+    id: BodyId,
+}
+
+impl Drop for BodyAccount {
+    fn drop(&mut self) {
+        let mut bodies = self.bodies.lock();
+        bodies.memory.close(self.id);
+        bodies.arriving.remove(&self.id);
+    }
+}
+
+struct HeldBody {
+    bytes: BytesMut,
+    _account: BodyAccount,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -121,6 +121,9 @@
     pub link_mbps: f64,
     /// The process's share of a processor.
     pub processor_share: f64,
+    /// The memory that the process may use; in MiB in the file.
+    #[serde(deserialize_with = "figures::whole")]
+    pub memory_mb: u32,
     /// The number of file descriptors that the process may open.
     #[serde(deserialize_with = "figures::whole")]
     pub descriptors: u32,
@@ -138,6 +141,7 @@
             assumed_nodes: 64,
             link_mbps: 1_000.0,
             processor_share: 1.0,
+            memory_mb: 256,
             descriptors: 1_024,
             min_loads: 2,
             loads_share: 0.2,
@@ -145,6 +149,8 @@
     }
 }
 
+/// With less memory, in MiB, no node serves.
+const MIN_MEMORY_MB: u32 = 16;
 /// Below this bandwidth, in Mbit/s, other nodes should not depend on the machine.
 const SMALL_LINK_MBPS: f64 = 50.0;
 
@@ -154,6 +160,11 @@
         (self.link_mbps * self.processor_share).clamp(0.0, 1e9) as u32
     }
 
+    /// The memory that the process may use, in bytes.
+    pub const fn memory_bytes(&self) -> usize {
+        (self.memory_mb as usize) << 20
+    }
+
     /// The maximum number of nodes that report to this one.
     pub fn fan_in(&self) -> usize {
         fan_in(self.processor_share, self.link_mbps)
@@ -223,6 +234,9 @@
         if self.bounds.configuration_ms < 100 {
             return invalid("bounds.configuration_ms", "must be 100 or more");
         }
+        if self.limits.memory_mb < MIN_MEMORY_MB {
+            return invalid("limits.memory_mb", "must be 16 or more");
+        }
         if self.limits.assumed_nodes == 0 {
             return invalid("limits.most_nodes", "must be 1 or more");
         }
