A body whose announced length is too large is refused at its head

What callers saw: a request with a length over the limit was read until the limit, or waited for until its deadline: 503 "not run" after the route's timeout where 413 was certain at once, and `100 Continue` to a caller that asks first.

Cause: the length was compared only with the bytes that had arrived.

Change: the length in the head decides before the body is polled, so that the HTTP library sends no `100 Continue` and the rest is not read. A body that is within the configured limit and larger than the machine's room is refused at once as not run; it is proper, and another machine may hold it.

--- a/crates/cli/tests/forward/main.rs
+++ b/crates/cli/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod limit_check;
 mod limits;
 mod odd_entries;
+mod oversized_bodies;
 mod partitioned;
 mod planned_soak;
 mod planned_stop;
--- a/crates/forward/src/body_intake.rs
+++ b/crates/forward/src/body_intake.rs
@@ -8,11 +8,17 @@
 use crate::{answers::Reason, node::Node, received_body::ReceivedBody};
 
 impl Node {
-    /// Receives a body to its end.
+    /// Receives a body to its end. One of which the announced length is too large is not read at all.
     pub(crate) async fn receive_body(&self, mut body: ReceivedBody, owner: Owner) -> Result<Bytes, Reason> {
         let max_bytes = self.max_body_bytes();
         let announced_bytes =
             body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        if announced_bytes.is_some_and(|bytes| bytes > max_bytes) {
+            return Err(Reason::BodyTooLarge);
+        }
+        if announced_bytes.is_some_and(|bytes| bytes > self.request_bodies.max_body_bytes()) {
+            return Err(Reason::NoMemory);
+        }
         if body.is_end_stream() {
             return Ok(Bytes::new());
         }
