A closed connection is read within a bound while it lingers

Cause: after an answer the node shuts down its side and reads on for 0.5 s, so that a reset does not overtake the answer. It read as fast as the caller sent, so that callers which had been refused took most of the core.

Change: a lingering connection is read for 64 KiB at most, and all of them together for 512 KiB. Then it waits unread for the rest of its time: the answer has been sent, and the kernel holds the caller up.

--- a/crates/cli/tests/forward/router.rs
+++ b/crates/cli/tests/forward/router.rs
@@ -164,14 +164,8 @@
         Self::start_with(&format!("{}[load]\nadmission = true\n", settings_at(store, name, 5_000))).await
     }
 
-    /// Starts a node with a `[limits]` table, and waits until it is ready.
-    pub async fn start_with_limits(cluster: &Cluster, limits: &str) -> Self {
-        let router = Self::start_with(&format!("{}[limits]\n{limits}", settings(cluster, 5_000))).await;
-        router.wait_until("ready", async || router.fetch_readiness().await == Some(StatusCode::OK)).await;
-        router
-    }
-
-    async fn start_with(text: &str) -> Self {
+    /// Starts a node with settings, without waiting for readiness.
+    pub async fn start_with(text: &str) -> Self {
         let file = format!("paddlemount-forward-{}-{}.toml", std::process::id(), unique_number());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a settings file can be written");
--- a/crates/cli/tests/misbehaving_callers/bodies.rs
+++ b/crates/cli/tests/misbehaving_callers/bodies.rs
@@ -12,7 +12,7 @@
     alone,
     crowd::{Crowd, Upload, chunks, with_end},
     footprint::{FootprintSampler, connections_at},
-    router::Router,
+    start_with_limits,
 };
 
 /// The machine's memory in the node's settings, in MiB.
@@ -60,7 +60,7 @@
         runner.set_pace(Pace { work_time, ..Pace::default() });
     }
     let limits = format!("memory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n");
-    let router = Router::start_with_limits(&cluster, &limits).await;
+    let router = start_with_limits(&cluster, &limits).await;
     let sampler = FootprintSampler::start(router.process_id(), router.callers);
     let crowd = Crowd::upload(router.callers, &upload).await;
     assert!(!router.has_exited(), "the node has ended: {:#?}", router.lines());
--- a/crates/cli/tests/misbehaving_callers/connections.rs
+++ b/crates/cli/tests/misbehaving_callers/connections.rs
@@ -3,7 +3,7 @@
 use paddlemount_platform_standin::{Cluster, cluster::KEY};
 use tokio::net::TcpStream;
 
-use crate::{alone, footprint::FootprintSampler, router::Router};
+use crate::{alone, footprint::FootprintSampler, start_with_limits};
 
 /// Connections that callers open and send nothing on.
 const CONNECTIONS: usize = 300;
@@ -15,7 +15,7 @@
     let _alone = alone().await;
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure(1, &[KEY]);
-    let router = Router::start_with_limits(&cluster, &format!("descriptors = {DESCRIPTORS}\n")).await;
+    let router = start_with_limits(&cluster, &format!("descriptors = {DESCRIPTORS}\n")).await;
     let sampler = FootprintSampler::start(router.process_id(), router.callers);
     let mut connections = Vec::new();
     for _ in 0..CONNECTIONS {
--- a/crates/cli/tests/misbehaving_callers/main.rs
+++ b/crates/cli/tests/misbehaving_callers/main.rs
@@ -11,6 +11,8 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+use paddlemount_platform_standin::Cluster;
+use router::Router;
 use support::program;
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -19,3 +21,12 @@
     static RUNNING: Mutex<()> = Mutex::const_new(());
     RUNNING.lock().await
 }
+
+/// Starts a forwarding node with a `[limits]` table, and waits until it is ready.
+async fn start_with_limits(cluster: &Cluster, limits: &str) -> Router {
+    let router = Router::start_with(&format!("{}[limits]\n{limits}", router::settings(cluster, 5_000))).await;
+    router
+        .wait_until("ready", async || router.fetch_readiness().await.is_some_and(|status| status == 200))
+        .await;
+    router
+}
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -7,6 +7,7 @@
     net::Shutdown,
     pin::Pin,
     rc::Rc,
+    sync::atomic::{AtomicUsize, Ordering},
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -28,6 +29,10 @@
 /// The same during a planned stop, which it delays: long enough for bytes that cross the close.
 const LINGER_TIMEOUT_AT_STOP: Duration = Duration::from_millis(100);
 const LINGER_READ_BYTES: usize = 4 << 10;
+/// The bytes that a closed connection is read at most: what callers have in flight while an answer reaches them.
+const MAX_LINGER_BYTES: usize = 64 << 10;
+/// The same for all connections that linger at once, which share it evenly.
+const MAX_LINGER_BYTES_OF_ALL: usize = 512 << 10;
 
 /// What a caller's connection needs from the process that serves it.
 pub trait ConnectionHost {
@@ -40,6 +45,9 @@
     /// Whether the process is stopping.
     fn is_stopping(&self) -> bool;
 
+    /// The number of closed connections that are still read.
+    fn lingering(&self) -> &AtomicUsize;
+
     /// Reports that bytes arrived after the connection had closed and were not read.
     fn report_closed_unread(&self, closed: &ClosedUnread);
 }
@@ -136,13 +144,15 @@
     }
 
     /// Shuts down the node's side and reads on until the caller closes its own. Closing at once would reset
-    /// the connection if bytes are unread or in flight, and the reset can overtake the end of an answer.
+    /// the connection if bytes are unread or in flight, and the reset can overtake the end of an answer. A caller that
+    /// sends on is not read without a bound: its connection then waits unread for the same time.
     pub async fn close_gracefully(&self) {
         // The caller may have closed already.
         let _ = self.shut_down();
         let linger = if self.host.is_stopping() { LINGER_TIMEOUT_AT_STOP } else { LINGER_TIMEOUT };
         let unread = Cell::new(0);
-        self.host.clock().timeout(linger, self.read_to_end(&unread)).await;
+        let lingering = Lingering::begin(self.host.lingering());
+        self.host.clock().timeout(linger, self.read_to_end(&unread, &lingering)).await;
         let bytes = unread.get();
         if bytes > 0 {
             let open_ms = self.now().saturating_since(self.opened_at).as_millis() as u64;
@@ -220,10 +230,14 @@
         socket2::SockRef::from(&self.stream).shutdown(Shutdown::Write)
     }
 
-    /// Reads until the caller closes or the connection breaks, and counts the bytes.
-    async fn read_to_end(&self, count: &Cell<usize>) {
+    /// Reads until the caller closes or the connection breaks, and counts the bytes. Does not return once no more may be
+    /// read.
+    async fn read_to_end(&self, count: &Cell<usize>, lingering: &Lingering<'_>) {
         let mut bytes = [0; LINGER_READ_BYTES];
         while self.stream.readable().await.is_ok() {
+            if count.get() >= lingering.max_bytes() {
+                return std::future::pending().await;
+            }
             match self.stream.try_read(&mut bytes) {
                 Ok(0) => break,
                 Ok(read) => count.set(count.get() + read),
@@ -234,6 +248,28 @@
     }
 }
 
+/// A closed connection that is still read, until dropped.
+struct Lingering<'a>(&'a AtomicUsize);
+
+impl<'a> Lingering<'a> {
+    fn begin(lingering: &'a AtomicUsize) -> Self {
+        lingering.fetch_add(1, Ordering::Relaxed);
+        Self(lingering)
+    }
+
+    /// The bytes that each of the connections may be read.
+    fn max_bytes(&self) -> usize {
+        let share = MAX_LINGER_BYTES_OF_ALL / self.0.load(Ordering::Relaxed).max(1);
+        share.clamp(LINGER_READ_BYTES, MAX_LINGER_BYTES)
+    }
+}
+
+impl Drop for Lingering<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Marks a request as active on its connection until dropped.
 pub struct ActiveRequest<H: ConnectionHost>(Rc<CallerSocket<H>>);
 
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves callers' connections, and closes them only while they carry no request.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, sync::atomic::AtomicUsize, time::Duration};
 
 use http::{HeaderName, HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -161,6 +161,10 @@
         self.is_stopping()
     }
 
+    fn lingering(&self) -> &AtomicUsize {
+        &self.lingering
+    }
+
     fn report_closed_unread(&self, closed: &ClosedUnread) {
         let ClosedUnread { bytes, open_ms, stopping } = *closed;
         self.metrics.count(Counter::ClosedUnread);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    sync::atomic::AtomicUsize,
     time::Duration,
 };
 
@@ -80,6 +81,8 @@
     pub grace_elapsed: Cell<bool>,
     /// The number of requests in progress.
     pub running: Cell<usize>,
+    /// The number of callers' connections that have closed and are still read.
+    pub(crate) lingering: AtomicUsize,
     /// The number of connections that are watched after their attempt was given up.
     pub(crate) watched: Cell<usize>,
     /// The number of requests in progress that other nodes have handed on.
@@ -167,6 +170,7 @@
             rooms: RefCell::default(),
             grace_elapsed: Cell::new(false),
             running: Cell::new(0),
+            lingering: AtomicUsize::new(0),
             watched: Cell::new(0),
             taken_over: Cell::new(0),
             loading: Cell::new(0),
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -12,7 +12,7 @@
     net::{Shutdown, SocketAddr},
     pin::{Pin, pin},
     rc::Rc,
-    sync::Arc,
+    sync::{Arc, atomic::AtomicUsize},
     task::{Context, Poll},
     time::Duration,
 };
@@ -54,13 +54,14 @@
     keep_alive: Duration,
     active: Arc<ActiveRequests>,
     metrics: Arc<NodeMetrics>,
+    lingering: Arc<AtomicUsize>,
 }
 
 impl ServingHost {
     /// Creates the host of connections that stay open for `keep_alive` while idle.
     pub fn new(state: &NodeState, keep_alive: Duration) -> Self {
         let (active, metrics) = (Arc::clone(&state.active), Arc::clone(&state.metrics));
-        Self { clock: state.clock, keep_alive, active, metrics }
+        Self { clock: state.clock, keep_alive, active, metrics, lingering: Arc::default() }
     }
 }
 
@@ -77,6 +78,10 @@
         self.active.is_draining()
     }
 
+    fn lingering(&self) -> &AtomicUsize {
+        &self.lingering
+    }
+
     fn report_closed_unread(&self, closed: &ClosedUnread) {
         self.metrics.counter(CLOSED_UNREAD, &[]).increment(1);
         let ClosedUnread { bytes, open_ms, stopping } = *closed;
