Receive buffers of callers' connections are small

What callers saw: nothing yet; it is the other half of a machine that runs out of memory. Bytes that have arrived and are not read count as memory of the machine, and a sender that is faster than the node had up to megabytes of them.

Cause: the kernel's receive buffers grew by themselves, for each connection.

Ruled out: reading more slowly, or not at all; it moves bytes from the process to the kernel.

Change: connections at the ports of callers, readiness and metrics have receive buffers of 32 KiB. At 6 ms there and back that still carries some 5 MB/s, and a body of 4 MiB in less than a second. Those between nodes keep theirs.

The tests now hold unread bytes to a sixth of the memory as well. No test fails without this change alone: the callers of these tests are few, and the kernel's buffers grow with them.

--- a/crates/cli/tests/misbehaving_callers/bodies.rs
+++ b/crates/cli/tests/misbehaving_callers/bodies.rs
@@ -17,6 +17,8 @@
 
 /// The machine's memory in the node's settings, in MiB.
 const MEMORY_MB: u64 = 64;
+/// Bytes that have arrived and are not read may take this part of the memory, as each room of bodies may.
+const UNREAD_PARTS: u64 = 6;
 /// The descriptors in the node's settings.
 const DESCRIPTORS: u64 = 256;
 /// The configured limit of a body's size.
@@ -74,6 +76,7 @@
     let footprint = sampler.finish();
     println!("{footprint:?}, {} bytes of memory", footprint.memory_bytes());
     assert!(footprint.memory_bytes() < MEMORY_MB << 20, "memory: {footprint:?}");
+    assert!(footprint.unread_bytes < (MEMORY_MB << 20) / UNREAD_PARTS, "unread bytes: {footprint:?}");
     assert!(footprint.descriptors < DESCRIPTORS, "descriptors: {footprint:?}");
 }
 
--- a/crates/forward/src/ingress.rs
+++ b/crates/forward/src/ingress.rs
@@ -18,9 +18,25 @@
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The kernel's receive buffer of each connection, in bytes. What has arrived and is not read counts as memory of the
+/// machine; by default the kernel lets it grow to megabytes for each sender that is faster than the node.
+pub const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
 /// Opens a listener.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
+    bind(socket, address)
+}
+
+/// Opens a listener whose connections have small receive buffers.
+pub fn listen_for_callers(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    // Accepted connections inherit it. A system without the option still serves.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    bind(socket, address)
+}
+
+fn bind(socket: TcpSocket, address: SocketAddr) -> std::io::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
