Callers' connections leave descriptors to others, and idle ones make place

Cause: `limits.descriptors` was read and used nowhere, and each accepted connection stayed for the idle timeout. It also cost some 30 KB before its first byte, as the HTTP library and the task had their buffers from the start.

Ruled out: a shorter idle timeout (callers count on the one they are told), and refusing what is new (a crowd that is there first would shut all others out).

Change: callers have three quarters of the descriptors, and no more connections than a quarter of the memory carries. Where all are taken, the connection that carries no request and has rested for longest closes, 0.2 s after its last byte at the earliest; if there is none, further ones wait to be accepted. Buffers are allocated at the first byte, and for a request when it begins.

Connections that carry requests, or part of a head, are never closed for others.

--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -13,6 +13,9 @@
 const CLOSE_QUIET_PERIOD: Duration = Duration::from_millis(200);
 /// The same for a connection without a request so far: its caller has opened it to send one, and may be slow.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection must have rested before it closes to make place for another one. Its caller has just opened it,
+/// or has just received an answer.
+const RECLAIM_IDLE_PERIOD: Duration = Duration::from_millis(200);
 /// How much longer than the advertised idle timeout an idle connection stays open.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 
@@ -40,6 +43,8 @@
     pub has_partial_head: bool,
     /// Whether the socket has unread bytes.
     pub is_readable: bool,
+    /// Whether another connection needs its place.
+    pub is_reclaimed: bool,
     /// When the last byte arrived, or the last answer ended.
     pub last_activity: Timestamp,
     /// When the connection opened, or the last answer on it ended.
@@ -75,6 +80,7 @@
         StopStage::Closing | StopStage::Ended if state.is_new => state.last_activity + FIRST_REQUEST_TIMEOUT,
         StopStage::Closing | StopStage::Ended => state.last_activity + CLOSE_QUIET_PERIOD,
     };
+    let idle_until = if state.is_reclaimed && is_reclaimable(state, now) { now } else { idle_until };
     let recheck = ConnectionAction::KeepOpen(Some(idle_until.max(now + CLOSE_QUIET_PERIOD)));
     if now < idle_until || state.is_readable {
         return recheck;
@@ -87,3 +93,10 @@
         (true, _) => ConnectionAction::Abort,
     }
 }
+
+/// Whether a connection carries no request and has rested for so long that it may close to make place for another one.
+/// A request that crosses the close is not read, and its caller sends it again.
+pub fn is_reclaimable(state: ConnectionState, now: Timestamp) -> bool {
+    let rested = now.saturating_since(state.last_activity) >= RECLAIM_IDLE_PERIOD;
+    rested && !state.is_serving && !state.has_partial_head
+}
--- a/crates/core/tests/forwarding_caller_connection.rs
+++ b/crates/core/tests/forwarding_caller_connection.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use paddlemount_core::forwarding::caller_connection::{
-    ConnectionAction, ConnectionState, StopStage, next_action,
+    ConnectionAction, ConnectionState, StopStage, is_reclaimable, next_action,
 };
 use paddlemount_protocol::time::Timestamp;
 
@@ -22,6 +22,7 @@
         is_serving: false,
         has_partial_head: false,
         is_readable: false,
+        is_reclaimed: false,
         last_activity: at(0),
         idle_since: at(0),
     }
@@ -80,6 +81,7 @@
             is_serving: flags & 1 > 0,
             has_partial_head: flags & 2 > 0,
             is_readable: flags & 4 > 0,
+            is_reclaimed: flags & 16 > 0,
             last_activity: at(u64::from(*used)),
             idle_since: at(u64::from(*free)),
         };
@@ -100,3 +102,23 @@
         }
     });
 }
+
+#[test]
+fn a_connection_that_rests_makes_place_for_another_one() {
+    let reclaimed = ConnectionState { is_reclaimed: true, ..idle() };
+    assert!(matches!(action(reclaimed, StopStage::Serving, 100), ConnectionAction::KeepOpen(Some(_))));
+    assert_eq!(action(reclaimed, StopStage::Serving, 200), ConnectionAction::Close);
+    let readable = ConnectionState { is_readable: true, ..reclaimed };
+    assert!(matches!(action(readable, StopStage::Serving, 200), ConnectionAction::KeepOpen(Some(_))));
+}
+
+#[test]
+fn a_connection_with_a_request_makes_no_place() {
+    for state in [
+        ConnectionState { is_serving: true, is_reclaimed: true, ..idle() },
+        ConnectionState { has_partial_head: true, is_reclaimed: true, ..idle() },
+    ] {
+        assert!(!is_reclaimable(state, at(600)));
+        assert!(matches!(action(state, StopStage::Serving, 600), ConnectionAction::KeepOpen(_)));
+    }
+}
--- a/crates/forward/src/caller_close.rs
+++ b/crates/forward/src/caller_close.rs
@@ -31,7 +31,7 @@
             };
             tokio::select! {
                 Ok(()) = stage.changed() => {}
-                () = self.request_ended.notified() => {}
+                () = self.state_changed.notified() => {}
                 () = self.wait_until(recheck_at) => {}
             }
         }
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -79,8 +79,11 @@
     last_activity: Cell<Timestamp>,
     /// When the connection opened, or the last answer on it ended.
     idle_since: Cell<Timestamp>,
-    /// Notified when an answer has ended.
-    pub request_ended: Notify,
+    /// Whether another connection needs its place.
+    is_reclaimed: Cell<bool>,
+    /// Notified when it has to be decided again whether the connection closes: an answer has ended, or its place is
+    /// needed.
+    pub state_changed: Notify,
 }
 
 impl<H: ConnectionHost> CallerSocket<H> {
@@ -99,7 +102,8 @@
             allowance: Rc::default(),
             last_activity: Cell::new(now),
             idle_since: Cell::new(now),
-            request_ended: Notify::new(),
+            is_reclaimed: Cell::new(false),
+            state_changed: Notify::new(),
         })
     }
 
@@ -119,6 +123,7 @@
     pub fn begin(self: &Rc<Self>) -> ActiveRequest<H> {
         self.unparsed_bytes.set(0);
         self.is_new.set(false);
+        self.is_reclaimed.set(false);
         self.allowance.set(self.allowance.get().renewed());
         self.active.set(self.active.get() + 1);
         ActiveRequest(Rc::clone(self))
@@ -132,11 +137,18 @@
             is_serving,
             has_partial_head: !is_serving && self.unparsed_bytes.get() > 0,
             is_readable: false,
+            is_reclaimed: self.is_reclaimed.get(),
             last_activity: self.last_activity.get(),
             idle_since: self.idle_since.get(),
         }
     }
 
+    /// Asks the connection to close, if it still carries no request, because another one needs its place.
+    pub fn reclaim(&self) {
+        self.is_reclaimed.set(true);
+        self.state_changed.notify_one();
+    }
+
     /// Whether the socket has unread bytes. Asks the kernel, because the runtime's readiness may lag behind.
     pub fn is_readable(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
@@ -149,6 +161,10 @@
     pub async fn close_gracefully(&self) {
         // The caller may have closed already.
         let _ = self.shut_down();
+        // A connection that closes for another one has just been found without unread bytes.
+        if self.is_reclaimed.get() {
+            return;
+        }
         let linger = if self.host.is_stopping() { LINGER_TIMEOUT_AT_STOP } else { LINGER_TIMEOUT };
         let unread = Cell::new(0);
         let lingering = Lingering::begin(self.host.lingering());
@@ -282,7 +298,7 @@
         socket.unparsed_bytes.set(0);
         socket.last_activity.set(now);
         socket.idle_since.set(now);
-        socket.request_ended.notify_one();
+        socket.state_changed.notify_one();
     }
 }
 
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -20,6 +20,7 @@
     journal::Event,
     metrics::Counter,
     node::Node,
+    open_connections::OpenConnections,
     received_body::ReceivedBody,
 };
 
@@ -35,7 +36,7 @@
 pub struct Callers {
     node: Rc<Node>,
     stage: watch::Receiver<StopStage>,
-    open: Rc<Cell<usize>>,
+    open: Rc<OpenConnections<Node>>,
     /// Whether connections are still accepted, if only from the queue of a listener that is about to close.
     accepting: Rc<Cell<bool>>,
 }
@@ -48,12 +49,12 @@
 
     /// Whether no connection is open and none will be accepted.
     pub fn are_drained(&self) -> bool {
-        !self.accepting.get() && self.open.get() == 0
+        !self.accepting.get() && self.open.count() == 0
     }
 
     /// The number of open connections.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.open.count()
     }
 
     /// Accepts connections until the stop reaches [`StopStage::Closing`], then those still in the listener's
@@ -61,8 +62,12 @@
     pub async fn serve(self, listener: TcpListener) {
         let mut closing = self.stage.clone();
         loop {
+            let accept = async {
+                self.open.has_place(self.node.settings().limits.max_caller_connections()).await;
+                listener.accept().await
+            };
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = accept => accepted,
                 _ = closing.wait_for(|stage| *stage >= StopStage::Closing) => break,
             };
             match accepted {
@@ -93,29 +98,41 @@
 
     fn spawn_connection(&self, stream: TcpStream) {
         let callers = self.clone();
-        self.open.set(self.open.get() + 1);
+        let socket = CallerSocket::new(stream, Rc::clone(&self.node));
+        let open = self.open.add(Rc::clone(&socket));
         tokio::task::spawn_local(async move {
-            let open = Rc::clone(&callers.open);
-            callers.serve_connection(stream).await;
-            open.set(open.get() - 1);
+            callers.serve_connection(socket).await;
+            drop(open);
         });
     }
 
-    async fn serve_connection(mut self, stream: TcpStream) {
-        let socket = CallerSocket::new(stream, Rc::clone(&self.node));
-        self.serve_requests(&socket).await;
+    async fn serve_connection(mut self, socket: Rc<CallerSocket<Node>>) {
+        if self.has_first_byte(&socket).await {
+            self.serve_requests(&socket).await;
+        }
         tokio::select! {
             () = socket.close_gracefully() => {}
             _ = self.stage.wait_for(|stage| *stage == StopStage::Ended) => {}
         }
     }
 
+    /// Waits for the first byte, so that a connection without any costs no buffers. Returns `false` if the connection is
+    /// to close before.
+    async fn has_first_byte(&self, socket: &CallerSocket<Node>) -> bool {
+        tokio::select! {
+            biased;
+            _ = socket.readable() => true,
+            _ = socket.until_close(self.stage.clone()) => false,
+        }
+    }
+
     /// Serves requests until the caller closes the connection or it has been idle for long enough to be
     /// closed.
     async fn serve_requests(&mut self, socket: &Rc<CallerSocket<Node>>) {
         let (node, service_socket, stage) = (Rc::clone(&self.node), Rc::clone(socket), self.stage.clone());
         let service = service_fn(move |request: Request<Incoming>| {
-            serve_request(Rc::clone(&node), Rc::clone(&service_socket), stage.clone(), request)
+            // An idle connection has no memory for a request.
+            Box::pin(serve_request(Rc::clone(&node), Rc::clone(&service_socket), stage.clone(), request))
         });
         let buffer_bytes = (self.header_bytes() * 2).max(MIN_READ_BUFFER);
         let mut connection = std::pin::pin!(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,7 @@
 //! | [`admission`] | route, tenant, quota, and the age of the configuration |
 //! | [`request_bodies`], `body_intake` | receives the bodies of requests, and keeps them in memory within a bound |
 //! | [`callers`], [`caller_stream`], [`caller_close`] | callers' connections: accepted, served, closed |
+//! | `open_connections` | which connection closes when another one needs its place |
 //! | [`ingress`] | listeners, readiness and metrics |
 //! | [`exchange`], [`dispatch`], [`attempts`], [`attempt_wait`], [`outcomes`], [`relay`] | sends, retries and relays requests |
 //! | [`answer_buffer`] | keeps complete answers in memory, within a bound |
@@ -88,6 +89,7 @@
 pub mod metrics;
 pub mod node;
 pub mod node_state;
+mod open_connections;
 pub mod orders;
 pub mod outcomes;
 mod oversized_answers;
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -63,7 +63,8 @@
     let listen = settings.listen;
     let callers = ingress::listen_for_callers(listen.callers).map_err(system("caller address"))?;
     let readiness = ingress::listen_for_callers(listen.readiness).map_err(system("readiness address"))?;
-    let metrics = listen.metrics.map(ingress::listen_for_callers).transpose().map_err(system("metrics address"))?;
+    let metrics =
+        listen.metrics.map(ingress::listen_for_callers).transpose().map_err(system("metrics address"))?;
     let peers = listen.peers.map(ingress::listen).transpose().map_err(system("peer address"))?;
     let peers_address =
         peers.as_ref().map(TcpListener::local_addr).transpose().map_err(system("addresses"))?;
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -149,6 +149,15 @@
     }
 }
 
+/// Callers' connections leave this part of the descriptors to others, and this many at least.
+const KEPT_DESCRIPTORS_PARTS: usize = 4;
+const MIN_KEPT_DESCRIPTORS: usize = 64;
+/// Callers' connections may take this part of the memory together.
+const CONNECTION_MEMORY_PARTS: usize = 4;
+/// The memory of a connection between two requests, in bytes.
+const CONNECTION_BYTES: usize = 16 << 10;
+/// The connections that callers may have open whatever the limits.
+const MIN_CALLER_CONNECTIONS: usize = 16;
 /// With less memory, in MiB, no node serves.
 const MIN_MEMORY_MB: u32 = 16;
 /// Below this bandwidth, in Mbit/s, other nodes should not depend on the machine.
@@ -165,6 +174,15 @@
         (self.memory_mb as usize) << 20
     }
 
+    /// The number of connections that callers may have open. Back ends, the store, other nodes and the listeners for
+    /// operators keep a quarter of the descriptors, and all connections together have a quarter of the memory.
+    pub fn max_caller_connections(&self) -> usize {
+        let descriptors = self.descriptors as usize;
+        let kept = (descriptors / KEPT_DESCRIPTORS_PARTS).max(MIN_KEPT_DESCRIPTORS);
+        let by_memory = self.memory_bytes() / CONNECTION_MEMORY_PARTS / CONNECTION_BYTES;
+        descriptors.saturating_sub(kept).min(by_memory).max(MIN_CALLER_CONNECTIONS)
+    }
+
     /// The maximum number of nodes that report to this one.
     pub fn fan_in(&self) -> usize {
         fan_in(self.processor_share, self.link_mbps)
