Bodies of callers of `serve` share a bound of memory too

Cause: the same as for `forward`: each request collected its body for itself, and a length over the limit was noticed only when so many bytes had arrived. The parsed body counted nowhere.

Change: `serve` receives bodies by `forward::request_bodies`, within `limits.body_memory_bytes` for small ones and as much for large ones; by default eight bodies of the largest size. What is parsed keeps the account until the request has ended. A length over the limit is refused at its head, and the callers' port has the same small receive buffers.

--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -148,7 +148,7 @@
             capacity: settings.limits.capacity(),
         };
         let fan_in = settings.limits.fan_in();
-        let request_bodies = RequestBodies::of_machine(settings.limits.memory_bytes());
+        let request_bodies = RequestBodies::new(settings.limits.rooms());
         let peers = peers.map(|address| RefCell::new(Peers::new(member(address), fan_in, rand::random())));
         Self {
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/forward/src/process.rs
+++ b/crates/forward/src/process.rs
@@ -209,7 +209,7 @@
     match parsed {
         Ok(settings) => {
             node.state.borrow_mut().quotas.set_bounds(settings.bounds.quotas());
-            node.request_bodies.set_memory(settings.limits.memory_bytes());
+            node.request_bodies.set_rooms(settings.limits.rooms());
             *node.settings.borrow_mut() = Rc::new(settings);
             node.journal.log(&Event::SettingsReloaded { changed });
         }
--- a/crates/forward/src/request_bodies.rs
+++ b/crates/forward/src/request_bodies.rs
@@ -52,15 +52,15 @@
 }
 
 impl RequestBodies {
-    /// The bodies of a process on a machine with so many bytes of memory.
-    pub fn of_machine(memory_bytes: usize) -> Self {
-        let memory = CallerMemory::new(Rooms::of_machine(memory_bytes));
+    /// The bodies of a process, none so far.
+    pub fn new(rooms: Rooms) -> Self {
+        let memory = CallerMemory::new(rooms);
         Self(Arc::new(Mutex::new(Bodies { memory, arriving: BTreeMap::new(), refused: 0, evicted: 0 })))
     }
 
-    /// Changes the machine's memory.
-    pub fn set_memory(&self, memory_bytes: usize) {
-        self.lock().memory.set_rooms(Rooms::of_machine(memory_bytes));
+    /// Replaces the rooms. Bodies that no longer fit stay.
+    pub fn set_rooms(&self, rooms: Rooms) {
+        self.lock().memory.set_rooms(rooms);
     }
 
     /// The size in bytes of the largest body that can be held.
@@ -177,11 +177,22 @@
         let bytes = self.account.bodies.lock().complete(self.account.id)?;
         Ok(Bytes::from_owner(HeldBody { bytes, _account: self.account }))
     }
+
+    /// Parses the complete body. What is parsed takes its place in memory, and counts as much as the body until the
+    /// account is dropped.
+    ///
+    /// # Errors
+    ///
+    /// If the body has given way to others.
+    pub fn finish_with<T>(self, parse: impl FnOnce(&[u8]) -> T) -> Result<(T, BodyAccount), NoMemory> {
+        let bytes = self.account.bodies.lock().complete(self.account.id)?;
+        Ok((parse(&bytes), self.account))
+    }
 }
 
-/// A body's account, closed when dropped.
+/// The account of a body, closed when dropped.
 #[derive(Debug)]
-struct BodyAccount {
+pub struct BodyAccount {
     bodies: RequestBodies,
     id: BodyId,
 }
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -6,7 +6,9 @@
     time::Duration,
 };
 
-use paddlemount_core::{forwarding::children::fan_in, limits::ledger::bucket_size::QuotaBounds};
+use paddlemount_core::{
+    caller_memory::Rooms, forwarding::children::fan_in, limits::ledger::bucket_size::QuotaBounds,
+};
 use paddlemount_protocol::identity::{NodeId, ZoneId};
 use serde::Deserialize;
 
@@ -169,8 +171,12 @@
         (self.link_mbps * self.processor_share).clamp(0.0, 1e9) as u32
     }
 
-    /// The memory that the process may use, in bytes.
-    pub const fn memory_bytes(&self) -> usize {
+    /// The bytes that bodies of requests in progress may hold.
+    pub const fn rooms(&self) -> Rooms {
+        Rooms::of_machine(self.memory_bytes())
+    }
+
+    const fn memory_bytes(&self) -> usize {
         (self.memory_mb as usize) << 20
     }
 
--- a/crates/node/src/active.rs
+++ b/crates/node/src/active.rs
@@ -6,6 +6,7 @@
 };
 
 use paddlemount_core::forwarding::caller_connection::StopStage;
+use paddlemount_forward::request_bodies::BodyAccount;
 use tokio::sync::{Notify, watch};
 
 /// Tracks active requests; refuses new ones above a limit or while the node drains.
@@ -33,6 +34,15 @@
 #[derive(Debug)]
 pub struct ActiveGuard {
     requests: Arc<ActiveRequests>,
+    /// The memory of the request's body, once it has been received.
+    body: Option<BodyAccount>,
+}
+
+impl ActiveGuard {
+    /// Keeps the account of the request's body until the request has ended.
+    pub fn hold(&mut self, body: BodyAccount) {
+        self.body = Some(body);
+    }
 }
 
 impl ActiveRequests {
@@ -57,7 +67,7 @@
         // later request can pass.
         let before = self.count.fetch_add(1, Ordering::SeqCst);
         self.arrivals.fetch_add(1, Ordering::SeqCst);
-        let guard = ActiveGuard { requests: Arc::clone(self) };
+        let guard = ActiveGuard { requests: Arc::clone(self), body: None };
         if self.is_draining() {
             return Err(EntryRefusal::Draining);
         }
--- a/crates/node/src/admin/http.rs
+++ b/crates/node/src/admin/http.rs
@@ -33,7 +33,7 @@
     watch,
 };
 use crate::{
-    http::{BodyError, json_answer, read_body},
+    http::{json_answer, read_body},
     state::NodeState,
 };
 
@@ -85,13 +85,8 @@
 async fn body(context: &WebContext<'_, Arc<NodeState>>) -> Result<Bytes, Refusal> {
     let body = std::mem::replace(&mut *context.body_borrow_mut(), RequestBody::None);
     let timeout = context.state().settings.timeouts.body;
-    read_body(body, MAX_STATEMENT_BYTES, timeout).await.map_err(|error| {
-        let code = match error {
-            BodyError::TooLarge(_) => RefusalCode::TooLarge,
-            BodyError::Timeout(_) | BodyError::Broken => RefusalCode::InvalidRequest,
-        };
-        Refusal::not_run(code, error.to_string())
-    })
+    let read = read_body(body, MAX_STATEMENT_BYTES, timeout).await;
+    read.map_err(|error| Refusal::not_run(error.code(), error.to_string()))
 }
 
 /// The deadline for the replies of other members.
--- a/crates/node/src/caller/admission.rs
+++ b/crates/node/src/caller/admission.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use paddlemount_core::caller_memory::STALL_TIMEOUT;
 use paddlemount_protocol::{
     engine::Priority,
     header::{DEADLINE_MS, PRIORITY, REPEATABLE, TRACEPARENT},
@@ -21,7 +22,7 @@
 use crate::{
     active::{ActiveGuard, EntryRefusal},
     configuration::ActiveConfiguration,
-    http::{BodyError, read_body},
+    http::{BodyError, receive_body},
     state::NodeState,
 };
 
@@ -92,18 +93,32 @@
 /// # Errors
 ///
 /// The request has not run.
-pub async fn read_json<T: DeserializeOwned>(context: &WebContext<'_, Arc<NodeState>>) -> Result<T, Refusal> {
+pub async fn read_json<T: DeserializeOwned>(
+    context: &WebContext<'_, Arc<NodeState>>,
+    admitted: &mut Admitted,
+) -> Result<T, Refusal> {
     let state = context.state();
     let body = std::mem::replace(&mut *context.body_borrow_mut(), RequestBody::None);
-    let (limit, timeout) = (state.settings.limits.body_bytes, state.settings.timeouts.body);
-    let bytes = read_body(body, limit, timeout).await.map_err(|error| {
-        let code = match error {
-            BodyError::TooLarge(_) => RefusalCode::TooLarge,
-            BodyError::Timeout(_) | BodyError::Broken => RefusalCode::InvalidRequest,
-        };
-        Refusal::not_run(code, error.to_string())
-    })?;
-    parse_json(&bytes)
+    let announced_bytes = announced_bytes(context.req().headers());
+    let received = receive_body(state, body, admitted.tenant.clone(), announced_bytes).await;
+    let (parsed, account) = received
+        .and_then(|body| body.finish_with(parse_json).map_err(BodyError::from))
+        .map_err(refuse_body)?;
+    admitted.guard.hold(account);
+    parsed
+}
+
+fn announced_bytes(headers: &HeaderMap) -> Option<usize> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+fn refuse_body(error: BodyError) -> Refusal {
+    let refusal = Refusal::not_run(error.code(), error.to_string());
+    match error {
+        // By then a body that makes no progress has given way.
+        BodyError::NoMemory(_) => refusal.with_retry_after(STALL_TIMEOUT),
+        BodyError::TooLarge(_) | BodyError::Timeout(_) | BodyError::Broken => refusal,
+    }
 }
 
 /// Parses JSON.
--- a/crates/node/src/caller/chat.rs
+++ b/crates/node/src/caller/chat.rs
@@ -50,8 +50,8 @@
 async fn prepare(context: &WebContext<'_, Arc<NodeState>>, request: &RequestId) -> Result<Prepared, Refusal> {
     let state = context.state();
     let headers = context.req().headers();
-    let admitted = admit(state, headers)?;
-    let prepared = match prepare_admitted(context, request, &admitted).await {
+    let mut admitted = admit(state, headers)?;
+    let prepared = match prepare_admitted(context, request, &mut admitted).await {
         Ok(prepared) => prepared,
         Err(refusal) => {
             state.observations.record_refusal(request, &admitted.tenant, &refusal);
@@ -65,11 +65,11 @@
 async fn prepare_admitted(
     context: &WebContext<'_, Arc<NodeState>>,
     request: &RequestId,
-    admitted: &Admitted,
+    admitted: &mut Admitted,
 ) -> Result<(ExchangeSpec, bool), Refusal> {
     let state = context.state();
     let options = read_options(context.req().headers(), true, state.settings.timeouts.deadline)?;
-    let chat: ChatRequest = read_json(context).await?;
+    let chat: ChatRequest = read_json(context, admitted).await?;
     let stream = chat.stream;
     Ok((spec(state, request, admitted, options, chat)?, stream))
 }
--- a/crates/node/src/caller/services.rs
+++ b/crates/node/src/caller/services.rs
@@ -109,7 +109,7 @@
 ) -> Result<(ActiveGuard, ServiceSpec), Refusal> {
     let state = context.state();
     let headers = context.req().headers();
-    let admitted = admit(state, headers)?;
+    let mut admitted = admit(state, headers)?;
     let (service, operation) = path_parts(context.req().uri().path())?;
     let services = &admitted.configuration.document.configuration.services;
     let Some(settings) = services.get(&service) else {
@@ -119,7 +119,7 @@
     let repeatable = settings.repeatable_operations.contains(&operation);
     let options = read_options(headers, repeatable, state.settings.timeouts.deadline)?;
     let key = idempotency_key(headers.get(IDEMPOTENCY_KEY))?;
-    let body = read_json(context).await?;
+    let body = read_json(context, &mut admitted).await?;
     let spec = ServiceSpec {
         request: request.clone(),
         tenant: admitted.tenant,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -52,7 +52,7 @@
     /// Fails if an address is in use or threads cannot be started.
     pub fn start(settings: NodeSettings) -> Result<RunningNode, StartError> {
         let listen = settings.listen;
-        let callers = server::bind("callers", listen.callers)?;
+        let callers = server::bind_for_callers(listen.callers)?;
         let peers = server::bind("peers", listen.peers)?;
         let admin = server::bind("admin", listen.admin)?;
         let timeouts = settings.timeouts;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use paddlemount_forward::ingress::RECEIVE_BUFFER_BYTES;
 use xitca_http::{HttpServiceBuilder, config::HttpServiceConfig};
 use xitca_io::net::TcpStream;
 use xitca_server::Builder;
@@ -128,6 +129,18 @@
     listen(address).map_err(|source| BindError { name, address, source })
 }
 
+/// Binds the listener of callers, whose connections have small receive buffers.
+///
+/// # Errors
+///
+/// As for [`bind`].
+pub fn bind_for_callers(address: SocketAddr) -> Result<TcpListener, BindError> {
+    let listener = bind("callers", address)?;
+    // Accepted connections inherit it. A system without the option still serves.
+    let _ = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize);
+    Ok(listener)
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = TcpListener::bind(address)?;
     // Accepted connections inherit this. Without it, a small event after another one waits for the caller's
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,6 +6,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use paddlemount_core::caller_memory::Rooms;
 use paddlemount_protocol::identity::{NodeId, OperatorId, RegionId, ZoneId};
 use toml::de::DeTable;
 
@@ -105,6 +106,9 @@
 pub struct LimitSettings {
     pub body_bytes: usize,
     pub prompt_bytes: usize,
+    /// What the bodies of requests in progress hold together: so much where each has up to 64 KiB, and as much again
+    /// where they have more.
+    pub body_memory_bytes: usize,
     /// Concurrent requests.
     pub requests: usize,
 }
@@ -167,6 +171,19 @@
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 const MEBIBYTE: u64 = 1 << 20;
 
+/// The largest bodies that are held at once by default.
+const BODIES_IN_MEMORY: u64 = 8;
+/// The least memory for bodies by default, so that small limits leave room for many small bodies.
+const MIN_BODY_MEMORY_BYTES: u64 = 8 * MEBIBYTE;
+const MAX_BODY_MEMORY_BYTES: u64 = 65_536 * MEBIBYTE;
+
+impl LimitSettings {
+    /// The bytes that bodies of requests in progress may hold.
+    pub const fn rooms(&self) -> Rooms {
+        Rooms { small_bytes: self.body_memory_bytes, large_bytes: self.body_memory_bytes }
+    }
+}
+
 impl NodeSettings {
     /// Parses settings from TOML.
     ///
@@ -295,8 +312,16 @@
 
 fn read_limits(document: &mut Document<'_>, root: &mut Section<'_, '_>) -> LimitSettings {
     let mut section = root.table(document, "limits");
+    let body_bytes = section.number(document, "body_bytes", 4 * MEBIBYTE, 1_024..=64 * MEBIBYTE);
+    let body_memory_bytes = (BODIES_IN_MEMORY * body_bytes).max(MIN_BODY_MEMORY_BYTES);
     let limits = LimitSettings {
-        body_bytes: section.number(document, "body_bytes", 4 * MEBIBYTE, 1_024..=64 * MEBIBYTE) as usize,
+        body_bytes: body_bytes as usize,
+        body_memory_bytes: section.number(
+            document,
+            "body_memory_bytes",
+            body_memory_bytes,
+            body_bytes..=MAX_BODY_MEMORY_BYTES,
+        ) as usize,
         prompt_bytes: section.number(document, "prompt_bytes", 2 * MEBIBYTE, 256..=64 * MEBIBYTE) as usize,
         requests: section.number(document, "requests", 4_096, 1..=1_000_000) as usize,
     };
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
     decisions::DecisionSettings,
     routing::{Router, RouterEvent, RouterSettings},
 };
+use paddlemount_forward::request_bodies::RequestBodies;
 use paddlemount_protocol::{engine::EngineStatus, identity::Incarnation};
 use rand::RngExt;
 
@@ -39,6 +40,8 @@
     /// Claims of which this node is a replica.
     pub claims: Claims,
     pub active: Arc<ActiveRequests>,
+    /// The bodies of callers' requests in progress.
+    pub request_bodies: RequestBodies,
     pub metrics: Arc<NodeMetrics>,
     /// Rate limits, admission control and the retry budget.
     pub overload: SharedOverload,
@@ -70,6 +73,7 @@
             configuration: ConfigurationCell::default(),
             directory: Directory::default(),
             active: Arc::new(ActiveRequests::new(settings.limits.requests)),
+            request_bodies: RequestBodies::new(settings.limits.rooms()),
             metrics: Arc::clone(&metrics),
             admin_limits: AdminLimits::default(),
             quarantine: SharedQuarantine::default(),
