The head of a request has its own timeout

What callers saw: a connection that carries a part of a head kept its place, its buffer and its descriptor for the idle timeout, 20 s on the users' deployments, however slowly it went on.

Cause: `headerTimeoutMs` was read from the operator's document and used nowhere; an incomplete head counted as idle.

Ruled out: the HTTP library's own timeout, which runs from the moment it waits for a head, so on idle connections too, and which does not ask the kernel for bytes that arrived while the process was suspended.

Change: an incomplete head ends its connection after the configured timeout and 2 s for packets that are sent again, counted from its first byte, unless bytes of it wait unread. Its time is looked at only where the first read brings no complete head, so that ordinary requests cost no further wake-up. A planned stop waits for the rest of a head as before.

--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -19,6 +19,19 @@
 /// How much longer than the advertised idle timeout an idle connection stays open.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 
+/// How much longer than the configured timeout the rest of a request's head may take, for packets that are lost and sent
+/// again.
+const HEAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+
+/// The configured timeouts of callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionTimeouts {
+    /// How long a connection may be idle, as callers are told.
+    pub idle: Duration,
+    /// How long the head of a request may take from its first byte.
+    pub head: Duration,
+}
+
 /// The stage of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopStage {
@@ -41,6 +54,8 @@
     pub is_serving: bool,
     /// Whether a request head has been received in part.
     pub has_partial_head: bool,
+    /// When the first byte of that head arrived.
+    pub head_began_at: Timestamp,
     /// Whether the socket has unread bytes.
     pub is_readable: bool,
     /// Whether another connection needs its place.
@@ -62,11 +77,11 @@
     Abort,
 }
 
-/// Decides what to do with a connection, where `idle_timeout` is the idle timeout advertised to callers.
+/// Decides what to do with a connection.
 pub fn next_action(
     state: ConnectionState,
     stage: StopStage,
-    idle_timeout: Duration,
+    timeouts: ConnectionTimeouts,
     now: Timestamp,
 ) -> ConnectionAction {
     if stage == StopStage::Ended {
@@ -76,7 +91,7 @@
         return ConnectionAction::KeepOpen(None);
     }
     let idle_until = match stage {
-        StopStage::Serving | StopStage::Draining => state.idle_since + idle_timeout + IDLE_TIMEOUT_MARGIN,
+        StopStage::Serving | StopStage::Draining => open_until(state, timeouts),
         StopStage::Closing | StopStage::Ended if state.is_new => state.last_activity + FIRST_REQUEST_TIMEOUT,
         StopStage::Closing | StopStage::Ended => state.last_activity + CLOSE_QUIET_PERIOD,
     };
@@ -100,3 +115,12 @@
     let rested = now.saturating_since(state.last_activity) >= RECLAIM_IDLE_PERIOD;
     rested && !state.is_serving && !state.has_partial_head
 }
+
+/// Until when a connection without a request stays open while requests are served.
+fn open_until(state: ConnectionState, timeouts: ConnectionTimeouts) -> Timestamp {
+    let idle_until = state.idle_since + timeouts.idle + IDLE_TIMEOUT_MARGIN;
+    if !state.has_partial_head {
+        return idle_until;
+    }
+    idle_until.min(state.head_began_at + timeouts.head + HEAD_TIMEOUT_MARGIN)
+}
--- a/crates/core/tests/forwarding_caller_connection.rs
+++ b/crates/core/tests/forwarding_caller_connection.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use paddlemount_core::forwarding::caller_connection::{
-    ConnectionAction, ConnectionState, StopStage, is_reclaimable, next_action,
+    ConnectionAction, ConnectionState, ConnectionTimeouts, StopStage, is_reclaimable, next_action,
 };
 use paddlemount_protocol::time::Timestamp;
 
-const IDLE: Duration = Duration::from_secs(15);
+const TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { idle: Duration::from_secs(15), head: Duration::from_secs(3) };
 const STAGES: [StopStage; 4] =
     [StopStage::Serving, StopStage::Draining, StopStage::Closing, StopStage::Ended];
 
@@ -21,6 +22,7 @@
         is_new: false,
         is_serving: false,
         has_partial_head: false,
+        head_began_at: at(0),
         is_readable: false,
         is_reclaimed: false,
         last_activity: at(0),
@@ -29,7 +31,7 @@
 }
 
 fn action(state: ConnectionState, stage: StopStage, milliseconds: u64) -> ConnectionAction {
-    next_action(state, stage, IDLE, at(milliseconds))
+    next_action(state, stage, TIMEOUTS, at(milliseconds))
 }
 
 #[test]
@@ -80,6 +82,7 @@
             is_new: flags & 8 > 0,
             is_serving: flags & 1 > 0,
             has_partial_head: flags & 2 > 0,
+            head_began_at: at(u64::from(*used)),
             is_readable: flags & 4 > 0,
             is_reclaimed: flags & 16 > 0,
             last_activity: at(u64::from(*used)),
@@ -87,7 +90,7 @@
         };
         let stage = STAGES[usize::from(*stage) % STAGES.len()];
         let now = at(u64::from(*now));
-        match next_action(state, stage, IDLE, now) {
+        match next_action(state, stage, TIMEOUTS, now) {
             ConnectionAction::KeepOpen(recheck) => {
                 assert!(stage < StopStage::Ended);
                 assert!(recheck.is_none_or(|recheck| recheck > now));
@@ -122,3 +125,14 @@
         assert!(matches!(action(state, StopStage::Serving, 600), ConnectionAction::KeepOpen(_)));
     }
 }
+
+#[test]
+fn the_head_of_a_request_has_its_own_timeout_from_its_first_byte() {
+    let partial = ConnectionState { has_partial_head: true, head_began_at: at(10_000), ..idle() };
+    assert!(matches!(action(partial, StopStage::Serving, 14_900), ConnectionAction::KeepOpen(Some(_))));
+    assert_eq!(action(partial, StopStage::Serving, 15_000), ConnectionAction::Abort);
+    // Its rest may be in the socket of a process that was suspended.
+    let readable = ConnectionState { is_readable: true, ..partial };
+    assert!(matches!(action(readable, StopStage::Serving, 15_000), ConnectionAction::KeepOpen(Some(_))));
+    assert!(matches!(action(partial, StopStage::Closing, 15_000), ConnectionAction::KeepOpen(Some(_))));
+}
--- a/crates/forward/src/caller_close.rs
+++ b/crates/forward/src/caller_close.rs
@@ -40,13 +40,13 @@
     /// Decides about the connection. The kernel is asked for unread bytes only if nothing else keeps the
     /// connection open.
     fn decide(&self, stage: StopStage) -> ConnectionAction {
-        let (state, idle_timeout, now) = (self.state(), self.host().idle_timeout(), self.now());
-        match next_action(state, stage, idle_timeout, now) {
+        let (state, timeouts, now) = (self.state(), self.host().timeouts(), self.now());
+        match next_action(state, stage, timeouts, now) {
             ConnectionAction::KeepOpen(recheck_at) => ConnectionAction::KeepOpen(recheck_at),
             ConnectionAction::Close | ConnectionAction::Abort => next_action(
                 ConnectionState { is_readable: self.is_readable(), ..state },
                 stage,
-                idle_timeout,
+                timeouts,
                 now,
             ),
         }
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -14,7 +14,10 @@
 
 use bytes::BufMut;
 use paddlemount_clock::SteadyClock;
-use paddlemount_core::forwarding::{caller_connection::ConnectionState, read_allowance::ReadAllowance};
+use paddlemount_core::forwarding::{
+    caller_connection::{ConnectionState, ConnectionTimeouts},
+    read_allowance::ReadAllowance,
+};
 use paddlemount_protocol::time::Timestamp;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -39,8 +42,8 @@
     /// The clock that measures idle time.
     fn clock(&self) -> SteadyClock;
 
-    /// The idle timeout that is currently configured.
-    fn idle_timeout(&self) -> Duration;
+    /// The timeouts that are currently configured.
+    fn timeouts(&self) -> ConnectionTimeouts;
 
     /// Whether the process is stopping.
     fn is_stopping(&self) -> bool;
@@ -73,6 +76,10 @@
     /// Bytes received since the last complete head. If no request is active, a value above 0 means a partial
     /// head.
     unparsed_bytes: Cell<usize>,
+    /// When the first of these bytes arrived.
+    head_began_at: Cell<Timestamp>,
+    /// Whether the close of the connection has been decided again since then.
+    is_head_timed: Cell<bool>,
     /// How much may be read as a byte stream.
     allowance: Rc<Cell<ReadAllowance>>,
     /// When the last byte arrived, or the last answer ended.
@@ -81,8 +88,8 @@
     idle_since: Cell<Timestamp>,
     /// Whether another connection needs its place.
     is_reclaimed: Cell<bool>,
-    /// Notified when it has to be decided again whether the connection closes: an answer has ended, or its place is
-    /// needed.
+    /// Notified when it has to be decided again whether the connection closes: an answer has ended, a head has begun
+    /// and is not complete, or another connection needs the place.
     pub state_changed: Notify,
 }
 
@@ -99,6 +106,8 @@
             is_new: Cell::new(true),
             active: Cell::new(0),
             unparsed_bytes: Cell::new(0),
+            head_began_at: Cell::new(now),
+            is_head_timed: Cell::new(false),
             allowance: Rc::default(),
             last_activity: Cell::new(now),
             idle_since: Cell::new(now),
@@ -122,6 +131,7 @@
     /// Records that a complete head has arrived. The guard marks the request as active until it is dropped.
     pub fn begin(self: &Rc<Self>) -> ActiveRequest<H> {
         self.unparsed_bytes.set(0);
+        self.is_head_timed.set(false);
         self.is_new.set(false);
         self.is_reclaimed.set(false);
         self.allowance.set(self.allowance.get().renewed());
@@ -136,6 +146,7 @@
             is_new: self.is_new.get(),
             is_serving,
             has_partial_head: !is_serving && self.unparsed_bytes.get() > 0,
+            head_began_at: self.head_began_at.get(),
             is_readable: false,
             is_reclaimed: self.is_reclaimed.get(),
             last_activity: self.last_activity.get(),
@@ -229,10 +240,21 @@
     }
 
     fn record_read(&self, count: usize) {
+        if self.unparsed_bytes.get() == 0 {
+            self.head_began_at.set(self.now());
+        }
         self.unparsed_bytes.set(self.unparsed_bytes.get() + count);
         self.last_activity.set(self.now());
     }
 
+    /// Records that more bytes are waited for. If they are the rest of a head, its timeout begins.
+    fn record_read_wait(&self) {
+        let is_partial = self.active.get() == 0 && self.unparsed_bytes.get() > 0;
+        if is_partial && !self.is_head_timed.replace(true) {
+            self.state_changed.notify_one();
+        }
+    }
+
     /// Writes as much as the socket accepts.
     ///
     /// # Errors
@@ -316,7 +338,11 @@
             return Poll::Ready(Err(allowance_exceeded()));
         }
         loop {
-            ready!(socket.stream.poll_read_ready(context))?;
+            let Poll::Ready(readiness) = socket.stream.poll_read_ready(context) else {
+                socket.record_read_wait();
+                return Poll::Pending;
+            };
+            readiness?;
             match socket.try_read(buffer) {
                 Ok(bytes) => {
                     socket.allowance.set(socket.allowance.get().after_read(bytes));
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -6,7 +6,10 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use paddlemount_clock::SteadyClock;
-use paddlemount_core::forwarding::{caller_connection::StopStage, planned_stop::PlannedStop};
+use paddlemount_core::forwarding::{
+    caller_connection::{ConnectionTimeouts, StopStage},
+    planned_stop::PlannedStop,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -167,11 +170,12 @@
         self.clock
     }
 
-    /// The timeout of the current configuration, which callers go by, even if the connection was opened under
-    /// an older one.
-    fn idle_timeout(&self) -> Duration {
+    /// The timeouts of the current configuration, which callers go by, even if the connection was opened under an older
+    /// one.
+    fn timeouts(&self) -> ConnectionTimeouts {
         let state = self.state.borrow();
-        state.table.as_ref().map(|table| table.limits()).unwrap_or_default().idle_timeout
+        let limits = state.table.as_ref().map(|table| table.limits()).unwrap_or_default();
+        ConnectionTimeouts { idle: limits.idle_timeout, head: limits.header_timeout }
     }
 
     fn is_stopping(&self) -> bool {
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -14,12 +14,11 @@
     rc::Rc,
     sync::{Arc, atomic::AtomicUsize},
     task::{Context, Poll},
-    time::Duration,
 };
 
 use bytes::Bytes;
 use paddlemount_clock::SteadyClock;
-use paddlemount_core::forwarding::caller_connection::StopStage;
+use paddlemount_core::forwarding::caller_connection::{ConnectionTimeouts, StopStage};
 use paddlemount_forward::caller_stream::{ActiveRequest, CallerSocket, ClosedUnread, ConnectionHost};
 use tokio::sync::watch;
 use xitca_io::{
@@ -51,17 +50,17 @@
 #[derive(Clone)]
 pub struct ServingHost {
     clock: Clock,
-    keep_alive: Duration,
+    timeouts: ConnectionTimeouts,
     active: Arc<ActiveRequests>,
     metrics: Arc<NodeMetrics>,
     lingering: Arc<AtomicUsize>,
 }
 
 impl ServingHost {
-    /// Creates the host of connections that stay open for `keep_alive` while idle.
-    pub fn new(state: &NodeState, keep_alive: Duration) -> Self {
+    /// Creates the host of connections with these timeouts.
+    pub fn new(state: &NodeState, timeouts: ConnectionTimeouts) -> Self {
         let (active, metrics) = (Arc::clone(&state.active), Arc::clone(&state.metrics));
-        Self { clock: state.clock, keep_alive, active, metrics, lingering: Arc::default() }
+        Self { clock: state.clock, timeouts, active, metrics, lingering: Arc::default() }
     }
 }
 
@@ -70,8 +69,8 @@
         self.clock.steady()
     }
 
-    fn idle_timeout(&self) -> Duration {
-        self.keep_alive
+    fn timeouts(&self) -> ConnectionTimeouts {
+        self.timeouts
     }
 
     fn is_stopping(&self) -> bool {
@@ -298,7 +297,7 @@
 
 /// The header's value in whole seconds; none for less than one second or while the node stops.
 fn keep_alive(host: &ServingHost) -> Option<HeaderValue> {
-    let seconds = host.idle_timeout().as_secs();
+    let seconds = host.timeouts.idle.as_secs();
     if seconds == 0 || host.is_stopping() {
         return None;
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use paddlemount_core::forwarding::caller_connection::ConnectionTimeouts;
 use paddlemount_forward::ingress::RECEIVE_BUFFER_BYTES;
 use xitca_http::{HttpServiceBuilder, config::HttpServiceConfig};
 use xitca_io::net::TcpStream;
@@ -96,7 +97,8 @@
     B::Error: std::fmt::Debug + 'static,
 {
     let address = listener.local_addr()?;
-    let host = ServingHost::new(state, settings.keep_alive);
+    let timeouts = ConnectionTimeouts { idle: settings.keep_alive, head: settings.head };
+    let host = ServingHost::new(state, timeouts);
     let config = HttpServiceConfig::new()
         .request_head_timeout(settings.head)
         // `CallerIo` closes idle connections after checking for unread bytes, which the library would not do.
