Operators see what callers make a node hold

Cause: a node that refused bodies, or closed idle connections for others, showed it in the lines of requests only.

Change: gauges of the bytes that bodies hold and may hold, of bodies refused and evicted, and of callers' connections open and closed for others. The open connections are part of the node, so that the gauges and the planned stop count the same ones.

--- a/crates/forward/src/body_intake.rs
+++ b/crates/forward/src/body_intake.rs
@@ -1,11 +1,11 @@
-//! Receives the body of a request.
+//! Receives the bodies of requests, and tells what callers make the node hold.
 
 use bytes::Bytes;
 use http_body::Body;
 use http_body_util::BodyExt;
 use paddlemount_core::caller_memory::Owner;
 
-use crate::{answers::Reason, node::Node, received_body::ReceivedBody};
+use crate::{answers::Reason, metrics::Gauge, node::Node, received_body::ReceivedBody};
 
 impl Node {
     /// Receives a body to its end. One of which the announced length is too large is not read at all.
@@ -40,6 +40,24 @@
         arriving.finish().map_err(|_| Reason::NoMemory)
     }
 
+    /// What callers make this node hold.
+    pub(crate) fn caller_gauges(&self) -> [Gauge; 6] {
+        let gauge = |name, value| Gauge { name, value };
+        let bodies = self.request_bodies.usage();
+        let rooms = self.settings().limits.rooms();
+        [
+            gauge("paddlemount_forward_body_bytes", bodies.held_bytes as f64),
+            gauge("paddlemount_forward_body_bytes_allowed", (rooms.small_bytes + rooms.large_bytes) as f64),
+            gauge("paddlemount_forward_bodies_refused", bodies.refused as f64),
+            gauge("paddlemount_forward_bodies_evicted", bodies.evicted as f64),
+            gauge("paddlemount_forward_caller_connections", self.open_connections.count() as f64),
+            gauge(
+                "paddlemount_forward_caller_connections_reclaimed",
+                self.open_connections.reclaimed() as f64,
+            ),
+        ]
+    }
+
     /// The configured size in bytes of the largest body.
     fn max_body_bytes(&self) -> usize {
         self.state.borrow().table.as_ref().map_or(0, |table| table.limits().body_bytes)
--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -23,7 +23,6 @@
     journal::Event,
     metrics::Counter,
     node::Node,
-    open_connections::OpenConnections,
     received_body::ReceivedBody,
 };
 
@@ -34,12 +33,11 @@
 /// The header that advertises the idle timeout to callers.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// Accepts and serves callers' connections, and counts the open ones.
+/// Accepts and serves callers' connections.
 #[derive(Clone)]
 pub struct Callers {
     node: Rc<Node>,
     stage: watch::Receiver<StopStage>,
-    open: Rc<OpenConnections<Node>>,
     /// Whether connections are still accepted, if only from the queue of a listener that is about to close.
     accepting: Rc<Cell<bool>>,
 }
@@ -47,17 +45,17 @@
 impl Callers {
     /// Serves callers of `node`; `stage` is the stage of its planned stop.
     pub fn new(node: Rc<Node>, stage: watch::Receiver<StopStage>) -> Self {
-        Self { node, stage, open: Rc::default(), accepting: Rc::new(Cell::new(true)) }
+        Self { node, stage, accepting: Rc::new(Cell::new(true)) }
     }
 
     /// Whether no connection is open and none will be accepted.
     pub fn are_drained(&self) -> bool {
-        !self.accepting.get() && self.open.count() == 0
+        !self.accepting.get() && self.node.open_connections.count() == 0
     }
 
     /// The number of open connections.
     pub fn open(&self) -> usize {
-        self.open.count()
+        self.node.open_connections.count()
     }
 
     /// Accepts connections until the stop reaches [`StopStage::Closing`], then those still in the listener's
@@ -66,7 +64,10 @@
         let mut closing = self.stage.clone();
         loop {
             let accept = async {
-                self.open.has_place(self.node.settings().limits.max_caller_connections()).await;
+                self.node
+                    .open_connections
+                    .has_place(self.node.settings().limits.max_caller_connections())
+                    .await;
                 listener.accept().await
             };
             let accepted = tokio::select! {
@@ -102,7 +103,7 @@
     fn spawn_connection(&self, stream: TcpStream) {
         let callers = self.clone();
         let socket = CallerSocket::new(stream, Rc::clone(&self.node));
-        let open = self.open.add(Rc::clone(&socket));
+        let open = self.node.open_connections.add(Rc::clone(&socket));
         tokio::task::spawn_local(async move {
             callers.serve_connection(socket).await;
             drop(open);
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -33,6 +33,7 @@
     logged_once::LoggedOnce,
     metrics::{Gauge, Metrics},
     node_state::{FULL_SCAN_MAX_NODES, NodeCount, NodeState, health_settings},
+    open_connections::OpenConnections,
     peers::Peers,
     pool::Pool,
     ports::Platform,
@@ -67,6 +68,8 @@
     pub planned_stop: Cell<Option<PlannedStop>>,
     /// Recent answer times by route.
     pub answer_times: RefCell<AnswerTimes>,
+    /// The open connections of callers.
+    pub(crate) open_connections: Rc<OpenConnections<Self>>,
     /// The bodies of requests in progress.
     pub(crate) request_bodies: RequestBodies,
     /// The memory of answers that are read to their end before they are passed on.
@@ -163,6 +166,7 @@
             store,
             planned_stop: Cell::new(None),
             answer_times: RefCell::default(),
+            open_connections: Rc::default(),
             request_bodies,
             answer_memory: AnswerMemory::for_requests(),
             call_memory: AnswerMemory::for_calls(),
@@ -426,6 +430,7 @@
         ];
         let gauges = gauges.into_iter().chain(self.announcement_gauges());
         gauges
+            .chain(self.caller_gauges())
             .chain(self.stream_gauges())
             .chain(self.room_gauges())
             .chain(self.performance_gauges())
--- a/crates/forward/src/open_connections.rs
+++ b/crates/forward/src/open_connections.rs
@@ -20,11 +20,17 @@
     sockets: RefCell<BTreeMap<u64, Rc<CallerSocket<H>>>>,
     last_number: Cell<u64>,
     ended: Notify,
+    reclaimed: Cell<u64>,
 }
 
 impl<H> Default for OpenConnections<H> {
     fn default() -> Self {
-        Self { sockets: RefCell::default(), last_number: Cell::new(0), ended: Notify::new() }
+        Self {
+            sockets: RefCell::default(),
+            last_number: Cell::new(0),
+            ended: Notify::new(),
+            reclaimed: Cell::new(0),
+        }
     }
 }
 
@@ -42,12 +48,18 @@
         self.sockets.borrow().len()
     }
 
+    /// The number of connections that were asked to close for others.
+    pub(crate) const fn reclaimed(&self) -> u64 {
+        self.reclaimed.get()
+    }
+
     /// Waits until fewer than `max` connections are open. While there are more, the one that carries no request and
     /// has rested for longest is closed.
     pub(crate) async fn has_place(&self, max: usize) {
         while self.count() >= max {
             if let Some(idle) = self.longest_idle() {
                 idle.reclaim();
+                self.reclaimed.set(self.reclaimed.get() + 1);
             }
             tokio::select! {
                 () = self.ended.notified() => {}
