--- a/crates/cli/tests/misbehaving_callers/bodies.rs
+++ b/crates/cli/tests/misbehaving_callers/bodies.rs
@@ -16,13 +16,13 @@
 };
 
 /// The machine's memory in the node's settings, in MiB.
-const MEMORY_MB: u64 = 64;
+pub const MEMORY_MB: u64 = 64;
 /// Bytes that have arrived and are not read may take this part of the memory, as each room of bodies may.
 const UNREAD_PARTS: u64 = 6;
 /// The descriptors in the node's settings.
-const DESCRIPTORS: u64 = 256;
+pub const DESCRIPTORS: u64 = 256;
 /// The configured limit of a body's size.
-const MAX_BODY_BYTES: usize = 2 << 20;
+pub const MAX_BODY_BYTES: usize = 2 << 20;
 /// The size of bodies in chunks of a single byte.
 const SINGLE_BYTES: usize = 64 << 10;
 /// The bytes that callers over the limit send at most.
@@ -80,43 +80,79 @@
     assert!(footprint.descriptors < DESCRIPTORS, "descriptors: {footprint:?}");
 }
 
+fn stopping_short() -> Upload {
+    with_length(MAX_BODY_BYTES, MAX_BODY_BYTES)
+}
+
+fn in_pieces() -> Upload {
+    with_length(MAX_BODY_BYTES, PIECE_BYTES)
+}
+
+fn in_one_chunk() -> Upload {
+    chunked(with_end(chunks(MAX_BODY_BYTES, MAX_BODY_BYTES)))
+}
+
+fn in_chunks_of_one_byte() -> Upload {
+    chunked(with_end(chunks(SINGLE_BYTES, 1)))
+}
+
+fn whole() -> Upload {
+    Upload { stops_short: false, ..stopping_short() }
+}
+
+fn over_the_limit() -> Upload {
+    let head = head(&format!("Content-Length: {EXCESSIVE_LENGTH}"));
+    Upload { head, ..with_length(EXCESSIVE_BYTES, PIECE_BYTES) }
+}
+
+fn in_chunks_without_end() -> Upload {
+    Upload { write_bytes: PIECE_BYTES, ..chunked(chunks(EXCESSIVE_BYTES, PIECE_BYTES)) }
+}
+
+/// All kinds of uploads.
+pub fn uploads() -> Vec<Upload> {
+    vec![
+        stopping_short(),
+        in_pieces(),
+        in_one_chunk(),
+        in_chunks_of_one_byte(),
+        whole(),
+        over_the_limit(),
+        in_chunks_without_end(),
+    ]
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_that_stop_short_of_their_end() {
-    check_node_beside(with_length(MAX_BODY_BYTES, MAX_BODY_BYTES), Duration::ZERO).await;
+    check_node_beside(stopping_short(), Duration::ZERO).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_in_pieces_that_stop_short_of_their_end() {
-    check_node_beside(with_length(MAX_BODY_BYTES, PIECE_BYTES), Duration::ZERO).await;
+    check_node_beside(in_pieces(), Duration::ZERO).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_in_one_chunk_that_stop_short_of_their_end() {
-    let body = with_end(chunks(MAX_BODY_BYTES, MAX_BODY_BYTES));
-    check_node_beside(chunked(body), Duration::ZERO).await;
+    check_node_beside(in_one_chunk(), Duration::ZERO).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_in_chunks_of_one_byte_that_stop_short_of_their_end() {
-    let body = with_end(chunks(SINGLE_BYTES, 1));
-    check_node_beside(chunked(body), Duration::ZERO).await;
+    check_node_beside(in_chunks_of_one_byte(), Duration::ZERO).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_whole_bodies_that_wait_for_a_back_end() {
-    let upload = Upload { stops_short: false, ..with_length(MAX_BODY_BYTES, MAX_BODY_BYTES) };
-    check_node_beside(upload, SLOW_WORK_TIME).await;
+    check_node_beside(whole(), SLOW_WORK_TIME).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_with_a_length_over_the_limit() {
-    let head = head(&format!("Content-Length: {EXCESSIVE_LENGTH}"));
-    let upload = Upload { head, ..with_length(EXCESSIVE_BYTES, PIECE_BYTES) };
-    check_node_beside(upload, Duration::ZERO).await;
+    check_node_beside(over_the_limit(), Duration::ZERO).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn memory_holds_beside_bodies_in_chunks_without_end() {
-    let upload = Upload { write_bytes: PIECE_BYTES, ..chunked(chunks(EXCESSIVE_BYTES, PIECE_BYTES)) };
-    check_node_beside(upload, Duration::ZERO).await;
+    check_node_beside(in_chunks_without_end(), Duration::ZERO).await;
 }
