--- a/crates/cli/tests/misbehaving_callers/main.rs
+++ b/crates/cli/tests/misbehaving_callers/main.rs
@@ -8,6 +8,7 @@
 #[allow(dead_code, reason = "these tests use a part of it")]
 mod router;
 mod serve;
+mod slow_readers;
 mod soak;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -19,6 +19,8 @@
 /// How much longer than the advertised idle timeout an idle connection stays open.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 
+/// How long a caller may take nothing of an answer that waits for it.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much longer than the configured timeout the rest of a request's head may take, for packets that are lost and sent
 /// again.
 const HEAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
@@ -60,6 +62,8 @@
     pub is_readable: bool,
     /// Whether another connection needs its place.
     pub is_reclaimed: bool,
+    /// Since when its caller has taken nothing of an answer; `None` while nothing waits to be written.
+    pub write_blocked_since: Option<Timestamp>,
     /// When the last byte arrived, or the last answer ended.
     pub last_activity: Timestamp,
     /// When the connection opened, or the last answer on it ended.
@@ -69,11 +73,12 @@
 /// What to do with a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionAction {
-    /// Keep it open, and check it again at this time; without a time, once its request has ended.
+    /// Keep it open, and check it again at this time; without a time, once its request has ended or its answer waits.
     KeepOpen(Option<Timestamp>),
     /// Close it gracefully: it carries no part of a request.
     Close,
-    /// Drop it together with an incomplete request head, or with a request that still runs at the end.
+    /// Drop it together with an incomplete request head, with an answer that is not taken, or with a request that still
+    /// runs at the end.
     Abort,
 }
 
@@ -88,7 +93,7 @@
         return ConnectionAction::Abort;
     }
     if state.is_serving {
-        return ConnectionAction::KeepOpen(None);
+        return while_serving(state, now);
     }
     let idle_until = match stage {
         StopStage::Serving | StopStage::Draining => open_until(state, timeouts),
@@ -116,6 +121,15 @@
     rested && !state.is_serving && !state.has_partial_head
 }
 
+/// A caller that takes nothing of its answer keeps memory, and the back end of a stream, from others.
+fn while_serving(state: ConnectionState, now: Timestamp) -> ConnectionAction {
+    let stalled_at = state.write_blocked_since.map(|since| since + WRITE_STALL_TIMEOUT);
+    match stalled_at {
+        Some(stalled_at) if stalled_at <= now => ConnectionAction::Abort,
+        recheck_at => ConnectionAction::KeepOpen(recheck_at),
+    }
+}
+
 /// Until when a connection without a request stays open while requests are served.
 fn open_until(state: ConnectionState, timeouts: ConnectionTimeouts) -> Timestamp {
     let idle_until = state.idle_since + timeouts.idle + IDLE_TIMEOUT_MARGIN;
--- a/crates/forward/src/answer_buffer.rs
+++ b/crates/forward/src/answer_buffer.rs
@@ -1,6 +1,10 @@
-//! Keeps complete answers in memory, within a bound for each and one for all of them.
+//! Keeps complete answers in memory until their callers have taken them, within a bound for each and one for all of
+//! them.
 
-use std::{cell::Cell, rc::Rc};
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -10,6 +14,8 @@
 /// The bytes that all answers to requests may have together beyond [`EXEMPT_BYTES`] each, and each of them alone, so that
 /// a few without end do not exhaust the memory of a small machine.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Answers to requests have this part of the machine's memory at most.
+const ANSWER_MEMORY_PARTS: usize = 6;
 /// The same for answers to calls.
 const MAX_CALL_BYTES: usize = 8 << 20;
 /// The bytes of each answer that do not count, so that a short answer is read beside large ones.
@@ -33,29 +39,30 @@
 /// The bytes that some answers have in memory together beyond those that do not count.
 #[derive(Clone, Debug)]
 pub struct AnswerMemory {
-    used: Rc<Cell<usize>>,
+    used: Arc<AtomicUsize>,
     max_bytes: usize,
 }
 
 impl AnswerMemory {
-    /// The memory for answers to requests.
-    pub fn for_requests() -> Self {
-        Self { used: Rc::default(), max_bytes: MAX_ANSWER_BYTES }
+    /// The memory for answers to requests on a machine with so many bytes of memory.
+    pub fn for_requests(machine_bytes: usize) -> Self {
+        let max_bytes = MAX_ANSWER_BYTES.min(machine_bytes / ANSWER_MEMORY_PARTS);
+        Self { used: Arc::default(), max_bytes }
     }
 
     /// The memory for answers to calls.
     pub fn for_calls() -> Self {
-        Self { used: Rc::default(), max_bytes: MAX_CALL_BYTES }
+        Self { used: Arc::default(), max_bytes: MAX_CALL_BYTES }
     }
 
     /// An empty answer.
     pub fn begin(&self) -> AnswerBuffer {
-        AnswerBuffer { bytes: BytesMut::new(), counted: 0, memory: self.clone() }
+        AnswerBuffer { bytes: BytesMut::new(), share: AnswerShare { counted: 0, memory: self.clone() } }
     }
 
     /// The bytes that count.
     pub fn used(&self) -> usize {
-        self.used.get()
+        self.used.load(Ordering::Relaxed)
     }
 
     /// Reads a body to its end.
@@ -75,34 +82,60 @@
 #[derive(Debug)]
 pub struct AnswerBuffer {
     bytes: BytesMut,
-    counted: usize,
-    memory: AnswerMemory,
+    share: AnswerShare,
 }
 
 impl AnswerBuffer {
     /// Appends bytes. Returns `false` if they would exceed a bound.
     #[must_use]
     pub fn push(&mut self, data: &[u8]) -> bool {
-        let length = self.bytes.len() + data.len();
+        let fits = self.share.grow_to(self.bytes.len() + data.len());
+        if fits {
+            self.bytes.extend_from_slice(data);
+        }
+        fits
+    }
+
+    /// The complete answer. It counts until all clones of it have been dropped, which is when its caller has taken it.
+    pub fn finish(self) -> Bytes {
+        Bytes::from_owner(HeldAnswer { bytes: self.bytes, _share: self.share })
+    }
+}
+
+/// What one answer has of the memory, until dropped.
+#[derive(Debug)]
+struct AnswerShare {
+    counted: usize,
+    memory: AnswerMemory,
+}
+
+impl AnswerShare {
+    /// Returns `false` if an answer of this length would exceed a bound.
+    fn grow_to(&mut self, length: usize) -> bool {
         let counted = length.saturating_sub(EXEMPT_BYTES);
-        let used = self.memory.used.get() - self.counted + counted;
+        let used = self.memory.used() - self.counted + counted;
         if length.max(used) > self.memory.max_bytes {
             return false;
         }
-        self.memory.used.set(used);
+        self.memory.used.store(used, Ordering::Relaxed);
         self.counted = counted;
-        self.bytes.extend_from_slice(data);
         true
     }
+}
 
-    /// The complete answer. It no longer counts, as it is passed on at once.
-    pub fn finish(mut self) -> Bytes {
-        self.bytes.split().freeze()
+impl Drop for AnswerShare {
+    fn drop(&mut self) {
+        self.memory.used.fetch_sub(self.counted, Ordering::Relaxed);
     }
 }
 
-impl Drop for AnswerBuffer {
-    fn drop(&mut self) {
-        self.memory.used.set(self.memory.used.get() - self.counted);
+struct HeldAnswer {
+    bytes: BytesMut,
+    _share: AnswerShare,
+}
+
+impl AsRef<[u8]> for HeldAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -8,7 +8,7 @@
     pin::Pin,
     rc::Rc,
     sync::atomic::{AtomicUsize, Ordering},
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -88,8 +88,10 @@
     idle_since: Cell<Timestamp>,
     /// Whether another connection needs its place.
     is_reclaimed: Cell<bool>,
-    /// Notified when it has to be decided again whether the connection closes: an answer has ended, a head has begun
-    /// and is not complete, or another connection needs the place.
+    /// Since when nothing of an answer could be written; `None` while nothing waits.
+    write_blocked_since: Cell<Option<Timestamp>>,
+    /// Notified when it has to be decided again whether the connection closes: an answer has ended or waits for its
+    /// caller, a head has begun and is not complete, or another connection needs the place.
     pub state_changed: Notify,
 }
 
@@ -112,6 +114,7 @@
             last_activity: Cell::new(now),
             idle_since: Cell::new(now),
             is_reclaimed: Cell::new(false),
+            write_blocked_since: Cell::new(None),
             state_changed: Notify::new(),
         })
     }
@@ -149,6 +152,7 @@
             head_began_at: self.head_began_at.get(),
             is_readable: false,
             is_reclaimed: self.is_reclaimed.get(),
+            write_blocked_since: self.write_blocked_since.get(),
             last_activity: self.last_activity.get(),
             idle_since: self.idle_since.get(),
         }
@@ -255,6 +259,14 @@
         }
     }
 
+    /// Records that an answer waits until the caller takes some of it.
+    fn record_write_wait(&self) {
+        if self.write_blocked_since.get().is_none() {
+            self.write_blocked_since.set(Some(self.now()));
+            self.state_changed.notify_one();
+        }
+    }
+
     /// Writes as much as the socket accepts.
     ///
     /// # Errors
@@ -363,10 +375,17 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.stream.poll_write_ready(context))?;
+            let Poll::Ready(readiness) = self.0.stream.poll_write_ready(context) else {
+                self.0.record_write_wait();
+                return Poll::Pending;
+            };
+            readiness?;
             match write(&self.0.stream) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
+                written => {
+                    self.0.write_blocked_since.set(None);
+                    return Poll::Ready(written);
+                }
             }
         }
     }
--- a/crates/forward/src/node.rs
+++ b/crates/forward/src/node.rs
@@ -151,6 +151,7 @@
             capacity: settings.limits.capacity(),
         };
         let fan_in = settings.limits.fan_in();
+        let answer_memory = AnswerMemory::for_requests(settings.limits.memory_bytes());
         let request_bodies = RequestBodies::new(settings.limits.rooms());
         let peers = peers.map(|address| RefCell::new(Peers::new(member(address), fan_in, rand::random())));
         Self {
@@ -168,7 +169,7 @@
             answer_times: RefCell::default(),
             open_connections: Rc::default(),
             request_bodies,
-            answer_memory: AnswerMemory::for_requests(),
+            answer_memory,
             call_memory: AnswerMemory::for_calls(),
             streams: RefCell::default(),
             rooms: RefCell::default(),
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -176,7 +176,8 @@
         Rooms::of_machine(self.memory_bytes())
     }
 
-    const fn memory_bytes(&self) -> usize {
+    /// The memory that the process may use, in bytes.
+    pub const fn memory_bytes(&self) -> usize {
         (self.memory_mb as usize) << 20
     }
 
