Buffers of connections count while a body arrives, and connections have room for theirs

Found by playing the tests with a larger crowd.

Cause: a connection on which a body arrives costs some 75 KB in the HTTP library's buffers and the request's task, and up to 48 KB unread in the kernel. The account had the bytes of the body only, and the limit on connections counted on idle ones.

Ruled out: a charge for every request (ordinary bodies come with their head and are complete in the same turn; a crowd would shut them out), and a charge after the first read (400 first reads come in one turn: 74 MB).

Change: a body counts 64 KiB more while its rest is waited for: at once if it is longer than a first read or states no length, else when it has not come with its head. Bodies that are waited for leave a quarter of the room of small ones to those that come whole. A connection counts 40 KiB, and its receive buffer is 16 KiB, of which the kernel makes some 24 KB: 4 MB/s at 6 ms there and back.

--- a/crates/cli/tests/misbehaving_callers/bodies.rs
+++ b/crates/cli/tests/misbehaving_callers/bodies.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     alone,
-    crowd::{Crowd, Upload, chunks, with_end},
+    crowd::{CALLERS, Crowd, Upload, chunks, with_end},
     footprint::{FootprintSampler, connections_at},
     start_with_limits,
 };
@@ -23,6 +23,11 @@
 pub const DESCRIPTORS: u64 = 256;
 /// The configured limit of a body's size.
 pub const MAX_BODY_BYTES: usize = 2 << 20;
+/// Concurrent callers where each sends little, and the descriptors in the node's settings then.
+const MANY_CALLERS: usize = 400;
+const MANY_DESCRIPTORS: u64 = 1_024;
+/// The size of small bodies.
+const SMALL_BYTES: usize = 60 << 10;
 /// The size of bodies in chunks of a single byte.
 const SINGLE_BYTES: usize = 64 << 10;
 /// The bytes that callers over the limit send at most.
@@ -55,16 +60,20 @@
 /// Sends an upload from all callers of a crowd and checks the node while they stay connected, and an ordinary request
 /// then; a single body of the largest size is served once they have left.
 async fn check_node_beside(upload: Upload, work_time: Duration) {
+    check_node_beside_callers(CALLERS, DESCRIPTORS, upload, work_time).await;
+}
+
+async fn check_node_beside_callers(callers: usize, descriptors: u64, upload: Upload, work_time: Duration) {
     let _alone = alone().await;
     let cluster = Cluster::start().await.expect("the cluster starts");
     cluster.configure_bodies(1, &[KEY], MAX_BODY_BYTES);
     for runner in &cluster.bookings {
         runner.set_pace(Pace { work_time, ..Pace::default() });
     }
-    let limits = format!("memory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n");
+    let limits = format!("memory_mb = {MEMORY_MB}\ndescriptors = {descriptors}\n");
     let router = start_with_limits(&cluster, &limits).await;
     let sampler = FootprintSampler::start(router.process_id(), router.callers);
-    let crowd = Crowd::upload(router.callers, &upload).await;
+    let crowd = Crowd::upload(router.callers, callers, &upload).await;
     assert!(!router.has_exited(), "the node has ended: {:#?}", router.lines());
     let answer = router.send("/hold/1", "ordinary").await.expect("an answer");
     assert_eq!(answer.status, 200, "beside the crowd: {}", answer.body);
@@ -77,7 +86,7 @@
     println!("{footprint:?}, {} bytes of memory", footprint.memory_bytes());
     assert!(footprint.memory_bytes() < MEMORY_MB << 20, "memory: {footprint:?}");
     assert!(footprint.unread_bytes < (MEMORY_MB << 20) / UNREAD_PARTS, "unread bytes: {footprint:?}");
-    assert!(footprint.descriptors < DESCRIPTORS, "descriptors: {footprint:?}");
+    assert!(footprint.descriptors < descriptors, "descriptors: {footprint:?}");
 }
 
 fn stopping_short() -> Upload {
@@ -156,3 +165,14 @@
 async fn memory_holds_beside_bodies_in_chunks_without_end() {
     check_node_beside(in_chunks_without_end(), Duration::ZERO).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn memory_holds_beside_many_small_bodies_that_stop_short_of_their_end() {
+    let upload = with_length(SMALL_BYTES, PIECE_BYTES);
+    check_node_beside_callers(MANY_CALLERS, MANY_DESCRIPTORS, upload, Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn memory_holds_beside_many_large_bodies_that_stop_short_of_their_end() {
+    check_node_beside_callers(MANY_CALLERS, MANY_DESCRIPTORS, in_pieces(), Duration::ZERO).await;
+}
--- a/crates/cli/tests/misbehaving_callers/crowd.rs
+++ b/crates/cli/tests/misbehaving_callers/crowd.rs
@@ -30,9 +30,9 @@
 }
 
 impl Crowd {
-    /// Opens [`CALLERS`] connections and waits until each caller has sent its upload or can send no more.
-    pub async fn upload(address: SocketAddr, upload: &Upload) -> Self {
-        let callers = (0..CALLERS).map(|caller| upload.send(address, caller));
+    /// Opens a connection for each of so many callers and waits until each has sent its upload or can send no more.
+    pub async fn upload(address: SocketAddr, callers: usize, upload: &Upload) -> Self {
+        let callers = (0..callers).map(|caller| upload.send(address, caller));
         let connections = futures_util::future::join_all(callers).await;
         Self { _connections: connections.into_iter().flatten().collect() }
     }
--- a/crates/cli/tests/misbehaving_callers/serve.rs
+++ b/crates/cli/tests/misbehaving_callers/serve.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     alone,
-    crowd::{Crowd, Upload, chunks, with_end},
+    crowd::{CALLERS, Crowd, Upload, chunks, with_end},
     footprint::{FootprintSampler, connections_at},
     support::{
         self, Cluster,
@@ -42,7 +42,7 @@
     let node = &cluster.nodes[0];
     let callers = node.address("callers");
     let sampler = FootprintSampler::start(node.child.id(), callers);
-    let crowd = Crowd::upload(callers, &upload).await;
+    let crowd = Crowd::upload(callers, CALLERS, &upload).await;
     let messages = conversation("a crowd");
     check_complete(&support::chat(callers, &body(&messages, false, MAX_TOKENS)), &messages, MAX_TOKENS);
     drop(crowd);
--- a/crates/cli/tests/misbehaving_callers/soak.rs
+++ b/crates/cli/tests/misbehaving_callers/soak.rs
@@ -18,7 +18,7 @@
 use crate::{
     alone,
     bodies::{DESCRIPTORS, MAX_BODY_BYTES, MEMORY_MB, uploads},
-    crowd::Crowd,
+    crowd::{CALLERS, Crowd},
     footprint::{FootprintSampler, connections_at},
     router::{Router, from_environment},
     start_with_limits,
@@ -64,7 +64,7 @@
             let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
             addresses[random.random_range(0..addresses.len())]
         };
-        let crowd = Crowd::upload(address, &uploads[random.random_range(0..uploads.len())]).await;
+        let crowd = Crowd::upload(address, CALLERS, &uploads[random.random_range(0..uploads.len())]).await;
         tokio::time::sleep(STAY).await;
         drop(crowd);
     }
--- a/crates/forward/src/body_intake.rs
+++ b/crates/forward/src/body_intake.rs
@@ -25,10 +25,7 @@
         let mut arriving = self.request_bodies.begin(owner, announced_bytes, self.now());
         let mut received_bytes = 0;
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = arriving.evicted() => return Err(Reason::NoMemory),
-            };
+            let frame = arriving.receive(body.frame(), || self.now()).await.map_err(|_| Reason::NoMemory)?;
             let Some(frame) = frame else { break };
             let Ok(data) = frame.map_err(|_| Reason::RequestBroken)?.into_data() else { continue };
             received_bytes += data.len();
--- a/crates/forward/src/ingress.rs
+++ b/crates/forward/src/ingress.rs
@@ -20,7 +20,7 @@
 
 /// The kernel's receive buffer of each connection, in bytes. What has arrived and is not read counts as memory of the
 /// machine; by default the kernel lets it grow to megabytes for each sender that is faster than the node.
-pub const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+pub const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 
 /// Opens a listener.
 pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
--- a/crates/forward/src/request_bodies.rs
+++ b/crates/forward/src/request_bodies.rs
@@ -2,7 +2,9 @@
 
 use std::{
     collections::BTreeMap,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::Poll,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -15,6 +17,9 @@
 /// The first segment of a body whose caller states no length.
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
 
+/// A body up to this size usually comes with its head, in the server's first read.
+const FIRST_READ_BYTES: usize = 8 << 10;
+
 /// The body gave way to others, or there is no room for it. Its request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("this node has no memory for the body")]
@@ -79,11 +84,13 @@
         let evicted = Arc::new(Notify::new());
         let next_bytes = announced_bytes.map_or(FIRST_SEGMENT_BYTES, |bytes| bytes.min(SEGMENT_BYTES));
         let segments = Segments { segments: Vec::new(), next_bytes, evicted: Arc::clone(&evicted) };
+        let may_come_with_head = announced_bytes.is_some_and(|bytes| bytes <= FIRST_READ_BYTES);
         let mut bodies = self.lock();
         let id = bodies.memory.open(owner, announced_bytes, now);
         bodies.arriving.insert(id, segments);
         drop(bodies);
-        ArrivingBody { account: BodyAccount { bodies: self.clone(), id }, evicted }
+        let account = BodyAccount { bodies: self.clone(), id };
+        ArrivingBody { account, evicted, may_come_with_head, is_waited_for: false }
     }
 
     fn lock(&self) -> MutexGuard<'_, Bodies> {
@@ -92,7 +99,7 @@
 }
 
 impl Bodies {
-    /// Appends bytes to a body, and frees the bodies that give way to it.
+    /// Appends bytes to a body.
     fn push(&mut self, id: BodyId, mut data: &[u8], now: Timestamp) -> Result<(), NoMemory> {
         self.memory.record_progress(id, now);
         while !data.is_empty() {
@@ -113,21 +120,32 @@
     }
 
     fn add_segment(&mut self, id: BodyId, bytes: usize, now: Timestamp) -> Result<(), NoMemory> {
-        let Growth { is_granted, evicted } = self.memory.grow(id, bytes, now);
+        let growth = self.memory.grow(id, bytes, now);
+        self.apply(growth)?;
+        let body = self.arriving.get_mut(&id).ok_or(NoMemory)?;
+        body.segments.push(BytesMut::with_capacity(bytes));
+        body.next_bytes = SEGMENT_BYTES;
+        Ok(())
+    }
+
+    fn wait_for_rest(&mut self, id: BodyId, now: Timestamp) -> Result<(), NoMemory> {
+        let growth = self.memory.wait_for_rest(id, now);
+        self.apply(growth)
+    }
+
+    /// Frees the bodies that give way to a growth.
+    fn apply(&mut self, Growth { is_granted, evicted }: Growth) -> Result<(), NoMemory> {
         for other in evicted {
             self.evicted += 1;
             if let Some(body) = self.arriving.remove(&other) {
                 body.evicted.notify_one();
             }
         }
-        let body = self.arriving.get_mut(&id).filter(|_| is_granted);
-        let Some(body) = body else {
-            self.refused += 1;
-            return Err(NoMemory);
-        };
-        body.segments.push(BytesMut::with_capacity(bytes));
-        body.next_bytes = SEGMENT_BYTES;
-        Ok(())
+        if is_granted {
+            return Ok(());
+        }
+        self.refused += 1;
+        Err(NoMemory)
     }
 
     /// Takes a complete body.
@@ -151,9 +169,49 @@
 pub struct ArrivingBody {
     account: BodyAccount,
     evicted: Arc<Notify>,
+    may_come_with_head: bool,
+    is_waited_for: bool,
 }
 
 impl ArrivingBody {
+    /// Receives the next piece from `next`.
+    ///
+    /// # Errors
+    ///
+    /// If the body has given way to others, or its rest has not come with its head and there is no memory to wait for it.
+    pub async fn receive<T>(
+        &mut self,
+        next: impl Future<Output = T>,
+        now: impl Fn() -> Timestamp,
+    ) -> Result<T, NoMemory> {
+        let mut next = pin!(next);
+        if self.may_come_with_head {
+            // The server hands out what it has read of the body in its next turn.
+            tokio::select! {
+                biased;
+                piece = next.as_mut() => return Ok(piece),
+                () = tokio::task::yield_now() => {}
+            }
+            if let Poll::Ready(piece) = futures_util::poll!(next.as_mut()) {
+                return Ok(piece);
+            }
+            self.may_come_with_head = false;
+        }
+        self.wait_for_rest(now())?;
+        tokio::select! {
+            piece = next => Ok(piece),
+            () = self.evicted.notified() => Err(NoMemory),
+        }
+    }
+
+    fn wait_for_rest(&mut self, now: Timestamp) -> Result<(), NoMemory> {
+        if !self.is_waited_for {
+            self.account.bodies.lock().wait_for_rest(self.account.id, now)?;
+            self.is_waited_for = true;
+        }
+        Ok(())
+    }
+
     /// Appends bytes.
     ///
     /// # Errors
@@ -163,11 +221,6 @@
         self.account.bodies.lock().push(self.account.id, data, now)
     }
 
-    /// Waits until the body has given way to others.
-    pub async fn evicted(&self) {
-        self.evicted.notified().await;
-    }
-
     /// The complete body. It counts until all clones of it have been dropped.
     ///
     /// # Errors
--- a/crates/forward/src/settings/mod.rs
+++ b/crates/forward/src/settings/mod.rs
@@ -156,8 +156,8 @@
 const MIN_KEPT_DESCRIPTORS: usize = 64;
 /// Callers' connections may take this part of the memory together.
 const CONNECTION_MEMORY_PARTS: usize = 4;
-/// The memory of a connection between two requests, in bytes.
-const CONNECTION_BYTES: usize = 16 << 10;
+/// The memory of a connection on which no body arrives, and what may be unread in the kernel's buffer, in bytes.
+const CONNECTION_BYTES: usize = 40 << 10;
 /// The connections that callers may have open whatever the limits.
 const MIN_CALLER_CONNECTIONS: usize = 16;
 /// With less memory, in MiB, no node serves.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -92,10 +92,7 @@
     let mut received_bytes = 0;
     loop {
         let mut body = std::pin::Pin::new(&mut body);
-        let data = tokio::select! {
-            data = body.data() => data,
-            () = arriving.evicted() => return Err(NoMemory.into()),
-        };
+        let data = arriving.receive(body.data(), || state.clock.now()).await?;
         let Some(data) = data else { return Ok(arriving) };
         let data = data.map_err(|_| BodyError::Broken)?;
         received_bytes += data.len();
