--- a/crates/forward/src/callers.rs
+++ b/crates/forward/src/callers.rs
@@ -1,6 +1,8 @@
 //! Accepts and serves callers' connections, and closes them only while they carry no request.
 
-use std::{cell::Cell, convert::Infallible, rc::Rc, sync::atomic::AtomicUsize, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, sync::atomic::AtomicUsize, time::Duration,
+};
 
 use http::{HeaderName, HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -63,15 +65,8 @@
     pub async fn serve(self, listener: TcpListener) {
         let mut closing = self.stage.clone();
         loop {
-            let accept = async {
-                self.node
-                    .open_connections
-                    .has_place(self.node.settings().limits.max_caller_connections())
-                    .await;
-                listener.accept().await
-            };
             let accepted = tokio::select! {
-                accepted = accept => accepted,
+                accepted = self.accept(&listener) => accepted,
                 _ = closing.wait_for(|stage| *stage >= StopStage::Closing) => break,
             };
             match accepted {
@@ -88,6 +83,12 @@
         self.accepting.set(false);
     }
 
+    async fn accept(&self, listener: &TcpListener) -> std::io::Result<(TcpStream, SocketAddr)> {
+        let max_connections = self.node.settings().limits.max_caller_connections();
+        self.node.open_connections.wait_for_place(max_connections).await;
+        listener.accept().await
+    }
+
     /// Accepts the connections in the listener's queue before it closes, because the kernel would reset them
     /// together with requests that may already be waiting in them.
     fn accept_queued(&self, listener: TcpListener) -> std::io::Result<()> {
--- a/crates/forward/src/open_connections.rs
+++ b/crates/forward/src/open_connections.rs
@@ -55,7 +55,7 @@
 
     /// Waits until fewer than `max` connections are open. While there are more, the one that carries no request and
     /// has rested for longest is closed.
-    pub(crate) async fn has_place(&self, max: usize) {
+    pub(crate) async fn wait_for_place(&self, max: usize) {
         while self.count() >= max {
             if let Some(idle) = self.longest_idle() {
                 idle.reclaim();
--- a/crates/forward/src/request_bodies.rs
+++ b/crates/forward/src/request_bodies.rs
@@ -16,7 +16,6 @@
 const SEGMENT_BYTES: usize = 16 << 10;
 /// The first segment of a body whose caller states no length.
 const FIRST_SEGMENT_BYTES: usize = 4 << 10;
-
 /// A body up to this size usually comes with its head, in the server's first read.
 const FIRST_READ_BYTES: usize = 8 << 10;
 
@@ -42,16 +41,17 @@
 #[derive(Debug)]
 struct Bodies {
     memory: CallerMemory,
-    arriving: BTreeMap<BodyId, Segments>,
+    arriving: BTreeMap<BodyId, ReceivedPart>,
     refused: u64,
     evicted: u64,
 }
 
-/// The received part of a body.
+/// The part of a body that has arrived.
 #[derive(Debug)]
-struct Segments {
+struct ReceivedPart {
     segments: Vec<BytesMut>,
-    next_bytes: usize,
+    /// The size of the next segment.
+    next_segment_bytes: usize,
     /// Notified when the body has given way.
     evicted: Arc<Notify>,
 }
@@ -82,12 +82,14 @@
     /// Begins to receive a body; `announced_bytes` is its length if the caller states it.
     pub fn begin(&self, owner: Owner, announced_bytes: Option<usize>, now: Timestamp) -> ArrivingBody {
         let evicted = Arc::new(Notify::new());
-        let next_bytes = announced_bytes.map_or(FIRST_SEGMENT_BYTES, |bytes| bytes.min(SEGMENT_BYTES));
-        let segments = Segments { segments: Vec::new(), next_bytes, evicted: Arc::clone(&evicted) };
+        let next_segment_bytes =
+            announced_bytes.map_or(FIRST_SEGMENT_BYTES, |bytes| bytes.clamp(1, SEGMENT_BYTES));
+        let received =
+            ReceivedPart { segments: Vec::new(), next_segment_bytes, evicted: Arc::clone(&evicted) };
         let may_come_with_head = announced_bytes.is_some_and(|bytes| bytes <= FIRST_READ_BYTES);
         let mut bodies = self.lock();
         let id = bodies.memory.open(owner, announced_bytes, now);
-        bodies.arriving.insert(id, segments);
+        bodies.arriving.insert(id, received);
         drop(bodies);
         let account = BodyAccount { bodies: self.clone(), id };
         ArrivingBody { account, evicted, may_come_with_head, is_waited_for: false }
@@ -106,7 +108,7 @@
             let Some(body) = self.arriving.get_mut(&id) else { return Err(NoMemory) };
             let free = body.segments.last().map_or(0, |segment| segment.capacity() - segment.len());
             if free == 0 {
-                let bytes = body.next_bytes.max(1);
+                let bytes = body.next_segment_bytes;
                 self.add_segment(id, bytes, now)?;
                 continue;
             }
@@ -124,16 +126,17 @@
         self.apply(growth)?;
         let body = self.arriving.get_mut(&id).ok_or(NoMemory)?;
         body.segments.push(BytesMut::with_capacity(bytes));
-        body.next_bytes = SEGMENT_BYTES;
+        body.next_segment_bytes = SEGMENT_BYTES;
         Ok(())
     }
 
+    /// Accounts for the buffers of a connection on which the rest of a body is waited for.
     fn wait_for_rest(&mut self, id: BodyId, now: Timestamp) -> Result<(), NoMemory> {
         let growth = self.memory.wait_for_rest(id, now);
         self.apply(growth)
     }
 
-    /// Frees the bodies that give way to a growth.
+    /// Frees the bodies that give way to a growth, granted or not.
     fn apply(&mut self, Growth { is_granted, evicted }: Growth) -> Result<(), NoMemory> {
         for other in evicted {
             self.evicted += 1;
@@ -150,7 +153,7 @@
 
     /// Takes a complete body.
     fn complete(&mut self, id: BodyId) -> Result<BytesMut, NoMemory> {
-        let Segments { mut segments, .. } = self.arriving.remove(&id).ok_or(NoMemory)?;
+        let ReceivedPart { mut segments, .. } = self.arriving.remove(&id).ok_or(NoMemory)?;
         let body = if segments.len() == 1 { segments.remove(0) } else { join(segments) };
         self.memory.complete(id, body.capacity());
         Ok(body)
