`serve` leaves slow heads to its library, which answers them

Cause: the timeout of heads, new for `forward`, was passed on for `serve` too, and its connection ended before the library's own timeout, which is checked by the second or so and answers.

Change: `serve` states no timeout of its own for heads. Ruled out: a longer margin, which would race as well.

Result: `slow_and_oversized_heads_are_ended_and_the_node_serves_on` failed with the change before and passes.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -97,7 +97,8 @@
     B::Error: std::fmt::Debug + 'static,
 {
     let address = listener.local_addr()?;
-    let timeouts = ConnectionTimeouts { idle: settings.keep_alive, head: settings.head };
+    // The library ends a slow head itself, with an answer.
+    let timeouts = ConnectionTimeouts { idle: settings.keep_alive, head: NEVER };
     let host = ServingHost::new(state, timeouts);
     let config = HttpServiceConfig::new()
         .request_head_timeout(settings.head)
