A caller that takes nothing of a buffered answer is left

A caller that requested an answer of 8 MiB, read nothing of it and stayed held the answer and its connection until the idle timeout, and after it for ever: the graceful close waits until the answer is written. The room of answers was taken from others for as long.

Cause: the decision looked at a blocked write only while a request was being served. The HTTP library takes a complete answer at once, so that the request had ended while all of the answer still waited in its buffer. The earlier test passed as its idle timeout was short.

The decision now goes by the blocked write, whether or not the request has ended: after 10 s the connection is dropped, until then it is neither idle nor reclaimable. The property says so for all states; what it allows is the same but for one case, a stalled answer with a further request unread behind it, which cannot be answered.

callers_that_read_no_answer_are_left_though_idle_connections_stay failed before (not rid of the reader in 20 s) and passes; the new test of the decision likewise.

--- a/crates/cli/tests/misbehaving_callers/slow_readers.rs
+++ b/crates/cli/tests/misbehaving_callers/slow_readers.rs
@@ -27,6 +27,9 @@
 /// The time between two callers, so that a node has one answer after the other.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// An idle timeout that outlasts the test.
+const LONG_IDLE_MS: u64 = 600_000;
+
 async fn request_large_answer(address: std::net::SocketAddr, caller: usize) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(CALLER_BUFFER_BYTES).expect("a small buffer");
@@ -65,3 +68,15 @@
     router.wait_until("rid of the readers", async || connections_at(router.callers) <= 1).await;
     drop(readers);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_read_no_answer_are_left_though_idle_connections_stay() {
+    let _alone = alone().await;
+    let cluster = Cluster::start().await.expect("the cluster starts");
+    cluster.configure_idle(1, &[KEY], LONG_IDLE_MS);
+    let router = start_with_limits(&cluster, &format!("memory_mb = {MEMORY_MB}\n")).await;
+    cluster.bookings.iter().for_each(|runner| runner.script(&[Behaviour::Large]));
+    let reader = request_large_answer(router.callers, 0).await;
+    router.wait_until("rid of the reader", async || connections_at(router.callers) == 0).await;
+    drop(reader);
+}
--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -19,7 +19,8 @@
 /// How much longer than the advertised idle timeout an idle connection stays open.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 
-/// How long a caller may take nothing of an answer that waits for it.
+/// How long a caller may take nothing of an answer that waits for it. It keeps memory, and the back end of a stream, from
+/// others.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much longer than the configured timeout the rest of a request's head may take, for packets that are lost and sent
 /// again.
@@ -92,8 +93,16 @@
     if stage == StopStage::Ended {
         return ConnectionAction::Abort;
     }
+    let stalled_at = state.write_blocked_since.map(|since| since + WRITE_STALL_TIMEOUT);
+    if stalled_at.is_some_and(|stalled_at| stalled_at <= now) {
+        return ConnectionAction::Abort;
+    }
     if state.is_serving {
-        return while_serving(state, now);
+        return ConnectionAction::KeepOpen(stalled_at);
+    }
+    // The rest of an answer waits for its caller.
+    if let Some(stalled_at) = stalled_at {
+        return ConnectionAction::KeepOpen(Some(stalled_at.min(now + CLOSE_QUIET_PERIOD)));
     }
     let idle_until = match stage {
         StopStage::Serving | StopStage::Draining => open_until(state, timeouts),
@@ -114,20 +123,12 @@
     }
 }
 
-/// Whether a connection carries no request and has rested for so long that it may close to make place for another one.
+/// Whether a connection carries no request and no answer and has rested for so long that it may close to make place for another one.
 /// A request that crosses the close is not read, and its caller sends it again.
 pub fn is_reclaimable(state: ConnectionState, now: Timestamp) -> bool {
     let rested = now.saturating_since(state.last_activity) >= RECLAIM_IDLE_PERIOD;
-    rested && !state.is_serving && !state.has_partial_head
-}
-
-/// A caller that takes nothing of its answer keeps memory, and the back end of a stream, from others.
-fn while_serving(state: ConnectionState, now: Timestamp) -> ConnectionAction {
-    let stalled_at = state.write_blocked_since.map(|since| since + WRITE_STALL_TIMEOUT);
-    match stalled_at {
-        Some(stalled_at) if stalled_at <= now => ConnectionAction::Abort,
-        recheck_at => ConnectionAction::KeepOpen(recheck_at),
-    }
+    let is_free = !state.is_serving && !state.has_partial_head && state.write_blocked_since.is_none();
+    rested && is_free
 }
 
 /// Until when a connection without a request stays open while requests are served.
--- a/crates/core/tests/forwarding_caller_connection.rs
+++ b/crates/core/tests/forwarding_caller_connection.rs
@@ -94,19 +94,21 @@
         };
         let stage = STAGES[usize::from(*stage) % STAGES.len()];
         let now = at(u64::from(*now));
+        let is_stalled = state.write_blocked_since.is_some_and(|since| since + WRITE_STALL <= now);
         match next_action(state, stage, TIMEOUTS, now) {
             ConnectionAction::KeepOpen(recheck) => {
-                assert!(stage < StopStage::Ended);
+                assert!(stage < StopStage::Ended && !is_stalled);
                 assert!(recheck.is_none_or(|recheck| recheck > now));
                 assert_eq!(recheck.is_none(), state.is_serving && state.write_blocked_since.is_none());
             }
             ConnectionAction::Close => {
-                assert!(!state.is_serving && !state.has_partial_head && !state.is_readable)
+                assert!(!state.is_serving && !state.has_partial_head && !state.is_readable);
+                assert_eq!(state.write_blocked_since, None);
             }
             ConnectionAction::Abort => {
-                let is_stalled = state.write_blocked_since.is_some_and(|since| since + WRITE_STALL <= now);
-                let is_idle = !state.is_serving && !state.is_readable;
-                assert!(stage == StopStage::Ended || is_idle || state.is_serving && is_stalled)
+                let is_blocked = state.write_blocked_since.is_some();
+                let is_idle = !state.is_serving && !state.is_readable && !is_blocked;
+                assert!(stage == StopStage::Ended || is_idle || is_stalled)
             }
         }
     });
@@ -149,3 +151,16 @@
     assert_eq!(action(blocked, StopStage::Serving, 10_999), ConnectionAction::KeepOpen(Some(at(11_000))));
     assert_eq!(action(blocked, StopStage::Serving, 11_000), ConnectionAction::Abort);
 }
+
+/// The HTTP library has the whole answer, and the request has ended.
+#[test]
+fn a_caller_that_takes_nothing_of_a_buffered_answer_is_left() {
+    let blocked = ConnectionState { write_blocked_since: Some(at(1_000)), ..idle() };
+    assert_eq!(action(blocked, StopStage::Serving, 10_900), ConnectionAction::KeepOpen(Some(at(11_000))));
+    assert_eq!(action(blocked, StopStage::Serving, 11_000), ConnectionAction::Abort);
+    assert!(matches!(action(blocked, StopStage::Closing, 10_900), ConnectionAction::KeepOpen(Some(_))));
+    assert!(!is_reclaimable(blocked, at(10_000)));
+    // Its next request waits behind the answer.
+    let readable = ConnectionState { is_readable: true, ..blocked };
+    assert_eq!(action(readable, StopStage::Serving, 11_000), ConnectionAction::Abort);
+}
