The kernel holds little of answers that callers do not read

Callers that request answers and read none made the kernel hold megabytes for each of them: 48 with requests for answers of 60 KiB 134 MB, beside 16 MB of resident memory, where the settings give the machine 64 MiB. The account had these answers as taken, since the kernel had accepted them.

Cause: the send buffer of a connection grows to megabytes. Its bound would also bound what is on its way, and slow down callers on long links. TCP_NOTSENT_LOWAT bounds only what is not sent yet: 16 KiB a connection. What a caller has not received then waits in the answer, which is counted and ends after 10 s.

The footprint of the tests counts bytes that were sent and not received; all of them are as strict as before or more.

--- a/crates/cli/tests/misbehaving_callers/footprint.rs
+++ b/crates/cli/tests/misbehaving_callers/footprint.rs
@@ -1,5 +1,5 @@
 //! The largest footprint of a process: resident memory, bytes that have arrived at its callers' port and are not read,
-//! and descriptors.
+//! bytes that it has sent there and its callers have not received, and descriptors.
 
 use std::{
     net::SocketAddr,
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 struct Peaks {
     unread_bytes: AtomicU64,
+    untaken_bytes: AtomicU64,
     descriptors: AtomicU64,
     is_finished: AtomicBool,
 }
@@ -38,13 +39,14 @@
 pub struct Footprint {
     pub resident_bytes: u64,
     pub unread_bytes: u64,
+    pub untaken_bytes: u64,
     pub descriptors: u64,
 }
 
 impl Footprint {
     /// The memory that the machine has to have for the process.
     pub const fn memory_bytes(&self) -> u64 {
-        self.resident_bytes + self.unread_bytes
+        self.resident_bytes + self.unread_bytes + self.untaken_bytes
     }
 }
 
@@ -55,8 +57,11 @@
         let sampled = Arc::clone(&peaks);
         let sampling = std::thread::spawn(move || {
             while !sampled.is_finished.load(Ordering::Relaxed) {
-                let unread = sockets_at(callers).iter().map(|socket| socket.unread_bytes).sum();
+                let sockets = sockets_at(callers);
+                let unread = sockets.iter().map(|socket| socket.unread_bytes).sum();
                 sampled.unread_bytes.fetch_max(unread, Ordering::Relaxed);
+                let untaken = sockets.iter().map(|socket| socket.untaken_bytes).sum();
+                sampled.untaken_bytes.fetch_max(untaken, Ordering::Relaxed);
                 sampled.descriptors.fetch_max(open_descriptors(process_id), Ordering::Relaxed);
                 std::thread::sleep(SAMPLING_INTERVAL);
             }
@@ -70,6 +75,7 @@
         Footprint {
             resident_bytes: peak_resident_bytes(self.process_id),
             unread_bytes: self.peaks.unread_bytes.load(Ordering::Relaxed),
+            untaken_bytes: self.peaks.untaken_bytes.load(Ordering::Relaxed),
             descriptors: self.peaks.descriptors.load(Ordering::Relaxed),
         }
     }
@@ -96,6 +102,7 @@
 struct Socket {
     is_established: bool,
     unread_bytes: u64,
+    untaken_bytes: u64,
 }
 
 /// The connections at a local address, as the kernel lists them.
@@ -107,10 +114,11 @@
         if !fields.get(LOCAL_ADDRESS_FIELD)?.ends_with(&port) || fields[STATE_FIELD] == LISTENING {
             return None;
         }
-        let (_, unread) = fields.get(QUEUES_FIELD)?.split_once(':')?;
+        let (untaken, unread) = fields.get(QUEUES_FIELD)?.split_once(':')?;
         Some(Socket {
             is_established: fields[STATE_FIELD] == ESTABLISHED,
             unread_bytes: u64::from_str_radix(unread, 16).ok()?,
+            untaken_bytes: u64::from_str_radix(untaken, 16).ok()?,
         })
     };
     list.lines().skip(1).filter_map(parse).collect()
--- a/crates/forward/src/caller_stream.rs
+++ b/crates/forward/src/caller_stream.rs
@@ -37,6 +37,10 @@
 /// The same for all connections that linger at once, which share it evenly.
 const MAX_LINGER_BYTES_OF_ALL: usize = 512 << 10;
 
+/// The bytes of answers that the kernel takes beyond those that are on their way to a caller. They count as memory of the
+/// machine; by default the kernel takes megabytes for a caller that reads nothing.
+const UNSENT_BYTES: u32 = 16 << 10;
+
 /// What a caller's connection needs from the process that serves it.
 pub trait ConnectionHost {
     /// The clock that measures idle time.
@@ -100,6 +104,8 @@
     pub fn new(stream: TcpStream, host: Rc<H>) -> Rc<Self> {
         // A failure only makes small events slower.
         let _ = stream.set_nodelay(true);
+        // A system without the option still serves.
+        let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES);
         let now = host.clock().now();
         Rc::new(Self {
             stream,
