Progress of a body changes its time alone

Each piece of a body took its account out of all sums and put it back. Now only the order of arriving bodies changes. The property of the account passes.

--- a/crates/core/src/caller_memory.rs
+++ b/crates/core/src/caller_memory.rs
@@ -170,7 +170,11 @@
 
     /// Records that bytes of a body have arrived.
     pub fn record_progress(&mut self, id: BodyId, now: Timestamp) {
-        self.update(id, |body| body.progressed_at = body.progressed_at.and(Some(now)));
+        let Some(body) = self.bodies.get_mut(&id) else { return };
+        let Some(progressed_at) = &mut body.progressed_at else { return };
+        self.arriving.remove(&(body.class, *progressed_at, id));
+        *progressed_at = now;
+        self.arriving.insert((body.class, now, id));
     }
 
     /// Asks for `bytes` more for a body that arrives. Where room is short, the body that has made no progress for
