--- a/crates/core/src/forwarding/caller_connection.rs
+++ b/crates/core/src/forwarding/caller_connection.rs
@@ -93,16 +93,8 @@
     if stage == StopStage::Ended {
         return ConnectionAction::Abort;
     }
-    let stalled_at = state.write_blocked_since.map(|since| since + WRITE_STALL_TIMEOUT);
-    if stalled_at.is_some_and(|stalled_at| stalled_at <= now) {
-        return ConnectionAction::Abort;
-    }
-    if state.is_serving {
-        return ConnectionAction::KeepOpen(stalled_at);
-    }
-    // The rest of an answer waits for its caller.
-    if let Some(stalled_at) = stalled_at {
-        return ConnectionAction::KeepOpen(Some(stalled_at.min(now + CLOSE_QUIET_PERIOD)));
+    if state.is_serving || state.write_blocked_since.is_some() {
+        return while_answering(state, now);
     }
     let idle_until = match stage {
         StopStage::Serving | StopStage::Draining => open_until(state, timeouts),
@@ -123,14 +115,27 @@
     }
 }
 
-/// Whether a connection carries no request and no answer and has rested for so long that it may close to make place for another one.
-/// A request that crosses the close is not read, and its caller sends it again.
+/// Whether a connection carries neither a request nor an answer and has rested for so long that it may close to make
+/// place for another one. A request that crosses the close is not read, and its caller sends it again.
 pub fn is_reclaimable(state: ConnectionState, now: Timestamp) -> bool {
     let rested = now.saturating_since(state.last_activity) >= RECLAIM_IDLE_PERIOD;
     let is_free = !state.is_serving && !state.has_partial_head && state.write_blocked_since.is_none();
     rested && is_free
 }
 
+/// Decides while a request is being served, or while the rest of its answer waits in a buffer.
+fn while_answering(state: ConnectionState, now: Timestamp) -> ConnectionAction {
+    let stalled_at = state.write_blocked_since.map(|since| since + WRITE_STALL_TIMEOUT);
+    match stalled_at {
+        Some(stalled_at) if stalled_at <= now => ConnectionAction::Abort,
+        // Nothing reports when the rest has been taken.
+        Some(stalled_at) if !state.is_serving => {
+            ConnectionAction::KeepOpen(Some(stalled_at.min(now + CLOSE_QUIET_PERIOD)))
+        }
+        recheck_at => ConnectionAction::KeepOpen(recheck_at),
+    }
+}
+
 /// Until when a connection without a request stays open while requests are served.
 fn open_until(state: ConnectionState, timeouts: ConnectionTimeouts) -> Timestamp {
     let idle_until = state.idle_since + timeouts.idle + IDLE_TIMEOUT_MARGIN;
