--- /dev/null
+++ b/review/rig-2/src/main.rs
@@ -0,0 +1,34 @@
+//! Plays one case of the review: `review-rig-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and
+//! 2 if the case could not run.
+
+mod caller;
+mod handed_on;
+mod node;
+mod record;
+mod silent_connections;
+mod watch_backlog;
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-rig-2 CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let result = match case.as_str() {
+        "watch-backlog" => watch_backlog::play(folder, trouble).await,
+        "handed-on" => handed_on::play(folder, trouble).await,
+        "silent-connections" => silent_connections::play(folder, trouble).await,
+        other => Err(format!("no case {other}")),
+    };
+    match result {
+        Ok(broken) => ExitCode::from(u8::from(broken)),
+        Err(problem) => {
+            eprintln!("could not run: {problem}");
+            ExitCode::from(2)
+        }
+    }
+}
