--- a/review/rig-2/src/handed_on.rs
+++ b/review/rig-2/src/handed_on.rs
@@ -65,10 +65,10 @@
     let (first_source, second_source) = (Ipv4Addr::new(127, 0, 0, 31), Ipv4Addr::new(127, 0, 0, 32));
     // The first node to start leads.
     let leader_link = Proxy::start(cluster.store_address).await.map_err(text)?;
-    let place = Place { store: leader_link.address, source: Some(first_source) };
+    let place = Place { store: leader_link.address, source: Some(first_source), peers: None };
     let leader = Node::start("node-b", place, &scratch).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let place = Place { store: cluster.store_address, source: Some(second_source) };
+    let place = Place { store: cluster.store_address, source: Some(second_source), peers: None };
     let node = Node::start("node-a", place, &scratch).await?;
     tokio::time::sleep(Duration::from_secs(5)).await;
     if leader.find("leadership_gained").is_none() {
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -34,15 +34,24 @@
     pub store: SocketAddr,
     /// The address from which it calls runners; `None` to let the system choose.
     pub source: Option<Ipv4Addr>,
+    /// Where other nodes reach it; `None` for a free port.
+    pub peers: Option<SocketAddr>,
+}
+
+/// A loopback address that is free now.
+pub fn free_address() -> Result<SocketAddr, String> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+    listener.local_addr().map_err(|error| error.to_string())
 }
 
 /// Settings as the platform fills them in for a machine of a small deployment.
-fn settings(name: &str, Place { store, source }: Place) -> String {
+fn settings(name: &str, Place { store, source, peers }: Place) -> String {
     let source = source.map_or(String::new(), |source| format!("source_address = \"{source}\"\n"));
+    let peers = peers.map_or("127.0.0.1:0".into(), |address| address.to_string());
     format!(
         "{source}node = \"{name}\"\nzone = \"z1\"\n\
          [listen]\ncallers = \"127.0.0.1:0\"\nreadiness = \"127.0.0.1:0\"\nmetrics = \"127.0.0.1:0\"\n\
-         peers = \"127.0.0.1:0\"\n\
+         peers = \"{peers}\"\n\
          [store]\naddress = \"{store}\"\nshortest_lease_ms = 1000\n\
          [bounds]\nconfiguration_ms = 2000\nrevocation_ms = 5000\nrevocation_fails_closed = true\n\
          grace_s = 8\nretry_share = 0.2\nretry_window_s = 10\nretry_slack = 54\nlease_ms = 3000\ndrain_ms = 2000\n\
--- a/review/rig-2/src/silent_connections.rs
+++ b/review/rig-2/src/silent_connections.rs
@@ -1,4 +1,5 @@
-//! The open connections of all nodes to the store go silent, while new ones work, and the configuration changes.
+//! The open connections of two nodes to the store go silent, while new ones work. Some seconds later the node that
+//! leads is killed, and the configuration changes.
 
 use std::{
     collections::BTreeMap,
@@ -15,13 +16,20 @@
 
 use crate::{
     caller::{Caller, Exchange},
-    node::{Node, Place},
+    node::{Node, Place, free_address},
     record::Record,
 };
 
-/// `configApplyMs` and `contactMs`.
+/// `configApplyMs`.
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
-const CONTACT: Duration = Duration::from_millis(3_000);
+/// How long the connections are silent before the leader is killed: more than `contactMs`.
+const SILENT_BEFORE: Duration = Duration::from_millis(4_000);
+/// `node_kill`: how long the killed process is down.
+const DOWN: Duration = Duration::from_millis(3_500);
+/// When the operator changes the configuration, after the disruption.
+const CHANGE_AFTER: Duration = Duration::from_millis(300);
+const OBSERVED: Duration = Duration::from_secs(12);
+const NODES: usize = 3;
 const CALL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A configuration in which requests below `/open/` and `/keyed/` go to `service`.
@@ -49,47 +57,54 @@
 pub async fn play(folder: &str, trouble: bool) -> Result<bool, String> {
     let text = |error: std::io::Error| error.to_string();
     let scratch = PathBuf::from(std::env::var("SCRATCH").map_err(|_| "SCRATCH is not set")?);
-    let count: usize = std::env::var("NODES").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
     let mut record = Record::new();
     let cluster = Cluster::start().await.map_err(text)?;
     cluster.set_target_version(1);
     cluster.store.put("op/config", &configuration(1, "pool"));
+    record.now("the operator writes version 1: /open/ and /keyed/ go to pool");
     let link = Proxy::start(cluster.store_address).await.map_err(text)?;
+    // The first node to start leads. It comes back at its address.
+    let leader_place = Place { store: cluster.store_address, source: None, peers: Some(free_address()?) };
+    let mut leader = Some(Node::start("node-0", leader_place, &scratch).await?);
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let mut nodes = Vec::new();
-    for number in 0..count {
-        let place = Place { store: link.address, source: None };
+    for number in 1..NODES {
+        let place = Place { store: link.address, source: None, peers: None };
         nodes.push(Node::start(&format!("node-{number}"), place, &scratch).await?);
     }
-    tokio::time::sleep(Duration::from_secs(8)).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    if leader.as_ref().is_none_or(|leader| leader.find("leadership_gained").is_none()) {
+        return Err("node-0 does not lead".into());
+    }
     let caller = Caller::default();
     for node in &nodes {
         caller.begin(&node.name, node.callers, "/open/a", CALL_INTERVAL);
         caller.begin(&node.name, node.callers, "/keyed/a", CALL_INTERVAL);
     }
-    if std::env::var("BUMPS").is_ok() {
-        for version in 2..6 {
-            cluster.set_target_version(version);
-            record.now(format!("the operator names weights {version}"));
-            tokio::time::sleep(Duration::from_millis(1_000)).await;
-            cluster.publish_weights();
-        }
-    }
-    tokio::time::sleep(Duration::from_millis(300 + 100 * u64::from(std::process::id() % 10))).await;
-    let silent_at = Instant::now();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
     if trouble {
         link.stall_open_connections();
-        record.now("all open connections to the store go silent; new ones work");
-        if std::env::var("KILL").is_ok() {
-            let leader = nodes.iter().position(|node| node.find("leadership_gained").is_some()).unwrap_or(0);
-            record.now(format!("{} is killed", nodes[leader].name));
-            nodes.remove(leader);
-        }
+        record.now("the open connections of node-1 and node-2 to the store go silent; new ones work");
     }
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    tokio::time::sleep(SILENT_BEFORE).await;
+    let began = Instant::now();
+    if trouble {
+        leader = None;
+        record.now("node-0, which leads, is killed");
+    }
+    tokio::time::sleep(CHANGE_AFTER).await;
     cluster.store.put("op/config", &configuration(2, "booking"));
     let acknowledged = Instant::now();
     record.now("the store acknowledges version 2: /open/ and /keyed/ go to booking");
-    tokio::time::sleep(Duration::from_secs(14)).await;
+    tokio::time::sleep(DOWN.saturating_sub(began.elapsed())).await;
+    if trouble {
+        record.now("node-0 is started again");
+        leader = Some(Node::start("node-0", leader_place, &scratch).await?);
+        record.now("node-0 is ready");
+    }
+    tokio::time::sleep(OBSERVED.saturating_sub(began.elapsed())).await;
+
     let exchanges = caller.end();
     let ran_at: BTreeMap<String, &str> = [("booking", &cluster.bookings), ("pool", &cluster.engines)]
         .into_iter()
@@ -98,8 +113,9 @@
             seen.filter(|seen| seen.ran).map(move |seen| (seen.id, service))
         })
         .collect();
-    let bound = (acknowledged + CONFIG_APPLY).max(silent_at + CONTACT);
-    record.at(bound, "from here on version 2 has to be in force");
+    // Both are in touch again by now.
+    let bound = acknowledged + CONFIG_APPLY;
+    record.at(bound, "from here on version 2 has to be in force at node-1 and node-2");
     let (mut asked, mut old, mut last_old) = (0, 0, None);
     for Exchange { id, node, path, sent, answer, .. } in &exchanges {
         let service = ran_at.get(id).copied().unwrap_or("nowhere");
@@ -114,14 +130,19 @@
             last_old = last_old.max(Some(*sent));
         }
     }
-    for node in &nodes {
-        let events = ["store_lost", "store_regained", "configuration_applied", "leadership_gained", "leadership_lost"];
+    for node in nodes.iter().chain(leader.as_ref()) {
+        let events =
+            ["store_lost", "store_regained", "configuration_applied", "leadership_gained", "leadership_lost"];
         for (at, line) in node.lines_with(&events) {
             record.at(at, format!("log of {}: {line}", node.name));
         }
     }
     let last = last_old.map_or(String::new(), |at| {
-        format!(", the last one {:.2} s after the silence began", (at - silent_at).as_secs_f64())
+        format!(
+            ", the last one {:.1} s after the acknowledgement and {:.1} s after the kill",
+            (at - acknowledged).as_secs_f64(),
+            (at - began).as_secs_f64()
+        )
     });
     let broken = old > 0;
     let verdict = format!(
--- a/review/rig-2/src/watch_backlog.rs
+++ b/review/rig-2/src/watch_backlog.rs
@@ -88,7 +88,9 @@
     let mut nodes = Vec::new();
     for name in ["node-1", "node-2"] {
         let link = Proxy::start(cluster.store_address).await.map_err(|error| error.to_string())?;
-        nodes.push(Node::start(name, Place { store: link.address, source: None }, &scratch).await?);
+        nodes.push(
+            Node::start(name, Place { store: link.address, source: None, peers: None }, &scratch).await?,
+        );
         links.push(link);
     }
     // Both know each other, and one of them leads.
