--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -2,10 +2,12 @@
 //! 2 if the case could not run.
 
 mod caller;
+mod grey_refusal;
 mod handed_on;
 mod handed_on_twice;
 mod node;
 mod record;
+mod revoked_open;
 mod silent_connections;
 mod watch_backlog;
 
@@ -24,6 +26,8 @@
         "handed-on" => handed_on::play(folder, trouble).await,
         "silent-connections" => silent_connections::play(folder, trouble).await,
         "handed-on-twice" => handed_on_twice::play(folder, trouble).await,
+        "revoked-open" => revoked_open::play(folder, trouble).await,
+        "grey-refusal" => grey_refusal::play(folder, trouble).await,
         other => Err(format!("no case {other}")),
     };
     match result {
