--- a/review/rig-2/src/caller.rs
+++ b/review/rig-2/src/caller.rs
@@ -24,6 +24,7 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub status: u16,
+    pub body: Vec<u8>,
 }
 
 /// A request and what became of it.
@@ -78,7 +79,7 @@
             break false;
         }
     };
-    complete.then_some(Answer { status })
+    complete.then_some(Answer { status, body: bytes[head_end..].to_vec() })
 }
 
 async fn fill(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> bool {
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -2,13 +2,13 @@
 //! 2 if the case could not run.
 
 mod caller;
-mod grey_refusal;
 mod handed_on;
 mod handed_on_twice;
 mod node;
 mod record;
-mod revoked_open;
+mod runner_process;
 mod silent_connections;
+mod unframed_crash;
 mod watch_backlog;
 
 use std::process::ExitCode;
@@ -16,6 +16,11 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, runner, address, id] = arguments.as_slice()
+        && runner == "runner"
+    {
+        return ExitCode::from(u8::from(runner_process::run(address, id).is_err()));
+    }
     let [_, case, folder] = arguments.as_slice() else {
         eprintln!("usage: review-rig-2 CASE FOLDER");
         return ExitCode::from(2);
@@ -26,8 +31,7 @@
         "handed-on" => handed_on::play(folder, trouble).await,
         "silent-connections" => silent_connections::play(folder, trouble).await,
         "handed-on-twice" => handed_on_twice::play(folder, trouble).await,
-        "revoked-open" => revoked_open::play(folder, trouble).await,
-        "grey-refusal" => grey_refusal::play(folder, trouble).await,
+        "unframed-crash" => unframed_crash::play(folder, trouble).await,
         other => Err(format!("no case {other}")),
     };
     match result {
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -117,7 +117,7 @@
 }
 
 /// Notes a process for the script, which ends those that are left.
-fn note_process(scratch: &Path, id: u32) {
+pub fn note_process(scratch: &Path, id: u32) {
     let file = OpenOptions::new().create(true).append(true).open(scratch.join("processes"));
     if let Ok(mut file) = file {
         let _ = writeln!(file, "{id}");
