Review: case 4, streams at a node that declines one request

A request that another node declines counts as a failure of that node, and all streams that it serves are broken off.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -2,7 +2,7 @@
 //! 2 if the case could not run.
 
 mod caller;
-mod handed_on;
+mod handed_on_lost;
 mod handed_on_twice;
 mod node;
 mod record;
@@ -28,8 +28,8 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
         "watch-backlog" => watch_backlog::play(folder, trouble).await,
-        "handed-on" => handed_on::play(folder, trouble).await,
         "silent-connections" => silent_connections::play(folder, trouble).await,
+        "handed-on-lost" => handed_on_lost::play(folder, trouble).await,
         "handed-on-twice" => handed_on_twice::play(folder, trouble).await,
         "unframed-crash" => unframed_crash::play(folder, trouble).await,
         other => Err(format!("no case {other}")),
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -101,6 +101,13 @@
         Err(format!("{name} did not become ready"))
     }
 
+    /// Sends SIGTERM, as a planned restart does.
+    pub fn terminate(&mut self) -> Result<(), String> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status().map_err(|error| error.to_string())?;
+        if status.success() { Ok(()) } else { Err(format!("kill -TERM {id} fails")) }
+    }
+
     /// The last log line with this event.
     pub fn find(&self, event: &str) -> Option<Value> {
         let lines = self.lines.lock().ok()?;
